--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,4 @@
+package settings
+
+// subject names settings in reports of problems.
+const subject = "settings"
