--- a/internal/structs/engine.go
+++ b/internal/structs/engine.go
@@ -29,6 +29,10 @@
 	Address string        `json:"address"`
 	Role    EngineRole    `json:"role"`
 	Loaded  []LoadedModel `json:"loaded"`
+	// Loading lists what an accepted order is still fetching.
+	Loading []LoadedModel `json:"loading,omitempty"`
+	// Fence is the highest fence token of any order the engine has seen.
+	Fence uint64 `json:"fence,omitempty"`
 	// Capacity of the prefix cache and its present use, in tokens.
 	CacheCapacityTokens int64 `json:"cacheCapacityTokens"`
 	CacheUsedTokens     int64 `json:"cacheUsedTokens"`
