--- /dev/null
+++ b/internal/workload/voltkai.go
@@ -0,0 +1,115 @@
+package workload
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const swapAgent = "swap-agent"
+
+// Voltkai's tools. Durations are in milliseconds.
+var (
+	batteryTelemetry = toolCall{name: "battery-telemetry", repeatable: true, duration: span{150, 600}}
+	cabinetRelease   = toolCall{name: "cabinet-release", duration: span{600, 1_500}}
+	refund           = toolCall{name: "refund", duration: span{300, 900}}
+)
+
+// Sizes of Voltkai's calls in tokens, and waits for the rider in milliseconds.
+var (
+	riderMessage    = span{30, 120}
+	telemetryResult = span{300, 900}
+	toolReceipt     = span{40, 120}
+	chatAnswer      = span{30, 120}
+	riderActs       = span{2_000, 8_000}
+	cabinetSurvey   = span{1_500, 4_000}
+	rebalanceAnswer = span{150, 500}
+)
+
+// Shares of door sessions that branch.
+const (
+	faultCheckChance = 0.30
+	refundChance     = 0.15
+)
+
+func voltkai() Deployment {
+	return Deployment{
+		Name:        "voltkai",
+		Zones:       zones("taichung-1", "taichung-2", "changhua", "nantou"),
+		Engines:     10,
+		Model:       swapAgent,
+		ZoneDelay:   1500 * time.Microsecond,
+		ClientDelay: 3 * time.Millisecond,
+		kinds:       []programKind{{weight: 39, build: doorSession}, {weight: 1, build: overnightRebalance}},
+	}
+}
+
+// doorSession talks a rider through a stuck cabinet door.
+func doorSession(random *rand.Rand) *Program {
+	return &Program{
+		Name: "door-session", Tenant: "riders", Prefixes: []Prefix{{Name: "door-session", Tokens: 1_500}},
+		Deadline: 2 * time.Minute, Priority: 10, MaxAnswerTokens: 256,
+		random: random, script: writeDoorSession,
+	}
+}
+
+func writeDoorSession(s *script) {
+	s.model(swapAgent, riderMessage, chatAnswer)
+	s.tool(batteryTelemetry)
+	s.model(swapAgent, telemetryResult, chatAnswer)
+	if s.chance(faultCheckChance) {
+		s.spawn(1, faultCheck)
+		s.model(swapAgent, toolReceipt, chatAnswer)
+	}
+	attempts := s.draw(span{1, 3})
+	for range attempts {
+		s.tool(cabinetRelease)
+		s.model(swapAgent, toolReceipt, chatAnswer)
+		s.pause(riderActs)
+		s.model(swapAgent, riderMessage, chatAnswer)
+	}
+	if s.chance(refundChance) {
+		s.spawn(1, refundCheck)
+		s.model(swapAgent, toolReceipt, chatAnswer)
+	}
+}
+
+// faultCheck reads a cabinet's telemetry until it has found the fault.
+func faultCheck(random *rand.Rand) *Program {
+	return &Program{
+		Name: "fault-check", Deadline: time.Minute, Priority: 10, MaxAnswerTokens: 256, random: random,
+		script: func(s *script) {
+			s.model(swapAgent, riderMessage, chatAnswer)
+			for range s.draw(span{1, 3}) {
+				s.tool(batteryTelemetry)
+				s.model(swapAgent, telemetryResult, chatAnswer)
+			}
+		},
+	}
+}
+
+// refundCheck decides on a refund and pays it.
+func refundCheck(random *rand.Rand) *Program {
+	return &Program{
+		Name: "refund-check", Deadline: time.Minute, Priority: 10, MaxAnswerTokens: 256, random: random,
+		script: func(s *script) {
+			s.model(swapAgent, riderMessage, chatAnswer)
+			s.tool(refund)
+			s.model(swapAgent, toolReceipt, chatAnswer)
+		},
+	}
+}
+
+// overnightRebalance plans the moves of packs between cabinets.
+func overnightRebalance(random *rand.Rand) *Program {
+	return &Program{
+		Name: "overnight-rebalance", Tenant: "dispatchers", Prefixes: []Prefix{{Name: "overnight-rebalance", Tokens: 3_000}},
+		Deadline: 30 * time.Minute, Priority: 0, MaxAnswerTokens: 1_024, random: random,
+		script: func(s *script) {
+			for range s.draw(span{12, 30}) {
+				s.model(swapAgent, cabinetSurvey, rebalanceAnswer)
+				s.tool(batteryTelemetry)
+			}
+			s.model(swapAgent, telemetryResult, rebalanceAnswer)
+		},
+	}
+}
