--- a/internal/failure/backend.go
+++ b/internal/failure/backend.go
@@ -196,6 +196,43 @@
 // Retry says when to send the request again.
 func (e *FenceRejected) Retry() Retry { return Retry{} }
 
+// WeightsUnavailable reports that the weight store did not send the weights asked for.
+type WeightsUnavailable struct {
+}
+
+func (e *WeightsUnavailable) Error() string {
+	return "the weight store did not send the weights"
+}
+
+// Type returns "weights_unavailable".
+func (e *WeightsUnavailable) Type() Type { return "weights_unavailable" }
+
+// Outcome returns NotRun.
+func (e *WeightsUnavailable) Outcome() Outcome { return NotRun }
+
+// Retry says when to send the request again.
+func (e *WeightsUnavailable) Retry() Retry { return Retry{Allowed: true, After: platformDelay} }
+
+// StreamBroken reports an answer stream that ended early. The engine may go on
+// with it: resuming it, or sending the same stream id again, does no harm.
+type StreamBroken struct {
+	// Engine is the engine's address.
+	Engine string
+}
+
+func (e *StreamBroken) Error() string {
+	return fmt.Sprintf("the answer stream from engine %s broke", e.Engine)
+}
+
+// Type returns "stream_broken".
+func (e *StreamBroken) Type() Type { return "stream_broken" }
+
+// Outcome returns OutcomeUnknown.
+func (e *StreamBroken) Outcome() Outcome { return OutcomeUnknown }
+
+// Retry says when to send the request again.
+func (e *StreamBroken) Retry() Retry { return Retry{Allowed: true} }
+
 // Internal wraps an error of no known kind.
 type Internal struct {
 	// Cause is the error.
