barleyshelf: the command line with validate and version

validate checks a settings file, a directory of declarations or both without starting anything; every failure has a type, a fixed exit code and a JSON form.

--- /dev/null
+++ b/cmd/barleyshelf/main.go
@@ -0,0 +1,77 @@
+// Command barleyshelf is the product: the daemon, and the operators' commands
+// plan, apply, get, drain, validate and version. docs/CLI.md describes each.
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// application carries what the commands share.
+type application struct {
+	// Output is the form of everything written to stdout.
+	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+
+	context   context.Context
+	stdout    io.Writer
+	stderr    io.Writer
+	arguments []string
+}
+
+// command is a subcommand with its words of help.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes one command line and returns its exit code.
+func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
+	app := &application{context: ctx, stdout: stdout, stderr: stderr, arguments: arguments}
+	parser := flags.NewNamedParser("barleyshelf", flags.HelpFlag|flags.PassDoubleDash|flags.AllowBoolValues)
+	if _, err := parser.AddGroup("Global options", "", app); err != nil {
+		return app.finish(err)
+	}
+	for _, each := range commands(app) {
+		if _, err := parser.AddCommand(each.name, each.short, each.long, each.data); err != nil {
+			return app.finish(err)
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return app.finish(err)
+}
+
+func commands(app *application) []command {
+	return []command{
+		{"daemon", "run a daemon", "Runs one daemon until it is told to stop.", &daemonCommand{app: app}},
+		{"validate", "check settings and declarations", "Checks a settings file, declarations or both, without starting anything.", &validateCommand{app: app}},
+		{"version", "show the version", "Shows the version of this program and of the declarations that it reads.", &versionCommand{app: app}},
+	}
+}
+
+// finish reports err, if any, and returns the exit code.
+func (a *application) finish(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		io.WriteString(a.stdout, usage.Message+"\n")
+		return exitDone
+	}
+	code := exitCodeOf(err)
+	a.writeFailure(err, code)
+	return code
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -79,6 +79,7 @@
 		TLS:                  TLS{ServerCertificate: "cert.pem"},
 		OperatorTokensSHA256: map[string]string{"lin": "secret"},
 		LogVerbosity:         -1,
+		Policy:               "fastest",
 	}
 	var invalid *strictyaml.Invalid
 	require.ErrorAs(t, wrong.Validate(), &invalid)
@@ -88,6 +89,6 @@
 	}
 	require.ElementsMatch(t, []string{
 		"node", "region", "listen.caller", "advertise.operator", "seeds", "platformAddress", "tls.serverKey",
-		"tls.peerCertificate", "operatorTokensSHA256.lin", "maxBodyBytes", "drainTimeoutMilliseconds", "logVerbosity",
+		"tls.peerCertificate", "operatorTokensSHA256.lin", "maxBodyBytes", "drainTimeoutMilliseconds", "logVerbosity", "policy",
 	}, fields)
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -6,7 +6,9 @@
 	"net/url"
 	"regexp"
 	"sort"
+	"strings"
 
+	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
 )
 
@@ -39,6 +41,9 @@
 	found.positive("maxBodyBytes", s.MaxBodyBytes)
 	found.positive("drainTimeoutMilliseconds", s.DrainTimeoutMilliseconds)
 	found.notNegative("logVerbosity", int64(s.LogVerbosity))
+	if _, err := schedule.New(s.Policy); err != nil {
+		found.add("policy", "unknown policy "+s.Policy, strings.Join(schedule.Names(), ", "))
+	}
 	return found.problems
 }
 
@@ -158,3 +163,13 @@
 		c.add(field, "must not be negative", "a whole number from 0")
 	}
 }
+
+// ValidateFile is Validate for settings that came from one file alone: its
+// problems name the file.
+func (s Settings) ValidateFile(path string) error {
+	problems := s.problems()
+	for i := range problems {
+		problems[i].File = path
+	}
+	return strictyaml.NewInvalid(subject, problems)
+}
