--- /dev/null
+++ b/internal/program/guarantee_test.go
@@ -0,0 +1,258 @@
+package program
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+func TestStartedCallIsNeverStartedAgain(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, toolCall(id, 1)))
+	f.start(id, 1, "first")
+	_, err := f.machine.Start(f.now, StartRequest{Program: id, Number: 1, DispatchKey: "second"})
+	require.IsType(t, &failure.CallConflict{}, err)
+	_, err = f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Attempt: 1, GivenUp: true})
+	require.IsType(t, &failure.Malformed{}, err, "a non-repeatable call is taken back only with proof")
+	f.commit(f.machine.Unknown(f.now, id, 1, 1, "no answer"))
+	answer, err := f.machine.Answer(testTenant, id, 1)
+	require.NoError(t, err)
+	require.Equal(t, failure.OutcomeUnknown, answer.Outcome)
+	require.Equal(t, testReserve().Tokens, answer.Spent.Tokens, "the whole reservation is spent")
+	_, runnable := f.machine.Runnable(id)
+	require.False(t, runnable)
+}
+
+func TestRefusedOnlyWithoutAnAttemptUnderWay(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, toolCall(id, 1)))
+	f.start(id, 1, "first")
+	_, err := f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Final: true})
+	require.IsType(t, &failure.CallConflict{}, err)
+	f.commit(f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Attempt: 1}))
+	f.commit(f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Final: true, FailureType: "engine_unavailable"}))
+	answer, err := f.machine.Answer(testTenant, id, 1)
+	require.NoError(t, err)
+	require.Equal(t, failure.NotRun, answer.Outcome)
+	_, err = f.machine.Start(f.now, StartRequest{Program: id, Number: 1, DispatchKey: "second"})
+	require.IsType(t, &failure.CallConflict{}, err, "no attempt follows a refusal")
+}
+
+func TestGivenUpCallIsNotCalledNotRun(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	f.start(id, 1, "first")
+	f.commit(f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Attempt: 1, GivenUp: true,
+		Spent: structs.Amount{Tokens: 30}}))
+	f.commit(f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Final: true}))
+	answer, err := f.machine.Answer(testTenant, id, 1)
+	require.NoError(t, err)
+	require.Equal(t, failure.Ran, answer.Outcome)
+	require.Equal(t, int64(30), f.status(id).Spent.Tokens)
+}
+
+func TestSpendingIsCappedAtTheReservation(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	f.start(id, 1, "first")
+	f.commit(f.machine.Finish(f.now, FinishRequest{Program: id, Number: 1, Attempt: 1,
+		Spent: structs.Amount{Tokens: 1 << 40}}))
+	require.Equal(t, testReserve().Tokens, f.status(id).Spent.Tokens)
+	require.Equal(t, structs.Amount{}, f.status(id).Reserved)
+}
+
+func TestSecondSettlementChangesNothing(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	f.start(id, 1, "first")
+	twice, err := f.machine.Finish(f.now, FinishRequest{Program: id, Number: 1, Attempt: 1, Spent: testReserve()})
+	f.commit(twice, err)
+	f.commit(twice, err)
+	require.Equal(t, int64(100), f.status(id).Spent.Tokens)
+	require.Equal(t, int64(1), f.status(id).Spent.Turns)
+}
+
+func TestBudgetBoundsEveryMember(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	for member, reserve := range map[string]structs.Amount{
+		"tokens":       {Tokens: 10_001},
+		"costMicros":   {CostMicros: 5_001},
+		"milliseconds": {Milliseconds: 60_001},
+	} {
+		_, err := f.machine.Start(f.now, StartRequest{Program: id, Number: 1, DispatchKey: "k", Reserve: reserve})
+		var exceeded *failure.BudgetExceeded
+		require.ErrorAs(t, err, &exceeded)
+		require.Equal(t, member, exceeded.Member)
+	}
+	for number := structs.CallNumber(1); number <= 20; number++ {
+		_, _ = f.machine.Accept(f.now, modelCall(id, number))
+		if number > 1 {
+			f.commit(f.machine.Accept(f.now, modelCall(id, number)))
+		}
+		f.start(id, number, "k")
+		f.finish(id, number, 1, "")
+	}
+	_, err := f.machine.Accept(f.now, modelCall(id, 21))
+	require.Equal(t, &failure.BudgetExceeded{Member: "turns", Asked: 1, Left: 0}, err)
+}
+
+func (f *fixture) openChild(parent structs.ProgramID, key string, budget structs.Amount) (structs.ProgramID, error) {
+	f.t.Helper()
+	id, err := structs.NewChildID(parent, key)
+	require.NoError(f.t, err)
+	decision, err := f.machine.Open(f.now, OpenRequest{ID: id, Tenant: testTenant, Program: "check", Key: key,
+		Budget: budget, Parent: parent, HistoryZones: []structs.ZoneName{"a", "b"}, Hash: 2})
+	if err == nil {
+		f.commit(decision, nil)
+	}
+	return id, err
+}
+
+func TestChildReturnsWhatIsLeft(t *testing.T) {
+	f := newFixture(t)
+	parent := f.open("k")
+	granted := structs.Amount{Tokens: 4_000, CostMicros: 1_000, Turns: 5, Milliseconds: 9_000}
+	child, err := f.openChild(parent, "c", granted)
+	require.NoError(t, err)
+	require.Equal(t, testBudget().Minus(granted), f.status(parent).Left)
+	f.commit(f.machine.Accept(f.now, modelCall(child, 1)))
+	f.start(child, 1, "c1")
+	f.commit(f.machine.End(f.now, testTenant, child, CauseEnded))
+	require.Equal(t, granted, f.status(parent).Granted, "a call of the child is not settled")
+	f.finish(child, 1, 1, "")
+	require.Equal(t, structs.Amount{}, f.status(parent).Granted)
+	require.Equal(t, int64(40), f.status(parent).Spent.Tokens)
+	require.Equal(t, testBudget().Minus(f.status(parent).Spent), f.status(parent).Left)
+	f.commit(f.machine.Finish(f.now, FinishRequest{Program: child, Number: 1, Attempt: 1}))
+	require.Equal(t, testBudget().Minus(f.status(parent).Spent), f.status(parent).Left)
+}
+
+func TestChildIsRefusedBeyondTheParent(t *testing.T) {
+	f := newFixture(t)
+	parent := f.open("k")
+	_, err := f.openChild(parent, "c", structs.Amount{Tokens: 10_001, Turns: 1})
+	require.IsType(t, &failure.BudgetExceeded{}, err)
+	id, err := structs.NewChildID(parent, "elsewhere")
+	require.NoError(t, err)
+	_, err = f.machine.Open(f.now, OpenRequest{ID: id, Tenant: testTenant, Parent: parent,
+		Budget: structs.Amount{Turns: 1}, HistoryZones: []structs.ZoneName{"b"}})
+	require.IsType(t, &failure.NoPermittedPlace{}, err, "its history would rest in zone a")
+}
+
+func TestRacingRecordsCannotOverspend(t *testing.T) {
+	f := newFixture(t)
+	parent := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(parent, 1)))
+	reserve := structs.Amount{Tokens: 9_000}
+	start, err := f.machine.Start(f.now, StartRequest{Program: parent, Number: 1, DispatchKey: "p1", Reserve: reserve})
+	require.NoError(t, err)
+	child, err := f.openChild(parent, "c", structs.Amount{Tokens: 2_000, Turns: 1})
+	require.NoError(t, err)
+	f.commit(start, nil)
+	_, dispatched := f.machine.Dispatched(parent, 1, "p1")
+	require.False(t, dispatched, "the record came too late: nothing may be sent")
+	require.Equal(t, []structs.ProgramID{child}, f.status(parent).Children)
+}
+
+func TestEndCascadesAndCancelsWhatWasNotSent(t *testing.T) {
+	f := newFixture(t)
+	parent := f.open("k")
+	child, err := f.openChild(parent, "c", structs.Amount{Tokens: 4_000, CostMicros: 100, Turns: 5, Milliseconds: 9_000})
+	require.NoError(t, err)
+	grandchild, err := f.openChild(child, "g", structs.Amount{Tokens: 1_000, CostMicros: 50, Turns: 2, Milliseconds: 4_000})
+	require.NoError(t, err)
+	f.commit(f.machine.Accept(f.now, toolCall(grandchild, 1)))
+	f.commit(f.machine.Accept(f.now, modelCall(grandchild, 2)))
+	f.start(grandchild, 1, "g1")
+	f.commit(f.machine.End(f.now, testTenant, parent, CauseEnded))
+	require.Equal(t, CauseParent, f.status(grandchild).Cause)
+	require.Equal(t, Ending, f.status(parent).State)
+	started, found := f.machine.Dispatched(grandchild, 1, "g1")
+	require.True(t, found, "a started non-repeatable call runs to its end")
+	require.False(t, started.Abandon)
+	answer, err := f.machine.Answer(testTenant, grandchild, 2)
+	require.NoError(t, err)
+	require.Equal(t, failure.NotRun, answer.Outcome)
+	f.finish(grandchild, 1, 1, "released")
+	require.Equal(t, Ended, f.status(parent).State)
+	require.Equal(t, int64(40), f.status(parent).Spent.Tokens)
+}
+
+func TestCancelAbandonsStartedModelCall(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	f.start(id, 1, "k1")
+	f.commit(f.machine.Cancel(f.now, testTenant, id, 1))
+	duties := f.machine.Duties(f.now)
+	require.Len(t, duties, 1)
+	require.True(t, duties[0].Call.Abandon)
+	f.commit(f.machine.NotRun(f.now, NotRunRequest{Program: id, Number: 1, Attempt: 1, GivenUp: true}))
+	_, runnable := f.machine.Runnable(id)
+	require.False(t, runnable, "a cancelled call is not started again")
+}
+
+func TestHoldsAreReleasedAfterTheEndOnly(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	f.start(id, 1, "k1")
+	require.Len(t, f.machine.Holds(), 1, "the hold is recorded with the start")
+	_, err := f.machine.Released(f.now, id, testEngine, 3)
+	require.IsType(t, &failure.CallConflict{}, err)
+	f.finish(id, 1, 1, "")
+	require.Empty(t, f.machine.Duties(f.now))
+	f.commit(f.machine.End(f.now, testTenant, id, CauseEnded))
+	f.now = f.now.Add(RetentionTime)
+	_, err = f.machine.Remove(f.now, id)
+	require.IsType(t, &failure.CallConflict{}, err, "a program with a hold is not removed")
+	duties := f.machine.Duties(f.now)
+	require.Len(t, duties, 1)
+	require.Equal(t, DutyRelease, duties[0].Kind)
+	require.Empty(t, f.machine.Duties(f.now), "not offered again at once")
+	require.Len(t, f.machine.Duties(f.now.Add(offerInterval)), 1, "offered again until it is done")
+	f.commit(f.machine.Released(f.now, id, testEngine, 3))
+	require.Equal(t, DutyRemove, f.machine.Duties(f.now)[0].Kind)
+}
+
+func TestRemovedProgramIsNotOpenedAgain(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	f.commit(f.machine.End(f.now, testTenant, id, CauseEnded))
+	_, err := f.machine.Remove(f.now, id)
+	require.IsType(t, &failure.CallConflict{}, err, "repeats are answered for the retention time")
+	f.now = f.now.Add(RetentionTime)
+	f.commit(f.machine.Remove(f.now, id))
+	_, err = f.machine.Open(f.now, OpenRequest{ID: id, Tenant: testTenant, Hash: 1})
+	require.Equal(t, &failure.ProgramOver{Cause: "removed"}, err)
+}
+
+func TestIdleAndDeadlineEndPrograms(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	require.Empty(t, f.machine.Duties(f.now.Add(59*time.Second)))
+	duties := f.machine.Duties(f.now.Add(time.Minute))
+	require.Equal(t, []Duty{{Kind: DutyEnd, Program: id, Tenant: testTenant, Cause: CauseIdle}}, duties)
+	f.now = f.now.Add(30 * time.Second)
+	f.commit(f.machine.Accept(f.now, modelCall(id, 1)))
+	require.Empty(t, f.machine.Duties(testStart.Add(time.Minute+offerInterval)), "a call is activity")
+
+	urgent := structs.NewProgramID(testDomain, testTenant, "urgent")
+	f.commit(f.machine.Open(f.now, OpenRequest{ID: urgent, Tenant: testTenant, Budget: testBudget(),
+		Deadline: f.now.Add(5 * time.Second)}))
+	duties = f.machine.Duties(f.now.Add(5 * time.Second))
+	require.Equal(t, []Duty{{Kind: DutyEnd, Program: urgent, Tenant: testTenant, Cause: CauseDeadline}}, duties)
+	_, err := f.machine.Accept(f.now.Add(5*time.Second), modelCall(urgent, 1))
+	require.Equal(t, &failure.ProgramOver{Cause: CauseDeadline}, err)
+}
--- /dev/null
+++ b/internal/program/read.go
@@ -0,0 +1,183 @@
+package program
+
+import (
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// Program returns the state of the tenant's program.
+// The error is a *failure.UnknownProgram.
+func (m *Machine) Program(tenant structs.TenantID, id structs.ProgramID) (Status, error) {
+	found, err := m.find(tenant, id)
+	if err != nil {
+		return Status{}, err
+	}
+	return found.status(), nil
+}
+
+// Lookup returns the state of a program whoever its tenant is, for duties.
+func (m *Machine) Lookup(id structs.ProgramID) (Status, bool) {
+	found, ok := m.programs[id]
+	if !ok {
+		return Status{}, false
+	}
+	return found.status(), true
+}
+
+func (p *program) status() Status {
+	return Status{
+		ID:            p.id,
+		Tenant:        p.tenant(),
+		Program:       structs.ProgramName(p.opened.GetProgramName()),
+		Key:           p.opened.GetIdempotencyKey(),
+		State:         p.state(),
+		Cause:         p.cause,
+		NextCall:      p.nextNumber(),
+		Budget:        p.budget(),
+		Spent:         p.totalSpent(),
+		Reserved:      p.reserved,
+		Granted:       p.granted,
+		Left:          p.left(),
+		Opened:        timeFrom(p.openedAt),
+		LastActivity:  timeFrom(p.activity),
+		Deadline:      timeFrom(p.opened.GetDeadlineUnixMs()),
+		Idle:          time.Duration(p.opened.GetIdleMs()) * time.Millisecond,
+		HistoryZones:  texts[structs.ZoneName](p.opened.GetHistoryZones()),
+		CacheZones:    texts[structs.ZoneName](p.opened.GetCacheZones()),
+		Parent:        p.parent(),
+		Children:      sortedChildren(p),
+		Priority:      int(p.opened.GetPriority()),
+		HistoryTokens: p.historyTokens,
+	}
+}
+
+// Runnable returns the one call of the program that may be started now.
+func (m *Machine) Runnable(id structs.ProgramID) (*Call, bool) {
+	found, ok := m.programs[id]
+	if !ok || found.current() == nil {
+		return nil, false
+	}
+	issued := found.startable(structs.CallNumber(found.cursor + 1))
+	if issued == nil {
+		return nil, false
+	}
+	return found.viewCall(issued), true
+}
+
+// Call returns a call that was accepted.
+func (m *Machine) Call(id structs.ProgramID, number structs.CallNumber) (*Call, bool) {
+	found, issued, err := m.findCall(id, number)
+	if err != nil {
+		return nil, false
+	}
+	return found.viewCall(issued), true
+}
+
+// Dispatched returns the call when the attempt with that key is the one under
+// way. Only then may the attempt be sent, and only by who proposed it.
+func (m *Machine) Dispatched(id structs.ProgramID, number structs.CallNumber, dispatchKey string) (*Call, bool) {
+	found, issued, err := m.findCall(id, number)
+	if err != nil || issued.state != Started || issued.dispatchKey != dispatchKey {
+		return nil, false
+	}
+	return found.viewCall(issued), true
+}
+
+func (p *program) viewCall(issued *call) *Call {
+	view := &Call{
+		Program:         p.id,
+		Number:          structs.CallNumber(issued.accepted.GetNumber()),
+		Kind:            kindFrom(issued.accepted.GetKind()),
+		Target:          issued.accepted.GetTarget(),
+		Adapter:         issued.accepted.GetAdapter(),
+		Repeatable:      issued.accepted.GetRepeatable(),
+		MaxAnswerTokens: issued.accepted.GetMaxAnswerTokens(),
+		ExpectedPause:   time.Duration(issued.accepted.GetExpectedPauseMs()) * time.Millisecond,
+		State:           issued.state,
+		Attempt:         issued.attempt,
+		Abandon:         issued.abandon,
+		DispatchKey:     issued.dispatchKey,
+	}
+	view.Input, view.Corrupt = unpack(issued.accepted.GetInput())
+	if issued.state == Started {
+		view.TargetID = issued.started.GetTargetId()
+		view.TargetIncarnation = structs.Incarnation(issued.started.GetTargetIncarnation())
+		view.TargetAddress = issued.started.GetTargetAddress()
+		view.Reserved = p.reserved
+		view.StartedAt = timeFrom(issued.startedAt)
+	}
+	return view
+}
+
+// Answer returns what is known of a call's outcome. Errors:
+// *failure.UnknownProgram, *failure.UnknownCall, *BadEncoding.
+func (m *Machine) Answer(tenant structs.TenantID, id structs.ProgramID, number structs.CallNumber) (Answer, error) {
+	found, err := m.find(tenant, id)
+	if err != nil {
+		return Answer{}, err
+	}
+	issued := found.call(number)
+	if issued == nil {
+		return Answer{}, &failure.UnknownCall{Number: uint32(number)}
+	}
+	text, err := unpack(issued.answer)
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{
+		Number:        number,
+		Kind:          kindFrom(issued.accepted.GetKind()),
+		State:         issued.state,
+		Attempt:       issued.attempt,
+		Text:          text,
+		PromptTokens:  issued.promptTokens,
+		AnswerTokens:  issued.answerTokens,
+		ReusedTokens:  issued.reusedTokens,
+		Spent:         issued.spent,
+		FailureType:   failure.Type(issued.failureType),
+		FailureDetail: issued.failureDetail,
+		Outcome:       issued.outcome(),
+	}, nil
+}
+
+// History returns the finished calls of a program in their order: the prompt
+// of its next model call. Calls that failed, were refused or cancelled are no
+// part of it. Errors: *failure.UnknownProgram, *BadEncoding.
+func (m *Machine) History(id structs.ProgramID) ([]Turn, error) {
+	found, err := m.findAny(id)
+	if err != nil {
+		return nil, err
+	}
+	var turns []Turn
+	for _, issued := range found.calls[:found.cursor] {
+		if issued.state != Finished {
+			continue
+		}
+		turn, err := issued.turn()
+		if err != nil {
+			return nil, err
+		}
+		turns = append(turns, turn)
+	}
+	return turns, nil
+}
+
+func (c *call) turn() (Turn, error) {
+	input, err := unpack(c.accepted.GetInput())
+	if err != nil {
+		return Turn{}, err
+	}
+	answer, err := unpack(c.answer)
+	if err != nil {
+		return Turn{}, err
+	}
+	return Turn{
+		Number: structs.CallNumber(c.accepted.GetNumber()),
+		Kind:   kindFrom(c.accepted.GetKind()),
+		Target: c.accepted.GetTarget(),
+		Input:  input,
+		Answer: answer,
+	}, nil
+}
--- a/internal/program/view.go
+++ b/internal/program/view.go
@@ -76,13 +76,15 @@
 
 // Call is a call with what a dispatcher needs to send, resume or abandon it.
 type Call struct {
-	Program         structs.ProgramID
-	Number          structs.CallNumber
-	Kind            CallKind
-	Target          string
-	Adapter         string
-	Repeatable      bool
-	Input           []byte
+	Program    structs.ProgramID
+	Number     structs.CallNumber
+	Kind       CallKind
+	Target     string
+	Adapter    string
+	Repeatable bool
+	Input      []byte
+	// Corrupt is set where Input could not be read; the call must not be sent.
+	Corrupt         error
 	MaxAnswerTokens int64
 	ExpectedPause   time.Duration
 	State           CallState
