--- a/internal/declaration/check.go
+++ b/internal/declaration/check.go
@@ -105,6 +105,7 @@
 	if !slices.Contains(replicaCounts, deployment.Replicas) {
 		at.report("spec.replicas", fmt.Sprintf("can't be %d", deployment.Replicas), "1, 3 or 5")
 	}
+	at.atLeast("spec.weightStoreBytesPerSecond", float64(deployment.WeightStoreBytesPerSecond), 0)
 	if len(c.declarations.Zones) == 0 {
 		at.report("", "no zone is declared", "at least one document of kind Zone")
 	}
--- a/internal/structs/declarations.go
+++ b/internal/structs/declarations.go
@@ -20,6 +20,9 @@
 	Replicas int `json:"replicas"`
 	// Policy names the scheduling policy; empty means the default.
 	Policy string `json:"policy,omitempty"`
+	// WeightStoreBytesPerSecond is the rate that the weight store grants to the
+	// deployment; 0 means that plans can't tell how long loads take.
+	WeightStoreBytesPerSecond int64 `json:"weightStoreBytesPerSecond,omitempty"`
 }
 
 // Zone declares a zone and what of the platform stands in it.
@@ -117,4 +120,6 @@
 	// Domains are the placement domains, in the order of their creation. A
 	// domain, once made, keeps its shards for ever: program ids carry them.
 	Domains []Domain `json:"domains"`
+	// Audit tells who made this version; nil in configurations made by tests.
+	Audit *AuditRecord `json:"audit,omitempty"`
 }
