--- /dev/null
+++ b/internal/membership/state.go
@@ -0,0 +1,347 @@
+// Package membership keeps the members of a cluster of daemons: it detects
+// failures, removes and admits daemons, and spreads versioned facts and one
+// document. It does no I/O: a State takes messages and the time, and gives back
+// messages and events.
+//
+// Each daemon is watched by a constant number of daemons of its zone, along the
+// edges of an expander graph; a few daemons link each zone with others. Facts
+// flow along the same edges and differences are found by digests, so that the
+// cost for a daemon does not grow with the cluster.
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// Options configure a State.
+type Options struct {
+	// Self is the daemon; its incarnation must be higher than in any earlier life.
+	Self structs.Node
+	// Seeds are peer addresses through which the daemon joins.
+	Seeds []string
+	// Document is the large value that all daemons share; nil if there is none.
+	Document Document
+	// Random is the source of every choice by chance.
+	Random *rand.Rand
+	// NewEstimator makes the timeout of a watched peer; nil means DefaultEstimator.
+	NewEstimator func() Estimator
+	// Timing holds the periods; the zero value means DefaultTiming.
+	Timing Timing
+}
+
+// Timing holds the periods of failure detection and dissemination.
+type Timing struct {
+	// Heartbeat is the period of heartbeats.
+	Heartbeat time.Duration
+	// Grace is how long a newly watched peer may stay silent.
+	Grace time.Duration
+	// ProbeTimeout bounds the wait for direct and indirect answers.
+	ProbeTimeout time.Duration
+	// Refutation is how long an accused daemon has to contradict before it is removed.
+	Refutation time.Duration
+	// Gather is how long a changed fact waits for others to be sent with it.
+	Gather time.Duration
+	// LinkSilence is how long a link between zones may be silent before it
+	// counts as cut.
+	LinkSilence time.Duration
+	// Settle is how long digests may differ before they are compared by bucket.
+	Settle time.Duration
+	// Tombstone is how long a removed daemon is remembered.
+	Tombstone time.Duration
+	// Join is the period at which a daemon that knows no other asks its seeds.
+	Join time.Duration
+}
+
+// DefaultTiming returns the periods that docs/design/membership.md derives.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:    time.Second,
+		Grace:        3 * time.Second,
+		ProbeTimeout: 600 * time.Millisecond,
+		Refutation:   800 * time.Millisecond,
+		Gather:       50 * time.Millisecond,
+		LinkSilence:  3500 * time.Millisecond,
+		Settle:       2 * time.Second,
+		Tombstone:    time.Hour,
+		Join:         time.Second,
+	}
+}
+
+// Outgoing is a message to send.
+type Outgoing struct {
+	To      structs.Node
+	Message *gossipv1.Message
+}
+
+// EventKind says what an Event reports.
+type EventKind int
+
+// The kinds of events.
+const (
+	// NodeChanged: a member was admitted or its state or addresses changed.
+	NodeChanged EventKind = iota
+	// ItemChanged: a newer item is held.
+	ItemChanged
+	// DocumentInForce: a newer version of the document is in force.
+	DocumentInForce
+	// SelfRemoved: the others removed this daemon. It must stop leading, and
+	// call Rejoin to come back under a higher incarnation.
+	SelfRemoved
+	// ZoneUnreachable and ZoneReachable: all links from a zone fell silent, or
+	// one of them came back.
+	ZoneUnreachable
+	ZoneReachable
+)
+
+// Event is a change that the runner reports.
+type Event struct {
+	Kind    EventKind
+	Node    structs.Node
+	Item    Item
+	Version uint64
+	Zone    structs.ZoneName
+}
+
+// Item is a versioned fact that daemons publish. Keys must be bounded in
+// number: an item is never dropped. Equal versions with different values are
+// settled by the values, the same way everywhere.
+type Item struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// member is a daemon as this one knows it.
+type member struct {
+	node structs.Node
+	// revision rises when the daemon contradicts an accusation.
+	revision uint64
+	ring     [watcherCount]uint64
+	removed  time.Time
+	// reported is the state that was last told by an event.
+	reported structs.NodeState
+}
+
+// State is one daemon's part of membership. It is not safe for concurrent use.
+type State struct {
+	options Options
+	timing  Timing
+	now     time.Time
+	started bool
+
+	members map[structs.NodeID]*member
+	facts   factStore
+	derived *topology
+
+	heartbeat     uint64
+	nextHeartbeat time.Time
+	nextJoin      time.Time
+	nextReunion   time.Time
+	nextSweep     time.Time
+
+	watches     map[structs.NodeID]*watch
+	accusations map[structs.NodeID]*accusation
+	pings       map[uint64]ping
+	links       map[structs.NodeID]*link
+	cut         map[structs.ZoneName]bool
+	zonesStale  bool
+	names       map[string]string
+
+	pending     []pendingFact
+	nextFlush   time.Time
+	lastChanged time.Time
+	nextSync    time.Time
+	fetch       *documentFetch
+	removedSelf bool
+	leaving     bool
+
+	outgoing []Outgoing
+	events   []Event
+}
+
+// New returns the state of a daemon that knows only itself.
+func New(options Options) *State {
+	if options.Timing == (Timing{}) {
+		options.Timing = DefaultTiming()
+	}
+	if options.NewEstimator == nil {
+		options.NewEstimator = func() Estimator { return DefaultEstimator(options.Timing.Heartbeat) }
+	}
+	s := &State{
+		options:     options,
+		timing:      options.Timing,
+		members:     map[structs.NodeID]*member{},
+		watches:     map[structs.NodeID]*watch{},
+		accusations: map[structs.NodeID]*accusation{},
+		pings:       map[uint64]ping{},
+		links:       map[structs.NodeID]*link{},
+		cut:         map[structs.ZoneName]bool{},
+		names:       map[string]string{},
+	}
+	s.options.Self.State = structs.NodeAlive
+	s.publishSelf()
+	return s
+}
+
+// Drain returns and forgets the messages and events that piled up.
+func (s *State) Drain() ([]Outgoing, []Event) {
+	outgoing, events := s.outgoing, s.events
+	s.outgoing, s.events = nil, nil
+	return outgoing, events
+}
+
+// Self returns the daemon as it presents itself.
+func (s *State) Self() structs.Node { return s.options.Self }
+
+// Nodes returns all known daemons, also those removed not long ago, in no order.
+func (s *State) Nodes() []structs.Node {
+	nodes := make([]structs.Node, 0, len(s.members))
+	for _, m := range s.members {
+		nodes = append(nodes, s.present(m))
+	}
+	return nodes
+}
+
+// Node returns a daemon by its id.
+func (s *State) Node(id structs.NodeID) (structs.Node, bool) {
+	m, known := s.members[id]
+	if !known {
+		return structs.Node{}, false
+	}
+	return s.present(m), true
+}
+
+// Tick does what is due.
+func (s *State) Tick(now time.Time) {
+	s.now = now
+	if !s.started {
+		s.start()
+	}
+	if s.removedSelf {
+		return
+	}
+	s.topology()
+	if !now.Before(s.nextHeartbeat) {
+		s.beat()
+	}
+	if !now.Before(s.nextJoin) {
+		s.join()
+	}
+	if !now.Before(s.nextReunion) {
+		s.reunite()
+	}
+	if !now.Before(s.nextSweep) {
+		s.sweep()
+	}
+	s.checkWatches()
+	s.checkLinks()
+	if s.zonesStale {
+		s.checkZones()
+	}
+	s.checkAccusations()
+	if len(s.pending) > 0 && !now.Before(s.nextFlush) {
+		s.flush()
+	}
+}
+
+// start spreads the daemons' heartbeats over the period.
+func (s *State) start() {
+	s.started = true
+	s.nextHeartbeat = s.now.Add(time.Duration(s.options.Random.Int64N(int64(s.timing.Heartbeat))))
+	s.nextJoin = s.now
+	s.nextReunion = s.now.Add(reunionPeriod)
+	s.nextSweep = s.now.Add(sweepPeriod)
+}
+
+// NextWake returns when Tick is due next if no message comes before.
+func (s *State) NextWake() time.Time {
+	if !s.started || s.removedSelf {
+		return s.now.Add(s.timing.Heartbeat)
+	}
+	wake := s.nextHeartbeat
+	earlier := func(at time.Time) {
+		if at.Before(wake) {
+			wake = at
+		}
+	}
+	if len(s.pending) > 0 {
+		earlier(s.nextFlush)
+	}
+	for _, w := range s.watches {
+		earlier(w.due())
+	}
+	for _, a := range s.accusations {
+		earlier(a.confirmed.Add(s.timing.Refutation))
+	}
+	if !wake.After(s.now) {
+		return s.now.Add(time.Millisecond)
+	}
+	return wake
+}
+
+// beat sends a heartbeat to each watcher and link peer.
+func (s *State) beat() {
+	s.heartbeat++
+	s.nextHeartbeat = s.nextHeartbeat.Add(s.timing.Heartbeat)
+	if s.nextHeartbeat.Before(s.now) {
+		s.nextHeartbeat = s.now.Add(s.timing.Heartbeat)
+	}
+	for _, neighbour := range s.topology().neighbours {
+		s.send(neighbour.node, &gossipv1.Message{
+			Heartbeat:       s.heartbeat,
+			Digest:          s.facts.root(),
+			DocumentVersion: s.documentVersion(),
+		})
+	}
+	s.repeatAccusations()
+}
+
+func (s *State) documentVersion() uint64 {
+	if s.options.Document == nil {
+		return 0
+	}
+	return s.options.Document.InForce()
+}
+
+// Receive handles a message.
+func (s *State) Receive(now time.Time, m *gossipv1.Message) {
+	s.now = now
+	if s.removedSelf || m.From == string(s.options.Self.ID) {
+		return
+	}
+	s.receiveFacts(m)
+	from, known := s.members[structs.NodeID(m.From)]
+	if !known || s.turnAway(from, m) {
+		return
+	}
+	s.signOfLife(from, m)
+	s.receiveAccusations(from, m)
+	s.receiveProbes(from, m)
+	s.receiveSync(from, m)
+	s.receiveDocument(from, m)
+}
+
+// turnAway tells a daemon that was removed so, and reports whether it was.
+func (s *State) turnAway(from *member, m *gossipv1.Message) bool {
+	if from.node.State != structs.NodeDead {
+		return false
+	}
+	if uint64(from.node.Incarnation) >= m.Incarnation {
+		held := s.facts.get(nodeKey(from.node.ID))
+		s.send(from.node, &gossipv1.Message{Facts: []*gossipv1.Fact{held.message()}})
+	}
+	return true
+}
+
+// send queues a message.
+func (s *State) send(to structs.Node, m *gossipv1.Message) {
+	m.From = string(s.options.Self.ID)
+	m.Incarnation = uint64(s.options.Self.Incarnation)
+	s.outgoing = append(s.outgoing, Outgoing{To: to, Message: m})
+}
+
+func (s *State) emit(event Event) { s.events = append(s.events, event) }
--- /dev/null
+++ b/internal/membership/topology.go
@@ -0,0 +1,255 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+const (
+	// watcherCount is the number of daemons that watch each daemon.
+	watcherCount = 3
+	// zoneRingCount is the number of rings over the zones; a zone links with
+	// its neighbours on each.
+	zoneRingCount = 3
+	// linksPerZonePair is the number of links that each two neighbouring zones have.
+	linksPerZonePair = 2
+)
+
+// zonePair is a direction between two neighbouring zones.
+type zonePair struct{ from, to structs.ZoneName }
+
+// topology is who watches whom and which daemons link the zones. Every daemon
+// derives it alone from the members, so equal views give equal topologies.
+type topology struct {
+	// watchers receive this daemon's heartbeats.
+	watchers []*member
+	// watched send heartbeats to this daemon.
+	watched []*member
+	// links are the peers in other zones that this daemon exchanges heartbeats with.
+	links []*member
+	// neighbours are watchers and links: facts are pushed to them.
+	neighbours []*member
+	// zones lists the zones that have members, in order.
+	zones []structs.ZoneName
+	// pairs maps each two neighbouring zones, in both directions, to the
+	// receiving ends of their links.
+	pairs map[zonePair][]*member
+}
+
+// topology returns the topology of the present members.
+func (s *State) topology() *topology {
+	if s.derived == nil {
+		s.derived = s.deriveTopology()
+		s.updateWatches()
+	}
+	return s.derived
+}
+
+func (s *State) deriveTopology() *topology {
+	byZone := s.membersByZone()
+	t := &topology{pairs: map[zonePair][]*member{}}
+	for zone := range byZone {
+		t.zones = append(t.zones, zone)
+	}
+	slices.Sort(t.zones)
+	own := s.members[s.options.Self.ID]
+	t.watchers = s.watchersOf(own, byZone)
+	t.watched = s.watchedBy(own, byZone)
+	s.deriveLinks(t, byZone)
+	t.neighbours = slices.Clone(t.watchers)
+	for _, link := range t.links {
+		if !slices.Contains(t.neighbours, link) {
+			t.neighbours = append(t.neighbours, link)
+		}
+	}
+	return t
+}
+
+// membersByZone groups the members that were not removed, each zone in the
+// order of the first ring.
+func (s *State) membersByZone() map[structs.ZoneName][]*member {
+	byZone := map[structs.ZoneName][]*member{}
+	for _, m := range s.members {
+		if m.node.State != structs.NodeDead {
+			byZone[m.node.Zone] = append(byZone[m.node.Zone], m)
+		}
+	}
+	return byZone
+}
+
+// watchersOf returns the daemons that watch the subject: its successors on
+// several rings of its zone, all different, so that a zone's watch graph is a
+// union of random cycles. A zone with too few members borrows watchers from
+// other zones.
+func (s *State) watchersOf(subject *member, byZone map[structs.ZoneName][]*member) []*member {
+	var watchers []*member
+	zone := byZone[subject.node.Zone]
+	for ring := 0; ring < watcherCount; ring++ {
+		if next := successor(subject, zone, ring, watchers); next != nil {
+			watchers = append(watchers, next)
+		}
+	}
+	if len(watchers) < watcherCount {
+		watchers = s.borrowWatchers(subject, watchers)
+	}
+	return watchers
+}
+
+// successor returns the next member after the subject on the ring that is not
+// yet taken; nil if there is none.
+func successor(subject *member, zone []*member, ring int, taken []*member) *member {
+	var best *member
+	var bestDistance uint64
+	for _, candidate := range zone {
+		if candidate == subject || slices.Contains(taken, candidate) {
+			continue
+		}
+		distance := candidate.ring[ring] - subject.ring[ring]
+		if best == nil || distance < bestDistance {
+			best, bestDistance = candidate, distance
+		}
+	}
+	return best
+}
+
+// borrowWatchers fills up with daemons of other zones, by rendezvous hash, of
+// different zones where there are enough.
+func (s *State) borrowWatchers(subject *member, watchers []*member) []*member {
+	var candidates []*member
+	for _, m := range s.members {
+		if m.node.State != structs.NodeDead && m.node.Zone != subject.node.Zone {
+			candidates = append(candidates, m)
+		}
+	}
+	rendezvousSort(candidates, string(subject.node.ID))
+	used := map[structs.ZoneName]bool{}
+	for _, different := range []bool{true, false} {
+		for _, candidate := range candidates {
+			if len(watchers) == watcherCount {
+				return watchers
+			}
+			if slices.Contains(watchers, candidate) || different && used[candidate.node.Zone] {
+				continue
+			}
+			watchers = append(watchers, candidate)
+			used[candidate.node.Zone] = true
+		}
+	}
+	return watchers
+}
+
+// watchedBy returns the members that the watcher watches.
+func (s *State) watchedBy(watcher *member, byZone map[structs.ZoneName][]*member) []*member {
+	var watched []*member
+	for zone, members := range byZone {
+		if zone != watcher.node.Zone && len(members) > watcherCount {
+			continue
+		}
+		for _, subject := range candidatesFor(watcher, members) {
+			if subject != watcher && slices.Contains(s.watchersOf(subject, byZone), watcher) {
+				watched = append(watched, subject)
+			}
+		}
+	}
+	slices.SortFunc(watched, byID)
+	return watched
+}
+
+// candidatesFor returns the members that can have the watcher among their
+// successors: in a large zone these are its nearest predecessors on each ring.
+func candidatesFor(watcher *member, zone []*member) []*member {
+	const reach = watcherCount
+	if len(zone) <= watcherCount*reach {
+		return zone
+	}
+	var candidates []*member
+	for ring := 0; ring < watcherCount; ring++ {
+		ordered := slices.Clone(zone)
+		slices.SortFunc(ordered, func(a, b *member) int {
+			return cmp.Compare(watcher.ring[ring]-a.ring[ring], watcher.ring[ring]-b.ring[ring])
+		})
+		for _, candidate := range ordered[:reach+1] {
+			if candidate != watcher && !slices.Contains(candidates, candidate) {
+				candidates = append(candidates, candidate)
+			}
+		}
+	}
+	return candidates
+}
+
+// deriveLinks finds each two neighbouring zones and the daemons that link them.
+func (s *State) deriveLinks(t *topology, byZone map[structs.ZoneName][]*member) {
+	self := s.members[s.options.Self.ID]
+	for _, pair := range zonePairs(t.zones) {
+		ends := representatives(byZone[pair.from], pair)
+		others := representatives(byZone[pair.to], pair)
+		t.pairs[pair] = others
+		t.pairs[zonePair{pair.to, pair.from}] = ends
+		for i := 0; i < max(len(ends), len(others)); i++ {
+			here, there := ends[i%len(ends)], others[i%len(others)]
+			t.addLink(self, here, there)
+			t.addLink(self, there, here)
+		}
+	}
+}
+
+func (t *topology) addLink(self, end, other *member) {
+	if end == self && !slices.Contains(t.links, other) {
+		t.links = append(t.links, other)
+	}
+}
+
+// zonePairs returns each two zones that follow each other on one of the rings,
+// once, in a fixed order.
+func zonePairs(zones []structs.ZoneName) []zonePair {
+	var pairs []zonePair
+	for ring := 0; ring < zoneRingCount; ring++ {
+		ordered := slices.Clone(zones)
+		slices.SortFunc(ordered, func(a, b structs.ZoneName) int {
+			return cmp.Compare(ringPosition(string(a), ring), ringPosition(string(b), ring))
+		})
+		for i, zone := range ordered {
+			next := ordered[(i+1)%len(ordered)]
+			pair := zonePair{min(zone, next), max(zone, next)}
+			if zone != next && !slices.Contains(pairs, pair) {
+				pairs = append(pairs, pair)
+			}
+		}
+	}
+	return pairs
+}
+
+// representatives returns the members of a zone that hold its ends of the links.
+func representatives(zone []*member, pair zonePair) []*member {
+	ordered := slices.Clone(zone)
+	rendezvousSort(ordered, string(pair.from)+"\x00"+string(pair.to))
+	return ordered[:min(linksPerZonePair, len(ordered))]
+}
+
+// rendezvousSort orders members by the hash of the key and their ids.
+func rendezvousSort(members []*member, key string) {
+	salt := xxhash.Sum64String(key)
+	slices.SortFunc(members, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(mix(a.ring[0]^salt), mix(b.ring[0]^salt)), byID(a, b))
+	})
+}
+
+func byID(a, b *member) int { return cmp.Compare(a.node.ID, b.node.ID) }
+
+// mix is a bijection that spreads near values apart.
+func mix(value uint64) uint64 {
+	value ^= value >> 30
+	value *= 0xbf58476d1ce4e5b9
+	value ^= value >> 27
+	value *= 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// ringPosition places a name on a ring.
+func ringPosition(name string, ring int) uint64 {
+	return mix(xxhash.Sum64String(name) + uint64(ring)*0x9e3779b97f4a7c15)
+}
