--- a/internal/lab/session/assembly.go
+++ b/internal/lab/session/assembly.go
@@ -15,11 +15,11 @@
 	observer Observer
 	issued   time.Time
 
-	mutex    sync.Mutex
-	attempt  uint32
+	mutex sync.Mutex
+	// sequence is where the text stands.
+	sequence caller.Sequence
 	text     []byte
 	complete bool
-	usage    caller.AnswerPart
 	first    bool
 	last     time.Time
 	// progress is touched at every part.
@@ -28,32 +28,25 @@
 	leaveAt int
 }
 
-// lostPlace reports that the parts do not follow what was read before: the
-// answer is read again from its start.
-type lostPlace struct{}
-
-func (*lostPlace) Error() string { return "the answer went on at another place" }
-
 // Part takes a part. An error ends the request.
 func (a *assembly) Part(part caller.AnswerPart) error {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := time.Now()
 	a.progress = now
-	if part.Restart {
-		a.attempt, a.text = part.Attempt, nil
-	}
-	if a.attempt != 0 && part.Attempt != a.attempt {
-		a.attempt, a.text = 0, nil
-		return &lostPlace{}
-	}
-	a.attempt = part.Attempt
-	if err := a.add(part, now); err != nil {
+	accepted, err := a.sequence.Accept(part)
+	if err != nil {
+		a.sequence, a.text = caller.Sequence{}, nil
 		return err
 	}
-	if part.Complete {
-		a.complete, a.usage = true, part
+	if accepted.Restart {
+		a.text = nil
 	}
+	if len(accepted.Text) > 0 {
+		a.text = append(a.text, accepted.Text...)
+		a.measure(len(accepted.Text), now)
+	}
+	a.complete = a.complete || accepted.Complete
 	if a.leaveAt > 0 && len(a.text) >= a.leaveAt && !a.complete {
 		a.leaveAt = 0
 		return &errGaveUp{}
@@ -61,24 +54,6 @@
 	return nil
 }
 
-// add appends the text that was not read before.
-func (a *assembly) add(part caller.AnswerPart, now time.Time) error {
-	if len(part.Text) == 0 {
-		return nil
-	}
-	known := uint64(len(a.text))
-	if part.Offset > known {
-		return &lostPlace{}
-	}
-	if part.Offset+uint64(len(part.Text)) <= known {
-		return nil
-	}
-	fresh := part.Text[known-part.Offset:]
-	a.text = append(a.text, fresh...)
-	a.measure(len(fresh), now)
-	return nil
-}
-
 func (a *assembly) measure(bytes int, now time.Time) {
 	if !a.first {
 		a.first = true
@@ -90,10 +65,18 @@
 	a.last = now
 }
 
-func (a *assembly) length() uint64 {
+// standing is where the next request goes on.
+func (a *assembly) standing() caller.Sequence {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.sequence
+}
+
+// forget drops what was read, so that the answer is read from its start.
+func (a *assembly) forget() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return uint64(len(a.text))
+	a.sequence, a.text = caller.Sequence{}, nil
 }
 
 func (a *assembly) whole() bool {
@@ -114,7 +97,7 @@
 	return time.Since(a.progress)
 }
 
-// watchdog checks for a stall this many times within the allowed span.
+// stallChecks is the number of looks for a stall within the allowed span.
 const stallChecks = 4
 
 // guard runs send under a context that ends when the answer stalls.
--- a/internal/lab/session/call.go
+++ b/internal/lab/session/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -49,16 +50,21 @@
 
 // fetch reads the answer, from where it stopped after each break.
 func (s *Session) fetch(ctx context.Context, requests *requester, id structs.ProgramID, request caller.CallRequest, answer *assembly) error {
-	known := false
-	return requests.until(ctx, func(ctx context.Context, client Client) error {
-		offset := answer.length()
+	accepted, sent := false, false
+	return requests.until(ctx, func(ctx context.Context, target Client) error {
+		from := answer.standing()
 		err := answer.guard(ctx, s.options.Stall, func(ctx context.Context) error {
-			if known && offset > 0 {
-				return client.Read(ctx, id, request.Number, offset, answer)
+			if accepted && from.Next > 0 {
+				return target.Read(ctx, id, request.Number, from, answer)
 			}
-			return client.Call(ctx, id, request, answer)
+			resend := sent
+			sent = true
+			return target.Call(ctx, id, request, resend, answer)
 		})
-		known = !failure.IsType(err, unknownCallType)
+		if errors.As(err, new(*caller.AnswerGap)) {
+			answer.forget()
+		}
+		accepted = !failure.IsType(err, unknownCallType)
 		if err == nil && !answer.whole() {
 			return &cutShort{}
 		}
@@ -76,9 +82,9 @@
 func (s *Session) repeatCall(ctx context.Context, requests *requester, id structs.ProgramID, request caller.CallRequest) {
 	requests.moveOn()
 	dropped := &assembly{observer: silent{}, issued: time.Now()}
-	_ = requests.attempt(ctx, func(ctx context.Context, client Client) error {
+	_ = requests.attempt(ctx, func(ctx context.Context, target Client) error {
 		return dropped.guard(ctx, s.options.Stall, func(ctx context.Context) error {
-			return client.Call(ctx, id, request, dropped)
+			return target.Call(ctx, id, request, true, dropped)
 		})
 	})
 }
--- a/internal/lab/session/program.go
+++ b/internal/lab/session/program.go
@@ -99,11 +99,11 @@
 	requests := newRequester(&s.options, s.tenant, random)
 	requests.daemon = s.daemon()
 	var status caller.ProgramStatus
-	err := requests.until(patient, func(ctx context.Context, client Client) error {
+	err := requests.until(patient, func(ctx context.Context, target Client) error {
 		limited, cancel := context.WithTimeout(ctx, s.options.Stall)
 		defer cancel()
 		var err error
-		status, err = client.Open(limited, request)
+		status, err = target.Open(limited, request)
 		return err
 	})
 	s.keepDaemon(requests.daemon)
@@ -116,10 +116,10 @@
 	defer cancel()
 	requests := newRequester(&r.session.options, r.session.tenant, r.random)
 	requests.daemon = r.session.daemon()
-	err := requests.until(patient, func(ctx context.Context, client Client) error {
+	err := requests.until(patient, func(ctx context.Context, target Client) error {
 		limited, cancel := context.WithTimeout(ctx, r.session.options.Stall)
 		defer cancel()
-		_, err := client.End(limited, r.record.ID)
+		_, err := target.End(limited, r.record.ID)
 		return err
 	})
 	if err == nil {
--- a/internal/lab/session/requester.go
+++ b/internal/lab/session/requester.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/caller/client"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -80,24 +82,31 @@
 	return err
 }
 
+// resultOf says how a request ended, by its error.
 func resultOf(err error) promise.Result {
 	if err == nil {
 		return promise.Answered
 	}
-	gaveUp := &errGaveUp{}
-	if errors.As(err, &gaveUp) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.As(err, new(*errGaveUp)) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return promise.Abandoned
 	}
-	if _, reported := failure.As(err); reported {
-		return promise.Refused
-	}
 	dialing := &net.OpError{}
 	if errors.As(err, &dialing) && dialing.Op == "dial" {
 		return promise.Unreached
 	}
+	if _, reported := failure.As(err); reported && !connectionLost(err) {
+		return promise.Refused
+	}
 	return promise.Broken
 }
 
+// connectionLost reports whether err is of the connection or of the answer's
+// transport, and nothing that a daemon said.
+func connectionLost(err error) bool {
+	return errors.As(err, new(*client.NoAnswer)) || errors.As(err, new(*client.SinkFailed)) ||
+		errors.As(err, new(*caller.AnswerGap))
+}
+
 // until sends requests until one succeeds or fails for good. The error is the
 // last one; it is not final when ctx ended first.
 func (r *requester) until(ctx context.Context, send func(context.Context, Client) error) error {
@@ -118,7 +127,7 @@
 // Final reports whether a daemon said that trying again is of no use.
 func Final(err error) bool {
 	known, reported := failure.As(err)
-	return reported && !known.Retry().Allowed
+	return reported && resultOf(err) == promise.Refused && !known.Retry().Allowed
 }
 
 func adviceOf(err error) time.Duration {
--- a/internal/lab/session/session.go
+++ b/internal/lab/session/session.go
@@ -12,12 +12,14 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// Client is a tenant's connection to one daemon. Errors that the daemon
-// reported are failure.Failure; any other error is of the connection.
+// Client is a tenant's connection to one daemon, as package caller/client has
+// it: its errors are failures, those of the connection *client.NoAnswer.
 type Client interface {
 	Open(ctx context.Context, request caller.OpenRequest) (caller.ProgramStatus, error)
-	Call(ctx context.Context, program structs.ProgramID, request caller.CallRequest, sink caller.AnswerSink) error
-	Read(ctx context.Context, program structs.ProgramID, number structs.CallNumber, offset uint64, sink caller.AnswerSink) error
+	// Call issues a call; resend says that it may have reached a daemon before.
+	Call(ctx context.Context, program structs.ProgramID, request caller.CallRequest, resend bool, sink caller.AnswerSink) error
+	// Read reads an answer from where from stands.
+	Read(ctx context.Context, program structs.ProgramID, number structs.CallNumber, from caller.Sequence, sink caller.AnswerSink) error
 	End(ctx context.Context, program structs.ProgramID) (caller.ProgramStatus, error)
 }
 
