--- a/internal/caller/backend.go
+++ b/internal/caller/backend.go
@@ -97,8 +97,10 @@
 	ReusedTokens int64 `json:"reusedTokens,omitempty"`
 }
 
-// AnswerSink takes the parts of an answer in order. An error means that the
-// reader has gone.
+// AnswerSink takes the parts of an answer in order. It may keep a part's text,
+// which must not change any more. Part blocks while the reader is slow. An
+// error means that the reader has gone, or that the parts did not follow each
+// other; the sender stops and returns it.
 type AnswerSink interface {
 	Part(part AnswerPart) error
 }
