--- /dev/null
+++ b/internal/emulator/engine_orders.go
@@ -0,0 +1,153 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/engineapi"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/weights"
+)
+
+// adapterShare is the part of a model's size that an adapter without a size of
+// its own has.
+const adapterShare = 100
+
+// order takes or refuses an order.
+func (e *Engine) order(r *engineapi.Order) *engineProblem {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := time.Now()
+	record := OrderRecord{
+		Incarnation: e.incarnation,
+		Fence:       r.Fence,
+		Kind:        string(r.Kind),
+		Model:       structs.ModelName(r.Model.Or("")),
+		Version:     r.Version.Or(""),
+		Adapter:     r.Adapter.Or(""),
+		Role:        structs.EngineRole(r.Role.Or("")),
+		At:          now,
+	}
+	refused := e.fenced(r)
+	if refused == nil {
+		refused = e.execute(r, &record, now)
+	}
+	record.Accepted = refused == nil
+	e.orders = append(e.orders, record)
+	return refused
+}
+
+// fenced raises the fence, or refuses an order that is behind it.
+func (e *Engine) fenced(r *engineapi.Order) *engineProblem {
+	if incarnation := r.Incarnation.Or(0); incarnation != 0 && structs.Incarnation(incarnation) != e.incarnation {
+		return problemIncarnation
+	}
+	if r.Fence < e.batch.fence {
+		return &engineProblem{status: http.StatusConflict, kind: "fence_rejected", detail: "a higher token was seen", seen: e.batch.fence}
+	}
+	e.batch.fence = r.Fence
+	return nil
+}
+
+func (e *Engine) execute(r *engineapi.Order, record *OrderRecord, now time.Time) *engineProblem {
+	switch r.Kind {
+	case engineapi.OrderKindLoad:
+		return e.load(r, record)
+	case engineapi.OrderKindUnload:
+		e.unload(record, now)
+	case engineapi.OrderKindRole:
+		if record.Role != e.batch.role {
+			record.StreamsCut = e.cut(func(*stream) bool { return true }, now)
+			e.batch.role = record.Role
+		}
+	}
+	return nil
+}
+
+// load starts to fetch a model or an adapter. One that is loaded or loading
+// already is left as it is.
+func (e *Engine) load(r *engineapi.Order, record *OrderRecord) *engineProblem {
+	wanted := structs.LoadedModel{Model: record.Model, Version: record.Version}
+	if record.Adapter != "" {
+		wanted.Adapters = []string{record.Adapter}
+		if !hasModel(e.batch.loaded, record.Model, record.Version) {
+			return problemNotLoaded
+		}
+	}
+	if has(e.batch.loaded, wanted) || isLoading(e.batch.loading, wanted) {
+		return nil
+	}
+	if record.Adapter == "" && len(e.batch.loaded)+countModels(e.batch.loading) >= e.config.MaxModels {
+		return problemNoRoom
+	}
+	e.batch.loading = append(append([]structs.LoadedModel(nil), e.batch.loading...), wanted)
+	bytes := r.WeightsBytes.Or(0)
+	if record.Adapter != "" {
+		bytes /= adapterShare
+	}
+	go e.fetch(e.life, wanted, bytes, r.Priority.Or(0))
+	return nil
+}
+
+// fetch reads weights and then adds them to what is loaded, unless an unload
+// came in between or the incarnation ended.
+func (e *Engine) fetch(life context.Context, wanted structs.LoadedModel, bytes int64, priority int) {
+	err := e.fetchWeights(life, wanted, bytes, priority)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if life.Err() != nil || !isLoading(e.batch.loading, wanted) {
+		return
+	}
+	e.batch.loading = slices.DeleteFunc(slices.Clone(e.batch.loading), func(entry structs.LoadedModel) bool {
+		return sameEntry(entry, wanted)
+	})
+	if err == nil {
+		e.batch.loaded = add(e.batch.loaded, wanted)
+	}
+}
+
+func (e *Engine) fetchWeights(ctx context.Context, wanted structs.LoadedModel, bytes int64, priority int) error {
+	if e.config.WeightsAddress == "" {
+		return nil
+	}
+	client, err := weights.NewClient(e.config.HTTP, e.config.WeightsAddress)
+	if err != nil {
+		return err
+	}
+	request := weights.Fetch{Model: wanted.Model, Version: wanted.Version, Bytes: bytes, Priority: priority}
+	if len(wanted.Adapters) > 0 {
+		request.Adapter = wanted.Adapters[0]
+	}
+	return client.Fetch(ctx, request)
+}
+
+// unload drops a model, or an adapter of it, with the streams that use it.
+func (e *Engine) unload(record *OrderRecord, now time.Time) {
+	record.StreamsCut = e.cut(func(s *stream) bool {
+		return s.record.Model == record.Model && s.record.Version == record.Version &&
+			(record.Adapter == "" || s.record.Adapter == record.Adapter)
+	}, now)
+	gone := structs.LoadedModel{Model: record.Model, Version: record.Version}
+	if record.Adapter != "" {
+		gone.Adapters = []string{record.Adapter}
+	}
+	e.batch.loaded = unloaded(e.batch.loaded, gone)
+	e.batch.loading = notLoading(e.batch.loading, gone)
+	if record.Adapter == "" && !anyVersion(e.batch.loaded, record.Model) {
+		e.batch.cache.dropModel(record.Model)
+	}
+}
+
+// cut ends the streams that match and returns their number.
+func (e *Engine) cut(match func(*stream) bool, now time.Time) int {
+	count := 0
+	for _, s := range e.batch.streams {
+		if !s.ended() && match(s) {
+			e.batch.end(s, StreamCut, now)
+			count++
+		}
+	}
+	return count
+}
