--- a/internal/lab/promise/calls.go
+++ b/internal/lab/promise/calls.go
@@ -81,16 +81,24 @@
 				continue
 			}
 			verdict.check(call.Settled(), "%s call %d: the caller never got an answer", id, call.Number)
-			if call.Kind != ModelCall || !call.Complete {
+			if !call.Complete {
 				continue
 			}
-			expected := evidence.Oracle.Answer(call.Target, call.Adapter, Segments(program.Calls, i), call.MaxAnswerTokens)
+			expected := expectedAnswer(evidence.Oracle, program, i)
 			verdict.check(bytes.Equal(call.Answer, expected),
 				"%s call %d: got %d bytes of an answer of %d", id, call.Number, len(call.Answer), len(expected))
 		}
 	}
 }
 
+func expectedAnswer(oracle Oracle, program *Program, position int) []byte {
+	call := program.Calls[position]
+	if call.Kind == ToolCall {
+		return oracle.ToolAnswer(call.Target, call.Input)
+	}
+	return oracle.Answer(call.Target, call.Adapter, Segments(program.Calls, position), call.MaxAnswerTokens)
+}
+
 // checkRefusals: while every request sent so far for a call was refused as not
 // run, no run of that call has begun, and none begins before the next request.
 func checkRefusals(_ *Evidence, x *index, verdict *Verdict) {
--- a/internal/lab/promise/evidence.go
+++ b/internal/lab/promise/evidence.go
@@ -17,6 +17,8 @@
 	Digest func(segments [][]byte) string
 	// Answer is the whole answer to a prompt.
 	Answer func(model, adapter string, segments [][]byte, maxTokens int64) []byte
+	// ToolAnswer is the whole answer of a tool.
+	ToolAnswer func(tool string, arguments []byte) []byte
 }
 
 // Evidence is everything that the checks read.
--- a/internal/lab/promise/promise_test.go
+++ b/internal/lab/promise/promise_test.go
@@ -45,7 +45,7 @@
 	refused.Attempts = []promise.Attempt{{Daemon: "d2", Sent: at(1), Finished: at(2), Result: promise.Refused, FailureType: "budget_exceeded", Outcome: failure.NotRun}}
 	budget := structs.Amount{Tokens: 100, CostMicros: 100, Turns: 3, Milliseconds: 1000}
 	return &promise.Evidence{
-		Oracle: promise.Oracle{Digest: digest, Answer: answer},
+		Oracle: promise.Oracle{Digest: digest, Answer: answer, ToolAnswer: func(string, []byte) []byte { return []byte("ok") }},
 		Programs: []promise.Program{
 			{ID: "p", Budget: budget, Calls: calls, Ended: at(7)},
 			{ID: "q", Budget: budget, Calls: []promise.Call{refused}, Ended: at(7)},
@@ -108,6 +108,7 @@
 		{"memory held after the end", promise.MemoryReleased, func(e *promise.Evidence) { e.Holds = []promise.Hold{{Engine: "e2", Holder: "p"}} }},
 		{"memory held for nobody", promise.MemoryReleased, func(e *promise.Evidence) { e.Holds = []promise.Hold{{Engine: "e2", Holder: "x"}} }},
 		{"answer cut short", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 3).Answer = call(e, 3).Answer[:70] }},
+		{"another tool call's answer", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 2).Answer = []byte("ok for another") }},
 		{"part delivered twice", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 3).Answer = append(call(e, 3).Answer, " answer"...) }},
 		{"caller left without a word", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 2).Complete = false }},
 		{"ran after a final refusal", promise.RefusedNotRun, func(e *promise.Evidence) {
