Replicate shards through a log with a leader

Cause: the history of programs must outlive the processes that hold it.

It sends nothing while idle and campaigns only on demand. internal/replication runs many shards on a daemon, with group commit, one batch to each peer, compression and a bbolt store with checksums.

--- /dev/null
+++ b/internal/journal/election.go
@@ -0,0 +1,251 @@
+package journal
+
+import (
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// election is the state of a campaign.
+type election struct {
+	granted map[MemberID]bool
+	// retryIn and giveUpIn count down in ticks.
+	retryIn, giveUpIn int
+	transfer          bool
+}
+
+// doubt is what a replica holds of its leader's silence.
+type doubt struct {
+	probing bool
+	// waited counts ticks since the probe was first sent.
+	waited int
+	// campaign says that the replica wants to campaign if the probe fails.
+	campaign bool
+}
+
+func memberID(node string, incarnation uint64) MemberID {
+	return MemberID{Node: structs.NodeID(node), Incarnation: structs.Incarnation(incarnation)}
+}
+
+// EnsureLeader makes sure that the leader, if one is known, still leads, and
+// campaigns when it does not answer. It does nothing at a leader or while a
+// campaign is under way.
+func (r *Replica) EnsureLeader() {
+	if r.role != Follower || r.removed {
+		return
+	}
+	if r.leader == (MemberID{}) || r.suspected[r.leader] {
+		r.Campaign()
+		return
+	}
+	r.probeLeader(true)
+}
+
+// LeaderConfirmed reports that a leader is known and no probe of it is open.
+func (r *Replica) LeaderConfirmed() bool {
+	if r.role == Leader {
+		return true
+	}
+	return r.role == Follower && r.leader != (MemberID{}) && !r.doubt.probing && !r.suspected[r.leader]
+}
+
+func (r *Replica) probeLeader(campaign bool) {
+	if !r.doubt.probing {
+		r.doubt = doubt{probing: true}
+		r.sendProbe()
+	}
+	r.doubt.campaign = r.doubt.campaign || campaign
+}
+
+func (r *Replica) sendProbe() {
+	r.sendEarly(r.leader, &journalv1.Message{
+		Type: journalv1.MessageType_MESSAGE_TYPE_PROBE, Term: r.term, Index: r.log.last(),
+	})
+}
+
+// leaderLost is called when the leader is known not to lead.
+func (r *Replica) leaderLost() {
+	campaign := r.doubt.campaign
+	r.doubt = doubt{}
+	r.leader = MemberID{}
+	if campaign {
+		r.Campaign()
+	}
+}
+
+// Campaign asks the voters whether they would elect this replica, and if a
+// majority would, stands for election. Only a voter campaigns.
+func (r *Replica) Campaign() {
+	if r.role == Leader || r.removed || !r.current().isVoter(r.config.Self) {
+		return
+	}
+	if r.role == Follower {
+		r.election.giveUpIn = r.config.CampaignTicks
+	}
+	r.role = PreCandidate
+	r.leader = MemberID{}
+	r.doubt = doubt{}
+	r.startRound(journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE, r.term+1)
+}
+
+// stand is the election proper, after a majority granted the pre-vote.
+func (r *Replica) stand() {
+	r.role = Candidate
+	r.leader = MemberID{}
+	r.doubt = doubt{}
+	r.term++
+	r.vote = r.config.Self
+	r.stateChanged = true
+	r.startRound(journalv1.MessageType_MESSAGE_TYPE_VOTE, r.term)
+}
+
+func (r *Replica) startRound(kind journalv1.MessageType, term uint64) {
+	r.election.granted = map[MemberID]bool{r.config.Self: true}
+	r.election.retryIn = r.config.ElectionTicks + r.config.Random.IntN(r.config.ElectionTicks)
+	index, logTerm := r.logEnd()
+	for _, member := range r.current().members {
+		if member.Learner || member.ID() == r.config.Self {
+			continue
+		}
+		r.sendStored(member.ID(), &journalv1.Message{
+			Type: kind, Term: term, Index: index, LogTerm: logTerm, Transfer: r.election.transfer,
+		})
+	}
+	r.countVotes()
+}
+
+func (r *Replica) countVotes() {
+	if !r.majority(func(id MemberID) bool { return r.election.granted[id] }) {
+		return
+	}
+	if r.role == PreCandidate {
+		r.stand()
+		return
+	}
+	r.becomeLeader()
+}
+
+// majority reports whether the voters in force that agree are a majority.
+func (r *Replica) majority(agrees func(MemberID) bool) bool {
+	if r.broken.commitAlone {
+		return true
+	}
+	counted := r.current()
+	if r.broken.learnersCount {
+		counted = everyMemberVotes(counted)
+	}
+	return counted.reached(agrees)
+}
+
+func everyMemberVotes(m membership) membership {
+	voting := membership{index: m.index}
+	for _, member := range m.members {
+		member.Learner = false
+		voting.members = append(voting.members, member)
+	}
+	return voting
+}
+
+func (r *Replica) tickElection() {
+	r.election.giveUpIn--
+	r.election.retryIn--
+	if r.election.giveUpIn <= 0 {
+		r.becomeFollower(r.term, MemberID{})
+		return
+	}
+	if r.election.retryIn <= 0 {
+		r.role = PreCandidate
+		r.startRound(journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE, r.term+1)
+	}
+}
+
+func (r *Replica) tickDoubt() {
+	if !r.doubt.probing {
+		return
+	}
+	r.doubt.waited++
+	if r.doubt.waited >= r.config.ProbeTicks || r.suspected[r.leader] {
+		r.leaderLost()
+		return
+	}
+	r.sendProbe()
+}
+
+func (r *Replica) stepPreVote(from MemberID, m *journalv1.Message) {
+	granted := m.Term > r.term && r.upToDate(m) && r.mayElect(from, m)
+	r.sendEarly(from, &journalv1.Message{
+		Type: journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER, Term: answerTerm(granted, m.Term, r.term), Reject: !granted,
+	})
+}
+
+func answerTerm(granted bool, asked, own uint64) uint64 {
+	if granted {
+		return asked
+	}
+	return own
+}
+
+// mayElect reports whether the replica holds that there is no leader. Where it
+// holds that there is one, it probes it, and answers the next attempt by what
+// it learnt.
+func (r *Replica) mayElect(candidate MemberID, m *journalv1.Message) bool {
+	if m.Transfer {
+		return true
+	}
+	if r.role == Leader {
+		return false
+	}
+	if r.leader == (MemberID{}) || r.leader == candidate || r.suspected[r.leader] {
+		return true
+	}
+	r.probeLeader(false)
+	return false
+}
+
+func (r *Replica) upToDate(m *journalv1.Message) bool {
+	if r.broken.skipElectionCheck {
+		return true
+	}
+	index, term := r.logEnd()
+	return m.LogTerm > term || m.LogTerm == term && m.Index >= index
+}
+
+func (r *Replica) stepVote(from MemberID, m *journalv1.Message) {
+	free := r.vote == (MemberID{}) && r.leader == (MemberID{}) || r.vote == from || r.broken.forgetVote
+	granted := free && r.upToDate(m) && r.role != Leader
+	if granted {
+		r.vote = from
+		r.stateChanged = true
+	}
+	r.sendStored(from, &journalv1.Message{
+		Type: journalv1.MessageType_MESSAGE_TYPE_VOTE_ANSWER, Term: r.term, Reject: !granted,
+	})
+}
+
+func (r *Replica) stepVoteAnswer(from MemberID, m *journalv1.Message, role Role) {
+	wanted := r.term
+	if role == PreCandidate {
+		wanted = r.term + 1
+	}
+	if r.role != role || m.Reject || m.Term != wanted {
+		return
+	}
+	r.election.granted[from] = true
+	r.countVotes()
+}
+
+func (r *Replica) stepProbe(from MemberID) {
+	r.sendEarly(from, &journalv1.Message{
+		Type: journalv1.MessageType_MESSAGE_TYPE_PROBE_ANSWER, Term: r.term, Leading: r.role == Leader,
+	})
+}
+
+func (r *Replica) stepProbeAnswer(from MemberID, m *journalv1.Message) {
+	if r.role != Follower || from != r.leader || m.Term != r.term {
+		return
+	}
+	if m.Leading {
+		r.doubt = doubt{}
+		return
+	}
+	r.leaderLost()
+}
--- /dev/null
+++ b/internal/replication/host.go
@@ -0,0 +1,342 @@
+package replication
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/journal"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// StateMachine is the state of one shard. The host calls Apply and Restore
+// from one goroutine at a time; Snapshot may be called while neither runs.
+type StateMachine interface {
+	// Apply takes one committed record; index only rises.
+	Apply(index uint64, data []byte)
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// Transport carries batches to peers. Send must not block; it may lose,
+// repeat, delay and reorder batches. Batches must not be changed.
+type Transport interface {
+	Send(to structs.NodeID, batch *journalv1.Batch)
+}
+
+// Member is one replica of a group.
+type Member = journal.Member
+
+// Group is the genesis of a shard. All members must be given the same one.
+type Group struct {
+	Shard   structs.ShardID
+	Members []Member
+}
+
+// Options configure a Host. Zero values of the bounds mean the defaults.
+type Options struct {
+	// Self is this daemon in this life.
+	Self structs.Node
+	// DataDir is the data folder; empty keeps everything in memory only.
+	DataDir   string
+	Transport Transport
+	// Nodes returns the present view of the cluster; nil means that only
+	// NodeSuspected tells of failures.
+	Nodes           func() []structs.Node
+	NewStateMachine func(structs.ShardID) StateMachine
+	// OnLeadership is told, in order, when this daemon begins and ceases to
+	// lead. Leading is true only once all that was committed is applied here.
+	OnLeadership func(shard structs.ShardID, leading bool, term uint64)
+	// TickInterval is the unit of the replicas' timeouts.
+	TickInterval time.Duration
+	// LogBytes bounds the applied entries that a replica keeps in memory for
+	// members that lag.
+	LogBytes int
+	// Seed of the random source that spreads campaigns; 0 draws one.
+	Seed uint64
+	// Storage replaces the store in DataDir, for tests.
+	Storage Storage
+}
+
+// Defaults of the options.
+const (
+	DefaultTickInterval = 20 * time.Millisecond
+	DefaultLogBytes     = 1 << 20
+	maxWorkers          = 4
+)
+
+// Host runs the replicas of one daemon.
+type Host struct {
+	options Options
+	self    journal.MemberID
+	workers []*worker
+	store   *writer
+	// shards is copied on write under mutex and read without a lock.
+	shards   atomic.Pointer[map[structs.ShardID]*shard]
+	mutex    sync.Mutex
+	former   map[structs.ShardID]formerShard
+	suspects suspects
+	notices  *notifier
+	failed   atomic.Pointer[failure.DiskFailed]
+	closing  chan struct{}
+	closed   sync.Once
+	done     sync.WaitGroup
+}
+
+// formerShard is what is kept of a shard that left this daemon.
+type formerShard struct {
+	tombstone *journalv1.State
+	status    Status
+}
+
+// NewHost starts a host with the shards that its store holds. The error is a
+// *failure.DiskFailed.
+func NewHost(options Options) (*Host, error) {
+	if options.TickInterval == 0 {
+		options.TickInterval = DefaultTickInterval
+	}
+	if options.LogBytes == 0 {
+		options.LogBytes = DefaultLogBytes
+	}
+	if options.Seed == 0 {
+		options.Seed = rand.Uint64()
+	}
+	h := &Host{
+		options: options,
+		self:    journal.MemberID{Node: options.Self.ID, Incarnation: options.Self.Incarnation},
+		former:  map[structs.ShardID]formerShard{},
+		closing: make(chan struct{}),
+	}
+	h.shards.Store(&map[structs.ShardID]*shard{})
+	h.notices = newNotifier(options.OnLeadership)
+	for i := range min(maxWorkers, runtime.GOMAXPROCS(0)) {
+		h.workers = append(h.workers, newWorker(h, uint64(i)))
+	}
+	if err := h.openStore(); err != nil {
+		return nil, err
+	}
+	h.start()
+	return h, nil
+}
+
+func (h *Host) openStore() error {
+	storage := h.options.Storage
+	if storage == nil && h.options.DataDir != "" {
+		opened, err := OpenBolt(h.options.DataDir, h.self.Incarnation)
+		if err != nil {
+			return err
+		}
+		storage = opened
+	}
+	if storage == nil {
+		return nil
+	}
+	stored, err := storage.Load()
+	if err != nil {
+		return err
+	}
+	h.store = newWriter(storage, h.diskFailed)
+	for id, found := range stored {
+		if err := h.restore(id, found); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) restore(id structs.ShardID, found Stored) error {
+	if found.State.GetRemoved() {
+		h.former[id] = formerShard{tombstone: found.State, status: Status{Shard: id, Removed: true}}
+		return nil
+	}
+	created := h.newShard(id, found.Restored())
+	if len(found.Snapshot.Data) > 0 {
+		if err := created.restoreMachine(found.Snapshot.Data); err != nil {
+			return &failure.DiskFailed{Cause: err}
+		}
+	}
+	created.snapshotBytes = len(found.Snapshot.Data)
+	h.addShard(created)
+	return nil
+}
+
+func (h *Host) start() {
+	if h.store != nil {
+		h.done.Go(h.store.run)
+	}
+	for _, w := range h.workers {
+		h.done.Go(w.run)
+	}
+	h.done.Go(h.notices.run)
+	h.done.Go(h.watchNodes)
+}
+
+// Close stops the host at once. It hands nothing over and loses what only
+// memory holds; those who wait are told that the outcome is unknown.
+func (h *Host) Close() error {
+	h.closed.Do(func() {
+		close(h.closing)
+		h.notices.stop()
+		if h.store != nil {
+			h.store.stop()
+		}
+	})
+	h.done.Wait()
+	if h.store != nil {
+		return h.store.storage.Close()
+	}
+	return nil
+}
+
+// Create makes this daemon's replica of a new shard. It does nothing where the
+// shard exists or existed here, and where the group does not name this very
+// incarnation: a daemon that lost its memory is only ever admitted by a leader.
+func (h *Host) Create(group Group) error {
+	if failed := h.failed.Load(); failed != nil {
+		return failed
+	}
+	if !slices.ContainsFunc(group.Members, func(m Member) bool { return m.ID() == h.self }) {
+		return nil
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if _, exists := (*h.shards.Load())[group.Shard]; exists {
+		return nil
+	}
+	if _, existed := h.former[group.Shard]; existed {
+		return nil
+	}
+	genesis := journal.Genesis(group.Members)
+	created := h.newShard(group.Shard, genesis)
+	created.genesis = &journal.Snapshot{Membership: genesis.Membership}
+	h.addShardLocked(created)
+	created.worker.post(&inputCreated{shard: created})
+	return nil
+}
+
+func (h *Host) newShard(id structs.ShardID, restored journal.Restored) *shard {
+	random := rand.New(rand.NewPCG(h.options.Seed, uint64(id)))
+	config := journal.DefaultConfig(id, h.self, random)
+	return newShard(h, id, h.workers[int(id)%len(h.workers)], journal.New(config, restored))
+}
+
+func (h *Host) addShard(created *shard) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.addShardLocked(created)
+}
+
+func (h *Host) addShardLocked(created *shard) {
+	next := maps.Clone(*h.shards.Load())
+	next[created.id] = created
+	h.shards.Store(&next)
+	delete(h.former, created.id)
+}
+
+func (h *Host) dropShard(dropped *shard, tombstone *journalv1.State) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	next := maps.Clone(*h.shards.Load())
+	delete(next, dropped.id)
+	h.shards.Store(&next)
+	status := *dropped.status.Load()
+	status.Removed = true
+	h.former[dropped.id] = formerShard{tombstone: tombstone, status: status}
+}
+
+func (h *Host) shard(id structs.ShardID) (*shard, bool) {
+	found, exists := (*h.shards.Load())[id]
+	return found, exists
+}
+
+// Propose appends data to the shard's log and returns nil when it is committed
+// and applied here. The error is *failure.NotLeader, *failure.ShardUnavailable,
+// *failure.Overloaded or *failure.DiskFailed when data will never be
+// committed, and *failure.ProposalUnknown when it may be.
+func (h *Host) Propose(ctx context.Context, id structs.ShardID, data []byte) error {
+	found, exists := h.shard(id)
+	if !exists {
+		return h.absent(id)
+	}
+	waiting := newWaiter()
+	found.worker.post(&inputPropose{shard: found, data: encodeRecord(data), waiter: waiting})
+	return waiting.wait(ctx, h, id)
+}
+
+// ConfirmLeadership returns nil when a majority confirmed, after the call,
+// that this daemon leads the shard; all that was committed before the call is
+// then applied here.
+func (h *Host) ConfirmLeadership(ctx context.Context, id structs.ShardID) error {
+	found, exists := h.shard(id)
+	if !exists {
+		return h.absent(id)
+	}
+	waiting := newWaiter()
+	found.worker.post(&inputConfirm{shard: found, waiter: waiting})
+	if err := waiting.wait(ctx, h, id); err != nil {
+		if failure.IsType(err, (&failure.ProposalUnknown{}).Type()) {
+			return &failure.ShardUnavailable{Shard: uint32(id)}
+		}
+		return err
+	}
+	return nil
+}
+
+// EnsureLeader returns the node that leads the shard and is ready to serve, if
+// it is this one, or that answered as its leader. It campaigns where no leader
+// is known, and where the leader is suspected or does not answer. The error is
+// *failure.ShardUnavailable, or *failure.NotLeader at a daemon that is no voter.
+func (h *Host) EnsureLeader(ctx context.Context, id structs.ShardID) (structs.NodeID, error) {
+	found, exists := h.shard(id)
+	if !exists {
+		return "", h.absent(id)
+	}
+	waiting := newWaiter()
+	found.worker.post(&inputEnsure{shard: found, waiter: waiting})
+	if err := waiting.wait(ctx, h, id); err != nil {
+		if failure.IsType(err, (&failure.ProposalUnknown{}).Type()) {
+			return "", &failure.ShardUnavailable{Shard: uint32(id)}
+		}
+		return "", err
+	}
+	return waiting.leader, nil
+}
+
+// absent is the answer about a shard that has no replica here.
+func (h *Host) absent(id structs.ShardID) error {
+	if failed := h.failed.Load(); failed != nil {
+		return failed
+	}
+	status, _ := h.Status(id)
+	return &failure.NotLeader{Shard: uint32(id), Leader: string(status.Leader)}
+}
+
+// Reconcile moves the group toward the wanted voters while this daemon leads
+// it. The wish is kept: call it at every member, so that any leader acts on it.
+func (h *Host) Reconcile(id structs.ShardID, wanted []Member) {
+	found, exists := h.shard(id)
+	if !exists {
+		return
+	}
+	found.worker.post(&inputReconcile{shard: found, wanted: slices.Clone(wanted)})
+}
+
+// diskFailed drops every replica: what it promises can no longer be kept.
+func (h *Host) diskFailed(cause *failure.DiskFailed) {
+	if !h.failed.CompareAndSwap(nil, cause) {
+		return
+	}
+	eventDiskFailed.Log("node", h.self.Node, "cause", cause.Error())
+	for _, w := range h.workers {
+		w.post(&inputDiskFailed{cause: cause})
+	}
+}
--- /dev/null
+++ b/internal/replication/persist.go
@@ -0,0 +1,57 @@
+package replication
+
+import (
+	"github.com/barleyshelf/barleyshelf/internal/journal"
+)
+
+// minimumSnapshotBytes is the least growth of the stored log between two
+// stored snapshots. Beyond it a snapshot waits until the log has grown by as
+// much as the last snapshot held, so that snapshots cost a constant factor of
+// what is written and nothing that grows with the state.
+const minimumSnapshotBytes = 4 << 20
+
+// store hands a Ready to the store, or, without one, reports it stored at once.
+func (s *shard) store(ready journal.Ready) {
+	stored := &inputStored{shard: s, messages: ready.Messages}
+	if count := len(ready.Entries); count > 0 {
+		last := ready.Entries[count-1]
+		stored.index, stored.term = last.Index, last.Term
+	}
+	if s.host.store == nil {
+		s.worker.send(ready.Messages)
+		s.replica.Persisted(stored.index, stored.term)
+		return
+	}
+	write := Write{Shard: s.id, State: ready.State, Snapshot: ready.Snapshot, Entries: ready.Entries}
+	if s.genesis != nil {
+		write.Snapshot, s.genesis = s.genesis, nil
+	}
+	if write.Snapshot != nil {
+		s.snapshotBytes, s.logBytes = len(write.Snapshot.Data), 0
+	}
+	for _, entry := range ready.Entries {
+		s.logBytes += len(entry.Data)
+	}
+	if write.empty() && len(ready.Messages) == 0 {
+		return
+	}
+	s.host.store.write(write, func() { s.worker.post(stored) })
+}
+
+// compact bounds the log in memory and in the store. In memory the applied
+// state stands for the dropped entries, and no snapshot is made.
+func (s *shard) compact() {
+	if s.replica.LogBytes() > 2*s.host.options.LogBytes {
+		s.replica.Compact(s.host.options.LogBytes)
+	}
+	if s.host.store == nil || s.logBytes < max(minimumSnapshotBytes, s.snapshotBytes) {
+		return
+	}
+	snapshot, err := s.takeSnapshot()
+	if err != nil {
+		eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
+		return
+	}
+	s.logBytes, s.snapshotBytes = 0, len(snapshot.Data)
+	s.host.store.write(Write{Shard: s.id, Snapshot: &snapshot, KeepLater: true}, nil)
+}
--- /dev/null
+++ b/internal/replication/shard.go
@@ -0,0 +1,379 @@
+package replication
+
+import (
+	"errors"
+	"slices"
+	"sync/atomic"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/journal"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// ensureGraceTicks is how long EnsureLeader goes on while the failure detector
+// holds that a majority is gone; ensureTicks how long otherwise.
+const (
+	ensureGraceTicks = 10
+	ensureTicks      = 150
+)
+
+// shard is one replica with its state machine. All but id, worker and status
+// belongs to the worker's goroutine.
+type shard struct {
+	host    *Host
+	id      structs.ShardID
+	worker  *worker
+	replica *journal.Replica
+	machine StateMachine
+	status  atomic.Pointer[Status]
+	// leaving says that the wanted members do not include this daemon.
+	leaving atomic.Bool
+
+	queued     []*inputPropose
+	proposals  []proposal
+	confirming []*waiter
+	rounds     []roundWaiter
+	ensuring   []*waiter
+
+	genesis *journal.Snapshot
+	// servingTerm is the term in which OnLeadership was told of leading, or 0.
+	servingTerm uint64
+	// membersIndex is the membership whose suspicions were looked up.
+	membersIndex uint64
+	// logBytes counts what was stored since the last stored snapshot, which
+	// had snapshotBytes.
+	logBytes, snapshotBytes int
+	dropped                 bool
+}
+
+// proposal is a record in the log whose proposer waits.
+type proposal struct {
+	index, term uint64
+	waiter      *waiter
+}
+
+type roundWaiter struct {
+	round  uint64
+	waiter *waiter
+}
+
+func newShard(h *Host, id structs.ShardID, w *worker, replica *journal.Replica) *shard {
+	s := &shard{host: h, id: id, worker: w, replica: replica, machine: h.options.NewStateMachine(id)}
+	s.refreshSuspicion()
+	s.publish()
+	return s
+}
+
+func (s *shard) restoreMachine(frame []byte) error {
+	data, err := decodeRecord(frame)
+	if err != nil {
+		return err
+	}
+	return s.machine.Restore(data)
+}
+
+// process takes what is queued to the replica and does what it wants done.
+func (s *shard) process() {
+	if s.dropped {
+		return
+	}
+	if s.replica.MembershipIndex() != s.membersIndex {
+		s.refreshSuspicion()
+	}
+	s.propose()
+	s.confirm()
+	for s.replica.HasReady() && !s.dropped {
+		s.handle(s.replica.Ready())
+	}
+	if s.dropped {
+		return
+	}
+	s.compact()
+	s.noteLeadership()
+	s.answerEnsuring()
+	s.publish()
+}
+
+// propose appends all that is queued at once.
+func (s *shard) propose() {
+	if len(s.queued) == 0 {
+		return
+	}
+	queued := s.queued
+	s.queued = nil
+	if refusal := s.refusal(); refusal != nil {
+		refuse(queued, refusal)
+		return
+	}
+	taken := queued[:0]
+	data := make([][]byte, 0, len(queued))
+	for _, item := range queued {
+		if item.waiter.take() {
+			taken = append(taken, item)
+			data = append(data, item.data)
+		}
+	}
+	first, term, err := s.replica.Propose(data)
+	if err != nil {
+		refuse(taken, s.translate(err))
+		return
+	}
+	for i, item := range taken {
+		s.proposals = append(s.proposals, proposal{index: first + uint64(i), term: term, waiter: item.waiter})
+	}
+}
+
+func refuse(items []*inputPropose, refusal error) {
+	for _, item := range items {
+		item.waiter.finish(refusal)
+	}
+}
+
+// refusal returns why nothing can be proposed now, or nil.
+func (s *shard) refusal() error {
+	if !s.replica.Serving() {
+		return s.notLeader()
+	}
+	if !s.replica.MajorityReachable() {
+		return &failure.ShardUnavailable{Shard: uint32(s.id)}
+	}
+	return nil
+}
+
+func (s *shard) notLeader() error {
+	_, _, leader, _, _ := s.replica.Position()
+	if leader == s.host.self {
+		leader = journal.MemberID{}
+	}
+	return &failure.NotLeader{Shard: uint32(s.id), Leader: string(leader.Node)}
+}
+
+func (s *shard) translate(err error) error {
+	var full *journal.Full
+	if errors.As(err, &full) {
+		return &failure.Overloaded{Resource: "journal", Wait: overloadedWaitTicks * s.host.options.TickInterval}
+	}
+	return s.notLeader()
+}
+
+// overloadedWaitTicks is when to come back to a full log.
+const overloadedWaitTicks = 10
+
+func (s *shard) confirm() {
+	if len(s.confirming) == 0 {
+		return
+	}
+	waiting := s.confirming
+	s.confirming = nil
+	if refusal := s.refusal(); refusal != nil {
+		for _, w := range waiting {
+			w.finish(refusal)
+		}
+		return
+	}
+	round, err := s.replica.ConfirmLeadership()
+	if err != nil {
+		for _, w := range waiting {
+			w.finish(s.translate(err))
+		}
+		return
+	}
+	for _, w := range waiting {
+		s.rounds = append(s.rounds, roundWaiter{round: round, waiter: w})
+	}
+}
+
+func (s *shard) handle(ready journal.Ready) {
+	s.worker.send(ready.Early)
+	s.store(ready)
+	if ready.Snapshot != nil {
+		if err := s.restoreMachine(ready.Snapshot.Data); err != nil {
+			eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
+		}
+	}
+	for _, entry := range ready.Committed {
+		s.apply(entry)
+	}
+	s.answerRounds(ready.Confirmed)
+	if ready.SnapshotWanted {
+		s.offerSnapshot()
+	}
+	if ready.Removed {
+		s.leave()
+	}
+}
+
+func (s *shard) apply(entry *journalv1.Entry) {
+	if entry.Type == journalv1.EntryType_ENTRY_TYPE_DATA {
+		data, err := decodeRecord(entry.Data)
+		if err == nil {
+			s.machine.Apply(entry.Index, data)
+		}
+	}
+	for len(s.proposals) > 0 && s.proposals[0].index <= entry.Index {
+		waiting := s.proposals[0]
+		s.proposals = s.proposals[1:]
+		if waiting.index == entry.Index && waiting.term == entry.Term {
+			waiting.waiter.finish(nil)
+			continue
+		}
+		// Another entry was committed in its place: it can never be.
+		waiting.waiter.finish(s.notLeader())
+	}
+}
+
+func (s *shard) answerRounds(confirmed uint64) {
+	for len(s.rounds) > 0 && s.rounds[0].round <= confirmed {
+		s.rounds[0].waiter.finish(nil)
+		s.rounds = s.rounds[1:]
+	}
+}
+
+func (s *shard) offerSnapshot() {
+	snapshot, err := s.takeSnapshot()
+	if err != nil {
+		eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
+		return
+	}
+	s.replica.OfferSnapshot(snapshot)
+}
+
+func (s *shard) takeSnapshot() (journal.Snapshot, error) {
+	data, err := s.machine.Snapshot()
+	if err != nil {
+		return journal.Snapshot{}, err
+	}
+	index, term, members := s.replica.AppliedPosition()
+	return journal.Snapshot{Index: index, Term: term, Membership: members, Data: encodeRecord(data)}, nil
+}
+
+// noteLeadership tells the daemon of changes, and those who wait on a
+// leadership that is over.
+func (s *shard) noteLeadership() {
+	role, term, _, _, _ := s.replica.Position()
+	serving := s.replica.Serving()
+	if s.servingTerm != 0 && (!serving || term != s.servingTerm) {
+		eventNotLeading.Log("shard", s.id, "term", s.servingTerm)
+		s.host.notices.notify(leadershipNotice{shard: s.id, term: s.servingTerm})
+		s.servingTerm = 0
+	}
+	if role != journal.Leader {
+		s.failWaiting(&failure.ProposalUnknown{Shard: uint32(s.id)}, s.notLeader())
+	}
+	if serving && s.servingTerm == 0 {
+		s.servingTerm = term
+		eventLeading.Log("shard", s.id, "term", term)
+		s.host.notices.notify(leadershipNotice{shard: s.id, leading: true, term: term})
+	}
+}
+
+func (s *shard) failWaiting(proposed, confirming error) {
+	for _, waiting := range s.proposals {
+		waiting.waiter.finish(proposed)
+	}
+	for _, waiting := range s.rounds {
+		waiting.waiter.finish(confirming)
+	}
+	s.proposals, s.rounds = nil, nil
+}
+
+func (s *shard) publish() {
+	role, term, leader, commit, applied := s.replica.Position()
+	s.status.Store(&Status{
+		Shard: s.id, Role: role, Term: term, Leader: leader.Node, Serving: s.replica.Serving(),
+		Members: s.replica.Members(), MembersIndex: s.replica.MembershipIndex(), Commit: commit, Applied: applied,
+	})
+}
+
+func (s *shard) needsTicks() bool {
+	return !s.dropped && (s.replica.Active() || len(s.ensuring) > 0)
+}
+
+func (s *shard) tick() {
+	if s.dropped {
+		return
+	}
+	s.replica.Tick()
+	for _, waiting := range s.ensuring {
+		waiting.ticks++
+	}
+}
+
+// answerEnsuring answers those who wait for a leader, or goes on looking.
+func (s *shard) answerEnsuring() {
+	if len(s.ensuring) == 0 {
+		return
+	}
+	role, _, leader, _, _ := s.replica.Position()
+	if s.replica.LeaderConfirmed() && (role != journal.Leader || s.replica.Serving()) {
+		for _, waiting := range s.ensuring {
+			waiting.leader = leader.Node
+			waiting.finish(nil)
+		}
+		s.ensuring = nil
+		return
+	}
+	if leader == (journal.MemberID{}) && !s.replica.Voter() {
+		s.failEnsuring(0, s.notLeader())
+		return
+	}
+	limit := ensureTicks
+	if !s.replica.MajorityReachable() {
+		limit = ensureGraceTicks
+	}
+	s.failEnsuring(limit, &failure.ShardUnavailable{Shard: uint32(s.id)})
+	if len(s.ensuring) > 0 {
+		s.replica.EnsureLeader()
+	}
+}
+
+func (s *shard) failEnsuring(ticks int, cause error) {
+	left := s.ensuring[:0]
+	for _, waiting := range s.ensuring {
+		if waiting.ticks >= ticks {
+			waiting.finish(cause)
+			continue
+		}
+		left = append(left, waiting)
+	}
+	s.ensuring = left
+}
+
+func (s *shard) reconcile(wanted []Member) {
+	wantedHere := slices.ContainsFunc(wanted, func(m Member) bool { return m.ID() == s.host.self })
+	s.leaving.Store(len(wanted) > 0 && !wantedHere)
+	s.replica.SetWanted(wanted)
+	if s.leaving.Load() {
+		s.replica.AskMembership()
+	}
+}
+
+// leave drops the replica of a group that goes on without it.
+func (s *shard) leave() {
+	eventRemoved.Log("shard", s.id)
+	tombstone := s.replica.Tombstone()
+	s.publish()
+	s.drop(s.notLeader())
+	s.host.dropShard(s, tombstone)
+	if s.host.store != nil {
+		s.host.store.write(Write{Shard: s.id, State: tombstone, Remove: true}, nil)
+	}
+}
+
+// drop answers all who wait; the replica takes part in nothing any more.
+func (s *shard) drop(cause error) {
+	s.dropped = true
+	refuse(s.queued, cause)
+	s.queued = nil
+	for _, waiting := range s.confirming {
+		waiting.finish(cause)
+	}
+	s.failWaiting(&failure.ProposalUnknown{Shard: uint32(s.id)}, cause)
+	s.confirming = nil
+	s.failEnsuring(0, cause)
+	if s.servingTerm != 0 {
+		s.host.notices.notify(leadershipNotice{shard: s.id, term: s.servingTerm})
+		s.servingTerm = 0
+	}
+}
--- /dev/null
+++ b/internal/replication/suspicion.go
@@ -0,0 +1,117 @@
+package replication
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/journal"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// nodesInterval is how often the view of the cluster is looked at for nodes
+// that are suspected or alive again.
+const nodesInterval = 200 * time.Millisecond
+
+// suspects holds the nodes that NodeSuspected named and that were not heard
+// since, and the last view of the cluster.
+type suspects struct {
+	flagged sync.Map // structs.NodeID -> bool
+	count   atomic.Int64
+	view    atomic.Pointer[map[structs.NodeID]structs.Node]
+}
+
+// heard takes back a suspicion: the node has sent something.
+func (s *suspects) heard(from journal.MemberID) {
+	if s.count.Load() == 0 {
+		return
+	}
+	if _, was := s.flagged.LoadAndDelete(from.Node); was {
+		s.count.Add(-1)
+	}
+}
+
+func (s *suspects) flag(id structs.NodeID) {
+	if _, was := s.flagged.LoadOrStore(id, true); !was {
+		s.count.Add(1)
+	}
+}
+
+// suspected reports whether the member is held to be gone.
+func (s *suspects) suspected(member Member) bool {
+	if _, flagged := s.flagged.Load(member.Node); flagged {
+		return true
+	}
+	view := s.view.Load()
+	if view == nil || len(*view) == 0 {
+		return false
+	}
+	node, known := (*view)[member.Node]
+	if !known || node.Incarnation > member.Incarnation {
+		return true
+	}
+	return node.State == structs.NodeSuspect || node.State == structs.NodeDead
+}
+
+// update takes a view and reports whether a node's state or life changed.
+func (s *suspects) update(nodes []structs.Node) bool {
+	next := make(map[structs.NodeID]structs.Node, len(nodes))
+	changed := false
+	var previous map[structs.NodeID]structs.Node
+	if held := s.view.Load(); held != nil {
+		previous = *held
+	}
+	for _, node := range nodes {
+		next[node.ID] = node
+		earlier, known := previous[node.ID]
+		if !known || earlier.State != node.State || earlier.Incarnation != node.Incarnation {
+			changed = true
+		}
+	}
+	changed = changed || len(next) != len(previous)
+	s.view.Store(&next)
+	return changed
+}
+
+// NodeSuspected tells the host that the failure detector suspects a node. The
+// suspicion lasts until the node is heard here again.
+func (h *Host) NodeSuspected(id structs.NodeID) {
+	h.suspects.flag(id)
+	h.refreshSuspicions()
+}
+
+func (h *Host) refreshSuspicions() {
+	for _, w := range h.workers {
+		w.post(&inputRefresh{})
+	}
+}
+
+// watchNodes looks at the view now and then.
+func (h *Host) watchNodes() {
+	ticker := time.NewTicker(nodesInterval)
+	defer ticker.Stop()
+	flagged := int64(0)
+	for {
+		changed := h.options.Nodes != nil && h.suspects.update(h.options.Nodes())
+		count := h.suspects.count.Load()
+		if changed || count != flagged {
+			h.refreshSuspicions()
+		}
+		flagged = count
+		select {
+		case <-h.closing:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// refreshSuspicion tells the replica what is held of its members.
+func (s *shard) refreshSuspicion() {
+	s.membersIndex = s.replica.MembershipIndex()
+	for _, member := range s.replica.Members() {
+		if member.ID() != s.host.self {
+			s.replica.SetSuspected(member.ID(), s.host.suspects.suspected(member))
+		}
+	}
+}
