plan: differences, consequences and harms of a change of declarations

An operator confirms a plan before anything changes, so the plan must say what loads, drains, moves or would be refused, how long the loads take, and which programs under way it harms. A harm has a name that the confirmation repeats; a count that is not known counts as harm.

--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,175 @@
+// Package plan works out what a change of the declarations would do: the
+// differences from the configuration in force, their consequences, and the
+// harms that a confirmation must name. It does no I/O and reads no clock.
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/placement"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// idHexDigits is the length of a plan's identifier behind its prefix.
+const idHexDigits = 16
+
+// Input is everything that a plan is made from.
+type Input struct {
+	// InForce is the configuration in force; nil before the first one.
+	InForce *structs.Configuration
+	// Wanted are the declarations, checked by package declaration.
+	Wanted structs.Declarations
+	// Operator is who asks.
+	Operator string
+	// Use counts the programs under way.
+	Use Use
+	// Nodes are the daemons now known; empty where the view isn't known.
+	Nodes []structs.Node
+	// Members are the present members of replica groups, as far as known.
+	Members map[structs.ShardID][]structs.NodeID
+	// Engines are the engines' last reports; empty where none is known.
+	Engines []structs.EngineStatus
+	// Now stamps the plan.
+	Now time.Time
+}
+
+// Plan is a change that waits for its confirmation.
+type Plan struct {
+	// ID is derived from base, operator and declarations: asking for the same
+	// change again gives the same plan.
+	ID string `json:"id"`
+	// BaseVersion is the version in force that the plan was made from.
+	BaseVersion  uint64               `json:"baseVersion"`
+	Operator     string               `json:"operator"`
+	CreatedAt    time.Time            `json:"createdAt"`
+	Differences  []structs.Difference `json:"differences"`
+	Consequences []Consequence        `json:"consequences"`
+	Harms        []Harm               `json:"harms"`
+	// Declarations and Domains are what the plan puts in force.
+	Declarations structs.Declarations `json:"declarations"`
+	Domains      []structs.Domain     `json:"domains"`
+}
+
+// Make works out the plan. The same input always gives the same plan.
+func Make(input Input) *Plan {
+	inForce := structs.Configuration{}
+	if input.InForce != nil {
+		inForce = *input.InForce
+	}
+	run := &comparison{
+		input:  input,
+		before: inForce.Declarations,
+		after:  input.Wanted,
+		old:    indexOf(inForce.Declarations),
+		new:    indexOf(input.Wanted),
+		held:   inForce.Domains,
+	}
+	run.domains = placement.Domains(input.Wanted, inForce.Domains)
+	run.models()
+	run.places()
+	run.programs()
+	return &Plan{
+		ID:           identifier(inForce.Version, input),
+		BaseVersion:  inForce.Version,
+		Operator:     input.Operator,
+		CreatedAt:    input.Now,
+		Differences:  Differences(inForce.Declarations, input.Wanted),
+		Consequences: run.consequences,
+		Harms:        run.harms,
+		Declarations: input.Wanted,
+		Domains:      run.domains,
+	}
+}
+
+// Empty reports whether the plan changes nothing.
+func (p *Plan) Empty() bool { return len(p.Differences) == 0 }
+
+// Unaccepted returns the harms whose names are not among those accepted.
+func (p *Plan) Unaccepted(accepted []string) []Harm {
+	named := map[string]bool{}
+	for _, name := range accepted {
+		named[name] = true
+	}
+	var missing []Harm
+	for _, harm := range p.Harms {
+		if !named[harm.Name] {
+			missing = append(missing, harm)
+		}
+	}
+	return missing
+}
+
+// identity is what a plan's identifier is the hash of.
+type identity struct {
+	Base     uint64
+	Operator string
+	Wanted   structs.Declarations
+}
+
+func identifier(base uint64, input Input) string {
+	// The declarations hold nothing that JSON can't carry: numbers, texts and
+	// maps by name, which are written in the order of their keys.
+	content, err := json.Marshal(identity{base, input.Operator, input.Wanted})
+	if err != nil {
+		content = []byte(err.Error())
+	}
+	sum := sha256.Sum256(content)
+	return "plan-" + hex.EncodeToString(sum[:])[:idHexDigits]
+}
+
+// comparison is one run of Make.
+type comparison struct {
+	input         Input
+	before, after structs.Declarations
+	old, new      index
+	held, domains []structs.Domain
+	consequences  []Consequence
+	harms         []Harm
+}
+
+// index finds declared objects by name.
+type index struct {
+	zones    map[structs.ZoneName]structs.Zone
+	tenants  map[structs.TenantID]structs.Tenant
+	models   map[structs.ModelName]structs.Model
+	tools    map[structs.ToolName]structs.Tool
+	programs map[structs.ProgramName]structs.AgentProgram
+}
+
+func indexOf(d structs.Declarations) index {
+	return index{
+		zones:    byName(d.Zones, func(z structs.Zone) structs.ZoneName { return z.Name }),
+		tenants:  byName(d.Tenants, func(t structs.Tenant) structs.TenantID { return t.Name }),
+		models:   byName(d.Models, func(m structs.Model) structs.ModelName { return m.Name }),
+		tools:    byName(d.Tools, func(t structs.Tool) structs.ToolName { return t.Name }),
+		programs: byName(d.Programs, func(p structs.AgentProgram) structs.ProgramName { return p.Name }),
+	}
+}
+
+func byName[T any, N comparable](all []T, name func(T) N) map[N]T {
+	found := make(map[N]T, len(all))
+	for _, one := range all {
+		found[name(one)] = one
+	}
+	return found
+}
+
+// open reports whether the zone is declared and takes work.
+func (i index) open(zone structs.ZoneName) bool {
+	declared, known := i.zones[zone]
+	return known && !declared.Draining
+}
+
+// openZones returns those of zones that are open.
+func (i index) openZones(zones []structs.ZoneName) []structs.ZoneName {
+	var open []structs.ZoneName
+	for _, zone := range zones {
+		if i.open(zone) {
+			open = append(open, zone)
+		}
+	}
+	return open
+}
