engine: load reports as a stream; platform, weights: clients from an address

A report at each interval costs one line instead of a request, and a change of what the engine says of itself (models, role, leaving) comes at once.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -72,6 +72,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/generate", e.serveGenerate)
 	mux.HandleFunc("GET /v1/streams/{streamID}", e.serveResume)
+	mux.HandleFunc("GET /v1/status/watch", e.serveWatch)
 	mux.Handle("/", server)
 	life := e.begin()
 	if err := e.listen(e.faulty(mux)); err != nil {
--- a/internal/emulator/engine_api.go
+++ b/internal/emulator/engine_api.go
@@ -31,7 +31,10 @@
 )
 
 func (h *engineHandler) GetStatus(context.Context) (*engineapi.Status, error) {
-	status := h.engine.reported()
+	return statusToAPI(h.engine.reported()), nil
+}
+
+func statusToAPI(status structs.EngineStatus) *engineapi.Status {
 	return &engineapi.Status{
 		ID:                  string(status.ID),
 		Incarnation:         uint64(status.Incarnation),
@@ -47,7 +50,7 @@
 		MaxBatch:            status.MaxBatch,
 		Leaving:             status.Leaving,
 		Fence:               status.Fence,
-	}, nil
+	}
 }
 
 func modelsToAPI(list []structs.LoadedModel) []engineapi.LoadedModel {
--- a/internal/emulator/engine_orders.go
+++ b/internal/emulator/engine_orders.go
@@ -112,10 +112,7 @@
 	if e.config.WeightsAddress == "" {
 		return nil
 	}
-	client, err := weights.NewClient(e.config.HTTP, e.config.WeightsAddress)
-	if err != nil {
-		return err
-	}
+	client := weights.NewClient(e.config.WeightsAddress, e.config.HTTP)
 	request := weights.Fetch{Model: wanted.Model, Version: wanted.Version, Bytes: bytes, Priority: priority}
 	if len(wanted.Adapters) > 0 {
 		request.Adapter = wanted.Adapters[0]
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -121,6 +121,10 @@
 	if err != nil {
 		return structs.EngineStatus{}, translate(address, err)
 	}
+	return fromStatus(address, answer), nil
+}
+
+func fromStatus(address string, answer *engineapi.Status) structs.EngineStatus {
 	return structs.EngineStatus{
 		ID:                  structs.EngineID(answer.ID),
 		Incarnation:         structs.Incarnation(answer.Incarnation),
@@ -138,7 +142,7 @@
 		MaxBatch:            answer.MaxBatch,
 		Leaving:             answer.Leaving,
 		ReportedAt:          time.Now(),
-	}, nil
+	}
 }
 
 func models(list []engineapi.LoadedModel) []structs.LoadedModel {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -54,21 +54,31 @@
 	address string
 	http    *http.Client
 	api     *platformapi.Client
+	// unusable is why there is no api.
+	unusable error
 }
 
-// NewClient returns a client of the service at address, a base URL. The error
-// is a *BadAddress.
-func NewClient(httpClient *http.Client, address string) (*Client, error) {
+// NewClient returns a client of the service at address, a base URL. With an
+// address that is none, every call fails with a *BadAddress.
+func NewClient(address string, httpClient *http.Client) *Client {
 	api, err := platformapi.NewClient(address, platformapi.WithClient(httpClient))
-	if err != nil {
-		return nil, &BadAddress{Address: address, Cause: err}
+	return &Client{address: strings.TrimSuffix(address, "/"), http: httpClient, api: api, unusable: err}
+}
+
+// usable returns the error of an address that is no base URL.
+func (c *Client) usable() error {
+	if c.unusable == nil {
+		return nil
 	}
-	return &Client{address: strings.TrimSuffix(address, "/"), http: httpClient, api: api}, nil
+	return &BadAddress{Address: c.address, Cause: c.unusable}
 }
 
 // Get returns an object. Errors: *failure.ObjectNotFound,
 // *failure.PlatformUnavailable.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	if err := c.usable(); err != nil {
+		return Object{}, err
+	}
 	found, err := c.api.GetObject(ctx, platformapi.GetObjectParams{Key: key})
 	if err != nil {
 		return Object{}, translate("get", key, 0, err)
@@ -79,6 +89,9 @@
 // List returns the objects whose keys begin with prefix, by key. The error is
 // a *failure.PlatformUnavailable.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
+	if err := c.usable(); err != nil {
+		return nil, err
+	}
 	list, err := c.api.ListObjects(ctx, platformapi.ListObjectsParams{Prefix: prefix})
 	if err != nil {
 		return nil, translate("list", prefix, 0, err)
@@ -94,6 +107,9 @@
 // returns its new version. Errors: *failure.VersionConflict (nothing stored),
 // *failure.PlatformUnavailable (it may have been stored).
 func (c *Client) Put(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	if err := c.usable(); err != nil {
+		return 0, err
+	}
 	stored, err := c.api.PutObject(ctx,
 		platformapi.PutObjectReq{Data: bytes.NewReader(value)},
 		platformapi.PutObjectParams{Key: key, Expected: expected})
@@ -105,6 +121,9 @@
 
 // Delete removes the expected version of an object. Errors as for Put.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
+	if err := c.usable(); err != nil {
+		return err
+	}
 	_, err := c.api.DeleteObject(ctx, platformapi.DeleteObjectParams{Key: key, Expected: expected})
 	if err != nil {
 		return translate("delete", key, expected, err)
@@ -114,6 +133,9 @@
 
 // Machines returns the machine list. The error is a *failure.PlatformUnavailable.
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
+	if err := c.usable(); err != nil {
+		return nil, err
+	}
 	list, err := c.api.ListMachines(ctx)
 	if err != nil {
 		return nil, translate("machines", "", 0, err)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -13,19 +12,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 )
 
-// BadAddress reports an address that is no base URL.
-type BadAddress struct {
-	Address string
-	Cause   error
-}
-
-func (e *BadAddress) Error() string {
-	return fmt.Sprintf("bad platform address %q: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *BadAddress) Unwrap() error { return e.Cause }
-
 // Watch is a stream of changed objects. It is used by one goroutine.
 type Watch struct {
 	body   io.ReadCloser
--- a/internal/weights/client.go
+++ b/internal/weights/client.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
@@ -33,35 +32,28 @@
 	Fetches int
 }
 
-// BadAddress reports an address that is no base URL.
-type BadAddress struct {
-	Address string
-	Cause   error
-}
-
-func (e *BadAddress) Error() string {
-	return fmt.Sprintf("bad weight store address %q: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *BadAddress) Unwrap() error { return e.Cause }
-
 // Client talks to one weight store. It is safe for concurrent use.
-type Client struct{ api *weightsapi.Client }
+type Client struct {
+	// api is nil when the address is no base URL.
+	api *weightsapi.Client
+}
 
-// NewClient returns a client of the store at address, a base URL. The error is
-// a *BadAddress.
-func NewClient(httpClient *http.Client, address string) (*Client, error) {
+// NewClient returns a client of the store at address, a base URL. With an
+// address that is none, every call fails with a *failure.WeightsUnavailable.
+func NewClient(address string, httpClient *http.Client) *Client {
 	api, err := weightsapi.NewClient(address, weightsapi.WithClient(httpClient))
 	if err != nil {
-		return nil, &BadAddress{Address: address, Cause: err}
+		return &Client{}
 	}
-	return &Client{api: api}, nil
+	return &Client{api: api}
 }
 
 // Fetch reads weights and returns when the last byte is here. Reading has no
 // effect and may be repeated. The error is a *failure.WeightsUnavailable.
 func (c *Client) Fetch(ctx context.Context, f Fetch) error {
+	if c.api == nil {
+		return &failure.WeightsUnavailable{}
+	}
 	request := &weightsapi.Fetch{Model: string(f.Model), Version: f.Version, Bytes: f.Bytes, Priority: f.Priority}
 	if f.Adapter != "" {
 		request.Adapter.SetTo(f.Adapter)
@@ -75,6 +67,9 @@
 // Load returns what the store has to do. The error is a
 // *failure.WeightsUnavailable.
 func (c *Client) Load(ctx context.Context) (Load, error) {
+	if c.api == nil {
+		return Load{}, &failure.WeightsUnavailable{}
+	}
 	load, err := c.api.GetLoad(ctx)
 	if err != nil {
 		return Load{}, &failure.WeightsUnavailable{}
