--- a/internal/program/apply_call.go
+++ b/internal/program/apply_call.go
@@ -142,13 +142,12 @@
 
 func (p *program) applyCancelled(at int64, cancelled *programv1.CallCancelled) bool {
 	issued := p.call(structs.CallNumber(cancelled.GetNumber()))
-	if issued == nil {
+	if issued == nil || !p.cancel(issued, failureCallCancelled) {
 		return false
 	}
-	changed := p.cancel(issued, failureCallCancelled)
 	p.touch(at)
 	p.advance()
-	return changed
+	return true
 }
 
 // cancel ends a call that is not started and marks one that is to be abandoned.
--- a/internal/program/apply_end.go
+++ b/internal/program/apply_end.go
@@ -54,7 +54,7 @@
 	}
 	p.advance()
 	m.dropUnopenedGrants(p)
-	m.settleProgram(p, at)
+	m.settleProgram(p)
 	m.reschedule(p)
 }
 
@@ -72,7 +72,7 @@
 // settleAfter settles the program when the change before it made that possible.
 func (m *Machine) settleAfter(p *program, changed bool) bool {
 	if changed {
-		m.settleProgram(p, p.activity)
+		m.settleProgram(p)
 	}
 	return changed
 }
@@ -80,7 +80,7 @@
 // settleProgram returns what is left of an ended program's budget to its
 // parent, once, when nothing of the program can spend any more. A parent that
 // has ended too passes it on.
-func (m *Machine) settleProgram(p *program, at int64) {
+func (m *Machine) settleProgram(p *program) {
 	for p.ended && !p.settled && p.inFlight() == nil && len(p.children) == 0 {
 		p.settled = true
 		m.reschedule(p)
@@ -89,7 +89,7 @@
 			return
 		}
 		parent.takeBack(p)
-		parent.touch(at)
+		parent.touch(p.activity)
 		m.reschedule(parent)
 		p = parent
 	}
