--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -12,9 +12,10 @@
 type Deployment struct {
 	Name  string
 	Zones []structs.ZoneName
-	// Engines is the number of model engines over all zones.
-	Engines int
-	Model   structs.ModelName
+	// Engines holds the zone of each model engine.
+	Engines []structs.ZoneName
+	// Loaded is the model that every engine holds, with its adapters.
+	Loaded []structs.LoadedModel
 	// ZoneDelay is the one-way network delay between zones.
 	ZoneDelay time.Duration
 	// ClientDelay is the one-way network delay to clients.
@@ -59,3 +60,23 @@
 	}
 	return d.kinds[len(d.kinds)-1]
 }
+
+// zones makes a list of zones from their names.
+func zones(names ...string) []structs.ZoneName {
+	list := make([]structs.ZoneName, len(names))
+	for index, name := range names {
+		list[index] = structs.ZoneName(name)
+	}
+	return list
+}
+
+// spread gives the zone of each engine from the number in each zone.
+func spread(names []structs.ZoneName, counts ...int) []structs.ZoneName {
+	var engines []structs.ZoneName
+	for index, name := range names {
+		for range counts[index] {
+			engines = append(engines, name)
+		}
+	}
+	return engines
+}
--- a/internal/workload/hofbauer.go
+++ b/internal/workload/hofbauer.go
@@ -12,9 +12,12 @@
 
 // Hofbauer's tools. Durations are in milliseconds.
 var (
-	portfolioLookup = toolCall{name: "portfolio-lookup", repeatable: true, duration: span{200, 800}}
-	confirmCheck    = toolCall{name: "confirm-check", repeatable: true, duration: span{500, 2_000}}
-	fileNomination  = toolCall{name: "file-nomination", duration: span{800, 2_500}}
+	portfolioLookup   = toolCall{name: "portfolio-lookup", repeatable: true, duration: span{200, 800}}
+	meterForecast     = toolCall{name: "meter-forecast", repeatable: true, duration: span{500, 2_000}}
+	balancePosition   = toolCall{name: "balance-position", repeatable: true, duration: span{200, 600}}
+	deliveryPointData = toolCall{name: "delivery-point-data", repeatable: true, duration: span{200, 800}}
+	confirmCheck      = toolCall{name: "confirm-check", repeatable: true, duration: span{500, 2_000}}
+	fileNomination    = toolCall{name: "file-nomination", duration: span{800, 2_500}}
 )
 
 // Sizes of Hofbauer's calls in tokens, and waits in milliseconds.
@@ -36,12 +39,16 @@
 	deskTokens   = 6_000
 )
 
+var hofbauerZones = zones("vienna-1", "vienna-2", "baumgarten")
+
 func hofbauer() Deployment {
 	return Deployment{
-		Name:        "hofbauer",
-		Zones:       zones("vienna-1", "vienna-2", "baumgarten"),
-		Engines:     10,
-		Model:       nominationAgent,
+		Name:    "hofbauer",
+		Zones:   hofbauerZones,
+		Engines: spread(hofbauerZones, 4, 4, 2),
+		Loaded: []structs.LoadedModel{
+			{Model: nominationAgent, Version: "5", Adapters: []string{"gas-day", "balancing"}},
+		},
 		ZoneDelay:   500 * time.Microsecond,
 		ClientDelay: time.Millisecond,
 		kinds:       []programKind{{weight: 3, build: nominate}, {weight: 2, build: renominate}},
@@ -56,8 +63,9 @@
 // nominate drafts, checks and files the quantities of one shipper.
 func nominate(random *rand.Rand) *Program {
 	return &Program{
-		Name: "nominate", Tenant: "shipper-desk", Prefixes: deskPrefixes(random),
-		Deadline: 10 * time.Minute, Priority: 5, MaxAnswerTokens: 768,
+		Name: "nominate", Tenant: "shipper-desks", Adapter: "gas-day", CacheZones: hofbauerZones,
+		Prefixes: deskPrefixes(random),
+		Deadline: 10 * time.Minute, Priority: 8, MaxAnswerTokens: 1_024,
 		random: random, script: writeNomination,
 	}
 }
@@ -70,6 +78,7 @@
 			s.tool(portfolioLookup)
 			s.model(nominationAgent, portfolioResult, checkAnswer)
 		}
+		s.tool(meterForecast)
 		s.model(nominationAgent, deskMessage, draftAnswer)
 		s.pause(deskConfirms)
 		s.model(nominationAgent, deskMessage, checkAnswer)
@@ -77,7 +86,6 @@
 	s.tool(fileNomination)
 	s.model(nominationAgent, confirmationResult, checkAnswer)
 	s.pause(operatorConfirms)
-	s.tool(confirmCheck)
 	s.model(nominationAgent, confirmationResult, checkAnswer)
 }
 
@@ -85,7 +93,8 @@
 // sub-agent of its own.
 func renominate(random *rand.Rand) *Program {
 	return &Program{
-		Name: "renominate", Tenant: "balancing", Prefixes: deskPrefixes(random),
+		Name: "renominate", Tenant: "balancing", Adapter: "balancing", CacheZones: hofbauerZones,
+		Prefixes: deskPrefixes(random),
 		Deadline: 6 * time.Minute, Priority: 10, MaxAnswerTokens: 768,
 		random: random, script: writeRenomination,
 	}
@@ -93,6 +102,8 @@
 
 func writeRenomination(s *script) {
 	s.model(nominationAgent, deskMessage, checkAnswer)
+	s.tool(balancePosition)
+	s.model(nominationAgent, confirmationResult, checkAnswer)
 	for range s.draw(span{1, 3}) {
 		s.tool(portfolioLookup)
 		s.model(nominationAgent, portfolioResult, checkAnswer)
@@ -112,21 +123,14 @@
 // deliveryPointCheck checks the quantities of one delivery point.
 func deliveryPointCheck(random *rand.Rand) *Program {
 	return &Program{
-		Name: "delivery-point-check", Deadline: 2 * time.Minute, Priority: 10, MaxAnswerTokens: 512, random: random,
+		Name: "delivery-point-check", CacheZones: hofbauerZones, Deadline: 2 * time.Minute, Priority: 5,
+		MaxAnswerTokens: 512, random: random,
 		script: func(s *script) {
 			s.model(nominationAgent, deskMessage, checkAnswer)
 			for range s.draw(span{1, 2}) {
-				s.tool(portfolioLookup)
+				s.tool(deliveryPointData)
 				s.model(nominationAgent, portfolioResult, checkAnswer)
 			}
 		},
 	}
 }
-
-func zones(names ...string) []structs.ZoneName {
-	list := make([]structs.ZoneName, len(names))
-	for index, name := range names {
-		list[index] = structs.ZoneName(name)
-	}
-	return list
-}
--- a/internal/workload/script.go
+++ b/internal/workload/script.go
@@ -36,7 +36,7 @@
 // model adds a model call. The input is what the program adds to its history.
 func (s *script) model(model structs.ModelName, input, answer span) {
 	s.steps = append(s.steps, Step{
-		Kind: KindModel, Target: string(model), Repeatable: true,
+		Kind: KindModel, Target: string(model), Adapter: s.program.Adapter, Repeatable: true,
 		InputTokens: s.draw(input), AnswerTokens: s.draw(answer), textSeed: s.random.Uint64(),
 	})
 }
@@ -69,6 +69,7 @@
 		child := build(rand.New(rand.NewPCG(s.random.Uint64(), uint64(index))))
 		child.Key = s.program.Key + "/" + strconv.Itoa(len(s.steps)) + "." + strconv.Itoa(index)
 		child.Tenant = s.program.Tenant
+		child.Adapter = s.program.Adapter
 		child.InheritsHistory = true
 		children[index] = child
 	}
--- a/internal/workload/voltkai.go
+++ b/internal/workload/voltkai.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 const swapAgent = "swap-agent"
@@ -10,8 +12,11 @@
 // Voltkai's tools. Durations are in milliseconds.
 var (
 	batteryTelemetry = toolCall{name: "battery-telemetry", repeatable: true, duration: span{150, 600}}
+	cabinetStatus    = toolCall{name: "cabinet-status", repeatable: true, duration: span{100, 300}}
 	cabinetRelease   = toolCall{name: "cabinet-release", duration: span{600, 1_500}}
-	refund           = toolCall{name: "refund", duration: span{300, 900}}
+	refundTool       = toolCall{name: "refund", duration: span{300, 900}}
+	packInventory    = toolCall{name: "pack-inventory", repeatable: true, duration: span{300, 1_000}}
+	routePlan        = toolCall{name: "route-plan", repeatable: true, duration: span{500, 2_000}}
 )
 
 // Sizes of Voltkai's calls in tokens, and waits for the rider in milliseconds.
@@ -31,12 +36,23 @@
 	refundChance     = 0.15
 )
 
+// Lengths of the shared instructions, in tokens.
+const (
+	doorInstructions      = 1_500
+	rebalanceInstructions = 3_000
+)
+
+var (
+	voltkaiZones  = zones("taichung-1", "taichung-2", "changhua", "nantou")
+	voltkaiCities = zones("taichung-1", "taichung-2", "changhua")
+)
+
 func voltkai() Deployment {
 	return Deployment{
 		Name:        "voltkai",
-		Zones:       zones("taichung-1", "taichung-2", "changhua", "nantou"),
-		Engines:     10,
-		Model:       swapAgent,
+		Zones:       voltkaiZones,
+		Engines:     spread(voltkaiZones, 3, 3, 2, 2),
+		Loaded:      []structs.LoadedModel{{Model: swapAgent, Version: "3", Adapters: []string{"door", "dispatch"}}},
 		ZoneDelay:   1500 * time.Microsecond,
 		ClientDelay: 3 * time.Millisecond,
 		kinds:       []programKind{{weight: 39, build: doorSession}, {weight: 1, build: overnightRebalance}},
@@ -46,22 +62,22 @@
 // doorSession talks a rider through a stuck cabinet door.
 func doorSession(random *rand.Rand) *Program {
 	return &Program{
-		Name: "door-session", Tenant: "riders", Prefixes: []Prefix{{Name: "door-session", Tokens: 1_500}},
-		Deadline: 2 * time.Minute, Priority: 10, MaxAnswerTokens: 256,
+		Name: "door-session", Tenant: "riders", Adapter: "door", CacheZones: voltkaiZones,
+		Prefixes: []Prefix{{Name: "door-session", Tokens: doorInstructions}},
+		Deadline: 2 * time.Minute, Priority: 10, MaxAnswerTokens: 512,
 		random: random, script: writeDoorSession,
 	}
 }
 
 func writeDoorSession(s *script) {
 	s.model(swapAgent, riderMessage, chatAnswer)
-	s.tool(batteryTelemetry)
+	s.tool(cabinetStatus)
 	s.model(swapAgent, telemetryResult, chatAnswer)
 	if s.chance(faultCheckChance) {
 		s.spawn(1, faultCheck)
 		s.model(swapAgent, toolReceipt, chatAnswer)
 	}
-	attempts := s.draw(span{1, 3})
-	for range attempts {
+	for range s.draw(span{1, 3}) {
 		s.tool(cabinetRelease)
 		s.model(swapAgent, toolReceipt, chatAnswer)
 		s.pause(riderActs)
@@ -76,7 +92,8 @@
 // faultCheck reads a cabinet's telemetry until it has found the fault.
 func faultCheck(random *rand.Rand) *Program {
 	return &Program{
-		Name: "fault-check", Deadline: time.Minute, Priority: 10, MaxAnswerTokens: 256, random: random,
+		Name: "fault-check", CacheZones: voltkaiZones, Deadline: time.Minute, Priority: 10, MaxAnswerTokens: 384,
+		random: random,
 		script: func(s *script) {
 			s.model(swapAgent, riderMessage, chatAnswer)
 			for range s.draw(span{1, 3}) {
@@ -90,10 +107,11 @@
 // refundCheck decides on a refund and pays it.
 func refundCheck(random *rand.Rand) *Program {
 	return &Program{
-		Name: "refund-check", Deadline: time.Minute, Priority: 10, MaxAnswerTokens: 256, random: random,
+		Name: "refund", CacheZones: voltkaiCities, Deadline: time.Minute, Priority: 8, MaxAnswerTokens: 256,
+		random: random,
 		script: func(s *script) {
 			s.model(swapAgent, riderMessage, chatAnswer)
-			s.tool(refund)
+			s.tool(refundTool)
 			s.model(swapAgent, toolReceipt, chatAnswer)
 		},
 	}
@@ -102,13 +120,15 @@
 // overnightRebalance plans the moves of packs between cabinets.
 func overnightRebalance(random *rand.Rand) *Program {
 	return &Program{
-		Name: "overnight-rebalance", Tenant: "dispatchers", Prefixes: []Prefix{{Name: "overnight-rebalance", Tokens: 3_000}},
-		Deadline: 30 * time.Minute, Priority: 0, MaxAnswerTokens: 1_024, random: random,
+		Name: "overnight-rebalance", Tenant: "dispatchers", Adapter: "dispatch", CacheZones: voltkaiZones,
+		Prefixes: []Prefix{{Name: "overnight-rebalance", Tokens: rebalanceInstructions}},
+		Deadline: 30 * time.Minute, Priority: 1, MaxAnswerTokens: 1_024, random: random,
 		script: func(s *script) {
-			for range s.draw(span{12, 30}) {
+			for range s.draw(span{8, 20}) {
+				s.tool(packInventory)
 				s.model(swapAgent, cabinetSurvey, rebalanceAnswer)
-				s.tool(batteryTelemetry)
 			}
+			s.tool(routePlan)
 			s.model(swapAgent, telemetryResult, rebalanceAnswer)
 		},
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -84,6 +84,10 @@
 	// Name and Tenant are as declared in the deployment.
 	Name   structs.ProgramName
 	Tenant structs.TenantID
+	// Adapter of all model calls.
+	Adapter string
+	// CacheZones are where the program's cache may rest.
+	CacheZones []structs.ZoneName
 	// Key is unique in a generator; it serves as the idempotency key.
 	Key string
 	// Prefixes start the prompt of the first model call, outermost first.
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -57,7 +57,7 @@
 			}
 		}
 	}
-	require.Len(t, seen, 6)
+	require.Len(t, seen, 12)
 }
 
 func TestTextHasTheStepsLength(t *testing.T) {
