--- a/internal/lab/promise/resources.go
+++ b/internal/lab/promise/resources.go
@@ -65,13 +65,11 @@
 		}
 	}
 	for id, program := range x.programs {
-		if program.Ended.IsZero() || evidence.Collected.Sub(program.Ended) < evidence.Bounds.Release {
-			continue
-		}
-		if !usedEngine(x.runs[id]) {
+		engine, still := held[id]
+		mayHold := program.Ended.IsZero() || evidence.Collected.Sub(program.Ended) < evidence.Bounds.Release
+		if !usedEngine(x.runs[id]) || (still && mayHold) {
 			continue
 		}
-		engine, still := held[id]
 		verdict.check(!still, "engine %s holds memory for %s, ended %s before", engine, id, evidence.Collected.Sub(program.Ended))
 	}
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -14,22 +14,16 @@
 
 // Report is the outcome of one run of the demo.
 type Report struct {
-	Deployment        string         `json:"deployment"`
-	Policy            string         `json:"policy"`
-	Seed              uint64         `json:"seed"`
-	Seconds           float64        `json:"seconds"`
-	Daemons           int            `json:"daemons"`
-	ProgramsStarted   int            `json:"programs_started"`
-	ProgramsCompleted int            `json:"programs_completed"`
-	ProgramLatency    Percentiles    `json:"program_latency_ms"`
-	FirstToken        Percentiles    `json:"first_token_ms"`
-	InterToken        Percentiles    `json:"inter_token_ms"`
-	Failover          *Percentiles   `json:"failover_ms,omitempty"`
-	Cache             Cache          `json:"cache"`
-	Refused           map[string]int `json:"refused"`
-	Requests          map[string]int `json:"requests"`
-	Control           Control        `json:"control"`
-	FaultsInjected    map[string]int `json:"faults_injected"`
+	Deployment string  `json:"deployment"`
+	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	Daemons    int     `json:"daemons"`
+	Callers
+	Failover       *Percentiles   `json:"failover_ms,omitempty"`
+	Cache          Cache          `json:"cache"`
+	Control        Control        `json:"control"`
+	FaultsInjected map[string]int `json:"faults_injected"`
 	// FaultsFailed counts faults that could not be brought about.
 	FaultsFailed map[string]int    `json:"faults_failed,omitempty"`
 	Promises     []promise.Verdict `json:"promises"`
@@ -69,10 +63,7 @@
 		_, _ = fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, arguments...))
 	}
 	row("deployment", "%s, %d daemons, policy %s, seed %d, %.1f s", r.Deployment, r.Daemons, r.Policy, r.Seed, r.Seconds)
-	row("programs", "%d started, %d completed", r.ProgramsStarted, r.ProgramsCompleted)
-	row("program latency", "%s", r.ProgramLatency)
-	row("first token", "%s", r.FirstToken)
-	row("between tokens", "%s", r.InterToken)
+	r.Callers.rows(row)
 	if r.Failover != nil {
 		row("fail-over", "%s", *r.Failover)
 	}
@@ -80,8 +71,6 @@
 		r.Cache.PromptTokens, r.Cache.ReusedTokens, r.Cache.WastedTokens, 100*r.Cache.WastedRatio)
 	row("control a daemon", "%.2f%% of a core, %.0f B/s, %.1f MB heap",
 		100*r.Control.CPUFraction, r.Control.BytesPerSecond, r.Control.HeapBytes/bytesPerMegabyte)
-	row("requests", "%s", counts(r.Requests))
-	row("refused", "%s", counts(r.Refused))
 	row("faults", "%s", counts(r.FaultsInjected))
 	if len(r.FaultsFailed) > 0 {
 		row("faults not brought about", "%s", counts(r.FaultsFailed))
@@ -92,6 +81,26 @@
 	return r.writePromises(writer)
 }
 
+// rows writes what callers saw.
+func (c *Callers) rows(row func(name, format string, arguments ...any)) {
+	row("programs", "%d started, %d completed", c.ProgramsStarted, c.ProgramsCompleted)
+	row("program latency", "%s", c.ProgramLatency)
+	row("first token", "%s", c.FirstToken)
+	row("between tokens", "%s", c.InterToken)
+	row("requests", "%s", counts(c.Requests))
+	row("refused", "%s", counts(c.Refused))
+	row("not completed", "%s", counts(c.Unfinished))
+}
+
+// WriteText writes what callers saw as a table.
+func (c *Callers) WriteText(writer io.Writer) error {
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	c.rows(func(name, format string, arguments ...any) {
+		_, _ = fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, arguments...))
+	})
+	return table.Flush()
+}
+
 const bytesPerMegabyte = 1e6
 
 func (r *Report) writePromises(writer io.Writer) error {
