Put a daemon together: routing, dispatch, streams, duties, groups, planned stop

A caller's request goes to the leader of its program's shard over at most two hops; the daemon that holds the caller's connection goes on reading at the next leader when the leader changes. A call is sent outside only after its start is committed. First form: not yet run as a whole.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,185 @@
+// Package daemon puts a daemon together: its listeners, its place in the
+// cluster, the shards it holds replicas of, and its planned stop.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/cluster"
+	"github.com/barleyshelf/barleyshelf/internal/config"
+	"github.com/barleyshelf/barleyshelf/internal/engine"
+	"github.com/barleyshelf/barleyshelf/internal/fleet"
+	"github.com/barleyshelf/barleyshelf/internal/identity"
+	"github.com/barleyshelf/barleyshelf/internal/peer"
+	"github.com/barleyshelf/barleyshelf/internal/platform"
+	"github.com/barleyshelf/barleyshelf/internal/settings"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/tool"
+)
+
+// Options are what a settings file does not say.
+type Options struct {
+	// Dial opens every connection of the daemon; nil means plain TCP. A test
+	// bench delays and cuts links here.
+	Dial peer.Dialer
+	// Seed makes random choices repeatable; 0 draws one.
+	Seed uint64
+	// ShardsSettle is how long the members must be unchanged before the first
+	// groups of a domain are made; 0 means the default.
+	ShardsSettle time.Duration
+}
+
+// Daemon is one running daemon. Start it once.
+type Daemon struct {
+	settings settings.Settings
+	options  Options
+	self     structs.Node
+
+	gate      *gate
+	backends  *http.Client
+	platform  *platform.Client
+	engines   *engine.Client
+	tools     *tool.Client
+	peers     *peer.Client
+	cluster   *cluster.Cluster
+	store     *config.Store
+	feed      *config.Feed
+	fleet     *fleet.Fleet
+	tenants   *identity.Tenants
+	directory *directory
+	policies  policyChoice
+	admission *admission
+	core      atomic.Pointer[core]
+
+	peerTLS   peerSecurity
+	serverTLS *tls.Config
+
+	servers  []*server
+	draining atomic.Bool
+	active   activeRequests
+
+	context  context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	stopOnce sync.Once
+}
+
+// New prepares a daemon with valid settings. The error is a failure.Failure.
+func New(configured settings.Settings, options Options) (*Daemon, error) {
+	if err := configured.Validate(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings:  configured,
+		options:   options,
+		gate:      newGate(),
+		tenants:   identity.NewTenants(),
+		directory: newDirectory(),
+		context:   ctx,
+		cancel:    cancel,
+	}
+	d.self = selfNode(configured)
+	d.admission = &admission{draining: &d.draining}
+	d.backends = newBackendClient(d.gate, options.Dial)
+	d.platform = platform.NewClient(configured.PlatformAddress, d.backends)
+	d.engines = engine.NewClient(d.backends)
+	d.tools = tool.NewClient(d.backends)
+	return d, nil
+}
+
+// selfNode describes the daemon to its peers. Its incarnation rises with the
+// clock, so that a later life has a higher one.
+func selfNode(configured settings.Settings) structs.Node {
+	advertised := configured.Advertised()
+	return structs.Node{
+		ID:            configured.Node,
+		Incarnation:   newIncarnation(),
+		Region:        configured.Region,
+		Zone:          configured.Zone,
+		PeerAddress:   advertised.Peer,
+		CallerAddress: advertised.Caller,
+		HasDisk:       configured.DataFolder != "",
+		State:         structs.NodeAlive,
+	}
+}
+
+// Start opens the listeners and joins the cluster. It returns once the daemon
+// can be reached; it serves callers once a configuration is in force.
+func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.prepareStore(); err != nil {
+		return err
+	}
+	if err := d.startCluster(); err != nil {
+		return err
+	}
+	if err := d.startCore(); err != nil {
+		return err
+	}
+	if err := d.openListeners(); err != nil {
+		return err
+	}
+	d.startTasks()
+	eventStarted.Log("node", d.self.ID, "zone", d.self.Zone, "incarnation", d.self.Incarnation)
+	return ctx.Err()
+}
+
+// startTasks begins the daemon's background work.
+func (d *Daemon) startTasks() {
+	d.task(func() { d.feed.Run(d.context) })
+	d.task(func() { d.fleet.Run(d.context) })
+	d.task(d.runGroups)
+	d.task(d.runReconcile)
+}
+
+func (d *Daemon) task(work func()) {
+	d.tasks.Add(1)
+	go func() {
+		defer d.tasks.Done()
+		work()
+	}()
+}
+
+// CallerAddress returns IP:port of the callers' listener.
+func (d *Daemon) CallerAddress() string { return d.settings.Advertised().Caller }
+
+// PeerAddress returns IP:port of the peers' listener.
+func (d *Daemon) PeerAddress() string { return d.settings.Advertised().Peer }
+
+// OperatorAddress returns IP:port of the operators' listener.
+func (d *Daemon) OperatorAddress() string { return d.settings.Advertised().Operator }
+
+// Node returns the daemon as it presents itself to its peers.
+func (d *Daemon) Node() structs.Node { return d.cluster.Self() }
+
+// ConfigurationVersion returns the version in force here; 0 means none.
+func (d *Daemon) ConfigurationVersion() uint64 { return d.store.Version() }
+
+// Ready reports whether the daemon serves callers.
+func (d *Daemon) Ready() bool { return d.refusal() == nil }
+
+// Pause freezes the daemon as seen from outside: nothing it would send or
+// answer leaves it, until Resume. Its clocks go on. It is a bench's fault.
+func (d *Daemon) Pause() { d.gate.close() }
+
+// Resume ends Pause.
+func (d *Daemon) Resume() { d.gate.open() }
+
+// Kill stops the daemon at once, as a crash would: nothing is handed over.
+func (d *Daemon) Kill() {
+	d.stopOnce.Do(func() {
+		d.gate.open()
+		d.cancel()
+		d.closeListeners()
+		d.peers.Close()
+		d.closeCore()
+		<-d.cluster.Done()
+		d.tasks.Wait()
+		d.backends.CloseIdleConnections()
+	})
+}
--- /dev/null
+++ b/internal/executor/forward.go
@@ -0,0 +1,124 @@
+package executor
+
+import (
+	"context"
+
+	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// peerUnreachableType is the type of a failure to reach another daemon, which
+// package peer defines.
+const peerUnreachableType failure.Type = "peer_unreachable"
+
+// wire encodes the operation for another daemon. The body of a call or a read
+// tells where the reader stands now.
+func (op operation) wire(hops uint32, sink replySink) *peerv1.ForwardRequest {
+	return &peerv1.ForwardRequest{
+		Operation: string(op.name),
+		Tenant:    string(op.tenant),
+		ProgramId: string(op.program),
+		Body:      op.bodyAt(sink),
+		Hops:      hops,
+	}
+}
+
+// bodyAt returns the operation's body with the reader's present cursor.
+func (op operation) bodyAt(sink replySink) []byte {
+	if sink.parts == nil {
+		return op.body
+	}
+	switch op.name {
+	case operationCall:
+		body := callBody{}
+		if decodeBody(op.body, &body) == nil {
+			body.Cursor = sink.parts.cursor
+			return encodeBody(body)
+		}
+	case operationRead:
+		body := readBody{}
+		if decodeBody(op.body, &body) == nil {
+			body.Cursor = sink.parts.cursor
+			return encodeBody(body)
+		}
+	}
+	return op.body
+}
+
+// receive passes an event from another daemon on to the request's own sink.
+func (s replySink) receive(event *peerv1.ForwardEvent) error {
+	if part := event.GetPart(); part != nil && s.parts != nil {
+		return s.parts.Part(decodePart(part))
+	}
+	if body := event.GetBody(); body != nil && s.body != nil {
+		return s.body(body)
+	}
+	return nil
+}
+
+// Forwarded runs a request that another daemon forwarded, here or one hop on,
+// and sends its events back.
+func (e *Executor) Forwarded(ctx context.Context, request *peerv1.ForwardRequest, send func(*peerv1.ForwardEvent) error) error {
+	op := operation{
+		name:    operationName(request.GetOperation()),
+		tenant:  structs.TenantID(request.GetTenant()),
+		program: structs.ProgramID(request.GetProgramId()),
+		body:    request.GetBody(),
+	}
+	shard, err := op.program.Shard()
+	if err != nil {
+		return &failure.UnknownProgram{Program: string(op.program)}
+	}
+	return e.attempt(ctx, shard, op, sendingSink(op, send), request.GetHops(), map[structs.NodeID]bool{})
+}
+
+// sendingSink encodes what the operation answers and sends it back.
+func sendingSink(op operation, send func(*peerv1.ForwardEvent) error) replySink {
+	sink := replySink{body: func(body []byte) error {
+		return send(&peerv1.ForwardEvent{Event: &peerv1.ForwardEvent_Body{Body: body}})
+	}}
+	switch op.name {
+	case operationCall, operationRead:
+		sink.parts = &cursorSink{cursor: op.cursor(), next: caller.AnswerSinkFunc(func(part caller.AnswerPart) error {
+			return send(&peerv1.ForwardEvent{Event: &peerv1.ForwardEvent_Part{Part: encodePart(part)}})
+		})}
+	}
+	return sink
+}
+
+// cursor returns where the operation's reader stands, by its body.
+func (op operation) cursor() cursor {
+	standing := struct {
+		Cursor cursor `json:"cursor"`
+	}{}
+	_ = decodeBody(op.body, &standing)
+	return standing.Cursor
+}
+
+func encodePart(part caller.AnswerPart) *peerv1.AnswerPart {
+	return &peerv1.AnswerPart{
+		Attempt:      part.Attempt,
+		Offset:       part.Offset,
+		Text:         part.Text,
+		Restart:      part.Restart,
+		Complete:     part.Complete,
+		PromptTokens: part.PromptTokens,
+		AnswerTokens: part.AnswerTokens,
+		ReusedTokens: part.ReusedTokens,
+	}
+}
+
+func decodePart(part *peerv1.AnswerPart) caller.AnswerPart {
+	return caller.AnswerPart{
+		Attempt:      part.GetAttempt(),
+		Offset:       part.GetOffset(),
+		Text:         part.GetText(),
+		Restart:      part.GetRestart(),
+		Complete:     part.GetComplete(),
+		PromptTokens: part.GetPromptTokens(),
+		AnswerTokens: part.GetAnswerTokens(),
+		ReusedTokens: part.GetReusedTokens(),
+	}
+}
--- /dev/null
+++ b/internal/executor/local.go
@@ -0,0 +1,190 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// local carries an operation out on a shard that this daemon leads.
+func (e *Executor) local(ctx context.Context, id structs.ShardID, op operation, sink replySink) error {
+	held, known := e.shard(id)
+	if !known {
+		return &failure.NotLeader{Shard: uint32(id)}
+	}
+	err := held.serve(ctx, op, sink)
+	if failure.IsType(err, (&failure.UnknownProgram{}).Type()) {
+		return held.confirmUnknown(ctx, err)
+	}
+	return err
+}
+
+// confirmUnknown makes sure that this daemon still led the shard when it did
+// not find a program: a former leader may lack the latest.
+func (s *shard) confirmUnknown(ctx context.Context, unknown error) error {
+	if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
+		return err
+	}
+	return unknown
+}
+
+func (s *shard) serve(ctx context.Context, op operation, sink replySink) error {
+	switch op.name {
+	case operationOpen:
+		return s.serveOpen(ctx, op, sink)
+	case operationCall:
+		return s.serveCall(ctx, op, sink)
+	case operationRead:
+		return s.serveRead(ctx, op, sink)
+	case operationCancel:
+		return s.serveCancel(ctx, op, sink)
+	case operationEnd:
+		return s.serveEnd(ctx, op, sink)
+	case operationStatus:
+		return s.serveStatus(op, sink)
+	case operationOrphans:
+		return s.serveOrphans(ctx, op, sink)
+	}
+	return &failure.Malformed{Field: "operation", Reason: string(op.name)}
+}
+
+func (s *shard) serveOpen(ctx context.Context, op operation, sink replySink) error {
+	body := openBody{}
+	if err := decodeBody(op.body, &body); err != nil {
+		return err
+	}
+	ids := []structs.ProgramID{op.program}
+	if body.Request.Parent != "" {
+		ids = []structs.ProgramID{body.Request.Parent, op.program}
+	}
+	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Open(now, body.openRequest(now, op.tenant, op.program))
+	}, ids...)
+	if err != nil {
+		return err
+	}
+	return s.serveStatus(op, sink)
+}
+
+func (s *shard) serveCall(ctx context.Context, op operation, sink replySink) error {
+	body := callBody{}
+	if err := decodeBody(op.body, &body); err != nil {
+		return err
+	}
+	request, err := s.admitCall(op, body.Request)
+	if err != nil {
+		return err
+	}
+	_, err = s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Accept(now, request)
+	}, op.program)
+	if err != nil {
+		return err
+	}
+	return s.followAnswer(ctx, op, body.Request.Number, sink)
+}
+
+// admitCall checks a call against the declarations in force and gives it the
+// declared bounds. A call that the journal has already is not checked again.
+func (s *shard) admitCall(op operation, request caller.CallRequest) (program.CallRequest, error) {
+	hash := xxhash.Sum64(encodeBody(request))
+	status, repeated := program.Status{}, false
+	err := s.inspect(func(machine *program.Machine) error {
+		found, err := machine.Program(op.tenant, op.program)
+		status = found
+		_, repeated = machine.Call(op.program, request.Number)
+		return err
+	})
+	if err == nil && !repeated {
+		err = permittedCall(s.executor.options.Configuration(), status, &request)
+	}
+	return callRequest(op, request, hash), err
+}
+
+func callRequest(op operation, request caller.CallRequest, hash uint64) program.CallRequest {
+	return program.CallRequest{
+		Program:         op.program,
+		Tenant:          op.tenant,
+		Number:          request.Number,
+		Kind:            program.CallKind(request.Kind),
+		Target:          request.Target,
+		Adapter:         request.Adapter,
+		Repeatable:      request.Repeatable,
+		Input:           request.Input,
+		MaxAnswerTokens: request.MaxAnswerTokens,
+		ExpectedPause:   time.Duration(request.ExpectedPauseMilliseconds) * time.Millisecond,
+		Hash:            hash,
+	}
+}
+
+func (s *shard) serveRead(ctx context.Context, op operation, sink replySink) error {
+	body := readBody{}
+	if err := decodeBody(op.body, &body); err != nil {
+		return err
+	}
+	return s.followAnswer(ctx, op, body.Number, sink)
+}
+
+func (s *shard) serveCancel(ctx context.Context, op operation, sink replySink) error {
+	body := cancelBody{}
+	if err := decodeBody(op.body, &body); err != nil {
+		return err
+	}
+	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Cancel(now, op.tenant, op.program, body.Number)
+	}, op.program)
+	if err != nil {
+		return err
+	}
+	s.startWorker(op.tenant, op.program)
+	return s.serveStatus(op, sink)
+}
+
+func (s *shard) serveEnd(ctx context.Context, op operation, sink replySink) error {
+	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.End(now, op.tenant, op.program, program.CauseEnded)
+	}, op.program)
+	if err != nil {
+		return err
+	}
+	return s.serveStatus(op, sink)
+}
+
+func (s *shard) serveStatus(op operation, sink replySink) error {
+	status := caller.ProgramStatus{}
+	err := s.inspect(func(machine *program.Machine) error {
+		found, err := machine.Program(op.tenant, op.program)
+		status = statusForCaller(found)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return sink.body(encodeBody(status))
+}
+
+func statusForCaller(status program.Status) caller.ProgramStatus {
+	state := caller.ProgramOpen
+	if status.State != program.Open {
+		state = caller.ProgramEnded
+	}
+	return caller.ProgramStatus{
+		ID:       status.ID,
+		Tenant:   status.Tenant,
+		Program:  status.Program,
+		State:    state,
+		EndCause: status.Cause,
+		Parent:   status.Parent,
+		NextCall: status.NextCall,
+		Budget:   status.Budget,
+		Spent:    status.Spent,
+		Reserved: status.Reserved.Plus(status.Granted),
+		Deadline: status.Deadline,
+	}
+}
--- /dev/null
+++ b/internal/executor/model_call.go
@@ -0,0 +1,246 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/engine"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/placement"
+	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/schedule"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+const (
+	// modelCallTimeout bounds one attempt of a model call; the attempt reserves
+	// as much of the time budget, or what is left of it.
+	modelCallTimeout = 120 * time.Second
+	// engineSearchTimeout is how long a call waits for an engine that can take
+	// it before it is refused.
+	engineSearchTimeout = 3 * time.Second
+	engineSearchDelay   = 100 * time.Millisecond
+	// maxModelAttempts bounds the attempts of one call.
+	maxModelAttempts = 4
+	// moveTimeout bounds a transfer of cache; the call prefills without it.
+	moveTimeout = 2 * time.Second
+)
+
+// modelAttempt is everything needed to send, or send again, one attempt.
+type modelAttempt struct {
+	call     *program.Call
+	segments [][]byte
+	prompt   int64
+	price    int64
+	choice   schedule.Choice
+	moveFrom string
+	// taken says that an earlier leader started the attempt.
+	taken bool
+}
+
+// runModel runs a model call to its end, over as many attempts as it takes.
+func (w *worker) runModel(call *program.Call, started bool) error {
+	excluded := map[structs.EngineID]bool{}
+	for {
+		attempt, err := w.prepare(call, started)
+		if err != nil {
+			return err
+		}
+		if !started {
+			if done, err := w.beginModel(attempt, excluded); done || err != nil {
+				return err
+			}
+		}
+		again, err := w.streamModel(attempt)
+		if err != nil || !again {
+			return err
+		}
+		excluded[structs.EngineID(attempt.call.TargetID)] = true
+		started = false
+		if call, err = w.callNow(call.Number); err != nil {
+			return err
+		}
+	}
+}
+
+// prepare collects the prompt: the program's whole history and the call's input.
+func (w *worker) prepare(call *program.Call, started bool) (*modelAttempt, error) {
+	attempt := &modelAttempt{call: call, taken: started}
+	var turns []program.Turn
+	err := w.shard.inspect(func(machine *program.Machine) error {
+		history, err := machine.History(w.program)
+		turns = history
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, turn := range turns {
+		attempt.segments = append(attempt.segments, turn.Input, turn.Answer)
+	}
+	attempt.segments = append(attempt.segments, call.Input)
+	for _, segment := range attempt.segments {
+		attempt.prompt += engine.TokenCount(segment)
+	}
+	attempt.price = modelPrice(w.shard.executor.options.Configuration(), structs.ModelName(call.Target))
+	return attempt, nil
+}
+
+// beginModel chooses an engine and records the start. done says that the call
+// has ended instead.
+func (w *worker) beginModel(attempt *modelAttempt, excluded map[structs.EngineID]bool) (done bool, err error) {
+	status, err := w.status()
+	if err != nil {
+		return false, err
+	}
+	choice, err := w.findEngine(attempt, status, excluded)
+	if err != nil {
+		return true, w.refuse(attempt.call, err)
+	}
+	attempt.choice = choice
+	w.shard.liveFor(attempt.call)
+	started, err := w.start(program.StartRequest{
+		Program:           attempt.call.Program,
+		Number:            attempt.call.Number,
+		TargetID:          string(choice.Engine),
+		TargetIncarnation: choice.Incarnation,
+		TargetAddress:     choice.Address,
+		DispatchKey:       dispatchKey(attempt.call),
+		Reserve:           attempt.reservation(status.Left),
+		Hold:              true,
+	})
+	if refusable(err) {
+		return true, w.refuse(attempt.call, err)
+	}
+	if err != nil {
+		return false, err
+	}
+	attempt.call = started
+	return false, nil
+}
+
+// reservation is the most that the attempt can cost. Its time is bounded by
+// what is left, and the attempt is stopped when that is over.
+func (a *modelAttempt) reservation(left structs.Amount) structs.Amount {
+	tokens := a.prompt + a.call.MaxAnswerTokens
+	return structs.Amount{
+		Tokens:       tokens,
+		CostMicros:   tokenCost(tokens, a.price),
+		Turns:        1,
+		Milliseconds: max(min(modelCallTimeout.Milliseconds(), left.Milliseconds), 1),
+	}
+}
+
+// findEngine asks the policy, and again for a bounded time while no engine is
+// there; reports of engines are late.
+func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) (schedule.Choice, error) {
+	deadline := time.Now().Add(engineSearchTimeout)
+	request := w.scheduleRequest(attempt, status, excluded)
+	for {
+		choice, err := w.shard.executor.choose(request)
+		if err == nil {
+			err = placement.Permit(placement.Policy{CacheZones: status.CacheZones}, placement.Cache, w.shard.executor.engineZone(choice.Engine))
+		}
+		if err == nil {
+			attempt.moveFrom = w.moveSource(choice, status)
+			return choice, nil
+		}
+		searching := failure.IsType(err, (&failure.EngineUnavailable{}).Type())
+		if !searching || time.Now().After(deadline) || !sleep(w.context, engineSearchDelay) {
+			return schedule.Choice{}, err
+		}
+		clear(excluded)
+	}
+}
+
+// streamModel sends the attempt, or takes its stream up again, and settles it.
+// again says that the attempt is lost and the call can be sent once more.
+func (w *worker) streamModel(attempt *modelAttempt) (again bool, err error) {
+	call := attempt.call
+	deadline := call.StartedAt.Add(time.Duration(call.Reserved.Milliseconds) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(w.context, deadline)
+	defer cancel()
+	stopWatching := w.watchAbandon(ctx, cancel, call.Number)
+	defer stopWatching()
+	end := w.shard.executor.options.Engines.Dispatched(structs.EngineID(call.TargetID), attempt.prompt)
+	defer end()
+
+	w.moveCache(ctx, attempt)
+	usage, err := w.receive(ctx, attempt)
+	if w.context.Err() != nil {
+		return false, w.shard.notLeader()
+	}
+	if err == nil {
+		return false, w.settleFinished(attempt, usage)
+	}
+	return w.settleLost(ctx, attempt, err)
+}
+
+// settleFinished records the answer; only then is it complete for any reader.
+func (w *worker) settleFinished(attempt *modelAttempt, usage engine.Usage) error {
+	call := attempt.call
+	tokens := usage.PromptTokens + usage.AnswerTokens
+	err := w.finish(program.FinishRequest{
+		Program:      call.Program,
+		Number:       call.Number,
+		Attempt:      call.Attempt,
+		Answer:       w.shard.liveText(call),
+		PromptTokens: usage.PromptTokens,
+		AnswerTokens: usage.AnswerTokens,
+		ReusedTokens: usage.ReusedTokens,
+		Spent: structs.Amount{
+			Tokens:       tokens,
+			CostMicros:   tokenCost(tokens, attempt.price),
+			Milliseconds: elapsed(call.StartedAt),
+		},
+	})
+	if err != nil {
+		return err
+	}
+	w.shard.endLive(call)
+	w.shard.noteCached(call.Program, structs.EngineID(call.TargetID), tokens)
+	return nil
+}
+
+// settleLost takes an attempt back that brought no whole answer. What it cost
+// is not known, so the whole reservation counts as spent, unless the engine
+// refused it.
+func (w *worker) settleLost(ctx context.Context, attempt *modelAttempt, cause error) (again bool, err error) {
+	call := attempt.call
+	known := failure.Classify(cause)
+	w.shard.executor.options.Engines.Failed(structs.EngineID(call.TargetID))
+	request := program.NotRunRequest{
+		Program:       call.Program,
+		Number:        call.Number,
+		Attempt:       call.Attempt,
+		FailureType:   known.Type(),
+		FailureDetail: known.Error(),
+	}
+	if known.Outcome() != failure.NotRun || attempt.taken {
+		request.GivenUp = true
+		request.Spent = call.Reserved
+		request.Spent.Milliseconds = min(elapsed(call.StartedAt), call.Reserved.Milliseconds)
+	}
+	request.Final = ctx.Err() != nil || call.Attempt >= maxModelAttempts
+	if ctx.Err() != nil {
+		w.cancelStream(call)
+	}
+	if request.GivenUp && !call.Repeatable && !call.Abandon && !request.Final {
+		request.Final = true
+	}
+	if err := w.notRunOrUnknown(call, request); err != nil {
+		return false, err
+	}
+	eventAttemptLost.Log("program", call.Program, "call", call.Number, "attempt", call.Attempt,
+		"engine", call.TargetID, "failure", known.Type(), "final", request.Final)
+	return !request.Final, nil
+}
+
+// notRunOrUnknown records the request; a call that is not repeatable and may
+// have run is recorded as of unknown outcome.
+func (w *worker) notRunOrUnknown(call *program.Call, request program.NotRunRequest) error {
+	if request.GivenUp && !call.Repeatable {
+		return w.unknown(call, request.FailureDetail)
+	}
+	return w.notRun(request)
+}
--- /dev/null
+++ b/internal/executor/opening.go
@@ -0,0 +1,178 @@
+package executor
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/placement"
+	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// resolveOpening applies the declarations in force to an opening: who may run
+// the program, within which budget, and in which placement domain.
+func (e *Executor) resolveOpening(ctx context.Context, tenant structs.TenantID, request caller.OpenRequest) (openBody, structs.ProgramID, error) {
+	configuration := e.options.Configuration()
+	if configuration == nil {
+		return openBody{}, "", &failure.NotReady{Missing: "configuration"}
+	}
+	declared, err := declaredProgram(configuration, tenant, request.Program)
+	if err != nil {
+		return openBody{}, "", err
+	}
+	body, err := boundOpening(declared, request)
+	if err != nil {
+		return openBody{}, "", err
+	}
+	if request.Parent != "" {
+		id, err := e.resolveChild(ctx, configuration, tenant, body)
+		return body, id, err
+	}
+	domain, err := domainWithin(configuration, body.HistoryZones)
+	if err != nil {
+		return openBody{}, "", err
+	}
+	return body, structs.NewProgramID(domain, tenant, request.Key), nil
+}
+
+func declaredProgram(configuration *structs.Configuration, tenant structs.TenantID, name structs.ProgramName) (structs.AgentProgram, error) {
+	for _, declared := range configuration.Declarations.Programs {
+		if declared.Name == name && slices.Contains(declared.Tenants, tenant) {
+			return declared, nil
+		}
+	}
+	return structs.AgentProgram{}, &failure.NotPermitted{What: "program " + string(name)}
+}
+
+// boundOpening narrows the declared bounds by those the caller asks for. A
+// caller can narrow a bound and never widen it.
+func boundOpening(declared structs.AgentProgram, request caller.OpenRequest) (openBody, error) {
+	body := openBody{
+		Request:      request,
+		Budget:       declared.Budget,
+		DeadlineMS:   declared.DeadlineMilliseconds,
+		IdleMS:       declared.IdleMilliseconds,
+		Priority:     declared.Priority,
+		HistoryZones: narrowZones(declared.HistoryZones, request.HistoryZones),
+		CacheZones:   narrowZones(declared.CacheZones, request.CacheZones),
+	}
+	if request.Budget != nil {
+		if !request.Budget.Within(declared.Budget) {
+			return openBody{}, &failure.NotPermitted{What: "a budget above the declared one"}
+		}
+		body.Budget = *request.Budget
+	}
+	if request.DeadlineMilliseconds > 0 {
+		body.DeadlineMS = min(request.DeadlineMilliseconds, positiveOr(declared.DeadlineMilliseconds, request.DeadlineMilliseconds))
+	}
+	if len(body.HistoryZones) == 0 {
+		return openBody{}, &failure.NotPermitted{What: "history outside the declared zones"}
+	}
+	if len(body.CacheZones) == 0 {
+		return openBody{}, &failure.NotPermitted{What: "cache outside the declared zones"}
+	}
+	return body, nil
+}
+
+func positiveOr(value, fallback int64) int64 {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// narrowZones returns the zones of asked that are declared; asking for none
+// means all.
+func narrowZones(declared, asked []structs.ZoneName) []structs.ZoneName {
+	if len(asked) == 0 {
+		return declared
+	}
+	narrowed := make([]structs.ZoneName, 0, len(asked))
+	for _, zone := range asked {
+		if slices.Contains(declared, zone) {
+			narrowed = append(narrowed, zone)
+		}
+	}
+	return narrowed
+}
+
+// domainWithin returns the largest placement domain all of whose zones are
+// permitted; among equals, the oldest.
+func domainWithin(configuration *structs.Configuration, zones []structs.ZoneName) (structs.Domain, error) {
+	best := structs.Domain{}
+	for _, domain := range configuration.Domains {
+		if len(domain.Zones) > len(best.Zones) && historyPermitted(zones, domain) {
+			best = domain
+		}
+	}
+	if len(best.Zones) == 0 {
+		return structs.Domain{}, &failure.NoPermittedPlace{What: "replica", Zones: joinZones(zones)}
+	}
+	return best, nil
+}
+
+func historyPermitted(zones []structs.ZoneName, domain structs.Domain) bool {
+	policy := placement.Policy{HistoryZones: zones}
+	for _, zone := range domain.Zones {
+		if placement.Permit(policy, placement.History, zone) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func joinZones(zones []structs.ZoneName) string {
+	names := make([]string, len(zones))
+	for position, zone := range zones {
+		names[position] = string(zone)
+	}
+	return strings.Join(names, ",")
+}
+
+// resolveChild places a sub-agent in its parent's shard, where its history may
+// rest only if the whole of the parent's domain is permitted to it.
+func (e *Executor) resolveChild(_ context.Context, configuration *structs.Configuration, tenant structs.TenantID, body openBody) (structs.ProgramID, error) {
+	parent := body.Request.Parent
+	shard, err := parent.Shard()
+	if err != nil {
+		return "", &failure.UnknownProgram{Program: string(parent)}
+	}
+	for _, domain := range configuration.Domains {
+		if shard < domain.FirstShard || shard >= domain.FirstShard+structs.ShardID(domain.ShardCount) {
+			continue
+		}
+		if !historyPermitted(body.HistoryZones, domain) {
+			return "", &failure.NoPermittedPlace{What: "replica", Zones: joinZones(body.HistoryZones)}
+		}
+		return structs.NewChildID(parent, string(tenant)+"\x00"+body.Request.Key)
+	}
+	return "", &failure.UnknownProgram{Program: string(parent)}
+}
+
+// openRequest builds the state machine's request. Times count from now, by the
+// leader's clock.
+func (b openBody) openRequest(now time.Time, tenant structs.TenantID, id structs.ProgramID) program.OpenRequest {
+	request := program.OpenRequest{
+		ID:           id,
+		Tenant:       tenant,
+		Program:      b.Request.Program,
+		Key:          b.Request.Key,
+		Budget:       b.Budget,
+		Idle:         time.Duration(b.IdleMS) * time.Millisecond,
+		HistoryZones: b.HistoryZones,
+		CacheZones:   b.CacheZones,
+		Parent:       b.Request.Parent,
+		Priority:     b.Priority,
+		Hash:         xxhash.Sum64(encodeBody(b.Request)),
+	}
+	if b.DeadlineMS > 0 {
+		request.Deadline = now.Add(time.Duration(b.DeadlineMS) * time.Millisecond)
+	}
+	return request
+}
--- /dev/null
+++ b/internal/executor/worker.go
@@ -0,0 +1,211 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// worker dispatches the calls of one program, one after the other, while this
+// daemon leads the program's shard. It ends when nothing can be dispatched.
+type worker struct {
+	shard   *shard
+	tenant  structs.TenantID
+	program structs.ProgramID
+	// context ends with the leadership.
+	context context.Context
+	// again is set when there may be new work; guarded by the shard's mutex.
+	again bool
+	// resume is a started call without an end, taken over from an earlier
+	// leader; guarded by the shard's mutex.
+	resume *program.Call
+}
+
+// startWorker makes sure that the program's calls are being dispatched.
+func (s *shard) startWorker(tenant structs.TenantID, id structs.ProgramID) {
+	s.startResuming(tenant, id, nil)
+}
+
+// startResuming is startWorker with a started call to take up first. A worker
+// that runs already looks after its own started call.
+func (s *shard) startResuming(tenant structs.TenantID, id structs.ProgramID, started *program.Call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.term == 0 {
+		return
+	}
+	if running, exists := s.workers[id]; exists {
+		running.again = true
+		return
+	}
+	created := &worker{shard: s, tenant: tenant, program: id, context: s.context, resume: started}
+	s.workers[id] = created
+	s.executor.task(created.run)
+}
+
+func (w *worker) run() {
+	for {
+		call, started := w.next()
+		if call == nil {
+			return
+		}
+		if err := w.dispatch(call, started); err != nil {
+			w.pauseAfter(err)
+		}
+	}
+}
+
+// next returns the call to work on, and whether an earlier leader started it.
+// It returns nil, and the worker is gone, when there is none.
+func (w *worker) next() (call *program.Call, started bool) {
+	s := w.shard
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if w.context.Err() != nil {
+		return nil, false
+	}
+	if w.resume != nil {
+		call, w.resume = w.resume, nil
+		return call, true
+	}
+	w.again = false
+	if !s.executor.quiesced.active() {
+		if runnable, found := s.machine.Runnable(w.program); found {
+			return runnable, false
+		}
+	}
+	delete(s.workers, w.program)
+	return nil, false
+}
+
+func (w *worker) dispatch(call *program.Call, started bool) error {
+	if call.Kind == program.ToolCall {
+		return w.runTool(call, started)
+	}
+	return w.runModel(call, started)
+}
+
+// pauseAfter logs an unexpected failure and keeps the worker from spinning.
+func (w *worker) pauseAfter(err error) {
+	const pause = 100 * time.Millisecond
+	if w.context.Err() != nil {
+		return
+	}
+	eventWorkerFailed.Log("program", w.program, "failure", failure.Classify(err).Type(), "detail", err)
+	sleep(w.context, pause)
+}
+
+// sleep waits, and reports false when ctx ended first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// mutate makes a decision on the worker's program.
+func (w *worker) mutate(decide decider) error {
+	_, err := w.shard.mutate(w.context, decide, w.program)
+	return err
+}
+
+// status returns the program's present status.
+func (w *worker) status() (program.Status, error) {
+	status := program.Status{}
+	err := w.shard.inspect(func(machine *program.Machine) error {
+		found, err := machine.Program(w.tenant, w.program)
+		status = found
+		return err
+	})
+	return status, err
+}
+
+// start puts the attempt's record on a majority and returns the started call.
+func (w *worker) start(request program.StartRequest) (*program.Call, error) {
+	err := w.mutate(func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Start(now, request)
+	})
+	if err != nil {
+		return nil, err
+	}
+	var started *program.Call
+	err = w.shard.inspect(func(machine *program.Machine) error {
+		call, found := machine.Dispatched(request.Program, request.Number, request.DispatchKey)
+		if !found {
+			return &failure.CallConflict{What: "attempt"}
+		}
+		started = call
+		return nil
+	})
+	return started, err
+}
+
+func (w *worker) finish(request program.FinishRequest) error {
+	return w.mutate(func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Finish(now, request)
+	})
+}
+
+func (w *worker) notRun(request program.NotRunRequest) error {
+	return w.mutate(func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.NotRun(now, request)
+	})
+}
+
+func (w *worker) unknown(call *program.Call, detail string) error {
+	return w.mutate(func(now time.Time, machine *program.Machine) (program.Decision, error) {
+		return machine.Unknown(now, call.Program, call.Number, call.Attempt, detail)
+	})
+}
+
+// refuse ends a call that was never sent: it truly did not run.
+func (w *worker) refuse(call *program.Call, cause error) error {
+	known := failure.Classify(cause)
+	return w.notRun(program.NotRunRequest{
+		Program:       call.Program,
+		Number:        call.Number,
+		Final:         true,
+		FailureType:   known.Type(),
+		FailureDetail: known.Error(),
+	})
+}
+
+// refusable reports whether err is the state machine's own refusal of a start,
+// and so the call's final outcome.
+func refusable(err error) bool {
+	return failure.IsType(err, (&failure.BudgetExceeded{}).Type()) ||
+		failure.IsType(err, (&failure.NoPermittedPlace{}).Type()) ||
+		failure.IsType(err, (&failure.NotPermitted{}).Type())
+}
+
+// callNow returns the call as the state has it now.
+func (w *worker) callNow(number structs.CallNumber) (*program.Call, error) {
+	var call *program.Call
+	err := w.shard.inspect(func(machine *program.Machine) error {
+		found, exists := machine.Call(w.program, number)
+		if !exists {
+			return &failure.UnknownCall{Number: uint32(number)}
+		}
+		call = found
+		return nil
+	})
+	return call, err
+}
+
+// dispatchKey names an attempt: the same on every leader that takes it up.
+func dispatchKey(call *program.Call) string {
+	attempt := uint64(call.Attempt) + 1
+	return string(call.Program) + "." + formatNumber(uint64(call.Number)) + "." + formatNumber(attempt)
+}
+
+// elapsed returns the milliseconds since the attempt started, at least 1.
+func elapsed(started time.Time) int64 {
+	return max(time.Since(started).Milliseconds(), 1)
+}
--- a/internal/gen/peerv1/peerv1connect/peer.connect.go
+++ b/internal/gen/peerv1/peerv1connect/peer.connect.go
@@ -49,8 +49,9 @@
 
 // PeerServiceClient is a client for the barleyshelf.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Journal delivers replication messages; answers travel as calls of their own.
-	Journal(context.Context, *connect.Request[journalv1.Batch]) (*connect.Response[peerv1.Received], error)
+	// Journal delivers replication messages in order, for as long as the stream
+	// holds; answers travel on the receiver's own stream.
+	Journal(context.Context) *connect.ClientStreamForClient[journalv1.Batch, peerv1.Received]
 	// Gossip delivers one failure detection or dissemination message.
 	Gossip(context.Context, *connect.Request[gossipv1.Message]) (*connect.Response[peerv1.Received], error)
 	// Forward runs a caller's request at the shard's leader.
@@ -106,8 +107,8 @@
 }
 
 // Journal calls barleyshelf.peer.v1.PeerService.Journal.
-func (c *peerServiceClient) Journal(ctx context.Context, req *connect.Request[journalv1.Batch]) (*connect.Response[peerv1.Received], error) {
-	return c.journal.CallUnary(ctx, req)
+func (c *peerServiceClient) Journal(ctx context.Context) *connect.ClientStreamForClient[journalv1.Batch, peerv1.Received] {
+	return c.journal.CallClientStream(ctx)
 }
 
 // Gossip calls barleyshelf.peer.v1.PeerService.Gossip.
@@ -127,8 +128,9 @@
 
 // PeerServiceHandler is an implementation of the barleyshelf.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Journal delivers replication messages; answers travel as calls of their own.
-	Journal(context.Context, *connect.Request[journalv1.Batch]) (*connect.Response[peerv1.Received], error)
+	// Journal delivers replication messages in order, for as long as the stream
+	// holds; answers travel on the receiver's own stream.
+	Journal(context.Context, *connect.ClientStream[journalv1.Batch]) (*connect.Response[peerv1.Received], error)
 	// Gossip delivers one failure detection or dissemination message.
 	Gossip(context.Context, *connect.Request[gossipv1.Message]) (*connect.Response[peerv1.Received], error)
 	// Forward runs a caller's request at the shard's leader.
@@ -144,7 +146,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := peerv1.File_barleyshelf_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceJournalHandler := connect.NewUnaryHandler(
+	peerServiceJournalHandler := connect.NewClientStreamHandler(
 		PeerServiceJournalProcedure,
 		svc.Journal,
 		connect.WithSchema(peerServiceMethods.ByName("Journal")),
@@ -187,7 +189,7 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Journal(context.Context, *connect.Request[journalv1.Batch]) (*connect.Response[peerv1.Received], error) {
+func (UnimplementedPeerServiceHandler) Journal(context.Context, *connect.ClientStream[journalv1.Batch]) (*connect.Response[peerv1.Received], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.Journal is not implemented"))
 }
 
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+const (
+	// gossipTimeout bounds one failure detection message: a late one is worth
+	// less than the next one.
+	gossipTimeout = 2 * time.Second
+	dialTimeout   = 2 * time.Second
+	// pingInterval and pingTimeout find a connection that a cut link left open.
+	pingInterval = 2 * time.Second
+	pingTimeout  = 2 * time.Second
+)
+
+// Dialer opens connections to peers.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options set up a Client.
+type Options struct {
+	// TLS is the client side of mutual TLS; nil means plain TCP.
+	TLS *tls.Config
+	// Dial replaces the plain dialer; nil means net.Dialer.
+	Dial Dialer
+	// Resolve returns the peer address (IP:port) of a node, if it is known.
+	Resolve func(structs.NodeID) (string, bool)
+}
+
+// Client sends to other daemons. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+	scheme  string
+
+	mutex sync.Mutex
+	links map[structs.NodeID]*journalLink
+	done  chan struct{}
+	once  sync.Once
+}
+
+// NewClient returns a client that holds one connection to each peer it talks to.
+func NewClient(options Options) *Client {
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(options.TLS == nil)
+	transport := &http.Transport{
+		DialContext:     options.Dial,
+		TLSClientConfig: options.TLS,
+		Protocols:       protocols,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}
+	scheme := "https"
+	if options.TLS == nil {
+		scheme = "http"
+	}
+	return &Client{
+		options: options,
+		http:    &http.Client{Transport: transport},
+		scheme:  scheme,
+		links:   map[structs.NodeID]*journalLink{},
+		done:    make(chan struct{}),
+	}
+}
+
+// Close ends all streams and connections.
+func (c *Client) Close() {
+	c.once.Do(func() { close(c.done) })
+	c.http.CloseIdleConnections()
+}
+
+// Send queues replication messages for a node. It never blocks; messages are
+// lost when the node cannot be reached or its queue is full.
+func (c *Client) Send(to structs.NodeID, batch *journalv1.Batch) {
+	c.link(to).enqueue(batch)
+}
+
+// SendGossip sends one failure detection message; it is lost when the peer
+// cannot be reached.
+func (c *Client) SendGossip(to structs.Node, message *gossipv1.Message) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+		defer cancel()
+		_, _ = c.service(to.PeerAddress).Gossip(ctx, connect.NewRequest(message))
+	}()
+}
+
+// Forward runs request at the peer and calls receive for each event. The error
+// is the failure the peer reported, *Unreachable, or receive's own.
+func (c *Client) Forward(ctx context.Context, address string, request *peerv1.ForwardRequest, receive func(*peerv1.ForwardEvent) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.service(address).Forward(ctx, connect.NewRequest(request))
+	if err != nil {
+		return transportFailure(address, err)
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		event := stream.Msg()
+		if reported := event.GetFailure(); reported != nil {
+			return decodeFailure(reported)
+		}
+		if err := receive(event); err != nil {
+			return err
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return transportFailure(address, err)
+	}
+	return nil
+}
+
+// ConfigInForce asks a peer for the version of the configuration it acts on.
+func (c *Client) ConfigInForce(ctx context.Context, address string) (uint64, error) {
+	response, err := c.service(address).ConfigInForce(ctx, connect.NewRequest(&peerv1.ConfigInForceRequest{}))
+	if err != nil {
+		return 0, transportFailure(address, err)
+	}
+	return response.Msg.GetVersion(), nil
+}
+
+func (c *Client) service(address string) peerv1connect.PeerServiceClient {
+	return peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+func (c *Client) link(to structs.NodeID) *journalLink {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	link, known := c.links[to]
+	if !known {
+		link = newJournalLink(c, to)
+		c.links[to] = link
+		go link.run()
+	}
+	return link
+}
