--- a/internal/emulator/platform_api.go
+++ b/internal/emulator/platform_api.go
@@ -94,7 +94,7 @@
 	return &platformapi.Stored{Version: version}, nil
 }
 
-func (h *platformHandler) ListMachines(context.Context) (*platformapi.MachineList, error) {
+func (h *platformHandler) ListMachines(_ context.Context, params platformapi.ListMachinesParams) (*platformapi.MachineList, error) {
 	p := h.platform
 	p.lists.Add(1)
 	end, admitted := p.reading()
@@ -108,6 +108,9 @@
 		if machine.Leaving {
 			row.State = platformapi.MachineStateLeaving
 		}
+		if wanted, set := params.State.Get(); set && string(wanted) != string(row.State) {
+			continue
+		}
 		row.Node.SetTo(string(machine.Node))
 		row.Engine.SetTo(string(machine.Engine))
 		row.Address.SetTo(machine.Address)
--- a/internal/gen/platformapi/oas_client_gen.go
+++ b/internal/gen/platformapi/oas_client_gen.go
@@ -39,7 +39,7 @@
 	// ListMachines invokes listMachines operation.
 	//
 	// GET /v1/machines
-	ListMachines(ctx context.Context) (*MachineList, error)
+	ListMachines(ctx context.Context, params ListMachinesParams) (*MachineList, error)
 	// ListObjects invokes listObjects operation.
 	//
 	// GET /v1/objects
@@ -298,12 +298,12 @@
 // ListMachines invokes listMachines operation.
 //
 // GET /v1/machines
-func (c *Client) ListMachines(ctx context.Context) (*MachineList, error) {
-	res, err := c.sendListMachines(ctx)
+func (c *Client) ListMachines(ctx context.Context, params ListMachinesParams) (*MachineList, error) {
+	res, err := c.sendListMachines(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendListMachines(ctx context.Context) (res *MachineList, err error) {
+func (c *Client) sendListMachines(ctx context.Context, params ListMachinesParams) (res *MachineList, err error) {
 	otelAttrs := []attribute.KeyValue{
 		otelogen.OperationID("listMachines"),
 		semconv.HTTPRequestMethodKey.String("GET"),
@@ -344,6 +344,27 @@
 	pathParts[0] = "/v1/machines"
 	uri.AddPathParts(u, pathParts[:]...)
 
+	stage = "EncodeQueryParams"
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "state" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "state",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.State.Get(); ok {
+				return e.EncodeValue(conv.StringToString(string(val)))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
 	stage = "EncodeRequest"
 	r, err := ht.NewRequest(ctx, "GET", u)
 	if err != nil {
--- a/internal/gen/platformapi/oas_handlers_gen.go
+++ b/internal/gen/platformapi/oas_handlers_gen.go
@@ -409,8 +409,22 @@
 
 			s.errors.Add(ctx, 1, metric.WithAttributes(attrs...))
 		}
-		err error
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListMachinesOperation,
+			ID:   "listMachines",
+		}
 	)
+	params, err := decodeListMachinesParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
 
 	var rawBody []byte
 
@@ -423,13 +437,18 @@
 			OperationID:      "listMachines",
 			Body:             nil,
 			RawBody:          rawBody,
-			Params:           middleware.Parameters{},
-			Raw:              r,
+			Params: middleware.Parameters{
+				{
+					Name: "state",
+					In:   "query",
+				}: params.State,
+			},
+			Raw: r,
 		}
 
 		type (
 			Request  = struct{}
-			Params   = struct{}
+			Params   = ListMachinesParams
 			Response = *MachineList
 		)
 		response, err = middleware.HookMiddleware[
@@ -439,14 +458,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackListMachinesParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ListMachines(ctx)
+				response, err = s.h.ListMachines(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ListMachines(ctx)
+		response, err = s.h.ListMachines(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
--- a/internal/gen/platformapi/oas_parameters_gen.go
+++ b/internal/gen/platformapi/oas_parameters_gen.go
@@ -169,6 +169,86 @@
 	return params, nil
 }
 
+// ListMachinesParams is parameters of listMachines operation.
+type ListMachinesParams struct {
+	// Machines of this state alone.
+	State OptListMachinesState `json:",omitempty,omitzero"`
+}
+
+func unpackListMachinesParams(packed middleware.Parameters) (params ListMachinesParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "state",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.State = v.(OptListMachinesState)
+		}
+	}
+	return params
+}
+
+func decodeListMachinesParams(args [0]string, argsEscaped bool, r *http.Request) (params ListMachinesParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: state.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "state",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotStateVal ListMachinesState
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotStateVal = ListMachinesState(c)
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.State.SetTo(paramsDotStateVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.State.Get(); ok {
+					if err := func() error {
+						if err := value.Validate(); err != nil {
+							return err
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "state",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ListObjectsParams is parameters of listObjects operation.
 type ListObjectsParams struct {
 	Prefix string
--- a/internal/gen/platformapi/oas_schemas_gen.go
+++ b/internal/gen/platformapi/oas_schemas_gen.go
@@ -13,6 +13,47 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+type ListMachinesState string
+
+const (
+	ListMachinesStateLive    ListMachinesState = "live"
+	ListMachinesStateLeaving ListMachinesState = "leaving"
+)
+
+// AllValues returns all ListMachinesState values.
+func (ListMachinesState) AllValues() []ListMachinesState {
+	return []ListMachinesState{
+		ListMachinesStateLive,
+		ListMachinesStateLeaving,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s ListMachinesState) MarshalText() ([]byte, error) {
+	switch s {
+	case ListMachinesStateLive:
+		return []byte(s), nil
+	case ListMachinesStateLeaving:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *ListMachinesState) UnmarshalText(data []byte) error {
+	switch ListMachinesState(data) {
+	case ListMachinesStateLive:
+		*s = ListMachinesStateLive
+		return nil
+	case ListMachinesStateLeaving:
+		*s = ListMachinesStateLeaving
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Machine
 type Machine struct {
 	Node    OptString    `json:"node"`
@@ -248,6 +289,52 @@
 	return d
 }
 
+// NewOptListMachinesState returns new OptListMachinesState with value set to v.
+func NewOptListMachinesState(v ListMachinesState) OptListMachinesState {
+	return OptListMachinesState{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptListMachinesState is optional ListMachinesState.
+type OptListMachinesState struct {
+	Value ListMachinesState
+	Set   bool
+}
+
+// IsSet returns true if OptListMachinesState was set.
+func (o OptListMachinesState) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptListMachinesState) Reset() {
+	var v ListMachinesState
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptListMachinesState) SetTo(v ListMachinesState) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptListMachinesState) Get() (v ListMachinesState, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptListMachinesState) Or(d ListMachinesState) ListMachinesState {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
--- a/internal/gen/platformapi/oas_server_gen.go
+++ b/internal/gen/platformapi/oas_server_gen.go
@@ -19,7 +19,7 @@
 	// ListMachines implements listMachines operation.
 	//
 	// GET /v1/machines
-	ListMachines(ctx context.Context) (*MachineList, error)
+	ListMachines(ctx context.Context, params ListMachinesParams) (*MachineList, error)
 	// ListObjects implements listObjects operation.
 	//
 	// GET /v1/objects
--- a/internal/gen/platformapi/oas_unimplemented_gen.go
+++ b/internal/gen/platformapi/oas_unimplemented_gen.go
@@ -30,7 +30,7 @@
 // ListMachines implements listMachines operation.
 //
 // GET /v1/machines
-func (UnimplementedHandler) ListMachines(ctx context.Context) (r *MachineList, _ error) {
+func (UnimplementedHandler) ListMachines(ctx context.Context, params ListMachinesParams) (r *MachineList, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
--- a/internal/gen/platformapi/oas_validators_gen.go
+++ b/internal/gen/platformapi/oas_validators_gen.go
@@ -9,6 +9,17 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s ListMachinesState) Validate() error {
+	switch s {
+	case "live":
+		return nil
+	case "leaving":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Machine) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -133,10 +133,22 @@
 
 // Machines returns the machine list. The error is a *failure.PlatformUnavailable.
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
+	return c.machines(ctx, platformapi.ListMachinesParams{})
+}
+
+// LeavingMachines returns the machines of the list that are leaving, which are
+// few. The error is a *failure.PlatformUnavailable.
+func (c *Client) LeavingMachines(ctx context.Context) ([]Machine, error) {
+	params := platformapi.ListMachinesParams{}
+	params.State.SetTo(platformapi.ListMachinesStateLeaving)
+	return c.machines(ctx, params)
+}
+
+func (c *Client) machines(ctx context.Context, params platformapi.ListMachinesParams) ([]Machine, error) {
 	if err := c.usable(); err != nil {
 		return nil, err
 	}
-	list, err := c.api.ListMachines(ctx)
+	list, err := c.api.ListMachines(ctx, params)
 	if err != nil {
 		return nil, translate("machines", "", 0, err)
 	}
