program: a hold exists only for an attempt that was permitted

Two starts decided against the same state, on different engines, left the hold of the one that came too late. EngineHold now follows DispatchStarted in the entry and is ignored without it.

--- a/internal/program/apply.go
+++ b/internal/program/apply.go
@@ -130,10 +130,13 @@
 	return number != 0 && int64(number) <= int64(p.accepted)+1+MaxEarlyCalls
 }
 
+// applyHold notes that the engine of the attempt under way may cache. The
+// record follows its DispatchStarted in the same entry: a hold exists only for
+// an attempt that was permitted, and before its first token.
 func (p *program) applyHold(body *programv1.EngineHold) bool {
 	engine := structs.EngineID(body.GetEngineId())
 	incarnation := structs.Incarnation(body.GetEngineIncarnation())
-	if p.ended || p.holdIndex(engine, incarnation) >= 0 {
+	if !p.uses(engine, incarnation) || p.holdIndex(engine, incarnation) >= 0 {
 		return false
 	}
 	p.holds = append(p.holds, hold{engine: engine, incarnation: incarnation, address: body.GetEngineAddress()})
--- a/internal/program/check_test.go
+++ b/internal/program/check_test.go
@@ -41,6 +41,7 @@
 	used := status.Spent.Plus(status.Reserved).Plus(status.Granted)
 	require.True(t, used.Within(status.Budget), "spent and reserved stay within the budget")
 	require.Equal(t, p.ended, status.State != Open)
+	require.Equal(t, p.next(func(*oracleCall) bool { return true }), status.NextCall)
 	require.Equal(t, p.settled(), status.State == Ended)
 	var history []Turn
 	for number := structs.CallNumber(1); number < p.cursor(); number++ {
--- a/internal/program/decide_call.go
+++ b/internal/program/decide_call.go
@@ -88,10 +88,10 @@
 	if err := found.checkStart(issued, r); err != nil {
 		return Decision{}, err
 	}
-	records := found.holdRecords(now, r)
 	started := record(now, r.Program)
 	started.Body = &programv1.Record_Started{Started: startedMessage(r, issued.attempt+1)}
-	return Decision{Records: append(records, started)}, nil
+	records := []*programv1.Record{started}
+	return Decision{Records: append(records, found.holdRecords(now, r)...)}, nil
 }
 
 func (p *program) checkStart(issued *call, r StartRequest) error {
