--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -7,14 +7,20 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// idHexDigits is the length of a plan's identifier behind its prefix.
-const idHexDigits = 16
+// An identifier is "plan-<base>-<hash>".
+const (
+	idParts     = 3
+	idHexDigits = 16
+)
 
 // Input is everything that a plan is made from.
 type Input struct {
@@ -39,7 +45,7 @@
 // Plan is a change that waits for its confirmation.
 type Plan struct {
 	// ID is derived from base, operator and declarations: asking for the same
-	// change again gives the same plan.
+	// change again gives the same plan. It carries the base (see BaseOf).
 	ID string `json:"id"`
 	// BaseVersion is the version in force that the plan was made from.
 	BaseVersion  uint64               `json:"baseVersion"`
@@ -117,7 +123,21 @@
 		content = []byte(err.Error())
 	}
 	sum := sha256.Sum256(content)
-	return "plan-" + hex.EncodeToString(sum[:])[:idHexDigits]
+	return fmt.Sprintf("plan-%d-%s", base, hex.EncodeToString(sum[:])[:idHexDigits])
+}
+
+// BaseOf returns the base version that a plan's identifier carries, and whether
+// the identifier is well formed.
+func BaseOf(id string) (uint64, bool) {
+	parts := strings.Split(id, "-")
+	if len(parts) != idParts || parts[0] != "plan" || len(parts[2]) != idHexDigits {
+		return 0, false
+	}
+	if _, err := hex.DecodeString(parts[2]); err != nil {
+		return 0, false
+	}
+	base, err := strconv.ParseUint(parts[1], 10, 64)
+	return base, err == nil
 }
 
 // comparison is one run of Make.
--- a/internal/structs/audit.go
+++ b/internal/structs/audit.go
@@ -28,8 +28,10 @@
 // version. The record of the version in force stands in the root object itself,
 // so that no accepted change can lack it.
 type AuditRecord struct {
-	PlanID   string `json:"planID"`
-	Operator string `json:"operator"`
+	PlanID string `json:"planID"`
+	// PlannedBy made the plan, Operator confirmed it.
+	PlannedBy string `json:"plannedBy"`
+	Operator  string `json:"operator"`
 	// Base is the version that was changed; 0 for the first configuration.
 	Base uint64 `json:"base"`
 	// PreviousBase is Base of the record before; the records form a chain.
