--- a/internal/schedule/profile.go
+++ b/internal/schedule/profile.go
@@ -13,7 +13,7 @@
 
 // hardFilters are the rules of every policy, baselines included. The first one
 // is the rule of residency; its failure is told apart from the others.
-var hardFilters = []Filter{permittedPlace{}, serving{}, modelLoaded{}}
+var hardFilters = []Filter{permittedPlace{}, serving{}, modelLoaded{}, room{}}
 
 // eligible returns the indexes of the engines that pass every hard filter.
 // The error is a *failure.NoPermittedPlace or a *failure.EngineUnavailable.
--- a/internal/schedule/registry.go
+++ b/internal/schedule/registry.go
@@ -12,7 +12,10 @@
 const DefaultPolicy = "least-loaded"
 
 var constructors = map[string]func() Policy{
+	"affinity":     func() Policy { return affinity{} },
 	"least-loaded": func() Policy { return leastLoaded{} },
+	"random-two":   func() Policy { return randomTwo{} },
+	"round-robin":  func() Policy { return &roundRobin{} },
 }
 
 // Names returns the names of all policies, sorted.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -50,7 +50,9 @@
 	Cached map[structs.EngineID]int64
 	// ParentEngine holds the prefix that a sub-agent shares with its parent.
 	ParentEngine structs.EngineID
-	// Received is the engine time that the whole program has already got.
+	// Received is the engine time that the whole program has already got. For a
+	// sub-agent this member, Started, Deadline and Priority are those of the
+	// outermost program: its latency is the one that counts.
 	Received time.Duration
 	// Started is when the program was opened.
 	Started time.Time
@@ -81,8 +83,8 @@
 	PredictedWait time.Duration
 }
 
-// Policy chooses engines. A policy holds no state that a choice changes, so it
-// may be used from many goroutines at once, each with its own random source.
+// Policy chooses engines. It is safe for concurrent use, with a random source
+// for each goroutine.
 type Policy interface {
 	// Name returns the name under which New gives the policy.
 	Name() string
--- a/internal/workload/hofbauer.go
+++ b/internal/workload/hofbauer.go
@@ -31,6 +31,10 @@
 	confirmationResult = span{100, 400}
 )
 
+// gasDayCycle is the time between cut-offs, shortened from the hours of the
+// real one so that a run holds a whole cycle.
+const gasDayCycle = 10 * time.Minute
+
 const (
 	// deskCount is the number of shipper desks, each with its own contracts.
 	deskCount = 8
@@ -51,7 +55,8 @@
 		},
 		ZoneDelay:   500 * time.Microsecond,
 		ClientDelay: time.Millisecond,
-		kinds:       []programKind{{weight: 3, build: nominate}, {weight: 2, build: renominate}},
+		Cycle:       gasDayCycle,
+		kinds:       []programKind{{weight: 3, together: 1, build: nominate}, {weight: 2, together: 1, build: renominate}},
 	}
 }
 
--- a/internal/workload/voltkai.go
+++ b/internal/workload/voltkai.go
@@ -36,6 +36,10 @@
 	refundChance     = 0.15
 )
 
+// rebalancesTogether is how many rebalances the dispatchers start at once: one
+// for each zone.
+const rebalancesTogether = 4
+
 // Lengths of the shared instructions, in tokens.
 const (
 	doorInstructions      = 1_500
@@ -55,7 +59,10 @@
 		Loaded:      []structs.LoadedModel{{Model: swapAgent, Version: "3", Adapters: []string{"door", "dispatch"}}},
 		ZoneDelay:   1500 * time.Microsecond,
 		ClientDelay: 3 * time.Millisecond,
-		kinds:       []programKind{{weight: 39, build: doorSession}, {weight: 1, build: overnightRebalance}},
+		kinds: []programKind{
+			{weight: 39, together: 1, build: doorSession},
+			{weight: 1, together: rebalancesTogether, build: overnightRebalance},
+		},
 	}
 }
 
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -143,34 +143,48 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Generator{deployment: found, random: rand.New(rand.NewPCG(seed, seedStream))}, nil
+	return &Generator{deployment: found, random: newRandom(seed)}, nil
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seedStream)) }
+
 // seedStream separates the generator's draws from other users of a seed.
 const seedStream = 0x776f726b6c6f6164
 
 // Next draws the next program.
 func (g *Generator) Next() *Program {
+	return g.build(g.deployment.pick(g.random))
+}
+
+func (g *Generator) build(kind programKind) *Program {
 	g.count++
-	kind := g.deployment.pick(g.random)
 	random := rand.New(rand.NewPCG(g.random.Uint64(), uint64(g.count)))
 	program := kind.build(random)
 	program.Key = fmt.Sprintf("%s-%06d", program.Name, g.count)
 	return program
 }
 
-// Arrivals draws programs that arrive at the given mean rate, as a Poisson
-// process, until the duration is over.
+// Arrivals draws the programs that open until the duration is over, as a
+// Poisson process of openings. Its rate follows the deployment's cycle, around
+// a mean that gives programsPerSecond.
 func (g *Generator) Arrivals(programsPerSecond float64, duration time.Duration) []Arrival {
 	var arrivals []Arrival
 	at := time.Duration(0)
+	openings := programsPerSecond / g.deployment.programsPerOpening()
 	for programsPerSecond > 0 {
-		gap := g.random.ExpFloat64() / programsPerSecond
+		gap := g.random.ExpFloat64() / (openings * peak)
 		at += time.Duration(gap * float64(time.Second))
 		if at >= duration {
 			break
 		}
-		arrivals = append(arrivals, Arrival{At: at, Program: g.Next()})
+		// Thinning: draws at the peak's rate are kept with the present rate's share.
+		if g.random.Float64()*peak >= g.deployment.rate(at) {
+			continue
+		}
+		kind := g.deployment.pick(g.random)
+		for range kind.together {
+			arrivals = append(arrivals, Arrival{At: at, Program: g.build(kind)})
+		}
 	}
 	return arrivals
 }
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -48,7 +48,7 @@
 	for _, deployment := range Deployments() {
 		generator, err := NewGenerator(deployment, 7)
 		require.NoError(t, err)
-		for range 200 {
+		for range 2_000 {
 			for _, step := range shape(generator.Next()) {
 				if step.Kind == KindTool {
 					seen[step.Target] = true
@@ -74,3 +74,30 @@
 	var unknown *UnknownDeployment
 	require.ErrorAs(t, err, &unknown)
 }
+
+func TestArrivalsFollowTheRate(t *testing.T) {
+	for _, deployment := range Deployments() {
+		generator, err := NewGenerator(deployment, 3)
+		require.NoError(t, err)
+		arrivals := generator.Arrivals(10, 10*time.Minute)
+		require.InEpsilon(t, 6_000, len(arrivals), 0.1, deployment)
+		late := 0
+		for _, arrival := range arrivals {
+			if arrival.At >= 5*time.Minute {
+				late++
+			}
+		}
+		expected := map[string]float64{"voltkai": 0.5, "hofbauer": 0.625}[deployment]
+		require.InEpsilon(t, expected, float64(late)/float64(len(arrivals)), 0.1, deployment)
+	}
+}
+
+func TestMeanDemandCountsEachTokenOnce(t *testing.T) {
+	program := &Program{Prefixes: []Prefix{{Name: "start", Tokens: 100}}, random: newRandom(1), script: func(s *script) {
+		s.model(swapAgent, span{10, 10}, span{5, 5})
+		s.model(swapAgent, span{20, 20}, span{5, 5})
+	}}
+	var demand Demand
+	demand.count(program, 0)
+	require.Equal(t, Demand{NewTokens: 30, AnswerTokens: 10, ContextTokens: 5*115 + 5*140}, demand)
+}
