--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -27,6 +27,8 @@
 	failover *report.Distribution
 	http     *http.Client
 
+	requests requestsInProgress
+
 	mutex     sync.Mutex
 	endpoints map[structs.TenantID][]session.Endpoint
 	programs  []promise.Program
@@ -123,12 +125,23 @@
 	return session.Options{
 		Endpoints: b.endpointsOf,
 		Observer:  b.measured,
+		Declared:  b.declaredBudget,
+		Track:     b.requests.track,
 		TimeScale: pauseScale,
 		Patience:  callerPatience,
 		Stall:     callerStall,
 	}
 }
 
+func (b *bench) declaredBudget(name structs.ProgramName) structs.Amount {
+	for _, program := range b.options.Declarations.Programs {
+		if program.Name == name {
+			return program.Budget
+		}
+	}
+	return structs.Amount{}
+}
+
 // impair notes a span in which a daemon could not learn.
 func (b *bench) impair(daemon structs.NodeID, from, to time.Time) {
 	b.mutex.Lock()
--- a/internal/lab/demo/fault.go
+++ b/internal/lab/demo/fault.go
@@ -105,7 +105,7 @@
 		b.departure(ctx, b.busiestEngine())
 		return
 	}
-	if err := b.plannedStop(ctx, b.anyMember(random)); err != nil {
+	if err := b.plannedStop(ctx, b.busiestMember(ctx, random)); err != nil {
 		b.progress("planned stop failed: %v", err)
 		b.note(b.failed, "planned-stop")
 	}
--- a/internal/lab/demo/probe.go
+++ b/internal/lab/demo/probe.go
@@ -121,14 +121,18 @@
 	defer cancel()
 	first := p.bench.operator.acceptedChanges()[0].credential
 	waiting := append([]*topology.Member(nil), p.bench.cluster.Members...)
+	var last error
 	for len(waiting) > 0 {
 		known, err := p.ask(limited, waiting[0], first)
 		if known {
 			waiting = waiting[1:]
 			continue
 		}
+		if limited.Err() == nil {
+			last = err
+		}
 		if !wait(limited, releasePoll) {
-			return &NotReady{Daemon: waiting[0].Spec.Node, Cause: err}
+			return &NotReady{Daemon: waiting[0].Spec.Node, Cause: last}
 		}
 	}
 	return nil
--- a/internal/lab/demo/routine.go
+++ b/internal/lab/demo/routine.go
@@ -16,6 +16,9 @@
 	// stopLead lets requests come in before the stop, so that it has some in
 	// progress to keep.
 	stopLead = 2 * time.Second
+	// busyTimeout bounds the wait for a daemon with requests in progress.
+	busyTimeout = 5 * time.Second
+	busyPoll    = 5 * time.Millisecond
 	// departureSpan is how long an engine stays away.
 	departureSpan = 6 * time.Second
 )
@@ -63,6 +66,25 @@
 	return busiest
 }
 
+// busiestMember returns the daemon with the most requests in progress, as soon
+// as there is one.
+func (b *bench) busiestMember(ctx context.Context, random *rand.Rand) *topology.Member {
+	limited, cancel := context.WithTimeout(ctx, busyTimeout)
+	defer cancel()
+	for {
+		if daemon, busy := b.requests.busiest(); busy {
+			for _, member := range b.cluster.Members {
+				if member.Spec.Node == daemon {
+					return member
+				}
+			}
+		}
+		if !wait(limited, busyPoll) {
+			return b.anyMember(random)
+		}
+	}
+}
+
 // anyMember returns a member at random.
 func (b *bench) anyMember(random *rand.Rand) *topology.Member {
 	return b.cluster.Members[random.IntN(len(b.cluster.Members))]
--- a/internal/lab/session/program.go
+++ b/internal/lab/session/program.go
@@ -83,16 +83,20 @@
 	return current.cause == "", current.cause
 }
 
-// Budget of programs that try to overspend. It holds a few calls.
-const (
-	overspendTurns  = 4
-	overspendTokens = 60_000
-)
+// overspendTurns is the budget of programs that try to overspend.
+const overspendTurns = 4
+
+// overspendBudget narrows the declared budget to a few turns.
+func (s *Session) overspendBudget(program structs.ProgramName) *structs.Amount {
+	budget := s.options.Declared(program)
+	budget.Turns = min(budget.Turns, overspendTurns)
+	return &budget
+}
 
 func (s *Session) open(ctx context.Context, program *workload.Program, parent structs.ProgramID, random *rand.Rand) (caller.ProgramStatus, error) {
 	request := caller.OpenRequest{Program: program.Name, Key: program.Key, Parent: parent}
 	if s.behavior.Overspend && parent == "" {
-		request.Budget = &structs.Amount{Tokens: overspendTokens, CostMicros: overspendTokens, Turns: overspendTurns, Milliseconds: time.Hour.Milliseconds()}
+		request.Budget = s.overspendBudget(program.Name)
 	}
 	patient, cancel := context.WithTimeout(ctx, s.options.Patience)
 	defer cancel()
--- a/internal/lab/session/requester.go
+++ b/internal/lab/session/requester.go
@@ -70,7 +70,9 @@
 func (r *requester) attempt(ctx context.Context, send func(context.Context, Client) error) error {
 	endpoint := r.endpoint()
 	record := promise.Attempt{Daemon: endpoint.Daemon, Sent: time.Now()}
+	ended := r.track(endpoint.Daemon)
 	err := send(ctx, endpoint.Client)
+	ended()
 	record.Finished = time.Now()
 	record.Result = resultOf(err)
 	if known, ok := failure.As(err); ok && record.Result == promise.Refused {
@@ -82,6 +84,13 @@
 	return err
 }
 
+func (r *requester) track(daemon structs.NodeID) (ended func()) {
+	if r.options.Track == nil {
+		return func() {}
+	}
+	return r.options.Track(daemon)
+}
+
 // resultOf says how a request ended, by its error.
 func resultOf(err error) promise.Result {
 	if err == nil {
--- a/internal/lab/session/session.go
+++ b/internal/lab/session/session.go
@@ -35,6 +35,12 @@
 	Endpoints func(tenant structs.TenantID) []Endpoint
 	// Observer is told of what callers see.
 	Observer Observer
+	// Declared returns the declared budget of a program; only programs that
+	// overspend ask for it.
+	Declared func(structs.ProgramName) structs.Amount
+	// Track, if set, is told of each request to a daemon when it is sent, and
+	// calls back when it has ended.
+	Track func(daemon structs.NodeID) (ended func())
 	// TimeScale multiplies the workload's pauses.
 	TimeScale float64
 	// Patience bounds one call with all its attempts.
--- a/internal/lab/session/session_test.go
+++ b/internal/lab/session/session_test.go
@@ -121,6 +121,7 @@
 	options := session.Options{
 		Endpoints: func(structs.TenantID) []session.Endpoint { return endpoints },
 		Observer:  noObserver{},
+		Declared:  func(structs.ProgramName) structs.Amount { return shared.budget },
 		Patience:  5 * time.Second,
 		Stall:     2 * time.Second,
 	}
