--- a/cmd/barleyshelf/output.go
+++ b/cmd/barleyshelf/output.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/operatorapi"
 	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
 )
 
@@ -32,6 +33,9 @@
 	ExitCode int                  `json:"exitCode"`
 	Retry    *retryReport         `json:"retry,omitempty"`
 	Problems []strictyaml.Problem `json:"problems,omitempty"`
+	// Harms and Conflict are what a daemon answered.
+	Harms    []operatorapi.Harm    `json:"harms,omitempty"`
+	Conflict *operatorapi.Conflict `json:"conflict,omitempty"`
 }
 
 type retryReport struct {
@@ -58,9 +62,25 @@
 	if errors.As(err, &invalid) {
 		report.Problems = invalid.Problems
 	}
+	var answered *refusal
+	if errors.As(err, &answered) {
+		report.addAnswer(answered.problem)
+	}
 	encoder := json.NewEncoder(a.stdout)
 	encoder.SetIndent("", "  ")
 	if err := encoder.Encode(report); err != nil {
 		fmt.Fprintf(a.stderr, "barleyshelf: %v\n", err)
 	}
 }
+
+func (r *failureReport) addAnswer(problem operatorapi.Problem) {
+	r.Harms = problem.Harms
+	if conflict, set := problem.Conflict.Get(); set {
+		r.Conflict = &conflict
+	}
+	for _, one := range problem.Problems {
+		r.Problems = append(r.Problems, strictyaml.Problem{
+			File: one.File.Or(""), Line: one.Line.Or(0), Field: one.Field.Or(""), Reason: one.Reason, Allowed: one.Allowed.Or(""),
+		})
+	}
+}
