--- a/internal/program/guarantee_test.go
+++ b/internal/program/guarantee_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -76,9 +77,30 @@
 	f.start(id, 1, "first")
 	twice, err := f.machine.Finish(f.now, FinishRequest{Program: id, Number: 1, Attempt: 1, Spent: testReserve()})
 	f.commit(twice, err)
+	f.commit(f.machine.Accept(f.now, modelCall(id, 2)))
+	f.start(id, 2, "next")
 	f.commit(twice, err)
-	require.Equal(t, int64(100), f.status(id).Spent.Tokens)
-	require.Equal(t, int64(1), f.status(id).Spent.Turns)
+	require.Equal(t, testReserve().Tokens, f.status(id).Spent.Tokens)
+	require.Equal(t, testReserve().Tokens, f.status(id).Reserved.Tokens, "the next call keeps its reservation")
+}
+
+func TestEntryIsAppliedOnce(t *testing.T) {
+	f := newFixture(t)
+	id := f.open("k")
+	var released []byte
+	for number := structs.CallNumber(1); number <= 2; number++ {
+		f.commit(f.machine.Accept(f.now, modelCall(id, number)))
+		f.start(id, number, "k")
+		f.finish(id, number, 1, "")
+		if number == 1 {
+			decision, err := f.machine.Released(f.now, id, testEngine, 3)
+			f.commit(decision, err)
+			released, err = proto.Marshal(decision.Batch())
+			require.NoError(t, err)
+		}
+	}
+	f.machine.Apply(f.index, released)
+	require.Len(t, f.machine.Holds(), 1, "an old release does not drop a new hold")
 }
 
 func TestBudgetBoundsEveryMember(t *testing.T) {
