--- a/cmd/barleyshelf/daemon.go
+++ b/cmd/barleyshelf/daemon.go
@@ -1,6 +1,16 @@
 package main
 
 import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"github.com/barleyshelf/barleyshelf/internal/daemon"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/settings"
 )
@@ -14,7 +24,8 @@
 	app *application
 }
 
-// Execute runs a daemon until its context ends.
+// Execute runs a daemon until SIGTERM or an interrupt asks for its planned
+// stop. A second signal ends the process at once.
 func (c *daemonCommand) Execute(arguments []string) error {
 	if len(arguments) > 0 {
 		return &wrongUse{reason: "daemon takes flags alone"}
@@ -26,19 +37,28 @@
 	if err := loaded.Validate(); err != nil {
 		return err
 	}
-	return &daemonMissing{}
+	if err := setLogVerbosity(loaded.LogVerbosity); err != nil {
+		return err
+	}
+	running, err := daemon.New(loaded, daemon.Options{})
+	if err != nil {
+		return err
+	}
+	// A signal during the start is served after it, by a planned stop.
+	if err := running.Start(context.WithoutCancel(c.app.context)); err != nil {
+		running.Kill()
+		return err
+	}
+	<-c.app.context.Done()
+	signal.Reset(os.Interrupt, syscall.SIGTERM)
+	return running.Stop(context.Background())
 }
 
-// daemonMissing reports a build of this program without the daemon.
-type daemonMissing struct{}
-
-func (e *daemonMissing) Error() string { return "this build holds no daemon" }
-
-// Type returns "daemon_missing".
-func (e *daemonMissing) Type() failure.Type { return "daemon_missing" }
-
-// Outcome returns NotRun.
-func (e *daemonMissing) Outcome() failure.Outcome { return failure.NotRun }
-
-// Retry forbids a repeat.
-func (e *daemonMissing) Retry() failure.Retry { return failure.Retry{} }
+func setLogVerbosity(level int) error {
+	set := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(set)
+	if err := set.Set("v", strconv.Itoa(level)); err != nil {
+		return &failure.Internal{Cause: err}
+	}
+	return nil
+}
--- a/cmd/barleyshelf/main_test.go
+++ b/cmd/barleyshelf/main_test.go
@@ -250,3 +250,17 @@
 		require.Equal(t, wanted.code, failed.ExitCode)
 	}
 }
+
+// TestDaemonStartsAndStopsAsPlanned runs the daemon command over a real
+// platform stand-in until its context ends, as a signal ends it.
+func TestDaemonStartsAndStopsAsPlanned(t *testing.T) {
+	b := newBench(t)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	var stdout bytes.Buffer
+	code := run(ctx, []string{
+		"daemon", "--node", "daemon-1", "--region", "taiwan", "--zone", "nantou", "--platform-address", b.platform.Address(),
+		"--listen.caller", "127.0.0.1:0", "--listen.operator", "127.0.0.1:0", "--listen.peer", "127.0.0.1:0", "--tls.allow-plain",
+	}, &stdout, &stdout)
+	require.Equal(t, exitDone, code, stdout.String())
+}
