Scheduling: program-aware policy, first version

Scorers predict in time what a candidate costs the program and the others: wait, decode speed, missing prefix, evictions, copies of shared prefixes. The engine's queue is ordered by when the whole program was opened.

--- a/internal/schedule/filter_place.go
+++ b/internal/schedule/filter_place.go
@@ -1,8 +1,9 @@
 package schedule
 
 import (
-	"slices"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/placement"
 )
 
 // permittedPlace allows engines in zones where the program's cache may rest.
@@ -11,7 +12,8 @@
 // Name returns "permitted-place".
 func (permittedPlace) Name() string { return "permitted-place" }
 
-// Allow reports whether the engine's zone is one of the request's cache zones.
+// Allow asks placement.Permit, the one decision on where data may rest.
 func (permittedPlace) Allow(_ time.Time, engine *Engine, request *Request) bool {
-	return slices.Contains(request.CacheZones, engine.Zone)
+	policy := placement.Policy{CacheZones: request.CacheZones}
+	return placement.Permit(policy, placement.Cache, engine.Zone) == nil
 }
--- a/internal/schedule/filter_test.go
+++ b/internal/schedule/filter_test.go
@@ -120,7 +120,7 @@
 // forbids, or has one as the source of a move across a forbidden place, and
 // each refuses with a typed failure that says it did not run.
 func TestNoPolicyBreaksAHardRule(t *testing.T) {
-	for _, name := range Names() {
+	for _, name := range append(Names(), Variants()...) {
 		policy, err := New(name)
 		require.NoError(t, err)
 		rapid.Check(t, func(t *rapid.T) {
--- a/internal/schedule/registry.go
+++ b/internal/schedule/registry.go
@@ -9,13 +9,23 @@
 )
 
 // DefaultPolicy names the policy that daemons use unless declared otherwise.
-const DefaultPolicy = "least-loaded"
+const DefaultPolicy = "program-aware"
 
 var constructors = map[string]func() Policy{
-	"affinity":     func() Policy { return affinity{} },
-	"least-loaded": func() Policy { return leastLoaded{} },
-	"random-two":   func() Policy { return randomTwo{} },
-	"round-robin":  func() Policy { return &roundRobin{} },
+	"affinity":      func() Policy { return affinity{} },
+	"least-loaded":  func() Policy { return leastLoaded{} },
+	"program-aware": func() Policy { return newProgramAware("program-aware", defaultOptions()) },
+	"random-two":    func() Policy { return randomTwo{} },
+	"round-robin":   func() Policy { return &roundRobin{} },
+}
+
+// variants are the default policy with one part switched over. They exist to
+// measure what the part is worth and are not offered to operators.
+var variants = map[string]func(*options){
+	"program-aware/moves":        func(o *options) { o.moves = !o.moves },
+	"program-aware/no-homes":     func(o *options) { o.homes = !o.homes },
+	"program-aware/no-order":     func(o *options) { o.order = !o.order },
+	"program-aware/no-retention": func(o *options) { o.retention = !o.retention },
 }
 
 // Names returns the names of all policies, sorted.
@@ -23,17 +33,27 @@
 	return slices.Sorted(maps.Keys(constructors))
 }
 
+// Variants returns the names of the default policy's variants, sorted. New
+// accepts them too.
+func Variants() []string {
+	return slices.Sorted(maps.Keys(variants))
+}
+
 // New returns a policy by name; the empty name gives the default policy.
 // The error is an *UnknownPolicy.
 func New(name string) (Policy, error) {
 	if name == "" {
 		name = DefaultPolicy
 	}
-	construct, known := constructors[name]
-	if !known {
-		return nil, &UnknownPolicy{Policy: name}
+	if construct, known := constructors[name]; known {
+		return construct(), nil
+	}
+	if change, known := variants[name]; known {
+		chosen := defaultOptions()
+		change(&chosen)
+		return newProgramAware(name, chosen), nil
 	}
-	return construct(), nil
+	return nil, &UnknownPolicy{Policy: name}
 }
 
 // UnknownPolicy reports a policy name that no policy has.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -50,6 +50,9 @@
 	Cached map[structs.EngineID]int64
 	// ParentEngine holds the prefix that a sub-agent shares with its parent.
 	ParentEngine structs.EngineID
+	// SharedPrefix names the long start of the prompt that programs share, as
+	// SharedPrefixKey gives it; zero means none.
+	SharedPrefix uint64
 	// Received is the engine time that the whole program has already got. For a
 	// sub-agent this member, Started, Deadline and Priority are those of the
 	// outermost program: its latency is the one that counts.
--- /dev/null
+++ b/internal/schedule/score_test.go
@@ -0,0 +1,140 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// Each scorer is given a change that must make the engine dearer.
+func TestScorersPreferTheCheaperEngine(t *testing.T) {
+	model := DefaultCostModel()
+	cases := map[string]struct {
+		scorer Scorer
+		worse  func(*Engine, *Request)
+	}{
+		"wait: full batch":          {predictedWait{&model}, func(e *Engine, _ *Request) { e.Running, e.Waiting = 16, 5 }},
+		"wait: own dispatches":      {predictedWait{&model}, func(e *Engine, _ *Request) { e.OwnQueuedTokens = 10_000 }},
+		"decode: more streams":      {decodeSpeed{&model}, func(e *Engine, _ *Request) { e.Running = 10 }},
+		"decode: longer context":    {decodeSpeed{&model}, func(_ *Engine, r *Request) { r.PromptTokens *= 20 }},
+		"cache: not held":           {cacheAffinity{&model, false}, func(_ *Engine, r *Request) { r.Cached = nil }},
+		"cache: delays a batch":     {cacheAffinity{&model, false}, func(e *Engine, _ *Request) { e.Running = 10 }},
+		"cache: move costs":         {cacheAffinity{&model, true}, func(_ *Engine, r *Request) { r.Cached = map[structs.EngineID]int64{"two": 900} }},
+		"room: evicts others":       {cacheRoom{&model}, func(e *Engine, _ *Request) { e.CacheUsedTokens = 99_990 }},
+		"prefix: not a home":        {sharedPrefix{&model, 4_000}, func(e *Engine, r *Request) { makeStranger(e, r) }},
+		"prefix: longer to prefill": {sharedPrefix{&model, 4_000}, func(e *Engine, r *Request) { makeStranger(e, r); e.Running = 10 }},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			engine, request := idleEngine("one"), testRequest()
+			request.Cached = map[structs.EngineID]int64{"one": 900}
+			before := test.scorer.Score(testNow, &engine, request)
+			test.worse(&engine, request)
+			require.Greater(t, test.scorer.Score(testNow, &engine, request), before)
+		})
+	}
+}
+
+// makeStranger gives the request a shared prefix and no cache on the engine.
+func makeStranger(engine *Engine, request *Request) {
+	request.SharedPrefix = 42
+	request.Cached = nil
+	engine.ID = "three"
+}
+
+func TestMoveIsScoredBelowComputingAgain(t *testing.T) {
+	model, engine, request := DefaultCostModel(), idleEngine("one"), testRequest()
+	request.PromptTokens = 20_000
+	request.Cached = map[structs.EngineID]int64{"two": 19_900}
+	without := cacheAffinity{&model, false}.Score(testNow, &engine, request)
+	with := cacheAffinity{&model, true}.Score(testNow, &engine, request)
+	require.Less(t, with, without/2)
+	request.Cached["two"] = 200
+	require.Equal(t, cacheAffinity{&model, false}.Score(testNow, &engine, request), cacheAffinity{&model, true}.Score(testNow, &engine, request), "too little to move")
+}
+
+func TestHomesAgreeWithoutAMessage(t *testing.T) {
+	first := make([]byte, SharedPrefixBytes)
+	key := SharedPrefixKey("model", "adapter", first)
+	require.NotZero(t, key)
+	require.Equal(t, key, SharedPrefixKey("model", "adapter", append(first, "the rider's own words"...)))
+	require.NotEqual(t, key, SharedPrefixKey("model", "other", first), "an adapter changes the cache")
+	require.Zero(t, SharedPrefixKey("model", "adapter", first[:100]))
+	require.Equal(t, rendezvous(key, "one"), rendezvous(key, "one"))
+	require.NotEqual(t, rendezvous(key, "one"), rendezvous(key, "two"))
+}
+
+func TestEarlierProgramsGoFirst(t *testing.T) {
+	early, late, urgent := testRequest(), testRequest(), testRequest()
+	late.Started = testNow.Add(5 * time.Second)
+	urgent.Started = late.Started
+	urgent.Priority = 1
+	require.Less(t, enginePriority(early), enginePriority(late))
+	require.Less(t, enginePriority(urgent), enginePriority(late))
+	require.Less(t, enginePriority(urgent), enginePriority(early), "a step of priority is worth more than five seconds")
+}
+
+func TestRetentionCoversTheExpectedPause(t *testing.T) {
+	request := testRequest()
+	require.Equal(t, retainUnknown, retention(request))
+	request.ExpectedPause = 20 * time.Second
+	require.Greater(t, retention(request), 20*time.Second)
+	request.ExpectedPause = time.Hour
+	require.Equal(t, retainMost, retention(request))
+	request.ExpectedPause = -1
+	require.Zero(t, retention(request))
+}
+
+func TestCallsThatCannotStartInTimeAreRefused(t *testing.T) {
+	snapshot := threeEngines()
+	for index := range snapshot.Engines {
+		snapshot.Engines[index].Waiting = 500
+	}
+	request := testRequest()
+	request.Deadline = testNow.Add(2 * time.Second)
+	_, err := policyOf(t, "program-aware").Choose(testNow, snapshot, request, testRandom())
+	var overloaded *failure.Overloaded
+	require.ErrorAs(t, err, &overloaded)
+	require.Positive(t, overloaded.Wait)
+	request.Deadline = testNow.Add(time.Hour)
+	require.Positive(t, chosen(t, "program-aware", snapshot, request).PredictedWait)
+	request.Deadline = testNow.Add(-time.Second)
+	require.NotEmpty(t, chosen(t, "program-aware", snapshot, request).Engine, "a program that is late already goes on")
+}
+
+func TestCandidatesHoldTheCacheWhateverTheSample(t *testing.T) {
+	snapshot := &Snapshot{}
+	request := testRequest()
+	request.Cached = map[structs.EngineID]int64{"engine-90": 900}
+	request.ParentEngine = "engine-70"
+	for index := range 100 {
+		snapshot.Engines = append(snapshot.Engines, idleEngine(structs.EngineID("engine-"+string(rune('0'+index/10))+string(rune('0'+index%10)))))
+	}
+	passed, err := eligible(testNow, snapshot, request)
+	require.NoError(t, err)
+	drawn := candidates(snapshot, request, passed, testRandom())
+	require.Len(t, drawn, sampledEngines+2)
+	require.Contains(t, drawn, 90)
+	require.Contains(t, drawn, 70)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	snapshot, request, random := &Snapshot{}, testRequest(), testRandom()
+	for index := range 64 {
+		snapshot.Engines = append(snapshot.Engines, idleEngine(structs.EngineID("engine-"+string(rune('A'+index)))))
+	}
+	for _, name := range Names() {
+		policy := policyOf(b, name)
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				_, err := policy.Choose(testNow, snapshot, request, random)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -83,7 +83,7 @@
 		Program: r.id, Model: structs.ModelName(c.step.Target), Adapter: r.program.Adapter,
 		CacheZones: r.program.CacheZones, CallerZone: d.zone,
 		PromptTokens: r.historyTokens, MaxAnswerTokens: r.program.MaxAnswerTokens,
-		Cached: r.cached, ParentEngine: r.parentEngine, Received: r.root.received,
+		Cached: r.cached, ParentEngine: r.parentEngine, SharedPrefix: r.root.sharedPrefix, Received: r.root.received,
 		Started: started, Deadline: started.Add(r.root.program.Deadline), Priority: r.root.program.Priority,
 		ExpectedPause: d.pauses.Expected(r.program.Name, c.step.ExpectedPause), Exclude: c.excluded,
 	}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 	"github.com/barleyshelf/barleyshelf/internal/workload"
 )
@@ -25,6 +26,9 @@
 	lastDispatch map[structs.EngineID]time.Duration
 	lastEngine   structs.EngineID
 	parentEngine structs.EngineID
+	// sharedPrefix is the key of the start that programs share, zero without one
+	// long enough.
+	sharedPrefix uint64
 	answeredAt   time.Duration
 	started      time.Duration
 	ended        bool
@@ -47,6 +51,9 @@
 	for _, prefix := range program.Prefixes {
 		r.extend(segment{id: w.prefixID(prefix.Name, program.Adapter), tokens: prefix.Tokens})
 	}
+	if r.historyTokens*workload.BytesPerToken >= schedule.SharedPrefixBytes {
+		r.sharedPrefix = r.history[len(r.history)-1].id
+	}
 	if parent != nil {
 		r.inherit(parent)
 	}
