plan: follow what daemons keep of a program's opening

A program under way keeps the zones, budget, deadline and priority that it was opened with, and needs no grant for further calls. So narrower cache zones strand cache as narrower history zones strand history; a lost grant to open is a refusal and no harm; a tool that moves where the data may not go cuts programs off. Declarations now refuse a tool in a zone where the program's data may not go, and a model whose engines only prefill.

--- a/internal/declaration/check_program.go
+++ b/internal/declaration/check_program.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -67,6 +68,9 @@
 			at.report(field, fmt.Sprintf("no engine in the program's cache zones holds %q", name),
 				"cacheZones with a zone of the model's replicasPerZone: "+loadedZones(model))
 		}
+		if model.Role == structs.RolePrefill {
+			at.report(field, fmt.Sprintf("engines of %q have role prefill and answer no call", name), "a model with role mixed or decode")
+		}
 		if program.MaxAnswerTokens+leastPromptTokens > model.ContextTokens {
 			at.report("spec.maxAnswerTokens", fmt.Sprintf("does not fit the context of model %q", name),
 				fmt.Sprintf("1 to %d", model.ContextTokens-leastPromptTokens))
@@ -95,6 +99,11 @@
 			at.report(fmt.Sprintf("spec.tools[%d]", i), fmt.Sprintf("unknown tool %q", name), "a declared tool")
 			continue
 		}
+		policy := placement.Policy{HistoryZones: program.HistoryZones, CacheZones: program.CacheZones}
+		if placement.Permit(policy, placement.ToolArguments, tool.Zone) != nil {
+			at.report(fmt.Sprintf("spec.tools[%d]", i), fmt.Sprintf("tool %q stands in %s, where the program's data may not go", name, tool.Zone),
+				"a tool in one of historyZones or cacheZones")
+		}
 		if program.Budget.CostMicros < tool.PriceMicros {
 			at.report("spec.budget.costMicros", fmt.Sprintf("below one call of tool %q", name), fmt.Sprintf("%d or more", tool.PriceMicros))
 		}
--- a/internal/plan/programs.go
+++ b/internal/plan/programs.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -59,6 +60,8 @@
 		Detail: fmt.Sprintf("%s: %s can't go on", reason, countText(programs))})
 }
 
+// programTenants reports tenants that can open the program no more. Programs
+// that they have under way go on: a call needs no such grant.
 func (c *comparison) programTenants(earlier, wanted structs.AgentProgram) {
 	for _, tenant := range earlier.Tenants {
 		if slices.Contains(wanted.Tenants, tenant) {
@@ -66,8 +69,7 @@
 		}
 		programs := c.input.Use.ofPair(earlier.Name, tenant)
 		c.cause(Consequence{Kind: Refuse, Object: objectName("AgentProgram", earlier.Name), Programs: programs,
-			Detail: fmt.Sprintf("requests of tenant %s would be refused as not permitted", tenant)})
-		c.cutOff(earlier.Name, programs, fmt.Sprintf("tenant %s may no longer run it", tenant))
+			Detail: fmt.Sprintf("tenant %s may open it no more, also as a sub-agent; %s go on", tenant, countText(programs))})
 	}
 }
 
@@ -91,55 +93,57 @@
 	c.cutOff(program, programs, fmt.Sprintf("it may no longer call %s", target))
 }
 
-// programPlaces names history that stays where it may no longer rest: a program
-// keeps the domain in which it was opened until it ends.
+// programPlaces names data that stays where it may no longer rest: a program
+// keeps the zones that it was opened with until it ends.
 func (c *comparison) programPlaces(earlier, wanted structs.AgentProgram) {
 	programs := c.input.Use.ofProgram(earlier.Name)
-	object := objectName("AgentProgram", earlier.Name)
-	if lost := without(earlier.HistoryZones, wanted.HistoryZones); len(lost) > 0 {
-		c.harm(Harm{Name: "strand-program-" + string(earlier.Name), Kind: DataStranded, Object: object, Programs: programs,
-			Detail: fmt.Sprintf("history of %s stays in %s, where it may no longer rest, until they end", countText(programs), zoneText(lost))})
-	}
-	if lost := without(earlier.CacheZones, wanted.CacheZones); len(lost) > 0 && programs != 0 {
-		c.cause(Consequence{Kind: Touch, Object: object, Programs: programs,
-			Detail: fmt.Sprintf("cache of %s in %s is not used again and is released when they end", countText(programs), zoneText(lost))})
+	c.strand(earlier.Name, "history", without(earlier.HistoryZones, wanted.HistoryZones), programs)
+	c.strand(earlier.Name, "cache", without(earlier.CacheZones, wanted.CacheZones), programs)
+}
+
+func (c *comparison) strand(program structs.ProgramName, data string, lost []structs.ZoneName, programs int) {
+	if len(lost) == 0 {
+		return
 	}
+	c.harm(Harm{Name: "strand-program-" + string(program), Kind: DataStranded, Object: objectName("AgentProgram", program), Programs: programs,
+		Detail: fmt.Sprintf("%s of %s may stay in %s, where it may no longer rest, until they end", data, countText(programs), zoneText(lost))})
 }
 
-// programTerms reports other terms for programs under way.
+// programTerms reports other terms. A program keeps those that it was opened
+// with; the length of an answer alone is taken from the declaration at each call.
 func (c *comparison) programTerms(earlier, wanted structs.AgentProgram) {
-	programs := c.input.Use.ofProgram(earlier.Name)
 	object := objectName("AgentProgram", earlier.Name)
-	if earlier.Budget != wanted.Budget {
+	if earlier.Budget != wanted.Budget || earlier.Priority != wanted.Priority ||
+		earlier.DeadlineMilliseconds != wanted.DeadlineMilliseconds || earlier.IdleMilliseconds != wanted.IdleMilliseconds {
 		c.cause(Consequence{Kind: Touch, Object: object,
-			Detail: "the budget holds for programs opened from now on; those under way keep theirs"})
+			Detail: "budget, deadline, idle time and priority hold for programs opened from now on; those under way keep theirs"})
 	}
-	terms := earlier.Priority != wanted.Priority || earlier.MaxAnswerTokens != wanted.MaxAnswerTokens ||
-		earlier.DeadlineMilliseconds != wanted.DeadlineMilliseconds || earlier.IdleMilliseconds != wanted.IdleMilliseconds
-	if terms && programs != 0 {
+	programs := c.input.Use.ofProgram(earlier.Name)
+	if earlier.MaxAnswerTokens != wanted.MaxAnswerTokens && programs != 0 {
 		c.cause(Consequence{Kind: Touch, Object: object, Programs: programs,
-			Detail: countText(programs) + " go on under the new deadline, idle time, priority or answer length"})
+			Detail: fmt.Sprintf("answers to further calls of %s are bounded by %d tokens", countText(programs), wanted.MaxAnswerTokens)})
 	}
 }
 
 // unserved reports a program that no engine or no replica could serve while
-// zones drain, although the declarations as such name places for it.
+// zones drain, although the declarations as such name places for it. Programs
+// under way are bound to the cache zones that they were opened with.
 func (c *comparison) unserved(program structs.AgentProgram) {
 	object := objectName("AgentProgram", program.Name)
-	programs := c.input.Use.ofProgram(program.Name)
-	_, existed := c.old.programs[program.Name]
 	if len(c.new.openZones(program.HistoryZones)) == 0 {
-		c.cause(Consequence{Kind: Refuse, Object: object, Programs: programs,
-			Detail: "opening it would be refused: all its history zones drain"})
+		c.cause(Consequence{Kind: Refuse, Object: object, Detail: "opening it would be refused: all its history zones drain"})
 	}
 	for _, model := range program.Models {
-		if c.new.serves(model, program.CacheZones) {
-			continue
+		if !c.new.serves(model, program.CacheZones) {
+			c.cause(Consequence{Kind: Refuse, Object: object,
+				Detail: fmt.Sprintf("calls of model %s by programs opened from now on would be refused: no open zone may hold their cache", model)})
 		}
-		c.cause(Consequence{Kind: Refuse, Object: object, Programs: programs,
-			Detail: fmt.Sprintf("its calls of model %s would be refused: no open zone may hold their cache", model)})
-		if existed && c.old.serves(model, c.old.programs[program.Name].CacheZones) {
-			c.cutOff(program.Name, programs, fmt.Sprintf("no engine in an open zone serves model %s for it", model))
+	}
+	earlier := c.old.programs[program.Name]
+	for _, model := range earlier.Models {
+		if c.old.serves(model, earlier.CacheZones) && !c.new.serves(model, earlier.CacheZones) {
+			c.cutOff(program.Name, c.input.Use.ofProgram(program.Name),
+				fmt.Sprintf("no engine serves model %s in an open zone among those that they were opened with", model))
 		}
 	}
 }
@@ -154,24 +158,28 @@
 	return false
 }
 
-// tool reports calls under way that meet another service.
+// tool reports calls that meet another service, and programs under way that
+// may not send their data to its new zone.
 func (c *comparison) tool(tool structs.Tool) {
 	wanted, kept := c.new.tools[tool.Name]
 	if !kept || wanted == tool {
 		return
 	}
-	programs := c.input.Use.count(func(count ProgramCount) bool {
-		return slices.Contains(c.old.programs[count.Program].Tools, tool.Name)
-	})
 	object := objectName("Tool", tool.Name)
 	if wanted.Address != tool.Address {
-		c.cause(Consequence{Kind: Touch, Object: object, Programs: programs,
-			Detail: "calls dispatched from now on go to " + wanted.Address + "; those under way end at the former address"})
+		c.cause(Consequence{Kind: Touch, Object: object, Detail: "calls dispatched from now on go to " + wanted.Address})
 	}
 	if tool.Repeatable != wanted.Repeatable {
-		c.cause(Consequence{Kind: Touch, Object: object, Programs: programs,
+		c.cause(Consequence{Kind: Touch, Object: object,
 			Detail: fmt.Sprintf("calls accepted from now on count as repeatable: %t", wanted.Repeatable)})
 	}
+	for _, program := range c.before.Programs {
+		policy := placement.Policy{HistoryZones: program.HistoryZones, CacheZones: program.CacheZones}
+		if slices.Contains(program.Tools, tool.Name) && placement.Permit(policy, placement.ToolArguments, wanted.Zone) != nil {
+			c.cutOff(program.Name, c.input.Use.ofProgram(program.Name),
+				fmt.Sprintf("tool %s moves to %s, where their data may not go", tool.Name, wanted.Zone))
+		}
+	}
 }
 
 func overlaps(one, other []string) bool {
