--- a/internal/program/decide.go
+++ b/internal/program/decide.go
@@ -72,8 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := parent.checkOpenAt(now); err != nil {
-		return nil, err
+	if parent.ended {
+		return nil, &failure.ProgramOver{Cause: parent.cause}
 	}
 	if r.Budget.Turns < 1 {
 		return nil, &failure.Malformed{Field: "budget", Reason: "at least one turn for a sub-agent"}
@@ -87,17 +87,6 @@
 	return granted, nil
 }
 
-// checkOpenAt refuses a program that has ended or whose deadline has passed.
-func (p *program) checkOpenAt(now time.Time) error {
-	if p.ended {
-		return &failure.ProgramOver{Cause: p.cause}
-	}
-	if deadline := p.opened.GetDeadlineUnixMs(); deadline > 0 && deadline <= now.UnixMilli() {
-		return &failure.ProgramOver{Cause: CauseDeadline}
-	}
-	return nil
-}
-
 func openedMessage(r OpenRequest) *programv1.ProgramOpened {
 	return &programv1.ProgramOpened{
 		Tenant:         string(r.Tenant),
--- a/internal/program/decide_call.go
+++ b/internal/program/decide_call.go
@@ -10,8 +10,10 @@
 
 // Accept takes a call. A number that is early by at most MaxEarlyCalls is
 // accepted and held back; a repeat with the same hash is answered by the state.
-// Errors: *failure.UnknownProgram, *failure.Malformed, *failure.CallConflict,
-// *failure.ProgramOver, *failure.WrongOrder, *failure.BudgetExceeded.
+// When no turn is left, the call is accepted and refused in one step: a copy of
+// the request that arrives later finds the refusal, also if turns have come
+// back by then. Errors: *failure.UnknownProgram, *failure.Malformed,
+// *failure.CallConflict, *failure.ProgramOver, *failure.WrongOrder.
 func (m *Machine) Accept(now time.Time, r CallRequest) (Decision, error) {
 	found, err := m.find(r.Tenant, r.Program)
 	if err != nil {
@@ -23,17 +25,37 @@
 		}
 		return repeated, nil
 	}
-	if err := found.checkAccept(now, r); err != nil {
+	if err := found.checkAccept(r); err != nil {
 		return Decision{}, err
 	}
+	refusal := checkBudget(structs.Amount{Turns: 1}, found.left())
+	if refusal != nil {
+		r.Input = nil
+	}
 	accepted := record(now, r.Program)
 	accepted.Body = &programv1.Record_Accepted{Accepted: acceptedMessage(r)}
-	return Decision{Records: []*programv1.Record{accepted}}, nil
+	decision := Decision{Records: []*programv1.Record{accepted}}
+	if refusal != nil {
+		decision.Records = append(decision.Records, refuseAtOnce(now, r, refusal))
+	}
+	return decision, nil
 }
 
-func (p *program) checkAccept(now time.Time, r CallRequest) error {
-	if err := p.checkOpenAt(now); err != nil {
-		return err
+// refuseAtOnce ends a call in the entry that accepts it.
+func refuseAtOnce(now time.Time, r CallRequest, cause error) *programv1.Record {
+	known := failure.Classify(cause)
+	return notRunDecision(now, NotRunRequest{
+		Program:       r.Program,
+		Number:        r.Number,
+		Final:         true,
+		FailureType:   known.Type(),
+		FailureDetail: known.Error(),
+	}, structs.Amount{}).Records[0]
+}
+
+func (p *program) checkAccept(r CallRequest) error {
+	if p.ended {
+		return &failure.ProgramOver{Cause: p.cause}
 	}
 	if err := checkCall(r); err != nil {
 		return err
@@ -41,7 +63,7 @@
 	if !p.mayAccept(r.Number) {
 		return &failure.WrongOrder{Got: uint32(r.Number), Next: uint32(p.nextNumber())}
 	}
-	return checkBudget(structs.Amount{Turns: 1}, p.left())
+	return nil
 }
 
 func checkCall(r CallRequest) error {
@@ -104,7 +126,7 @@
 	if p.startable(r.Number) == nil {
 		return &failure.WrongOrder{Got: uint32(r.Number), Next: uint32(p.cursor + 1)}
 	}
-	if r.DispatchKey == "" || r.DispatchKey == issued.dispatchKey {
+	if r.DispatchKey == "" || (r.DispatchKey == issued.dispatchKey && !issued.mayShareKey()) {
 		return &failure.Malformed{Field: "dispatchKey", Reason: "a key of its own for each attempt"}
 	}
 	if r.Reserve.Negative() {
@@ -113,6 +135,12 @@
 	return checkBudget(r.Reserve, p.left())
 }
 
+// mayShareKey reports whether all attempts may carry one idempotency key, so
+// that a tool that knows keys runs the call once.
+func (c *call) mayShareKey() bool {
+	return c.accepted.GetKind() == programv1.CallKind_CALL_KIND_TOOL && c.accepted.GetRepeatable()
+}
+
 // holdRecords returns the record of the engine's hold where it is new.
 func (p *program) holdRecords(now time.Time, r StartRequest) []*programv1.Record {
 	engine := structs.EngineID(r.TargetID)
--- a/internal/program/request.go
+++ b/internal/program/request.go
@@ -90,7 +90,8 @@
 	TargetIncarnation structs.Incarnation
 	TargetAddress     string
 	// DispatchKey is the engine stream id or the tool's idempotency key. It is
-	// unique to the attempt.
+	// unique to the attempt; only the attempts of a repeatable tool call may
+	// share one.
 	DispatchKey string
 	// Reserve is the upper bound of what the attempt can cost. The machine sets
 	// its Turns to 1.
