operator: say nothing of missing engines from a part of the fleet

A daemon may follow a part of the engines; a plan made there would have called the others missing. The daemon now says whether it knows all, and get engines shows it. The deployment appears in differences under its own name.

--- a/cmd/barleyshelf/get.go
+++ b/cmd/barleyshelf/get.go
@@ -100,6 +100,9 @@
 		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%d/%d\t%t\t%s", engine.ID, engine.Zone, engine.Role, strings.Join(engine.Loaded, ", "),
 			engine.Running, engine.Waiting, engine.CacheUsedTokens, engine.CacheCapacityTokens, engine.Leaving, engine.ReportedAt.Format(time.RFC3339)))
 	}
+	if !found.All {
+		rows = append(rows, "(the daemon asked follows a part of the engines)")
+	}
 	return found, table("ENGINE\tZONE\tROLE\tLOADED\tRUNNING\tWAITING\tCACHE TOKENS\tLEAVING\tREPORTED", rows), nil
 }
 
--- a/internal/gen/operatorapi/oas_json_gen.go
+++ b/internal/gen/operatorapi/oas_json_gen.go
@@ -1996,6 +1996,10 @@
 
 // encodeFields encodes fields.
 func (s *Engines) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("all")
+		e.Bool(s.All)
+	}
 	{
 		e.FieldStart("engines")
 		e.ArrStart()
@@ -2006,8 +2010,9 @@
 	}
 }
 
-var jsonFieldsNameOfEngines = [1]string{
-	0: "engines",
+var jsonFieldsNameOfEngines = [2]string{
+	0: "all",
+	1: "engines",
 }
 
 // Decode decodes Engines from json.
@@ -2019,8 +2024,20 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "engines":
+		case "all":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Bool()
+				s.All = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"all\"")
+			}
+		case "engines":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				s.Engines = make([]Engine, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -2047,7 +2064,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000001,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/gen/operatorapi/oas_schemas_gen.go
+++ b/internal/gen/operatorapi/oas_schemas_gen.go
@@ -766,14 +766,26 @@
 
 // Ref: #/components/schemas/Engines
 type Engines struct {
+	// False where the daemon follows a part of the engines.
+	All     bool     `json:"all"`
 	Engines []Engine `json:"engines"`
 }
 
+// GetAll returns the value of All.
+func (s *Engines) GetAll() bool {
+	return s.All
+}
+
 // GetEngines returns the value of Engines.
 func (s *Engines) GetEngines() []Engine {
 	return s.Engines
 }
 
+// SetAll sets the value of All.
+func (s *Engines) SetAll(val bool) {
+	s.All = val
+}
+
 // SetEngines sets the value of Engines.
 func (s *Engines) SetEngines(val []Engine) {
 	s.Engines = val
--- a/internal/operator/operations.go
+++ b/internal/operator/operations.go
@@ -127,8 +127,9 @@
 
 // GetEngines implements operatorapi.Handler.
 func (o *operations) GetEngines(context.Context) (*operatorapi.Engines, error) {
-	response := &operatorapi.Engines{Engines: []operatorapi.Engine{}}
-	for _, engine := range o.service.backend.Engines() {
+	engines, all := o.service.backend.Engines()
+	response := &operatorapi.Engines{All: all, Engines: []operatorapi.Engine{}}
+	for _, engine := range engines {
 		response.Engines = append(response.Engines, engineResponse(engine))
 	}
 	return response, nil
--- a/internal/operator/planning.go
+++ b/internal/operator/planning.go
@@ -59,6 +59,11 @@
 
 // make works out the plan with what the daemon knows now.
 func (s *Service) make(ctx context.Context, operator string, inForce *structs.Configuration, wanted structs.Declarations) *plan.Plan {
+	engines, all := s.backend.Engines()
+	if !all {
+		// Engines that another daemon follows would be taken for missing.
+		engines = nil
+	}
 	members := map[structs.ShardID][]structs.NodeID{}
 	for _, shard := range s.backend.Shards(ctx) {
 		members[shard.Shard] = shard.Members
@@ -70,7 +75,7 @@
 		Use:      s.backend.Use(ctx),
 		Nodes:    s.backend.Nodes(),
 		Members:  members,
-		Engines:  s.backend.Engines(),
+		Engines:  engines,
 		Now:      s.now().UTC(),
 	})
 }
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -31,8 +31,9 @@
 	Use(ctx context.Context) plan.Use
 	// Nodes returns the daemons of the membership view.
 	Nodes() []structs.Node
-	// Engines returns the engines' last reports.
-	Engines() []structs.EngineStatus
+	// Engines returns the last reports of the engines that the daemon knows, and
+	// whether these are all of them: a daemon may follow a part of the fleet.
+	Engines() (reports []structs.EngineStatus, all bool)
 	// Shards returns the replica groups as their members know them.
 	Shards(ctx context.Context) []ShardStatus
 	// DrainNode starts the planned stop of a daemon. It returns once the daemon
--- a/internal/plan/difference.go
+++ b/internal/plan/difference.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -13,10 +14,10 @@
 // added or removed is one difference; the fields of a changed one are one each.
 func Differences(before, after structs.Declarations) []structs.Difference {
 	var all []structs.Difference
-	if before.Deployment.Name != "" || after.Deployment.Name != "" {
-		all = append(all, compareLists("Deployment", deploymentList(before), deploymentList(after),
-			func(structs.Deployment) string { return "deployment" })...)
-	}
+	// There is one deployment, so a new name is a changed field of it.
+	name := cmp.Or(after.Deployment.Name, before.Deployment.Name)
+	all = append(all, compareLists("Deployment", deploymentList(before), deploymentList(after),
+		func(structs.Deployment) string { return name })...)
 	all = append(all, compareLists("Zone", before.Zones, after.Zones, func(z structs.Zone) string { return string(z.Name) })...)
 	all = append(all, compareLists("Tenant", before.Tenants, after.Tenants, func(t structs.Tenant) string { return string(t.Name) })...)
 	all = append(all, compareLists("Model", before.Models, after.Models, func(m structs.Model) string { return string(m.Name) })...)
--- a/internal/plan/places.go
+++ b/internal/plan/places.go
@@ -103,7 +103,7 @@
 		return
 	}
 	c.cause(Consequence{Kind: LackCapacity, Object: objectName("Domain", domain.Name), Count: wanted - found,
-		Detail: fmt.Sprintf("%d replicas wanted, %d daemons stand in %s", wanted, found, zoneText(c.new.openZones(domain.Zones)))})
+		Detail: fmt.Sprintf("%d replicas wanted, daemons in %s: %d", wanted, zoneText(c.new.openZones(domain.Zones)), found)})
 }
 
 // replicaCount says which groups a smaller size concerns.
