--- a/cmd/barleyshelf/exit.go
+++ b/cmd/barleyshelf/exit.go
@@ -24,6 +24,7 @@
 	"version_conflict":        exitConflict,
 	"plan_conflict":           exitConflict,
 	"invalid_settings":        exitRefused,
+	"unknown_policy":          exitRefused,
 	"invalid_declarations":    exitRefused,
 	"harm_not_accepted":       exitRefused,
 	"unauthenticated":         exitRefused,
