Scheduling: hold new programs back while no engine has memory for them

Cause: under memory pressure each new program pushes out the cache of programs that wait for a person or a tool, which then compute it again and slow all.

--- a/internal/schedule/program_aware.go
+++ b/internal/schedule/program_aware.go
@@ -24,13 +24,13 @@
 
 // options switch parts of the policy off, to measure what each is worth.
 type options struct {
-	moves, retention, order, homes bool
+	moves, retention, order, homes, admission bool
 }
 
 // defaultOptions are the parts that measurements support; the design note holds
 // the figures.
 func defaultOptions() options {
-	return options{retention: true, order: true, homes: true}
+	return options{retention: true, order: true, homes: true, admission: true}
 }
 
 func newProgramAware(name string, chosen options) *programAware {
@@ -104,6 +104,9 @@
 	if late := beyondDeadline(now, request, made.PredictedWait); late > 0 {
 		return Choice{}, &failure.Overloaded{Resource: "engines", Wait: late}
 	}
+	if p.options.admission {
+		made.Defer = deferral(now, engine, request)
+	}
 	if p.options.order {
 		made.Priority = enginePriority(request)
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -82,6 +82,10 @@
 	MoveFrom structs.EngineID
 	// Retain is how long the engine should keep the cache after the call.
 	Retain time.Duration
+	// Defer asks the caller of Choose to hold the call back and to choose again
+	// after this time; zero means to dispatch now. Only the first call of a
+	// program is held, while there is no memory for it.
+	Defer time.Duration
 	// PredictedWait is the predicted time to the first token.
 	PredictedWait time.Duration
 }
--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -96,6 +96,11 @@
 		d.refused(c, err)
 		return
 	}
+	if choice.Defer > 0 {
+		c.run.root.totals.Deferred++
+		d.world.clock.after(choice.Defer, func() { d.dispatch(c) })
+		return
+	}
 	c.engine = d.world.engineByID(choice.Engine)
 	view := &d.views[d.world.engineIndex[choice.Engine]]
 	missing := max(0, c.run.historyTokens-c.run.cached[choice.Engine])
--- a/internal/simulation/simulate.go
+++ b/internal/simulation/simulate.go
@@ -56,6 +56,8 @@
 	Calls        int64
 	// Refused counts refusals; a refused call comes back until it runs.
 	Refused int64
+	// Deferred counts how often first calls were held back.
+	Deferred int64
 	// Restarted counts calls whose engine failed under them.
 	Restarted int64
 }
@@ -66,6 +68,7 @@
 	t.WastedTokens += other.WastedTokens
 	t.Calls += other.Calls
 	t.Refused += other.Refused
+	t.Deferred += other.Deferred
 	t.Restarted += other.Restarted
 }
 
