--- a/internal/journal/change.go
+++ b/internal/journal/change.go
@@ -1,6 +1,10 @@
 package journal
 
-import "github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+import (
+	"slices"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+)
 
 // Change proposes members as the next membership. It may differ from the one
 // in force by one member. The error is *NotLeading or *ChangePending.
@@ -16,11 +20,10 @@
 			return &ChangePending{Index: r.current().index}
 		}
 	}
+	index := r.log.last() + 1
 	r.appendOwn(&journalv1.Entry{
-		Type: journalv1.EntryType_ENTRY_TYPE_MEMBERSHIP,
-		Membership: &journalv1.Membership{
-			Index: r.log.last() + 1, Members: encodeMembers(members),
-		},
+		Type:       journalv1.EntryType_ENTRY_TYPE_MEMBERSHIP,
+		Membership: &journalv1.Membership{Index: index, Term: r.term, Members: encodeMembers(r.admit(members, index))},
 	})
 	r.syncPeers()
 	r.advanceCommit()
@@ -28,6 +31,17 @@
 	return nil
 }
 
+// admit gives members that are new their admission.
+func (r *Replica) admit(members []Member, index uint64) []Member {
+	admitted := slices.Clone(members)
+	for i := range admitted {
+		if _, known := r.current().find(admitted[i].ID()); !known && !r.broken.reuseAdmission {
+			admitted[i].Admission = position(r.term, index)
+		}
+	}
+	return admitted
+}
+
 // SetWanted gives the voters that the group shall have. A leading replica
 // moves toward them, one change at a time; nil leaves the group as it is.
 func (r *Replica) SetWanted(wanted []Member) {
@@ -53,7 +67,7 @@
 // learnerBehind reports whether a reachable learner has still to catch up.
 func (r *Replica) learnerBehind() bool {
 	for _, member := range r.current().members {
-		if member.Learner && !r.suspected[member.ID()] && r.isWanted(member.ID()) {
+		if member.Learner && !r.suspected[member.ID().Life()] && r.isWanted(member.ID()) {
 			return true
 		}
 	}
@@ -61,113 +75,142 @@
 }
 
 func (r *Replica) reconcile() {
-	if !r.Serving() || r.current().index > r.commit || r.leading.transferIn > 0 {
-		return
-	}
-	if to := r.transferForReconcile(); to != (MemberID{}) {
-		r.TransferLeadership(to)
+	pending := r.current().index > r.commit && !r.broken.concurrentChanges
+	if !r.Serving() || pending || r.leading.transferIn > 0 {
 		return
 	}
 	if members, ok := r.nextChange(); ok {
 		_ = r.Change(members)
+		return
+	}
+	if to := r.transferForReconcile(); to != (MemberID{}) {
+		r.TransferLeadership(to)
 	}
 }
 
 // nextChange returns the membership that is one step nearer to what is wanted.
+// A member that is gone for good leaves first: it only makes majorities harder.
+// One that is merely out of reach leaves when its successor has caught up, and
+// one that can be reached after its successor votes, so that the group never
+// depends on more members than it has to.
 func (r *Replica) nextChange() ([]Member, bool) {
 	if len(r.wanted) == 0 {
 		return nil, false
 	}
-	if members, ok := r.changeLearners(); ok {
+	if members, ok := r.remove(r.superseded); ok {
 		return members, true
 	}
-	return r.removeSurplus()
+	if members, ok := r.changeLearner(); ok {
+		return members, true
+	}
+	if r.learning() {
+		return nil, false
+	}
+	if members, ok := r.admitWanted(); ok || !r.wantedVote() {
+		return members, ok
+	}
+	return r.remove(func(id MemberID) bool { return !r.isWanted(id) })
 }
 
-// changeLearners promotes, drops or admits a learner, in this order.
-func (r *Replica) changeLearners() ([]Member, bool) {
-	current := r.current()
-	catching := false
-	for _, member := range current.members {
-		if !member.Learner {
-			continue
-		}
-		if !r.isWanted(member.ID()) {
-			return current.without(member.ID()), true
+func (r *Replica) learning() bool {
+	return slices.ContainsFunc(r.current().members, func(member Member) bool { return member.Learner })
+}
+
+// changeLearner drops a learner that is not wanted, or promotes one that has
+// caught up.
+func (r *Replica) changeLearner() ([]Member, bool) {
+	for _, member := range r.current().members {
+		switch {
+		case !member.Learner:
+		case !r.isWanted(member.ID()):
+			return r.current().without(member.ID()), true
+		case r.caughtUp(member.ID()):
+			return r.promote(member)
 		}
-		if r.caughtUp(member.ID()) && r.votersReachable(1) {
-			member.Learner = false
-			return current.with(member), true
+	}
+	return nil, false
+}
+
+func (r *Replica) admitWanted() ([]Member, bool) {
+	for _, member := range r.wanted {
+		if _, known := r.current().findLife(member.ID()); !known && !r.suspected[member.ID().Life()] {
+			member.Learner, member.Admission = true, 0
+			return r.current().with(member), true
 		}
-		catching = true
 	}
-	if catching {
-		return nil, false
+	return nil, false
+}
+
+// promote makes the learner a voter, after an unwanted voter that is out of
+// reach has left.
+func (r *Replica) promote(learner Member) ([]Member, bool) {
+	unreachable := func(id MemberID) bool { return !r.isWanted(id) && r.suspected[id.Life()] }
+	if members, ok := r.remove(unreachable); ok {
+		return members, true
 	}
+	learner.Learner = false
+	members := r.current().with(learner)
+	return members, r.majorityTrusted(members)
+}
+
+// superseded reports whether a wanted member is a later life of the same node.
+func (r *Replica) superseded(id MemberID) bool {
 	for _, member := range r.wanted {
-		if _, known := current.find(member.ID()); !known && !r.suspected[member.ID()] {
-			member.Learner = true
-			return current.with(member), true
+		if member.Node == id.Node && member.Incarnation > id.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// remove returns the membership without the first voter, other than this
+// replica, that goes, if a majority of the rest can be reached.
+func (r *Replica) remove(goes func(MemberID) bool) ([]Member, bool) {
+	for _, member := range r.current().members {
+		if member.Learner || member.ID() == r.config.Self || !goes(member.ID()) {
+			continue
 		}
+		members := r.current().without(member.ID())
+		return members, r.majorityTrusted(members)
 	}
 	return nil, false
 }
 
 func (r *Replica) caughtUp(id MemberID) bool {
 	peer, known := r.leading.peers[id]
-	return known && !r.suspected[id] && peer.snapshot == 0 && peer.match >= r.commit
+	return known && !r.suspected[id.Life()] && peer.snapshot == 0 && peer.match >= r.commit
 }
 
-// votersReachable reports whether a majority would still be reachable with
-// added voters more, all of them reachable.
-func (r *Replica) votersReachable(added int) bool {
-	reachable := added
-	for _, member := range r.current().members {
-		if !member.Learner && !r.suspected[member.ID()] {
-			reachable++
-		}
-	}
-	return reachable >= (r.current().voterCount()+added)/2+1
+// majorityTrusted reports whether a majority of the voters is not suspected.
+func (r *Replica) majorityTrusted(members []Member) bool {
+	return membership{members: members}.reached(func(id MemberID) bool { return !r.suspected[id.Life()] })
 }
 
-// removeSurplus drops a voter that is not wanted once all wanted ones vote.
-func (r *Replica) removeSurplus() ([]Member, bool) {
-	current := r.current()
+// wantedVote reports whether all wanted members are voters.
+func (r *Replica) wantedVote() bool {
 	for _, member := range r.wanted {
-		if !current.isVoter(member.ID()) {
-			return nil, false
+		held, found := r.current().findLife(member.ID())
+		if !found || held.Learner {
+			return false
 		}
 	}
-	surplus := MemberID{}
-	for _, member := range current.members {
-		id := member.ID()
-		if r.isWanted(id) || id == r.config.Self {
-			continue
-		}
-		if surplus == (MemberID{}) || r.suspected[id] {
-			surplus = id
-		}
-	}
-	if surplus == (MemberID{}) {
-		return nil, false
-	}
-	return current.without(surplus), true
+	return true
 }
 
 func (r *Replica) isWanted(id MemberID) bool {
-	_, found := membership{members: r.wanted}.find(id)
+	_, found := membership{members: r.wanted}.findLife(id)
 	return found
 }
 
 // transferForReconcile returns the voter that is to lead instead of a replica
-// that is to be removed, or the zero value.
+// that is the last to be removed, or the zero value.
 func (r *Replica) transferForReconcile() MemberID {
-	if len(r.wanted) == 0 || r.isWanted(r.config.Self) {
+	if len(r.wanted) == 0 || r.isWanted(r.config.Self) || !r.wantedVote() {
 		return MemberID{}
 	}
 	for _, member := range r.wanted {
-		if r.current().isVoter(member.ID()) && r.caughtUp(member.ID()) {
-			return member.ID()
+		if held, _ := r.current().findLife(member.ID()); r.caughtUp(held.ID()) {
+			return held.ID()
 		}
 	}
 	return MemberID{}
@@ -192,4 +235,4 @@
 func (r *Replica) Voter() bool { return !r.removed && r.current().isVoter(r.config.Self) }
 
 // MajorityReachable reports whether a majority of voters is not suspected.
-func (r *Replica) MajorityReachable() bool { return r.votersReachable(0) }
+func (r *Replica) MajorityReachable() bool { return r.majorityTrusted(r.Members()) }
--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
-	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // election is the state of a campaign.
@@ -22,10 +21,6 @@
 	campaign bool
 }
 
-func memberID(node string, incarnation uint64) MemberID {
-	return MemberID{Node: structs.NodeID(node), Incarnation: structs.Incarnation(incarnation)}
-}
-
 // EnsureLeader makes sure that the leader, if one is known, still leads, and
 // campaigns when it does not answer. It does nothing at a leader or while a
 // campaign is under way.
@@ -33,7 +28,7 @@
 	if r.role != Follower || r.removed {
 		return
 	}
-	if r.leader == (MemberID{}) || r.suspected[r.leader] {
+	if r.leader == (MemberID{}) || r.suspected[r.leader.Life()] {
 		r.Campaign()
 		return
 	}
@@ -45,7 +40,7 @@
 	if r.role == Leader {
 		return true
 	}
-	return r.role == Follower && r.leader != (MemberID{}) && !r.doubt.probing && !r.suspected[r.leader]
+	return r.role == Follower && r.leader != (MemberID{}) && !r.doubt.probing && !r.suspected[r.leader.Life()]
 }
 
 func (r *Replica) probeLeader(campaign bool) {
@@ -101,7 +96,7 @@
 func (r *Replica) startRound(kind journalv1.MessageType, term uint64) {
 	r.election.granted = map[MemberID]bool{r.config.Self: true}
 	r.election.retryIn = r.config.ElectionTicks + r.config.Random.IntN(r.config.ElectionTicks)
-	index, logTerm := r.logEnd()
+	index, logTerm := r.log.last(), r.log.lastTerm()
 	for _, member := range r.current().members {
 		if member.Learner || member.ID() == r.config.Self {
 			continue
@@ -129,20 +124,10 @@
 	if r.broken.commitAlone {
 		return true
 	}
-	counted := r.current()
 	if r.broken.learnersCount {
-		counted = everyMemberVotes(counted)
-	}
-	return counted.reached(agrees)
-}
-
-func everyMemberVotes(m membership) membership {
-	voting := membership{index: m.index}
-	for _, member := range m.members {
-		member.Learner = false
-		voting.members = append(voting.members, member)
+		return r.current().agreeing(agrees, true) >= r.current().quorum()
 	}
-	return voting
+	return r.current().reached(agrees)
 }
 
 func (r *Replica) tickElection() {
@@ -163,7 +148,7 @@
 		return
 	}
 	r.doubt.waited++
-	if r.doubt.waited >= r.config.ProbeTicks || r.suspected[r.leader] {
+	if r.doubt.waited >= r.config.ProbeTicks || r.suspected[r.leader.Life()] {
 		r.leaderLost()
 		return
 	}
@@ -194,7 +179,7 @@
 	if r.role == Leader {
 		return false
 	}
-	if r.leader == (MemberID{}) || r.leader == candidate || r.suspected[r.leader] {
+	if r.leader == (MemberID{}) || r.leader == candidate || r.suspected[r.leader.Life()] {
 		return true
 	}
 	r.probeLeader(false)
@@ -205,7 +190,7 @@
 	if r.broken.skipElectionCheck {
 		return true
 	}
-	index, term := r.logEnd()
+	index, term := r.log.last(), r.log.lastTerm()
 	return m.LogTerm > term || m.LogTerm == term && m.Index >= index
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -5,9 +5,9 @@
 //
 // It differs from plain Raft in three ways. There are no heartbeats: a member
 // campaigns only when asked to (Campaign), and an idle shard sends nothing. A
-// member is a node together with an incarnation, so that a daemon that lost
-// its memory is another member, which counts in no majority until it was
-// admitted. A member that doubts its leader probes it before it grants or
+// member is a node together with an incarnation and an admission, so that a
+// daemon that lost its memory, or that was removed and dropped its log, is
+// another member, which counts in no majority until it was admitted anew. A member that doubts its leader probes it before it grants or
 // starts a campaign.
 package journal
 
@@ -18,10 +18,27 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// MemberID identifies a member: one life of one daemon.
+// MemberID identifies a member: one admission of one life of one daemon. What
+// was promised under one identity binds no other.
 type MemberID struct {
 	Node        structs.NodeID
 	Incarnation structs.Incarnation
+	// Admission is the position of the entry that admitted the member, its term
+	// before its index; 0 for the first members of a group. Of two admissions
+	// of a life, the higher one is later, or the lower one was never committed.
+	Admission uint64
+}
+
+// indexBits is the width of the index in a position.
+const indexBits = 40
+
+// position orders entries by their term and then their index.
+func position(term, index uint64) uint64 { return term<<indexBits | index }
+
+// Life returns the identity without its admission.
+func (id MemberID) Life() MemberID {
+	id.Admission = 0
+	return id
 }
 
 // Member is one replica of a shard.
@@ -33,11 +50,13 @@
 	Disk bool
 	// Learner members receive the log and count in no majority.
 	Learner bool
+	// Admission is set by the leader that admits the member.
+	Admission uint64
 }
 
 // ID returns the member's identity.
 func (m Member) ID() MemberID {
-	return MemberID{Node: m.Node, Incarnation: m.Incarnation}
+	return MemberID{Node: m.Node, Incarnation: m.Incarnation, Admission: m.Admission}
 }
 
 // Role is what a replica does in its term.
@@ -154,6 +173,6 @@
 	serveBeforeNoop     bool
 	confirmAlone        bool
 	acknowledgeUnstored bool
-	removedVotesFreely  bool
+	reuseAdmission      bool
 	learnersCount       bool
 }
--- a/internal/journal/leader.go
+++ b/internal/journal/leader.go
@@ -43,8 +43,9 @@
 	heard         bool
 	// offset is the position in the snapshot being sent; sent the end of what
 	// was sent of it. Meaningful while snapshot is not 0.
-	snapshot     uint64
-	offset, sent int
+	snapshot      uint64
+	offset, sent  int
+	retransmitted bool
 	// noticed is the last commit index that was sent without entries.
 	noticed uint64
 }
--- a/internal/journal/membership.go
+++ b/internal/journal/membership.go
@@ -12,7 +12,7 @@
 	for _, member := range members {
 		encoded = append(encoded, &journalv1.Member{
 			Node: string(member.Node), Incarnation: uint64(member.Incarnation),
-			Zone: string(member.Zone), Disk: member.Disk, Learner: member.Learner,
+			Zone: string(member.Zone), Disk: member.Disk, Learner: member.Learner, Admission: member.Admission,
 		})
 	}
 	return encoded
@@ -23,7 +23,7 @@
 	for _, member := range membership.GetMembers() {
 		members = append(members, Member{
 			Node: structs.NodeID(member.Node), Incarnation: structs.Incarnation(member.Incarnation),
-			Zone: structs.ZoneName(member.Zone), Disk: member.Disk, Learner: member.Learner,
+			Zone: structs.ZoneName(member.Zone), Disk: member.Disk, Learner: member.Learner, Admission: member.Admission,
 		})
 	}
 	return members
@@ -32,15 +32,16 @@
 // membership is the set of members that an entry (or the genesis) set.
 type membership struct {
 	index   uint64
+	term    uint64
 	members []Member
 }
 
 func newMembership(index uint64, encoded *journalv1.Membership) membership {
-	return membership{index: index, members: decodeMembers(encoded)}
+	return membership{index: index, term: encoded.GetTerm(), members: decodeMembers(encoded)}
 }
 
 func (m membership) encode() *journalv1.Membership {
-	return &journalv1.Membership{Index: m.index, Members: encodeMembers(m.members)}
+	return &journalv1.Membership{Index: m.index, Term: m.term, Members: encodeMembers(m.members)}
 }
 
 func (m membership) find(id MemberID) (Member, bool) {
@@ -51,6 +52,15 @@
 	return m.members[at], true
 }
 
+// findLife returns the member of a daemon's life under whatever admission.
+func (m membership) findLife(id MemberID) (Member, bool) {
+	at := slices.IndexFunc(m.members, func(member Member) bool { return member.ID().Life() == id.Life() })
+	if at < 0 {
+		return Member{}, false
+	}
+	return m.members[at], true
+}
+
 func (m membership) isVoter(id MemberID) bool {
 	member, found := m.find(id)
 	return found && !member.Learner
@@ -73,13 +83,18 @@
 
 // reached reports whether the voters that agree are a majority.
 func (m membership) reached(agrees func(MemberID) bool) bool {
+	return m.voterCount() > 0 && m.agreeing(agrees, false) >= m.quorum()
+}
+
+// agreeing counts the voters, or voters and learners, that agree.
+func (m membership) agreeing(agrees func(MemberID) bool, learners bool) int {
 	count := 0
 	for _, member := range m.members {
-		if !member.Learner && agrees(member.ID()) {
+		if (learners || !member.Learner) && agrees(member.ID()) {
 			count++
 		}
 	}
-	return m.voterCount() > 0 && count >= m.quorum()
+	return count
 }
 
 // with returns the members with one added or replaced.
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // Replica is one member's state machine of a shard's log. It is not safe for
@@ -22,10 +23,7 @@
 	// memberships holds those set by the snapshot or genesis and by entries
 	// still in the log, in the order of their index. The last is in force.
 	memberships []membership
-	// floorIndex and floorTerm are the end of the log of an earlier membership
-	// of the same incarnation.
-	floorIndex, floorTerm uint64
-	removed               bool
+	removed     bool
 
 	election  election
 	doubt     doubt
@@ -64,8 +62,10 @@
 	}
 	r := &Replica{
 		config: config, term: state.Term,
-		vote:       memberID(state.VotedNode, state.VotedIncarnation),
-		floorIndex: state.FloorIndex, floorTerm: state.FloorTerm,
+		vote: MemberID{
+			Node: structs.NodeID(state.VotedNode), Incarnation: structs.Incarnation(state.VotedIncarnation),
+			Admission: state.VotedAdmission,
+		},
 		commit: restored.Index, applied: restored.Index,
 		suspected: map[MemberID]bool{},
 	}
@@ -120,33 +120,19 @@
 // State returns what must not be forgotten.
 func (r *Replica) State() *journalv1.State {
 	state := &journalv1.State{
-		Term: r.term, Commit: r.commit, FloorIndex: r.floorIndex, FloorTerm: r.floorTerm, Removed: r.removed,
+		Term: r.term, Commit: r.commit, Admission: r.config.Self.Admission, Removed: r.removed,
 	}
 	if !r.broken.forgetVote {
 		state.VotedNode, state.VotedIncarnation = string(r.vote.Node), uint64(r.vote.Incarnation)
+		state.VotedAdmission = r.vote.Admission
 	}
 	return state
 }
 
-// Tombstone returns what a removed member must keep once its log is dropped.
+// Tombstone returns what a removed member must keep once its log is dropped:
+// the admission that is over.
 func (r *Replica) Tombstone() *journalv1.State {
-	state := r.State()
-	state.Commit, state.Removed = 0, true
-	index, term := r.logEnd()
-	if r.broken.removedVotesFreely {
-		index, term = 0, 0
-	}
-	state.FloorIndex, state.FloorTerm = index, term
-	return state
-}
-
-// logEnd returns the end of the log for comparison in votes.
-func (r *Replica) logEnd() (index, term uint64) {
-	index, term = r.log.last(), r.log.lastTerm()
-	if term < r.floorTerm || term == r.floorTerm && index < r.floorIndex {
-		return r.floorIndex, r.floorTerm
-	}
-	return index, term
+	return &journalv1.State{Admission: r.config.Self.Admission, Removed: true}
 }
 
 // Compact drops applied entries from the front of the log until at most
@@ -185,6 +171,9 @@
 // Members returns the members in force.
 func (r *Replica) Members() []Member { return r.current().members }
 
+// Self returns the identity under which the replica is a member.
+func (r *Replica) Self() MemberID { return r.config.Self }
+
 // MembershipIndex returns the index of the entry that set Members.
 func (r *Replica) MembershipIndex() uint64 { return r.current().index }
 
@@ -242,13 +231,17 @@
 }
 
 func (r *Replica) sendStored(to MemberID, message *journalv1.Message) {
-	message.Shard = uint32(r.config.Shard)
-	r.ready.Messages = append(r.ready.Messages, Envelope{To: to, Message: message})
+	r.ready.Messages = append(r.ready.Messages, r.envelope(to, message))
 }
 
 func (r *Replica) sendEarly(to MemberID, message *journalv1.Message) {
+	r.ready.Early = append(r.ready.Early, r.envelope(to, message))
+}
+
+func (r *Replica) envelope(to MemberID, message *journalv1.Message) Envelope {
 	message.Shard = uint32(r.config.Shard)
-	r.ready.Early = append(r.ready.Early, Envelope{To: to, Message: message})
+	message.FromAdmission, message.ToAdmission = r.config.Self.Admission, to.Admission
+	return Envelope{To: to, Message: message}
 }
 
 func (r *Replica) becomeFollower(term uint64, leader MemberID) {
@@ -261,7 +254,5 @@
 	r.leader = leader
 	r.leading = leading{}
 	r.election = election{}
-	if leader != (MemberID{}) {
-		r.doubt = doubt{}
-	}
+	r.doubt = doubt{}
 }
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -41,7 +41,7 @@
 	r.leading.offerPending = false
 	r.leading.offered = &snapshot
 	for _, id := range r.peerIDs() {
-		if peer := r.leading.peers[id]; peer.snapshot == snapshotPending {
+		if peer := r.leading.peers[id]; peer.snapshot != 0 {
 			r.beginChunks(id, peer)
 		}
 	}
@@ -49,7 +49,7 @@
 
 func (r *Replica) beginChunks(id MemberID, peer *progress) {
 	peer.snapshot = r.leading.offered.Index
-	peer.offset, peer.sent = 0, 0
+	peer.offset, peer.sent, peer.retransmitted = 0, 0, false
 	r.sendChunks(id, peer)
 }
 
@@ -79,14 +79,29 @@
 	if peer.snapshot != m.Index || r.leading.offered == nil {
 		return
 	}
-	peer.offset = max(peer.offset, int(m.Offset))
-	peer.sent = max(peer.sent, peer.offset)
+	peer.resume(int(m.Offset))
 	r.sendChunks(from, peer)
 }
 
-// leaveSnapshot goes on with entries once the member holds the snapshot.
+// resume takes what the member holds of the snapshot. An answer after a
+// retransmission counts even if it is less than before: the member may have
+// restarted.
+func (p *progress) resume(offset int) {
+	if offset < p.offset && !p.retransmitted {
+		return
+	}
+	if p.retransmitted {
+		p.sent = offset
+	}
+	p.retransmitted = false
+	p.offset = offset
+	p.sent = max(p.sent, offset)
+}
+
+// leaveSnapshot goes on once the member holds the snapshot, with entries or,
+// where the log was compacted meanwhile, with the next snapshot.
 func (r *Replica) leaveSnapshot(peer *progress) {
-	if peer.snapshot == 0 || peer.match < r.log.base {
+	if peer.snapshot == 0 || peer.match < min(peer.snapshot, r.log.base) {
 		return
 	}
 	peer.snapshot = 0
--- a/internal/journal/step.go
+++ b/internal/journal/step.go
@@ -2,8 +2,8 @@
 
 import "github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
 
-// Step takes one message from another member. A message to another incarnation
-// of this node is dropped: it concerns promises that this one never made.
+// Step takes one message from another member. A message to another identity of
+// this node is dropped: it concerns promises that this one never made.
 func (r *Replica) Step(from, to MemberID, m *journalv1.Message) {
 	if to != r.config.Self || from == r.config.Self || r.removed {
 		return
@@ -58,6 +58,18 @@
 	return false
 }
 
+// Admits reports whether a message of this kind may begin an empty replica at
+// a daemon that was not a member under the identity the message is for: that
+// identity holds no vote and no entry, and has forgotten none.
+func Admits(kind journalv1.MessageType) bool {
+	switch kind {
+	case journalv1.MessageType_MESSAGE_TYPE_APPEND, journalv1.MessageType_MESSAGE_TYPE_SNAPSHOT,
+		journalv1.MessageType_MESSAGE_TYPE_VOTE, journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE:
+		return true
+	}
+	return false
+}
+
 func (r *Replica) dispatch(from MemberID, m *journalv1.Message) {
 	switch m.Type {
 	case journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE:
@@ -116,7 +128,7 @@
 }
 
 // tellRemoved tells a sender that the committed membership known here does not
-// name it. A sender that was admitted again since then knows a newer one.
+// name it. A sender that was admitted since then ignores it.
 func (r *Replica) tellRemoved(from MemberID) {
 	committed := r.membershipAt(r.commit)
 	if _, member := committed.find(from); member || committed.index == 0 {
@@ -132,11 +144,12 @@
 	})
 }
 
-// stepRemoved drops out when a committed membership at least as new as the one
-// in force here does not name the replica.
+// stepRemoved drops out when a committed membership, set after the position at
+// which the replica was admitted, does not name it: then the removal was
+// committed, or the admission never can be. No identity is admitted twice.
 func (r *Replica) stepRemoved(m *journalv1.Message) {
 	told := newMembership(m.Membership.GetIndex(), m.Membership)
-	if _, member := told.find(r.config.Self); member || told.index < r.current().index {
+	if _, member := told.find(r.config.Self); member || position(told.term, told.index) < r.config.Self.Admission {
 		return
 	}
 	r.markRemoved()
--- a/internal/journal/tick.go
+++ b/internal/journal/tick.go
@@ -30,7 +30,7 @@
 		return true
 	}
 	for id, peer := range r.leading.peers {
-		if !r.suspected[id] && r.outstanding(peer) {
+		if !r.suspected[id.Life()] && r.outstanding(peer) {
 			return true
 		}
 	}
@@ -52,7 +52,7 @@
 	r.tickTransfer()
 	for _, id := range r.peerIDs() {
 		peer := r.leading.peers[id]
-		if r.suspected[id] || !r.outstanding(peer) {
+		if r.suspected[id.Life()] || !r.outstanding(peer) {
 			peer.waited = 0
 			continue
 		}
@@ -94,7 +94,7 @@
 
 func (r *Replica) retransmit(id MemberID, peer *progress) {
 	if peer.snapshot != 0 {
-		peer.sent = peer.offset
+		peer.sent, peer.retransmitted = peer.offset, true
 		r.sendChunks(id, peer)
 		return
 	}
@@ -109,7 +109,7 @@
 		return
 	}
 	for id, left := range r.leading.departing {
-		if left == 0 || r.suspected[id] {
+		if left == 0 || r.suspected[id.Life()] {
 			delete(r.leading.departing, id)
 			continue
 		}
@@ -118,12 +118,13 @@
 	}
 }
 
-// SetSuspected tells the replica what the failure detector holds of a member.
+// SetSuspected tells the replica what the failure detector holds of a member,
+// or of a life that may become one.
 func (r *Replica) SetSuspected(id MemberID, suspected bool) {
 	if !suspected {
-		delete(r.suspected, id)
+		delete(r.suspected, id.Life())
 	} else {
-		r.suspected[id] = true
+		r.suspected[id.Life()] = true
 	}
 	peer, known := r.leading.peers[id]
 	if known && !suspected {
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -225,7 +225,9 @@
 
 func (h *Host) newShard(id structs.ShardID, restored journal.Restored) *shard {
 	random := rand.New(rand.NewPCG(h.options.Seed, uint64(id)))
-	config := journal.DefaultConfig(id, h.self, random)
+	self := h.self
+	self.Admission = restored.State.GetAdmission()
+	config := journal.DefaultConfig(id, self, random)
 	return newShard(h, id, h.workers[int(id)%len(h.workers)], journal.New(config, restored))
 }
 
--- a/internal/replication/inputs.go
+++ b/internal/replication/inputs.go
@@ -15,27 +15,35 @@
 
 func (in *inputMessages) run(w *worker) {
 	for _, message := range in.messages {
+		from, to := in.from, w.host.self
+		from.Admission, to.Admission = message.FromAdmission, message.ToAdmission
 		found, exists := w.host.shard(structs.ShardID(message.Shard))
+		if exists && message.ToAdmission > found.replica.Self().Admission && journal.Admits(message.Type) {
+			// A later admission says that the removal of this one is committed.
+			found.leave()
+			exists = false
+		}
 		if !exists {
-			if found = w.host.admit(in.from, message, w); found == nil {
+			if found = w.host.admit(from, message, w); found == nil {
 				continue
 			}
 		}
-		found.replica.Step(in.from, w.host.self, message)
+		found.replica.Step(from, to, message)
 		w.touched[found] = true
 	}
 }
 
-// admit makes an empty replica for a message that a group sent to this very
-// incarnation. It holds no vote and no entry, and has forgotten none.
+// admit makes an empty replica for a message that a group sent to an identity
+// which this daemon has not had yet.
 func (h *Host) admit(from journal.MemberID, message *journalv1.Message, w *worker) *shard {
 	if message.Type == journalv1.MessageType_MESSAGE_TYPE_PROBE {
 		w.send([]journal.Envelope{{To: from, Message: &journalv1.Message{
 			Shard: message.Shard, Type: journalv1.MessageType_MESSAGE_TYPE_PROBE_ANSWER, Term: message.Term,
+			FromAdmission: message.ToAdmission, ToAdmission: message.FromAdmission,
 		}}})
 		return nil
 	}
-	if !admits(message.Type) || h.failed.Load() != nil {
+	if !journal.Admits(message.Type) || h.failed.Load() != nil {
 		return nil
 	}
 	id := structs.ShardID(message.Shard)
@@ -44,30 +52,22 @@
 	if raced, exists := h.shard(id); exists {
 		return raced
 	}
-	restored := journal.Restored{}
-	if tombstone := h.former[id].tombstone; tombstone != nil {
-		restored.State = tombstone
+	if tombstone := h.former[id].tombstone; tombstone != nil && message.ToAdmission <= tombstone.Admission {
+		return nil
 	}
-	created := h.newShard(id, restored)
+	created := h.newShard(id, journal.Restored{State: &journalv1.State{Admission: message.ToAdmission}})
 	h.addShardLocked(created)
 	return created
 }
 
-func admits(kind journalv1.MessageType) bool {
-	switch kind {
-	case journalv1.MessageType_MESSAGE_TYPE_APPEND, journalv1.MessageType_MESSAGE_TYPE_SNAPSHOT,
-		journalv1.MessageType_MESSAGE_TYPE_VOTE, journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE:
-		return true
-	}
-	return false
-}
-
 type inputCreated struct{ shard *shard }
 
 func (in *inputCreated) run(w *worker) { w.touched[in.shard] = true }
 
 type inputPropose struct {
-	shard  *shard
+	shard *shard
+	// term is the only one in which data may be appended; 0 means any.
+	term   uint64
 	data   []byte
 	waiter *waiter
 }
@@ -104,7 +104,6 @@
 }
 
 func (in *inputReconcile) run(w *worker) {
-	in.shard.refreshSuspicion()
 	in.shard.reconcile(in.wanted)
 	w.touched[in.shard] = true
 }
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -37,6 +37,7 @@
 	ensuring   []*waiter
 
 	genesis *journal.Snapshot
+	wanted  []Member
 	// servingTerm is the term in which OnLeadership was told of leading, or 0.
 	servingTerm uint64
 	// membersIndex is the membership whose suspicions were looked up.
@@ -109,6 +110,10 @@
 	taken := queued[:0]
 	data := make([][]byte, 0, len(queued))
 	for _, item := range queued {
+		if item.term != 0 && item.term != s.term() {
+			item.waiter.finish(s.notLeader())
+			continue
+		}
 		if item.waiter.take() {
 			taken = append(taken, item)
 			data = append(data, item.data)
@@ -143,7 +148,7 @@
 
 func (s *shard) notLeader() error {
 	_, _, leader, _, _ := s.replica.Position()
-	if leader == s.host.self {
+	if leader.Life() == s.host.self {
 		leader = journal.MemberID{}
 	}
 	return &failure.NotLeader{Shard: uint32(s.id), Leader: string(leader.Node)}
@@ -341,7 +346,9 @@
 }
 
 func (s *shard) reconcile(wanted []Member) {
-	wantedHere := slices.ContainsFunc(wanted, func(m Member) bool { return m.ID() == s.host.self })
+	wantedHere := slices.ContainsFunc(wanted, func(m Member) bool { return m.ID().Life() == s.host.self })
+	s.wanted = wanted
+	s.refreshSuspicion()
 	s.leaving.Store(len(wanted) > 0 && !wantedHere)
 	s.replica.SetWanted(wanted)
 	if s.leaving.Load() {
--- a/internal/replication/suspicion.go
+++ b/internal/replication/suspicion.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,11 +107,12 @@
 	}
 }
 
-// refreshSuspicion tells the replica what is held of its members.
+// refreshSuspicion tells the replica what is held of its present and wanted
+// members.
 func (s *shard) refreshSuspicion() {
 	s.membersIndex = s.replica.MembershipIndex()
-	for _, member := range s.replica.Members() {
-		if member.ID() != s.host.self {
+	for _, member := range slices.Concat(s.replica.Members(), s.wanted) {
+		if member.ID().Life() != s.host.self {
 			s.replica.SetSuspected(member.ID(), s.host.suspects.suspected(member))
 		}
 	}
--- a/internal/replication/worker.go
+++ b/internal/replication/worker.go
@@ -26,7 +26,8 @@
 	// ticks. Both belong to the worker's goroutine.
 	touched map[*shard]bool
 	active  map[*shard]bool
-	outbox  map[journal.MemberID][]*journalv1.Message
+	// outbox holds messages by the receiver's life.
+	outbox map[journal.MemberID][]*journalv1.Message
 }
 
 func newWorker(h *Host, _ uint64) *worker {
@@ -107,7 +108,8 @@
 
 func (w *worker) send(envelopes []journal.Envelope) {
 	for _, envelope := range envelopes {
-		w.outbox[envelope.To] = append(w.outbox[envelope.To], envelope.Message)
+		to := envelope.To.Life()
+		w.outbox[to] = append(w.outbox[to], envelope.Message)
 	}
 }
 
