--- a/internal/failure/backend.go
+++ b/internal/failure/backend.go
@@ -233,6 +233,26 @@
 // Retry says when to send the request again.
 func (e *StreamBroken) Retry() Retry { return Retry{Allowed: true} }
 
+// OrderUnknown reports an order to an engine that got no answer: it may have been
+// taken, or may still be.
+type OrderUnknown struct {
+	// Engine is the engine's address.
+	Engine string
+}
+
+func (e *OrderUnknown) Error() string {
+	return fmt.Sprintf("no answer from engine %s to an order", e.Engine)
+}
+
+// Type returns "order_unknown".
+func (e *OrderUnknown) Type() Type { return "order_unknown" }
+
+// Outcome returns OutcomeUnknown.
+func (e *OrderUnknown) Outcome() Outcome { return OutcomeUnknown }
+
+// Retry says when to send the request again.
+func (e *OrderUnknown) Retry() Retry { return Retry{Allowed: true} }
+
 // Internal wraps an error of no known kind.
 type Internal struct {
 	// Cause is the error.
