--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -7,6 +7,30 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+)
+
+var (
+	metricRequests = telemetry.Define(telemetry.Definition{
+		Name: "caller_requests_total", Kind: telemetry.KindCounter, Unit: "requests",
+		Help:   "Requests of callers by method and HTTP status code.",
+		Labels: []string{"method", "code"},
+	})
+	metricFailures = telemetry.Define(telemetry.Definition{
+		Name: "caller_failures_total", Kind: telemetry.KindCounter, Unit: "failures",
+		Help:   "Failures told to callers by type and outcome.",
+		Labels: []string{"type", "outcome"},
+	})
+	metricSeconds = telemetry.Define(telemetry.Definition{
+		Name: "caller_request_seconds", Kind: telemetry.KindHistogram, Unit: "seconds",
+		Help:    "Time from a request's arrival to the end of its response.",
+		Labels:  []string{"method"},
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+	})
+	metricUnderWay = telemetry.Define(telemetry.Definition{
+		Name: "caller_requests_under_way", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Requests of callers whose response has not ended.",
+	})
 )
 
 // Metrics counts what callers ask and what they are told. A nil *Metrics
@@ -18,29 +42,14 @@
 	underWay prometheus.Gauge
 }
 
-// NewMetrics registers the metrics.
-func NewMetrics(registry prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "barleyshelf_caller_requests_total",
-			Help: "Requests of callers by method and HTTP status code.",
-		}, []string{"method", "code"}),
-		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "barleyshelf_caller_failures_total",
-			Help: "Failures told to callers by type and outcome.",
-		}, []string{"type", "outcome"}),
-		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "barleyshelf_caller_request_seconds",
-			Help:    "Time from a request's arrival to the end of its response, in seconds.",
-			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
-		}, []string{"method"}),
-		underWay: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "barleyshelf_caller_requests_under_way",
-			Help: "Requests of callers whose response has not ended.",
-		}),
+// NewMetrics makes the metrics in the registry, once.
+func NewMetrics(registry *telemetry.Registry) *Metrics {
+	return &Metrics{
+		requests: registry.Counter(metricRequests),
+		failures: registry.Counter(metricFailures),
+		seconds:  registry.Histogram(metricSeconds),
+		underWay: registry.Gauge(metricUnderWay).WithLabelValues(),
 	}
-	registry.MustRegister(m.requests, m.failures, m.seconds, m.underWay)
-	return m
 }
 
 // begin counts a request and returns what to call at its end.
