--- a/internal/journal/check_test.go
+++ b/internal/journal/check_test.go
@@ -108,6 +108,7 @@
 		{"skip the election restriction", faults{broken: breakage{skipElectionCheck: true}}, profiles[0]},
 		{"serve before the own no-op", faults{broken: breakage{serveBeforeNoop: true}}, profiles[0]},
 		{"confirm without a majority", faults{broken: breakage{confirmAlone: true}}, profiles[3]},
+		{"count the own vote before it is stored", faults{broken: breakage{countUnstoredVote: true}}, profiles[1]},
 		{"acknowledge before it is stored", faults{broken: breakage{acknowledgeUnstored: true}}, profiles[0]},
 		{"re-admit under the old identity", faults{broken: breakage{reuseAdmission: true}}, profiles[1]},
 		{"learners count in majorities", faults{broken: breakage{learnersCount: true}}, profiles[1]},
--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -79,7 +79,13 @@
 	r.role = PreCandidate
 	r.leader = MemberID{}
 	r.doubt = doubt{}
+	r.startPreVote()
+}
+
+func (r *Replica) startPreVote() {
 	r.startRound(journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE, r.term+1)
+	r.election.granted[r.config.Self] = true
+	r.countVotes()
 }
 
 // stand is the election proper, after a majority granted the pre-vote.
@@ -91,10 +97,19 @@
 	r.vote = r.config.Self
 	r.stateChanged = true
 	r.startRound(journalv1.MessageType_MESSAGE_TYPE_VOTE, r.term)
+	if r.broken.countUnstoredVote {
+		r.election.granted[r.config.Self] = true
+		r.countVotes()
+		return
+	}
+	// The own vote counts only when it is stored, like any other's.
+	r.sendStored(r.config.Self, &journalv1.Message{
+		Type: journalv1.MessageType_MESSAGE_TYPE_VOTE_ANSWER, Term: r.term,
+	})
 }
 
 func (r *Replica) startRound(kind journalv1.MessageType, term uint64) {
-	r.election.granted = map[MemberID]bool{r.config.Self: true}
+	r.election.granted = map[MemberID]bool{}
 	r.election.retryIn = r.config.ElectionTicks + r.config.Random.IntN(r.config.ElectionTicks)
 	index, logTerm := r.log.last(), r.log.lastTerm()
 	for _, member := range r.current().members {
@@ -105,7 +120,6 @@
 			Type: kind, Term: term, Index: index, LogTerm: logTerm, Transfer: r.election.transfer,
 		})
 	}
-	r.countVotes()
 }
 
 func (r *Replica) countVotes() {
@@ -139,7 +153,7 @@
 	}
 	if r.election.retryIn <= 0 {
 		r.role = PreCandidate
-		r.startRound(journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE, r.term+1)
+		r.startPreVote()
 	}
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// Envelope is a message and the member it is for.
+// Envelope is a message and the member it is for, which may be the sender.
 type Envelope struct {
 	To      MemberID
 	Message *journalv1.Message
@@ -173,6 +173,7 @@
 	serveBeforeNoop     bool
 	confirmAlone        bool
 	acknowledgeUnstored bool
+	countUnstoredVote   bool
 	reuseAdmission      bool
 	learnersCount       bool
 }
--- a/internal/journal/leader.go
+++ b/internal/journal/leader.go
@@ -101,6 +101,7 @@
 			r.leading.departing[id] = departureNotices
 		}
 	}
+	r.releaseSnapshot()
 }
 
 func (r *Replica) appendOwn(entry *journalv1.Entry) {
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -104,8 +104,22 @@
 	if peer.snapshot == 0 || peer.match < min(peer.snapshot, r.log.base) {
 		return
 	}
+	r.abandonSnapshot(peer)
+}
+
+// abandonSnapshot stops sending a snapshot to the member, and forgets it when
+// no other member wants it.
+func (r *Replica) abandonSnapshot(peer *progress) {
+	if peer.snapshot == 0 {
+		return
+	}
 	peer.snapshot = 0
 	peer.next = peer.match + 1
+	peer.probing = true
+	r.releaseSnapshot()
+}
+
+func (r *Replica) releaseSnapshot() {
 	for _, other := range r.leading.peers {
 		if other.snapshot != 0 {
 			return
--- a/internal/journal/step.go
+++ b/internal/journal/step.go
@@ -2,10 +2,11 @@
 
 import "github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
 
-// Step takes one message from another member. A message to another identity of
+// Step takes one message from a member; a vote of the replica itself comes the
+// same way. A message to another identity of
 // this node is dropped: it concerns promises that this one never made.
 func (r *Replica) Step(from, to MemberID, m *journalv1.Message) {
-	if to != r.config.Self || from == r.config.Self || r.removed {
+	if to != r.config.Self || r.removed {
 		return
 	}
 	switch {
--- a/internal/journal/tick.go
+++ b/internal/journal/tick.go
@@ -126,9 +126,14 @@
 	} else {
 		r.suspected[id.Life()] = true
 	}
-	peer, known := r.leading.peers[id]
-	if known && !suspected {
-		peer.delay = r.config.RetransmitTicks
-		peer.waited = peer.delay
+	for peerID, peer := range r.leading.peers {
+		switch {
+		case peerID.Life() != id.Life():
+		case suspected:
+			r.abandonSnapshot(peer)
+		default:
+			peer.delay = r.config.RetransmitTicks
+			peer.waited = peer.delay
+		}
 	}
 }
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -16,8 +16,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// StateMachine is the state of one shard. The host calls Apply and Restore
-// from one goroutine at a time; Snapshot may be called while neither runs.
+// StateMachine is the state of one shard. The host calls one of its methods at
+// a time, from changing goroutines.
 type StateMachine interface {
 	// Apply takes one committed record; index only rises.
 	Apply(index uint64, data []byte)
@@ -164,7 +164,7 @@
 			return &failure.DiskFailed{Cause: err}
 		}
 	}
-	created.snapshotBytes = len(found.Snapshot.Data)
+	created.snapshotBytes, created.storedSnapshot = len(found.Snapshot.Data), found.Snapshot.Index
 	h.addShard(created)
 	return nil
 }
--- a/internal/replication/persist.go
+++ b/internal/replication/persist.go
@@ -27,6 +27,7 @@
 		write.Snapshot, s.genesis = s.genesis, nil
 	}
 	if write.Snapshot != nil {
+		s.storedSnapshot = write.Snapshot.Index
 		s.snapshotBytes, s.logBytes = len(write.Snapshot.Data), 0
 	}
 	for _, entry := range ready.Entries {
@@ -47,11 +48,7 @@
 	if s.host.store == nil || s.logBytes < max(minimumSnapshotBytes, s.snapshotBytes) {
 		return
 	}
-	snapshot, err := s.takeSnapshot()
-	if err != nil {
-		eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
-		return
-	}
-	s.logBytes, s.snapshotBytes = 0, len(snapshot.Data)
-	s.host.store.write(Write{Shard: s.id, Snapshot: &snapshot, KeepLater: true}, nil)
+	s.logBytes = 0
+	s.jobs.store = true
+	s.startJob()
 }
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -45,7 +45,12 @@
 	// logBytes counts what was stored since the last stored snapshot, which
 	// had snapshotBytes.
 	logBytes, snapshotBytes int
-	dropped                 bool
+	// storedSnapshot is the index of the snapshot last handed to the store.
+	storedSnapshot uint64
+	// applied is the last entry that the state machine holds.
+	applied uint64
+	jobs    jobs
+	dropped bool
 }
 
 // proposal is a record in the log whose proposer waits.
@@ -61,6 +66,7 @@
 
 func newShard(h *Host, id structs.ShardID, w *worker, replica *journal.Replica) *shard {
 	s := &shard{host: h, id: id, worker: w, replica: replica, machine: h.options.NewStateMachine(id)}
+	_, _, _, _, s.applied = replica.Position()
 	s.refreshSuspicion()
 	s.publish()
 	return s
@@ -91,6 +97,8 @@
 		return
 	}
 	s.compact()
+	s.startJob()
+	s.answerRounds()
 	s.noteLeadership()
 	s.answerEnsuring()
 	s.publish()
@@ -193,17 +201,13 @@
 	s.worker.send(ready.Early)
 	s.store(ready)
 	if ready.Snapshot != nil {
-		if err := s.restoreMachine(ready.Snapshot.Data); err != nil {
-			eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
-		}
-	}
-	for _, entry := range ready.Committed {
-		s.apply(entry)
-	}
-	s.answerRounds(ready.Confirmed)
-	if ready.SnapshotWanted {
-		s.offerSnapshot()
+		s.jobs.restore, s.jobs.deferred = ready.Snapshot, nil
+		s.startJob()
 	}
+	s.applyAll(ready.Committed)
+	s.jobs.confirmed = max(s.jobs.confirmed, ready.Confirmed)
+	s.jobs.offer = s.jobs.offer || ready.SnapshotWanted
+	s.startJob()
 	if ready.Removed {
 		s.leave()
 	}
@@ -216,6 +220,7 @@
 			s.machine.Apply(entry.Index, data)
 		}
 	}
+	s.applied = entry.Index
 	for len(s.proposals) > 0 && s.proposals[0].index <= entry.Index {
 		waiting := s.proposals[0]
 		s.proposals = s.proposals[1:]
@@ -228,36 +233,18 @@
 	}
 }
 
-func (s *shard) answerRounds(confirmed uint64) {
-	for len(s.rounds) > 0 && s.rounds[0].round <= confirmed {
+func (s *shard) answerRounds() {
+	for s.jobs.idle() && len(s.rounds) > 0 && s.rounds[0].round <= s.jobs.confirmed {
 		s.rounds[0].waiter.finish(nil)
 		s.rounds = s.rounds[1:]
 	}
 }
 
-func (s *shard) offerSnapshot() {
-	snapshot, err := s.takeSnapshot()
-	if err != nil {
-		eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
-		return
-	}
-	s.replica.OfferSnapshot(snapshot)
-}
-
-func (s *shard) takeSnapshot() (journal.Snapshot, error) {
-	data, err := s.machine.Snapshot()
-	if err != nil {
-		return journal.Snapshot{}, err
-	}
-	index, term, members := s.replica.AppliedPosition()
-	return journal.Snapshot{Index: index, Term: term, Membership: members, Data: encodeRecord(data)}, nil
-}
-
 // noteLeadership tells the daemon of changes, and those who wait on a
 // leadership that is over.
 func (s *shard) noteLeadership() {
 	role, term, _, _, _ := s.replica.Position()
-	serving := s.replica.Serving()
+	serving := s.serving()
 	if s.servingTerm != 0 && (!serving || term != s.servingTerm) {
 		eventNotLeading.Log("shard", s.id, "term", s.servingTerm)
 		s.host.notices.notify(leadershipNotice{shard: s.id, term: s.servingTerm})
@@ -273,6 +260,10 @@
 	}
 }
 
+// serving reports whether the replica leads and all that was committed before
+// is applied here.
+func (s *shard) serving() bool { return s.replica.Serving() && s.jobs.idle() }
+
 func (s *shard) failWaiting(proposed, confirming error) {
 	for _, waiting := range s.proposals {
 		waiting.waiter.finish(proposed)
@@ -284,10 +275,10 @@
 }
 
 func (s *shard) publish() {
-	role, term, leader, commit, applied := s.replica.Position()
+	role, term, leader, commit, _ := s.replica.Position()
 	s.status.Store(&Status{
-		Shard: s.id, Role: role, Term: term, Leader: leader.Node, Serving: s.replica.Serving(),
-		Members: s.replica.Members(), MembersIndex: s.replica.MembershipIndex(), Commit: commit, Applied: applied,
+		Shard: s.id, Role: role, Term: term, Leader: leader.Node, Serving: s.serving(),
+		Members: s.replica.Members(), MembersIndex: s.replica.MembershipIndex(), Commit: commit, Applied: s.applied,
 	})
 }
 
@@ -311,7 +302,7 @@
 		return
 	}
 	role, _, leader, _, _ := s.replica.Position()
-	if s.replica.LeaderConfirmed() && (role != journal.Leader || s.replica.Serving()) {
+	if s.replica.LeaderConfirmed() && (role != journal.Leader || s.serving()) {
 		for _, waiting := range s.ensuring {
 			waiting.leader = leader.Node
 			waiting.finish(nil)
--- a/internal/replication/suspicion.go
+++ b/internal/replication/suspicion.go
@@ -14,12 +14,20 @@
 // that are suspected or alive again.
 const nodesInterval = 200 * time.Millisecond
 
+// flagLifetime is how long NodeSuspected counts. A node that is gone is by then
+// suspected in the view; one that is not must not be left out for ever, since
+// it is heard only when it is sent something.
+const flagLifetime = 2 * time.Second
+
 // suspects holds the nodes that NodeSuspected named and that were not heard
 // since, and the last view of the cluster.
 type suspects struct {
-	flagged sync.Map // structs.NodeID -> bool
+	flagged sync.Map // structs.NodeID -> time.Time
 	count   atomic.Int64
 	view    atomic.Pointer[map[structs.NodeID]structs.Node]
+	// first and seen tell whether a view is the one looked at last.
+	first *structs.Node
+	seen  int
 }
 
 // heard takes back a suspicion: the node has sent something.
@@ -33,11 +41,24 @@
 }
 
 func (s *suspects) flag(id structs.NodeID) {
-	if _, was := s.flagged.LoadOrStore(id, true); !was {
+	if _, was := s.flagged.Swap(id, time.Now()); !was {
 		s.count.Add(1)
 	}
 }
 
+// expire takes back suspicions that are too old.
+func (s *suspects) expire(now time.Time) {
+	if s.count.Load() == 0 {
+		return
+	}
+	s.flagged.Range(func(id, since any) bool {
+		if now.Sub(since.(time.Time)) >= flagLifetime && s.flagged.CompareAndDelete(id, since) {
+			s.count.Add(-1)
+		}
+		return true
+	})
+}
+
 // suspected reports whether the member is held to be gone.
 func (s *suspects) suspected(member Member) bool {
 	if _, flagged := s.flagged.Load(member.Node); flagged {
@@ -54,8 +75,16 @@
 	return node.State == structs.NodeSuspect || node.State == structs.NodeDead
 }
 
-// update takes a view and reports whether a node's state or life changed.
+// update takes a view and reports whether a node's state or life changed. A
+// view that is the very one seen before costs nothing.
 func (s *suspects) update(nodes []structs.Node) bool {
+	if len(nodes) > 0 && len(nodes) == s.seen && &nodes[0] == s.first {
+		return false
+	}
+	s.seen, s.first = len(nodes), nil
+	if len(nodes) > 0 {
+		s.first = &nodes[0]
+	}
 	next := make(map[structs.NodeID]structs.Node, len(nodes))
 	changed := false
 	var previous map[structs.NodeID]structs.Node
@@ -75,7 +104,8 @@
 }
 
 // NodeSuspected tells the host that the failure detector suspects a node. The
-// suspicion lasts until the node is heard here again.
+// suspicion lasts until the node is heard here again, and at most 2 s beyond
+// what the view of the cluster says.
 func (h *Host) NodeSuspected(id structs.NodeID) {
 	h.suspects.flag(id)
 	h.refreshSuspicions()
@@ -93,6 +123,7 @@
 	defer ticker.Stop()
 	flagged := int64(0)
 	for {
+		h.suspects.expire(time.Now())
 		changed := h.options.Nodes != nil && h.suspects.update(h.options.Nodes())
 		count := h.suspects.count.Load()
 		if changed || count != flagged {
--- a/internal/replication/worker.go
+++ b/internal/replication/worker.go
@@ -134,10 +134,15 @@
 }
 
 func (w *worker) sendBatch(to journal.MemberID, messages []*journalv1.Message) {
-	w.host.options.Transport.Send(to.Node, &journalv1.Batch{
+	batch := &journalv1.Batch{
 		Messages: messages, FromNode: string(w.host.self.Node), FromIncarnation: uint64(w.host.self.Incarnation),
 		ToIncarnation: uint64(to.Incarnation),
-	})
+	}
+	if to == w.host.self {
+		w.host.Receive(batch)
+		return
+	}
+	w.host.options.Transport.Send(to.Node, batch)
 }
 
 func payloadBytes(message *journalv1.Message) int {
