--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -54,6 +54,9 @@
 // again), *failure.Internal.
 func (s *Service) Apply(ctx context.Context, confirmation Confirmation) (Applied, error) {
 	kept, err := s.load(ctx, confirmation.PlanID)
+	if failure.IsType(err, (&UnknownPlan{}).Type()) {
+		return s.appliedBefore(ctx, confirmation.PlanID)
+	}
 	if err != nil {
 		return Applied{}, err
 	}
@@ -78,6 +81,26 @@
 	return Applied{}, &Unavailable{Operation: "apply " + kept.ID}
 }
 
+// appliedBefore answers for a plan that is no longer kept, by the audit trail.
+func (s *Service) appliedBefore(ctx context.Context, id string) (Applied, error) {
+	base, wellFormed := plan.BaseOf(id)
+	if !wellFormed {
+		return Applied{}, &UnknownPlan{PlanID: id}
+	}
+	inForce, err := s.InForce(ctx)
+	if err != nil {
+		return Applied{}, err
+	}
+	record, err := s.successor(ctx, inForce, base)
+	if err != nil {
+		return Applied{}, err
+	}
+	if record == nil || record.PlanID != id {
+		return Applied{}, &UnknownPlan{PlanID: id}
+	}
+	return Applied{PlanID: id, Version: record.Version, Repeated: true}, nil
+}
+
 // try reads where things stand and sends the change if it is still to be made.
 func (a *application) try(ctx context.Context) (Applied, error) {
 	inForce, err := a.service.InForce(ctx)
--- a/internal/operator/handler_test.go
+++ b/internal/operator/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -15,6 +16,29 @@
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 )
 
+// TestPlanThatIsNoLongerKept: the platform may expire plans.
+func TestPlanThatIsNoLongerKept(t *testing.T) {
+	store := newObjectStore()
+	service := newTestService(direct{store}, plan.Use{Known: true})
+	wanted := example(t)
+	first, err := service.Create(context.Background(), "lin", wanted)
+	require.NoError(t, err)
+	_, err = service.Apply(context.Background(), Confirmation{Operator: "lin", PlanID: first.ID})
+	require.NoError(t, err)
+	wanted.Tenants[0].Weight = 9
+	second, err := service.Create(context.Background(), "lin", clone(wanted))
+	require.NoError(t, err)
+	delete(store.objects, PlanPrefix+first.ID)
+	delete(store.objects, PlanPrefix+second.ID)
+	again, err := service.Apply(context.Background(), Confirmation{Operator: "wu", PlanID: first.ID})
+	require.NoError(t, err)
+	require.Equal(t, Applied{PlanID: first.ID, Version: store.roots[0].Version, Repeated: true}, again)
+	_, err = service.Apply(context.Background(), Confirmation{Operator: "wu", PlanID: second.ID})
+	var unknown *UnknownPlan
+	require.ErrorAs(t, err, &unknown)
+	require.Len(t, store.roots, 1)
+}
+
 // TestBadRequestsAreRefusedTypedAndChangeNothing sends what no client of ours
 // would send.
 func TestBadRequestsAreRefusedTypedAndChangeNothing(t *testing.T) {
