fleet: order engines to what is declared, under a fence

One daemon a zone, elected by rendezvous hash, plans the smallest moves that make a group of up to 64 engines what the declarations say: models, versions, adapters, roles. Its token is the platform's revision of the group's fence object, so no two holders share one. It orders nothing that ends streams before every reachable engine of the group has seen the token, drains first, and takes one replica of a model away at a time.

--- a/internal/emulator/engine_api.go
+++ b/internal/emulator/engine_api.go
@@ -26,6 +26,7 @@
 	problemIncarnation = &engineProblem{status: http.StatusGone, kind: "engine_gone", detail: "another incarnation lives"}
 	problemNotLoaded   = &engineProblem{status: http.StatusConflict, kind: "not_loaded", detail: "the adapter's model is not loaded"}
 	problemNoRoom      = &engineProblem{status: http.StatusConflict, kind: "no_room", detail: "no room for another model"}
+	problemBusy        = &engineProblem{status: http.StatusConflict, kind: "busy", detail: "streams are under way"}
 	problemSource      = &engineProblem{status: http.StatusBadGateway, kind: "source_unavailable", detail: "the other engine gave no cache"}
 	problemCacheFull   = &engineProblem{status: http.StatusInsufficientStorage, kind: "cache_full", detail: "no room for the cache"}
 )
--- a/internal/emulator/engine_orders.go
+++ b/internal/emulator/engine_orders.go
@@ -56,16 +56,32 @@
 	case engineapi.OrderKindLoad:
 		return e.load(r, record)
 	case engineapi.OrderKindUnload:
-		e.unload(record, now)
+		users := e.using(func(s *stream) bool { return usesModel(s, record) })
+		if r.IfIdle.Or(false) && len(users) > 0 {
+			return problemBusy
+		}
+		record.StreamsCut = e.cut(users, now)
+		e.unload(record)
 	case engineapi.OrderKindRole:
-		if record.Role != e.batch.role {
-			record.StreamsCut = e.cut(func(*stream) bool { return true }, now)
-			e.batch.role = record.Role
+		if record.Role == e.batch.role {
+			return nil
+		}
+		users := e.using(func(*stream) bool { return true })
+		if r.IfIdle.Or(false) && len(users) > 0 {
+			return problemBusy
 		}
+		record.StreamsCut = e.cut(users, now)
+		e.batch.role = record.Role
 	}
 	return nil
 }
 
+// usesModel reports whether a stream needs what an unload order takes away.
+func usesModel(s *stream, order *OrderRecord) bool {
+	return s.record.Model == order.Model && s.record.Version == order.Version &&
+		(order.Adapter == "" || s.record.Adapter == order.Adapter)
+}
+
 // load starts to fetch a model or an adapter. One that is loaded or loading
 // already is left as it is.
 func (e *Engine) load(r *engineapi.Order, record *OrderRecord) *engineProblem {
@@ -120,12 +136,8 @@
 	return client.Fetch(ctx, request)
 }
 
-// unload drops a model, or an adapter of it, with the streams that use it.
-func (e *Engine) unload(record *OrderRecord, now time.Time) {
-	record.StreamsCut = e.cut(func(s *stream) bool {
-		return s.record.Model == record.Model && s.record.Version == record.Version &&
-			(record.Adapter == "" || s.record.Adapter == record.Adapter)
-	}, now)
+// unload drops a model, or an adapter of it.
+func (e *Engine) unload(record *OrderRecord) {
 	gone := structs.LoadedModel{Model: record.Model, Version: record.Version}
 	if record.Adapter != "" {
 		gone.Adapters = []string{record.Adapter}
@@ -137,14 +149,21 @@
 	}
 }
 
-// cut ends the streams that match and returns their number.
-func (e *Engine) cut(match func(*stream) bool, now time.Time) int {
-	count := 0
+// using returns the streams under way that match.
+func (e *Engine) using(match func(*stream) bool) []*stream {
+	var found []*stream
 	for _, s := range e.batch.streams {
 		if !s.ended() && match(s) {
-			e.batch.end(s, StreamCut, now)
-			count++
+			found = append(found, s)
 		}
 	}
-	return count
+	return found
+}
+
+// cut ends streams and returns their number.
+func (e *Engine) cut(streams []*stream, now time.Time) int {
+	for _, s := range streams {
+		e.batch.end(s, StreamCut, now)
+	}
+	return len(streams)
 }
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/engineapi"
@@ -25,8 +26,10 @@
 	// Incarnation is the one that the order is for; 0 for whichever lives.
 	Incarnation structs.Incarnation
 	Kind        OrderKind
-	Model       structs.ModelName
-	Version     string
+	// IfIdle makes the engine refuse an order that would end streams.
+	IfIdle  bool
+	Model   structs.ModelName
+	Version string
 	// Adapter is empty for the model itself.
 	Adapter string
 	Role    structs.EngineRole
@@ -71,9 +74,9 @@
 }
 
 // Order sends an order. A load goes on after the engine took it: the status
-// shows when it is done. Errors: *failure.FenceRejected and *failure.EngineGone
-// (not taken), *failure.EngineUnavailable (refused for now, or no answer: it may
-// have been taken; orders may be repeated).
+// shows when it is done. Errors: *failure.FenceRejected, *failure.EngineGone and
+// *failure.EngineUnavailable (not taken), *failure.OrderUnknown (no answer: it
+// may have been taken, or still be; orders may be repeated).
 func (c *Client) Order(ctx context.Context, address string, o Order) error {
 	api, err := c.api(address)
 	if err != nil {
@@ -81,13 +84,20 @@
 	}
 	request := &engineapi.Order{Fence: o.Fence, Kind: engineapi.OrderKind(o.Kind)}
 	request.Incarnation.SetTo(uint64(o.Incarnation))
+	request.IfIdle.SetTo(o.IfIdle)
 	request.Model.SetTo(string(o.Model))
 	request.Version.SetTo(o.Version)
 	request.Adapter.SetTo(o.Adapter)
 	request.Role.SetTo(string(o.Role))
 	request.WeightsBytes.SetTo(o.WeightsBytes)
 	request.Priority.SetTo(o.Priority)
-	err = translate(address, api.PostOrder(ctx, request))
+	traced, sent := traceSent(ctx)
+	err = api.PostOrder(traced, request)
+	var answer *engineapi.ProblemStatusCode
+	if err != nil && !errors.As(err, &answer) && sent.Load() {
+		return &failure.OrderUnknown{Engine: address}
+	}
+	err = translate(address, err)
 	if rejected, ok := err.(*failure.FenceRejected); ok {
 		rejected.Token = o.Fence
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -99,10 +99,7 @@
 }
 
 func (c *Client) open(ctx context.Context, address, method, path string, body []byte) (*Stream, error) {
-	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	traced, sent := traceSent(ctx)
 	request, err := http.NewRequestWithContext(traced, method, strings.TrimSuffix(address, "/")+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &failure.EngineUnavailable{Engine: address, Wait: unavailableDelay}
@@ -122,6 +119,18 @@
 	return &Stream{address: address, body: response.Body, reader: bufio.NewReader(response.Body)}, nil
 }
 
+// traceSent returns a context whose request sets the flag as soon as any byte
+// of it may have left: from the moment that a connection was had. net/http looks
+// for another connection only after one on which it wrote nothing.
+func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	return httptrace.WithClientTrace(ctx, trace), &sent
+}
+
 // readProblem returns the failure that a body describes.
 func readProblem(address string, body io.Reader) error {
 	var p problem
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,7 @@
 
 	followed atomic.Pointer[followedEngines]
 	leaving  atomic.Pointer[leavingFacts]
+	drained  atomic.Pointer[drainingFacts]
 
 	// runs counts the followers' goroutines.
 	runs sync.WaitGroup
@@ -47,6 +48,7 @@
 	f := &Fleet{options: options.withDefaults(), now: time.Now}
 	f.followed.Store(&followedEngines{byID: map[structs.EngineID]*follower{}})
 	f.leaving.Store(&leavingFacts{})
+	f.drained.Store(&drainingFacts{})
 	return f
 }
 
@@ -56,6 +58,7 @@
 	now := f.now()
 	followed := f.followed.Load()
 	leaving := f.leaving.Load()
+	drained := f.drained.Load()
 	view := &View{Engines: make([]EngineView, 0, len(followed.list))}
 	for _, engine := range followed.list {
 		report := engine.report.Load()
@@ -67,6 +70,7 @@
 			engine.lost(report, now) ||
 			engine.markedUntil.Load() > now.UnixNano() ||
 			leaving.engines[report.ID] ||
+			drained.drained(report.ID, now) ||
 			followed.draining[report.Zone]
 		entry.OwnRunning, entry.OwnQueuedTokens = engine.sent.since(report.ReportedAt.Add(-f.options.ReportLag))
 		view.Engines = append(view.Engines, entry)
@@ -100,6 +104,7 @@
 	f.start(ctx, f.options.Platform != nil, f.readMachines)
 	f.start(ctx, f.options.Orphans != nil, f.sweep)
 	f.start(ctx, f.options.CacheEvent != nil, f.readCacheEvents)
+	f.start(ctx, f.options.Platform != nil, f.reconcile)
 	for {
 		f.refresh(ctx)
 		if !pause(ctx, tickInterval) {
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,17 +37,19 @@
 	Engines []structs.EngineID `json:"engines"`
 }
 
-// Observe takes a fact that another daemon published. Facts of other keys and
-// of versions no higher than the one held are passed over.
+// Observe takes a fact that another daemon published, of any key that begins
+// with "fleet/". Facts of versions no higher than the one held are passed over.
 func (f *Fleet) Observe(key string, version uint64, value []byte) {
-	if key != LeavingKey {
-		return
-	}
 	var read leavingValue
 	if json.Unmarshal(value, &read) != nil {
 		return
 	}
-	f.setLeaving(version, read.Engines)
+	switch {
+	case key == LeavingKey:
+		f.setLeaving(version, read.Engines)
+	case strings.HasPrefix(key, drainingPrefix):
+		f.setDraining(key, version, read.Engines)
+	}
 }
 
 // setLeaving puts a higher version in place of the one held.
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -7,6 +7,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/platform"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/weights"
 )
 
 // Engines is what this package asks of engines. Engines of a *engine.Client
@@ -48,6 +49,12 @@
 	LeavingMachines(ctx context.Context) ([]platform.Machine, error)
 }
 
+// WeightStore is what this package asks of the weight store; *weights.Client is
+// one.
+type WeightStore interface {
+	Load(ctx context.Context) (weights.Load, error)
+}
+
 // Options configures a Fleet. Self, Engines, Configuration and Nodes are
 // required; the other members turn parts on or have defaults.
 type Options struct {
@@ -60,6 +67,8 @@
 	// Platform gives the machine list and keeps fence tokens; nil turns the
 	// machine list and the order reconciler off.
 	Platform Objects
+	// Weights tells how much the weight store has to do; nil takes it to be idle.
+	Weights WeightStore
 	// Publish tells the other daemons a versioned fact; they hand it to Observe.
 	Publish func(key string, version uint64, value []byte)
 	// Orphans returns those of an engine's holders that the journal has no hold
--- a/internal/gen/engineapi/oas_json_gen.go
+++ b/internal/gen/engineapi/oas_json_gen.go
@@ -1061,6 +1061,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes bool as json.
+func (o OptBool) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Bool(bool(o.Value))
+}
+
+// Decode decodes bool from json.
+func (o *OptBool) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBool to nil")
+	}
+	o.Set = true
+	v, err := d.Bool()
+	if err != nil {
+		return err
+	}
+	o.Value = bool(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBool) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBool) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes int as json.
 func (o OptInt) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1224,6 +1259,12 @@
 		e.FieldStart("kind")
 		s.Kind.Encode(e)
 	}
+	{
+		if s.IfIdle.Set {
+			e.FieldStart("ifIdle")
+			s.IfIdle.Encode(e)
+		}
+	}
 	{
 		if s.Model.Set {
 			e.FieldStart("model")
@@ -1262,16 +1303,17 @@
 	}
 }
 
-var jsonFieldsNameOfOrder = [9]string{
+var jsonFieldsNameOfOrder = [10]string{
 	0: "fence",
 	1: "incarnation",
 	2: "kind",
-	3: "model",
-	4: "version",
-	5: "adapter",
-	6: "role",
-	7: "weightsBytes",
-	8: "priority",
+	3: "ifIdle",
+	4: "model",
+	5: "version",
+	6: "adapter",
+	7: "role",
+	8: "weightsBytes",
+	9: "priority",
 }
 
 // Decode decodes Order from json.
@@ -1315,6 +1357,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"kind\"")
 			}
+		case "ifIdle":
+			if err := func() error {
+				s.IfIdle.Reset()
+				if err := s.IfIdle.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ifIdle\"")
+			}
 		case "model":
 			if err := func() error {
 				s.Model.Reset()
--- a/internal/gen/engineapi/oas_schemas_gen.go
+++ b/internal/gen/engineapi/oas_schemas_gen.go
@@ -294,6 +294,52 @@
 	s.Adapters = val
 }
 
+// NewOptBool returns new OptBool with value set to v.
+func NewOptBool(v bool) OptBool {
+	return OptBool{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBool is optional bool.
+type OptBool struct {
+	Value bool
+	Set   bool
+}
+
+// IsSet returns true if OptBool was set.
+func (o OptBool) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBool) Reset() {
+	var v bool
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBool) SetTo(v bool) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBool) Get() (v bool, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBool) Or(d bool) bool {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -484,8 +530,10 @@
 	// The incarnation that the order is for; 0 for whichever lives.
 	Incarnation OptUint64 `json:"incarnation"`
 	Kind        OrderKind `json:"kind"`
-	Model       OptString `json:"model"`
-	Version     OptString `json:"version"`
+	// Refuse with problem "busy" an order that would end streams.
+	IfIdle  OptBool   `json:"ifIdle"`
+	Model   OptString `json:"model"`
+	Version OptString `json:"version"`
 	// An adapter of the model; empty for the model itself.
 	Adapter      OptString `json:"adapter"`
 	Role         OptString `json:"role"`
@@ -509,6 +557,11 @@
 	return s.Kind
 }
 
+// GetIfIdle returns the value of IfIdle.
+func (s *Order) GetIfIdle() OptBool {
+	return s.IfIdle
+}
+
 // GetModel returns the value of Model.
 func (s *Order) GetModel() OptString {
 	return s.Model
@@ -554,6 +607,11 @@
 	s.Kind = val
 }
 
+// SetIfIdle sets the value of IfIdle.
+func (s *Order) SetIfIdle(val OptBool) {
+	s.IfIdle = val
+}
+
 // SetModel sets the value of Model.
 func (s *Order) SetModel(val OptString) {
 	s.Model = val
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -117,10 +117,12 @@
 }
 
 // traceSent returns a context whose request sets the flag as soon as any byte
-// of it may have left: from the moment that a connection was had.
+// of it may have left: from the moment that a connection was had. net/http looks
+// for another connection only after one on which it wrote nothing.
 func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	}
 	return httptrace.WithClientTrace(ctx, trace), &sent
