--- a/internal/plan/places.go
+++ b/internal/plan/places.go
@@ -82,15 +82,27 @@
 	return ids
 }
 
-// nodesUnder returns the daemons, with those in closed zones as leaving.
+// nodesUnder is OpenNodes with the zones looked up already.
 func (c *comparison) nodesUnder(zones index) []structs.Node {
-	nodes := slices.Clone(c.input.Nodes)
-	for i := range nodes {
-		if !zones.open(nodes[i].Zone) {
-			nodes[i].State = structs.NodeLeaving
+	return openNodes(zones, c.input.Nodes)
+}
+
+// OpenNodes returns the daemons, with those as leaving that stand in a zone
+// that drains or isn't declared. Daemons choose replicas from this view, so
+// that what a plan says of moves is what happens.
+func OpenNodes(declarations structs.Declarations, nodes []structs.Node) []structs.Node {
+	return openNodes(indexOf(declarations), nodes)
+}
+
+func openNodes(zones index, nodes []structs.Node) []structs.Node {
+	view := slices.Clone(nodes)
+	for i := range view {
+		usable := view[i].State == structs.NodeAlive || view[i].State == structs.NodeSuspect
+		if usable && !zones.open(view[i].Zone) {
+			view[i].State = structs.NodeLeaving
 		}
 	}
-	return nodes
+	return view
 }
 
 // wantedDomain reports domains that can't have all their replicas now.
