fleet: take a mark back when the engine's later reports disagree

A failed dispatch marks an engine at once; ten seconds without new work for an engine whose stream broke once were more than the sign is worth.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,8 +88,9 @@
 	return engine.sent.add(f.now(), tokens)
 }
 
-// MarkLeaving leaves an engine out of new work for ten seconds, in which its
-// own report or the machine list confirms the sign, or it is taken back.
+// MarkLeaving leaves an engine out of new work at once, after a failure that a
+// report may not show yet. A report from more than markSettle later that does
+// not confirm it takes the mark back; without one it lasts for markDuration.
 func (f *Fleet) MarkLeaving(id structs.EngineID) {
 	if engine, known := f.followed.Load().byID[id]; known {
 		engine.markedUntil.Store(f.now().Add(markDuration).UnixNano())
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -75,13 +75,19 @@
 	}
 }
 
-// accept takes a report. Another incarnation ends a mark of the former one.
+// accept takes a report. One of another incarnation, or from later than
+// markSettle after a mark, ends the mark.
 func (f *follower) accept(status structs.EngineStatus) {
 	status.ID = f.endpoint.ID
 	status.Zone = f.endpoint.Zone
 	status.Address = f.endpoint.Address
-	if former := f.report.Load(); former != nil && former.Incarnation != status.Incarnation {
-		f.markedUntil.Store(0)
+	marked := f.markedUntil.Load()
+	markedAt := time.Unix(0, marked).Add(-markDuration)
+	former := f.report.Load()
+	restarted := former != nil && former.Incarnation != status.Incarnation
+	if marked != 0 && (restarted || status.ReportedAt.Sub(markedAt) > markSettle) {
+		// A mark made in between stays.
+		f.markedUntil.CompareAndSwap(marked, 0)
 	}
 	f.report.Store(&status)
 }
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -110,6 +110,7 @@
 	tickInterval    = 250 * time.Millisecond
 	requestTimeout  = 2 * time.Second
 	markDuration    = 10 * time.Second
+	markSettle      = time.Second
 )
 
 func (o Options) withDefaults() Options {
