--- a/internal/fleet/reconciler_test.go
+++ b/internal/fleet/reconciler_test.go
@@ -33,10 +33,14 @@
 	// owners has the reconciler that each accepted token came from.
 	owners     map[uint64]string
 	violations []string
+	// cut has the engines that a reconciler does not reach.
+	cut map[cutLink]bool
 
 	reconcilers []*pausedReconciler
 }
 
+type cutLink struct{ reconciler, address string }
+
 type sentFact struct {
 	at      time.Time
 	key     string
@@ -89,6 +93,9 @@
 }
 
 func (e reconcilerEngines) Status(_ context.Context, address string) (structs.EngineStatus, error) {
+	if e.cut[cutLink{e.name, address}] {
+		return structs.EngineStatus{}, &failure.EngineUnavailable{}
+	}
 	return e.world.find(address).report(e.now), nil
 }
 
@@ -101,6 +108,9 @@
 
 // Order takes an order as the engine's API says.
 func (e reconcilerEngines) Order(_ context.Context, address string, order engine.Order) error {
+	if e.cut[cutLink{e.name, address}] {
+		return &failure.EngineUnavailable{}
+	}
 	target := e.world.find(address)
 	if order.Incarnation != target.status.Incarnation {
 		return &failure.EngineGone{}
@@ -147,6 +157,7 @@
 		now:      time.Unix(1_000_000, 0),
 		platform: &fakePlatform{},
 		owners:   map[uint64]string{},
+		cut:      map[cutLink]bool{},
 	}
 	w.scheduler = New(Options{})
 	w.scheduler.now = func() time.Time { return w.now }
@@ -207,10 +218,13 @@
 	return &structs.Configuration{Declarations: structs.Declarations{Zones: []structs.Zone{zone}, Models: w.models}}
 }
 
-// observe gives a reconciler the engines' reports of this moment.
+// observe gives a reconciler the reports, of this moment, of the engines that it
+// reaches.
 func (w *world) observe(r *pausedReconciler) {
 	for i, e := range w.engines {
-		r.followers[i].accept(e.report(w.now))
+		if !w.cut[cutLink{string(r.fleet.options.Self.ID), e.status.Address}] {
+			r.followers[i].accept(e.report(w.now))
+		}
 	}
 }
 
@@ -311,8 +325,12 @@
 				}
 			},
 			"streams end": func(t *rapid.T) { pickEngine(t).streams = 0 },
-			"restart":     func(t *rapid.T) { pickEngine(t).restart() },
-			"platform":    func(t *rapid.T) { w.platform.down = rapid.Bool().Draw(t, "down") },
+			"cut": func(t *rapid.T) {
+				link := cutLink{string(pick(t).fleet.options.Self.ID), pickEngine(t).status.Address}
+				w.cut[link] = !w.cut[link]
+			},
+			"restart":  func(t *rapid.T) { pickEngine(t).restart() },
+			"platform": func(t *rapid.T) { w.platform.down = rapid.Bool().Draw(t, "down") },
 			"version": func(t *rapid.T) {
 				w.models = slices.Clone(w.models)
 				w.models[rapid.IntRange(0, 1).Draw(t, "model")].Version = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")
@@ -335,6 +353,7 @@
 // settle lets both reconcilers run without faults until all is as declared.
 func (w *world) settle(t *rapid.T) {
 	w.platform.down = false
+	clear(w.cut)
 	const rounds = 600
 	for range rounds {
 		for _, e := range w.engines {
