--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/executor"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
@@ -10,8 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// core is what belongs to one incarnation: its replicas and the work on them.
-// A daemon that was removed from the cluster starts again with another core.
+// core is the replicas of this daemon and the work on them.
 type core struct {
 	node     structs.Node
 	host     *replication.Host
@@ -33,10 +31,10 @@
 		Seed:          d.options.Seed,
 	})
 	host, err := replication.NewHost(replication.Options{
-		Self:            node,
+		Self:            journalNode(node),
 		DataDir:         d.settings.DataFolder,
 		Transport:       d.peers,
-		Nodes:           func() []structs.Node { return d.cluster.View().Nodes },
+		Nodes:           d.journalNodes,
 		NewStateMachine: created.executor.NewStateMachine,
 		OnLeadership: func(shard structs.ShardID, leading bool, term uint64) {
 			created.executor.LeadershipChanged(shard, leading, term)
@@ -68,27 +66,21 @@
 	}
 }
 
-// removed gives up everything of an incarnation that the others have removed,
-// before the daemon joins again under the next one.
-func (d *Daemon) removed(incarnation structs.Incarnation) structs.Incarnation {
-	d.closeCore()
-	d.core.Store(nil)
-	d.task(func() { d.restartCore(incarnation) })
-	return incarnation + 1
+// journalNode describes a daemon to the journal, to which a daemon is the same
+// for as long as it has its memory.
+func journalNode(node structs.Node) structs.Node {
+	node.Incarnation = node.Memory
+	return node
 }
 
-// restartCore starts again once the cluster shows this daemon under another
-// incarnation than the one that was removed.
-func (d *Daemon) restartCore(former structs.Incarnation) {
-	const pause = 20 * time.Millisecond
-	for d.cluster.Self().Incarnation == former {
-		if !wait(d.context, pause) {
-			return
-		}
-	}
-	if err := d.startCore(); err != nil {
-		eventCoreFailed.Log("cause", err)
+// journalNodes is the cluster's view as the journal needs it.
+func (d *Daemon) journalNodes() []structs.Node {
+	members := d.cluster.View().Nodes
+	nodes := make([]structs.Node, 0, len(members))
+	for _, node := range members {
+		nodes = append(nodes, journalNode(node))
 	}
+	return nodes
 }
 
 // forwarder sends requests to the leaders of shards on other daemons.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,9 +59,14 @@
 	peerTLS   peerSecurity
 	serverTLS *tls.Config
 
-	servers  []*server
+	servers []*server
+	// stopping is set when a planned stop begins, draining when new requests
+	// are refused for it.
+	stopping atomic.Bool
 	draining atomic.Bool
-	active   activeRequests
+	// applied is the version of the configuration that every part acts on.
+	applied atomic.Uint64
+	active  activeRequests
 
 	context  context.Context
 	cancel   context.CancelFunc
@@ -93,13 +98,14 @@
 	return d, nil
 }
 
-// selfNode describes the daemon to its peers. Its incarnation rises with the
-// clock, so that a later life has a higher one.
+// selfNode describes the daemon to its peers.
 func selfNode(configured settings.Settings) structs.Node {
 	advertised := configured.Advertised()
+	incarnation := newIncarnation()
 	return structs.Node{
 		ID:            configured.Node,
-		Incarnation:   newIncarnation(),
+		Incarnation:   incarnation,
+		Memory:        incarnation,
 		Region:        configured.Region,
 		Zone:          configured.Zone,
 		PeerAddress:   advertised.Peer,
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// leaveNotice is how long peers and callers have to see that the daemon is
-// leaving before it hands its shards over.
+// leaveNotice is how long peers have to see that the daemon is leaving, and
+// requests that were already on their way to arrive, before new ones are refused.
 const leaveNotice = 300 * time.Millisecond
 
 // activeRequests counts callers' requests under way on this daemon.
@@ -53,20 +53,21 @@
 	}
 }
 
-// Stop is the planned stop. The daemon refuses new programs and calls at once,
-// lets tool calls end, hands its shards over, finishes the answers that callers
+// Stop is the planned stop. The daemon says that it is leaving, soon refuses new
+// programs and calls, lets tool calls end, hands its shards over, finishes the answers that callers
 // are reading here, and leaves the cluster. Streams of models go on under the
 // next leader; the callers' connections to this daemon last until their answers
 // are whole. It returns early, with what ctx or the drain timeout ended.
 func (d *Daemon) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.DrainTimeoutMilliseconds)*time.Millisecond)
 	defer cancel()
-	if !d.draining.CompareAndSwap(false, true) {
+	if !d.stopping.CompareAndSwap(false, true) {
 		return nil
 	}
 	eventDraining.Log("node", d.self.ID)
 	d.cluster.Announce()
 	wait(ctx, leaveNotice)
+	d.draining.Store(true)
 	running := d.core.Load()
 	err := running.executor.Quiesce(ctx)
 	if handed := running.host.HandOver(ctx); handed != nil {
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -19,6 +19,4 @@
 		"Look at the data folder.")
 	eventPolicyUnknown = event.Define(1010, event.Warning, "the declared scheduling policy is not known here; the default is used",
 		"Upgrade the daemon, or correct the declaration.")
-	eventCoreFailed = event.Define(1011, event.Error, "the daemon could not start again after its removal",
-		"Restart the daemon.")
 )
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -83,7 +83,12 @@
 		size = defaultReplicas
 	}
 	nodes := d.aliveIn(domain)
-	if !d.settled(domain, nodes, settled) || !enough(domain, nodes, size) {
+	if !d.settled(domain, nodes, settled) {
+		return false
+	}
+	if !enough(domain, nodes, size) {
+		eventGroupsWait.Log("domain", domain.Name, "zones", domain.Zones, "nodes", len(nodes), "replicas", size)
+		delete(settled, domain.FirstShard)
 		return false
 	}
 	groups := domainGroups{Domain: domain}
@@ -172,7 +177,7 @@
 	for _, node := range nodes {
 		members = append(members, replication.Member{
 			Node:        node.ID,
-			Incarnation: node.Incarnation,
+			Incarnation: node.Memory,
 			Zone:        node.Zone,
 			Disk:        node.HasDisk,
 		})
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -30,8 +30,8 @@
 			continue
 		}
 		for _, status := range running.host.Statuses() {
+			d.reconcileShard(running, status)
 			if status.Serving {
-				d.reconcileShard(running, status)
 				d.publishChange(running, status, published)
 				continue
 			}
@@ -50,7 +50,9 @@
 	d.publishShard(running, status.Shard)
 }
 
-// reconcileShard replaces members that have left, one change at a time.
+// reconcileShard asks for members in the place of those that have left. Every
+// member of the group keeps the wish, so that whoever leads acts on it, and a
+// daemon that is stopping knows which groups must first go on without it.
 func (d *Daemon) reconcileShard(running *core, status replication.Status) {
 	configuration := d.store.InForce()
 	if configuration == nil {
@@ -147,7 +149,7 @@
 	}
 	for _, member := range status.Members {
 		if member.Node == status.Leader {
-			return member.Incarnation != leader.Incarnation
+			return member.Incarnation != leader.Memory
 		}
 	}
 	return true
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -128,7 +128,7 @@
 
 // refusal returns why callers' requests are refused as a whole, or nil.
 func (d *Daemon) refusal() failure.Failure {
-	if d.store.InForce() == nil {
+	if d.applied.Load() == 0 {
 		return &failure.NotReady{Missing: "a configuration that the platform or a peer vouches for"}
 	}
 	if d.core.Load() == nil {
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -11,15 +11,15 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// prepareStore opens the configuration store and settles the incarnation: the
-// one whose promises the data folder keeps, or a new one.
+// prepareStore opens the configuration store and settles whose journal this
+// daemon has: that in the data folder if it is intact, or a new one.
 func (d *Daemon) prepareStore() error {
 	if folder := d.settings.DataFolder; folder != "" {
-		incarnation, err := replication.OpenIdentity(folder, d.self.Incarnation)
+		incarnation, err := replication.OpenIdentity(folder, d.self.Memory)
 		if err != nil {
 			return err
 		}
-		d.self.Incarnation = incarnation
+		d.self.Memory = incarnation
 	}
 	store, err := config.NewStore(d.settings.DataFolder)
 	if err != nil {
@@ -29,6 +29,7 @@
 	d.choosePolicy(nil)
 	store.OnChange(d.tenants.Update)
 	store.OnChange(d.choosePolicy)
+	store.OnChange(func(configuration *structs.Configuration) { d.applied.Store(configuration.Version) })
 	return nil
 }
 
@@ -44,7 +45,7 @@
 		Transport: d.peers,
 		Document:  d.store.Document(),
 		Seed:      d.options.Seed,
-		OnRemoved: d.removed,
+		OnRemoved: rejoin,
 	})
 	if err != nil {
 		return err
@@ -77,6 +78,11 @@
 	})
 }
 
+// rejoin brings a daemon back that the others had removed. What it holds of the
+// journal is as good as before: a leader without a majority commits nothing, and
+// a group that went on without this daemon tells it so.
+func rejoin(removed structs.Incarnation) structs.Incarnation { return removed + 1 }
+
 // nodeChanged passes suspicions of a daemon on to the replicas.
 func (d *Daemon) nodeChanged(node structs.Node) {
 	running := d.core.Load()
--- a/internal/executor/events.go
+++ b/internal/executor/events.go
@@ -13,6 +13,8 @@
 		"Look at the cause.")
 	eventProgramEnded = event.Define(1205, event.Info, "a program was ended without its caller", "")
 	eventMoveFailed   = event.Define(1206, event.Info, "cache could not be copied between engines", "")
-	eventOrphan       = event.Define(1207, event.Warning, "an engine held memory for a program that the journal has no hold of; it was released",
+	eventInternal     = event.Define(1208, event.Error, "a request ended with a failure of no known kind",
+		"Report it with the cause; the caller was told that the outcome is unknown.")
+	eventOrphan = event.Define(1207, event.Warning, "an engine held memory for a program that the journal has no hold of; it was released",
 		"Rare ones follow a daemon's crash. Many point to an engine that keeps memory after a release.")
 )
--- a/internal/executor/refusals.go
+++ b/internal/executor/refusals.go
@@ -22,6 +22,9 @@
 		return nil
 	}
 	kind := failure.Classify(err).Type()
+	if kind == (&failure.Internal{}).Type() {
+		eventInternal.Log("cause", err)
+	}
 	entry, _ := e.refused.counts.LoadOrStore(kind, &refusalCount{})
 	count := entry.(*refusalCount)
 	count.mutex.Lock()
--- a/internal/executor/route.go
+++ b/internal/executor/route.go
@@ -64,7 +64,7 @@
 // locate returns the node to ask: the leader where this daemon holds a replica,
 // else a member of the group.
 func (e *Executor) locate(ctx context.Context, shard structs.ShardID, hops uint32, avoid map[structs.NodeID]bool) (structs.NodeID, error) {
-	if _, member := e.options.Replicator.Status(shard); member {
+	if status, held := e.options.Replicator.Status(shard); held && !status.Removed {
 		leader, err := e.options.Replicator.EnsureLeader(ctx, shard)
 		if err != nil {
 			return "", err
@@ -140,13 +140,16 @@
 	s.delay = routeDelay
 }
 
-// verdict is what the caller is told. A search in which an earlier attempt may
-// have taken effect does not end as not run.
+// verdict is what the caller is told. A search in which an attempt may have
+// taken effect does not end as not run.
 func (s *search) verdict(err error) error {
-	if err == nil || !s.unknown || !searchable(err) {
+	if err == nil || !searchable(err) {
 		return err
 	}
-	return &failure.ProposalUnknown{Shard: uint32(s.shard)}
+	if s.unknown || failure.Classify(err).Outcome() == failure.OutcomeUnknown {
+		return &failure.ProposalUnknown{Shard: uint32(s.shard)}
+	}
+	return &failure.ShardUnavailable{Shard: uint32(s.shard)}
 }
 
 // searchable reports whether another attempt may find a leader that answers.
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -59,6 +59,7 @@
 		CallerAddress: node.CallerAddress,
 		HasDisk:       node.HasDisk,
 		Witnesses:     witnesses,
+		Memory:        uint64(node.Memory),
 	})
 	if err != nil {
 		// Only a string that is not UTF-8 fails; such a node stays unknown.
@@ -152,6 +153,7 @@
 		PeerAddress:   value.PeerAddress,
 		CallerAddress: value.CallerAddress,
 		HasDisk:       value.HasDisk,
+		Memory:        structs.Incarnation(value.Memory),
 		State:         structs.NodeAlive,
 	}
 	switch {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	stream, err := c.service(address).Forward(ctx, connect.NewRequest(request))
 	if err != nil {
-		return transportFailure(address, err)
+		return &Unreachable{Address: address, Cause: err}
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
@@ -121,7 +121,7 @@
 		}
 	}
 	if err := stream.Err(); err != nil {
-		return transportFailure(address, err)
+		return &Unreachable{Address: address, Cause: err}
 	}
 	return nil
 }
@@ -130,7 +130,7 @@
 func (c *Client) ConfigInForce(ctx context.Context, address string) (uint64, error) {
 	response, err := c.service(address).ConfigInForce(ctx, connect.NewRequest(&peerv1.ConfigInForceRequest{}))
 	if err != nil {
-		return 0, transportFailure(address, err)
+		return 0, &Unreachable{Address: address, Cause: err}
 	}
 	return response.Msg.GetVersion(), nil
 }
--- a/internal/peer/failure.go
+++ b/internal/peer/failure.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 )
@@ -58,11 +56,3 @@
 		},
 	}
 }
-
-// transportFailure classifies an error of the transport itself.
-func transportFailure(address string, err error) error {
-	if connect.CodeOf(err) == connect.CodeCanceled {
-		return err
-	}
-	return &Unreachable{Address: address, Cause: err}
-}
--- a/internal/structs/node.go
+++ b/internal/structs/node.go
@@ -20,7 +20,10 @@
 	// PeerAddress is IP:port of the daemon-to-daemon listener.
 	PeerAddress string `json:"peerAddress"`
 	// CallerAddress is IP:port of the callers' listener.
-	CallerAddress string    `json:"callerAddress"`
-	HasDisk       bool      `json:"hasDisk"`
-	State         NodeState `json:"state"`
+	CallerAddress string `json:"callerAddress"`
+	HasDisk       bool   `json:"hasDisk"`
+	// Memory is the incarnation whose journal the daemon has. A daemon with a
+	// disk keeps it over restarts; one without has that of its present life.
+	Memory Incarnation `json:"memory"`
+	State  NodeState   `json:"state"`
 }
