engine: send a prompt's segments as they are

Encoding a long history as JSON cost more than the engine's work on it. The body of a generation is now one line of JSON and the segments' bytes.

--- a/internal/emulator/batch.go
+++ b/internal/emulator/batch.go
@@ -68,7 +68,8 @@
 func (b *batch) accept(r generateRequest, version string, now time.Time) *stream {
 	b.sequence++
 	root := rootDigest(r.Model, version, r.Adapter)
-	links := chain(root, r.Segments)
+	links := chain(root, r.segments)
+	digest := PromptDigest(r.segments)
 	s := &stream{
 		record: &StreamRecord{
 			ID:           r.StreamID,
@@ -77,8 +78,8 @@
 			Model:        r.Model,
 			Version:      version,
 			Adapter:      r.Adapter,
-			PromptDigest: PromptDigest(r.Segments),
-			Segments:     len(r.Segments),
+			PromptDigest: digest,
+			Segments:     len(r.segments),
 			Priority:     r.Priority,
 			Accepted:     now,
 			Outcome:      StreamRunning,
@@ -87,7 +88,7 @@
 		links:    links,
 		retain:   time.Duration(r.RetainMilliseconds) * time.Millisecond,
 		sequence: b.sequence,
-		answer:   ExpectedAnswer(r.Model, r.Adapter, r.Segments, r.MaxTokens),
+		answer:   answerFrom(r.Model, r.Adapter, digest, r.MaxTokens),
 		readAt:   now,
 	}
 	for _, l := range links {
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -43,10 +43,14 @@
 // from it. The answer has between half of maxTokens and maxTokens tokens, and
 // at least the digest where maxTokens has room for it.
 func ExpectedAnswer(model structs.ModelName, adapter string, segments [][]byte, maxTokens int64) []byte {
+	return answerFrom(model, adapter, PromptDigest(segments), maxTokens)
+}
+
+// answerFrom returns the answer to a prompt with the given digest.
+func answerFrom(model structs.ModelName, adapter, digest string, maxTokens int64) []byte {
 	if maxTokens <= 0 {
 		return nil
 	}
-	digest := PromptDigest(segments)
 	seed := sha256.Sum256([]byte(string(model) + "\x00" + adapter + "\x00" + digest))
 	random := rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:16])))
 	const digestTokens = (digestDigits + 1 + bytesPerToken - 1) / bytesPerToken
--- a/internal/emulator/engine_streams.go
+++ b/internal/emulator/engine_streams.go
@@ -24,6 +24,8 @@
 	detail string
 }
 
+func (r *refusal) Error() string { return r.detail }
+
 var (
 	refusedLeaving     = &refusal{http.StatusServiceUnavailable, "leaving", "the engine leaves"}
 	refusedFull        = &refusal{http.StatusServiceUnavailable, "queue_full", "the queue is full"}
@@ -39,8 +41,8 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
-	var request generateRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPromptBytes)).Decode(&request); err != nil {
+	request, err := readGenerateRequest(http.MaxBytesReader(w, r.Body, maxPromptBytes))
+	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
@@ -96,7 +98,7 @@
 	if !loaded {
 		return nil, refusedModel
 	}
-	if !e.batch.fits(promptTokens(r.Segments) + r.MaxTokens) {
+	if !e.batch.fits(promptTokens(r.segments) + r.MaxTokens) {
 		return nil, refusedLength
 	}
 	now := time.Now()
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -1,22 +1,53 @@
 package emulator
 
 import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// generateRequest is the body of POST /v1/generate.
+// generateRequest is the first line of the body of POST /v1/generate; the
+// segments follow it as they are.
 type generateRequest struct {
 	Holder             structs.ProgramID   `json:"holder"`
 	StreamID           string              `json:"streamID"`
 	Incarnation        structs.Incarnation `json:"incarnation,omitempty"`
 	Model              structs.ModelName   `json:"model"`
 	Adapter            string              `json:"adapter,omitempty"`
-	Segments           [][]byte            `json:"segments"`
+	SegmentBytes       []int               `json:"segmentBytes"`
 	MaxTokens          int64               `json:"maxTokens"`
 	Priority           int                 `json:"priority"`
 	RetainMilliseconds int64               `json:"retainMilliseconds"`
+
+	segments [][]byte
+}
+
+// readGenerateRequest reads the body of a generation.
+func readGenerateRequest(body io.Reader) (generateRequest, error) {
+	reader := bufio.NewReader(body)
+	var r generateRequest
+	line, err := reader.ReadBytes('\n')
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(line, &r); err != nil {
+		return r, err
+	}
+	for _, length := range r.SegmentBytes {
+		if length < 0 || length > maxPromptBytes {
+			return r, &refusal{http.StatusBadRequest, "bad_request", "segmentBytes: out of range"}
+		}
+		segment := make([]byte, length)
+		if _, err := io.ReadFull(reader, segment); err != nil {
+			return r, err
+		}
+		r.segments = append(r.segments, segment)
+	}
+	return r, nil
 }
 
 // usage is what a finished stream cost.
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -32,7 +31,7 @@
 	Adapter     string              `json:"adapter,omitempty"`
 	// Segments joined are the whole prompt. Cache is kept by whole segments, so
 	// each input and each answer of the history is a segment of its own.
-	Segments [][]byte `json:"segments"`
+	Segments [][]byte `json:"-"`
 	// MaxTokens bounds the answer.
 	MaxTokens int64 `json:"maxTokens"`
 	// Priority orders waiting streams; lower runs first.
@@ -83,9 +82,9 @@
 // *failure.Malformed (the engine can never run it), *failure.StreamBroken (it
 // may have been accepted).
 func (c *Client) Generate(ctx context.Context, address string, r GenerateRequest) (*Stream, error) {
-	body, err := json.Marshal(r)
+	body, err := newPromptBody(r)
 	if err != nil {
-		return nil, &failure.Malformed{Field: "generate", Reason: err.Error()}
+		return nil, err
 	}
 	return c.open(ctx, address, http.MethodPost, "/v1/generate", body)
 }
@@ -98,13 +97,15 @@
 	return c.open(ctx, address, http.MethodGet, path, nil)
 }
 
-func (c *Client) open(ctx context.Context, address, method, path string, body []byte) (*Stream, error) {
+func (c *Client) open(ctx context.Context, address, method, path string, body *promptBody) (*Stream, error) {
 	traced, sent := traceSent(ctx)
-	request, err := http.NewRequestWithContext(traced, method, strings.TrimSuffix(address, "/")+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(traced, method, strings.TrimSuffix(address, "/")+path, nil)
 	if err != nil {
 		return nil, &failure.EngineUnavailable{Engine: address, Wait: unavailableDelay}
 	}
-	request.Header.Set("Content-Type", "application/json")
+	if body != nil {
+		body.attach(request)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		if sent.Load() {
