--- a/cmd/barleyshelf/docs_test.go
+++ b/cmd/barleyshelf/docs_test.go
@@ -100,3 +100,32 @@
 	}
 	require.Greater(t, rows, 15)
 }
+
+var (
+	eventNumber  = regexp.MustCompile(`\b1[0-7][0-9]{2}\b`)
+	eventDefined = regexp.MustCompile(`event\.Define\((1[0-7][0-9]{2}),`)
+)
+
+// TestPagesNameEventsThatExist looks up every event number of the operators'
+// pages in the code. Round hundreds name ranges.
+func TestPagesNameEventsThatExist(t *testing.T) {
+	defined := map[string]bool{}
+	require.NoError(t, filepath.WalkDir("../../internal", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, match := range eventDefined.FindAllStringSubmatch(string(text), -1) {
+			defined[match[1]] = true
+		}
+		return err
+	}))
+	named := 0
+	for _, name := range []string{"day-one", "changing-a-declaration", "draining-a-zone", "lost-zone", "reading-events-and-metrics", "refusals", "upgrade"} {
+		for _, number := range eventNumber.FindAllString(page(t, "operations/"+name+".md"), -1) {
+			require.True(t, defined[number] || strings.HasSuffix(number, "00"), "%s names event %s", name, number)
+			named++
+		}
+	}
+	require.Greater(t, named, 30)
+}
--- a/internal/plan/places.go
+++ b/internal/plan/places.go
@@ -91,7 +91,8 @@
 // that drains or isn't declared. Daemons choose replicas from this view, so
 // that what a plan says of moves is what happens.
 func OpenNodes(declarations structs.Declarations, nodes []structs.Node) []structs.Node {
-	return openNodes(indexOf(declarations), nodes)
+	zones := byName(declarations.Zones, func(z structs.Zone) structs.ZoneName { return z.Name })
+	return openNodes(index{zones: zones}, nodes)
 }
 
 func openNodes(zones index, nodes []structs.Node) []structs.Node {
