fleet: roll out under load without cutting streams; longer back-off after each lost fence

Two daemons that do not see each other both believe to be the zone's reconciler; with a fixed back-off they would take the fence from each other before a draining is done.

--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -89,6 +89,8 @@
 	SweepInterval time.Duration
 	// ReconcileInterval is how often orders are planned.
 	ReconcileInterval time.Duration
+	// SettleTime is how long all daemons may take to learn of a draining.
+	SettleTime time.Duration
 	// DrainTimeout bounds how long an engine's streams may go on before an
 	// order that would cut them is given up for now.
 	DrainTimeout time.Duration
@@ -103,6 +105,7 @@
 	defaultReportLag         = 300 * time.Millisecond
 	defaultSweepInterval     = 30 * time.Second
 	defaultReconcileInterval = time.Second
+	defaultSettleTime        = 3 * time.Second
 	defaultDrainTimeout      = 2 * time.Minute
 
 	silenceGrace    = 1500 * time.Millisecond
@@ -119,6 +122,7 @@
 	setDefault(&o.ReportLag, defaultReportLag)
 	setDefault(&o.SweepInterval, defaultSweepInterval)
 	setDefault(&o.ReconcileInterval, defaultReconcileInterval)
+	setDefault(&o.SettleTime, defaultSettleTime)
 	setDefault(&o.DrainTimeout, defaultDrainTimeout)
 	return o
 }
--- a/internal/fleet/reconciler.go
+++ b/internal/fleet/reconciler.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// settleTime is how long all daemons may take to learn of a draining.
-	settleTime = 3 * time.Second
-	// fenceBackoff is how long one that lost the fence leaves it to the other.
-	fenceBackoff = 5 * time.Second
+	// fenceBackoff is how long one that lost the fence leaves it to the other. It
+	// doubles with each loss, up to maxFenceDoublings, so that two that do not see
+	// each other do not take it from each other before one has done its work.
+	fenceBackoff      = 5 * time.Second
+	maxFenceDoublings = 6
 	// drainBackoff is the pause after a draining that ran out of time.
 	drainBackoff = time.Minute
 	// watchInterval is asked of engines whose orders are kept here: changes come
@@ -52,6 +53,7 @@
 	sequence     uint64
 	publishedAt  time.Time
 	backoffUntil time.Time
+	losses       int
 	unfenced     bool
 	draining     map[structs.EngineID]time.Time
 	heldBack     map[structs.EngineID]time.Time
@@ -155,7 +157,14 @@
 		return nil
 	}
 	s, complete := r.observe(ctx, now, configuration)
-	if !complete || !s.differs() || !r.fence(ctx, s) {
+	if !complete {
+		return nil
+	}
+	if !s.differs() {
+		r.losses = 0
+		return nil
+	}
+	if !r.fence(ctx, s) {
 		return nil
 	}
 	s.token = r.token
@@ -249,7 +258,8 @@
 	if err != nil {
 		return false
 	}
-	return status.ReportedAt.Sub(since) >= settleTime+r.fleet.options.ReportLag && status.Running == 0 && status.Waiting == 0
+	known := since.Add(r.fleet.options.SettleTime + r.fleet.options.ReportLag)
+	return !status.ReportedAt.Before(known) && status.Running == 0 && status.Waiting == 0
 }
 
 // wanted returns the declared models with the group's part of their replicas.
@@ -302,6 +312,10 @@
 		return false
 	}
 	token, err := takeFence(requestContext, r.fleet.options.Platform, r.group, r.fleet.options.Self.ID)
+	if failure.IsType(err, "version_conflict") {
+		r.lose()
+		return false
+	}
 	if err != nil {
 		if !r.unfenced {
 			eventNoFence.Log("group", fenceKey(r.group), "cause", err)
@@ -336,7 +350,8 @@
 	eventFenceLost.Log("group", fenceKey(r.group), "token", r.token)
 	r.token = 0
 	r.draining = map[structs.EngineID]time.Time{}
-	r.backoffUntil = r.fleet.now().Add(jittered(fenceBackoff))
+	r.backoffUntil = r.fleet.now().Add(jittered(fenceBackoff << min(r.losses, maxFenceDoublings)))
+	r.losses++
 }
 
 func (r *reconciler) execute(ctx context.Context, actions []action) {
--- a/internal/fleet/reconciler_test.go
+++ b/internal/fleet/reconciler_test.go
@@ -17,7 +17,7 @@
 const (
 	modelA = structs.ModelName("swap-agent")
 	modelB = structs.ModelName("nomination")
-	// factDelay is how late daemons learn of a draining; less than settleTime.
+	// factDelay is how late daemons learn of a draining; less than the settle time.
 	factDelay = 2 * time.Second
 )
 
