--- a/internal/emulator/engine_watch.go
+++ b/internal/emulator/engine_watch.go
@@ -19,18 +19,12 @@
 	watchCheck = 50 * time.Millisecond
 )
 
-// statusLine is one line of a watch of the status.
+// statusLine is one line of a watch of the status: a whole status, or the part
+// that changes all the time, in the order running, waiting, queued tokens, used
+// tokens of the cache.
 type statusLine struct {
 	Status *engineapi.Status `json:"status,omitempty"`
-	Load   *loadLine         `json:"load,omitempty"`
-}
-
-// loadLine is the part of a status that changes all the time.
-type loadLine struct {
-	CacheUsedTokens int64 `json:"cacheUsedTokens"`
-	Running         int   `json:"running"`
-	Waiting         int   `json:"waiting"`
-	QueuedTokens    int64 `json:"queuedTokens"`
+	Load   *[4]int64         `json:"load,omitempty"`
 }
 
 // serveWatch writes the status at once, at each change other than of the load,
@@ -75,12 +69,8 @@
 // and whether more than the load differs.
 func nextLine(status, seen *structs.EngineStatus) (statusLine, bool) {
 	if sameButLoad(*status, *seen) {
-		return statusLine{Load: &loadLine{
-			CacheUsedTokens: status.CacheUsedTokens,
-			Running:         status.Running,
-			Waiting:         status.Waiting,
-			QueuedTokens:    status.QueuedTokens,
-		}}, false
+		load := [4]int64{int64(status.Running), int64(status.Waiting), status.QueuedTokens, status.CacheUsedTokens}
+		return statusLine{Load: &load}, false
 	}
 	return statusLine{Status: statusToAPI(*status)}, true
 }
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -23,15 +23,11 @@
 	last    structs.EngineStatus
 }
 
-// statusLine is a report as it is sent: a whole status, or the load alone.
+// statusLine is a report as it is sent: a whole status, or the load alone, in
+// the order running, waiting, queued tokens, used tokens of the cache.
 type statusLine struct {
 	Status *engineapi.Status `json:"status"`
-	Load   *struct {
-		CacheUsedTokens int64 `json:"cacheUsedTokens"`
-		Running         int   `json:"running"`
-		Waiting         int   `json:"waiting"`
-		QueuedTokens    int64 `json:"queuedTokens"`
-	} `json:"load"`
+	Load   *[4]int64         `json:"load"`
 }
 
 // WatchStatus asks for a report at once, another at each interval, and one at
@@ -71,10 +67,10 @@
 		return w.last, nil
 	}
 	if read.Load != nil {
-		w.last.CacheUsedTokens = read.Load.CacheUsedTokens
-		w.last.Running = read.Load.Running
-		w.last.Waiting = read.Load.Waiting
-		w.last.QueuedTokens = read.Load.QueuedTokens
+		w.last.Running = int(read.Load[0])
+		w.last.Waiting = int(read.Load[1])
+		w.last.QueuedTokens = read.Load[2]
+		w.last.CacheUsedTokens = read.Load[3]
 	}
 	w.last.ReportedAt = time.Now()
 	return w.last, nil
