lab: measure fail-over as programs see it; count a forgotten call as lost history

Programs over all domains are asked for their status at the other daemons while a daemon crashes or is paused, and the longest time without an answer counts.

--- a/cmd/barleyshelf-lab/main.go
+++ b/cmd/barleyshelf-lab/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -97,8 +98,9 @@
 
 // openLog sends the events to the chosen file, or drops them.
 func (l *laboratory) openLog() (closeLog func(), err error) {
-	klog.LogToStderr(false)
-	klog.SetOutput(io.Discard)
+	if err := quietLog(); err != nil {
+		return nil, err
+	}
 	if l.LogFile == "" {
 		return func() {}, nil
 	}
@@ -114,6 +116,19 @@
 	}, nil
 }
 
+// quietLog keeps all events, errors too, off the terminal.
+func quietLog() error {
+	settings := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(settings)
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL"} {
+		if err := settings.Set(name, value); err != nil {
+			return &LogUnwritable{Cause: err}
+		}
+	}
+	klog.SetOutput(io.Discard)
+	return nil
+}
+
 // promisesBroken ends a run whose report says why.
 type promisesBroken struct{}
 
--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -24,8 +24,11 @@
 	cluster  *topology.Cluster
 	operator *operator
 	measured *report.Meter
-	failover *report.Distribution
-	http     *http.Client
+	// failover and pauseFailover are the times without an answer after a daemon
+	// crashed and after one was paused.
+	failover      *report.Distribution
+	pauseFailover *report.Distribution
+	http          *http.Client
 
 	requests requestsInProgress
 
@@ -67,15 +70,17 @@
 		return nil, err
 	}
 	created := &bench{
-		options:   options,
-		network:   network,
-		outside:   outside,
-		cluster:   cluster,
-		measured:  report.NewMeter(),
-		failover:  report.NewDistribution(),
-		endpoints: map[structs.TenantID][]session.Endpoint{},
-		injected:  map[string]int{},
-		failed:    map[string]int{},
+		options:  options,
+		network:  network,
+		outside:  outside,
+		cluster:  cluster,
+		measured: report.NewMeter(),
+		failover: report.NewDistribution(),
+
+		pauseFailover: report.NewDistribution(),
+		endpoints:     map[structs.TenantID][]session.Endpoint{},
+		injected:      map[string]int{},
+		failed:        map[string]int{},
 	}
 	created.http = clientHTTP(network)
 	created.operator = newOperator(created)
--- a/internal/lab/demo/probe.go
+++ b/internal/lab/demo/probe.go
@@ -65,7 +65,7 @@
 
 // probeTimeout bounds one question; a daemon that is paused or down gives no
 // sample.
-const probeTimeout = time.Second
+const probeTimeout = 10 * time.Second
 
 // ask reports whether the daemon takes the credential. The error is the
 // daemon's failure to say so.
--- a/internal/lab/promise/calls.go
+++ b/internal/lab/promise/calls.go
@@ -44,8 +44,16 @@
 	return started, finished
 }
 
+// Refusals that a caller must never see of a program that was opened, or of a
+// call that it has read from: callers ask for nothing else.
+const (
+	unknownProgramType failure.Type = "unknown_program"
+	unknownCallType    failure.Type = "unknown_call"
+)
+
 // checkHistory: every prompt that an engine saw, and all arguments that a tool
-// saw, are what the caller of that very program wrote and read before.
+// saw, are what the caller of that very program wrote and read before; and no
+// daemon forgot a program or a call.
 func checkHistory(evidence *Evidence, x *index, verdict *Verdict) {
 	for _, stream := range x.strayStreams {
 		_, known := x.programs[stream.Holder]
@@ -62,6 +70,10 @@
 	}
 	for id, program := range x.programs {
 		for i, call := range program.Calls {
+			for _, attempt := range call.Attempts {
+				forgotten := attempt.FailureType == unknownProgramType || attempt.FailureType == unknownCallType
+				verdict.check(!forgotten, "%s call %d: %s at %s", id, call.Number, attempt.FailureType, attempt.Daemon)
+			}
 			if call.Kind != ModelCall || !call.Complete {
 				continue
 			}
--- a/internal/lab/promise/promise_test.go
+++ b/internal/lab/promise/promise_test.go
@@ -96,6 +96,10 @@
 		{"engine saw another program's history", promise.HistoryKept, func(e *promise.Evidence) { e.Streams[1].Holder = "q" }},
 		{"answer from a mixed prompt", promise.HistoryKept, func(e *promise.Evidence) { call(e, 3).Answer = answer("m", "", [][]byte{[]byte("other")}, 0) }},
 		{"tool got altered arguments", promise.HistoryKept, func(e *promise.Evidence) { e.ToolRuns[0].Arguments = []byte("p/3") }},
+		{"a daemon forgot the program", promise.HistoryKept, func(e *promise.Evidence) {
+			forgotten := promise.Attempt{Daemon: "d2", Sent: at(2.5), Finished: at(2.6), Result: promise.Refused, FailureType: "unknown_program", Outcome: failure.NotRun}
+			call(e, 2).Attempts = append([]promise.Attempt{forgotten}, call(e, 2).Attempts...)
+		}},
 		{"too many tokens", promise.WithinBudget, func(e *promise.Evidence) { e.Streams[0].AnswerTokens = 90 }},
 		{"too much money", promise.WithinBudget, func(e *promise.Evidence) { e.ToolPrices["release"] = 50 }},
 		{"too many turns", promise.WithinBudget, func(e *promise.Evidence) { e.Programs[0].Budget.Turns = 2 }},
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -20,7 +20,10 @@
 	Seconds    float64 `json:"seconds"`
 	Daemons    int     `json:"daemons"`
 	Callers
+	// Failover and PauseFailover are the times without an answer that programs
+	// had after a daemon crashed, and after one was paused.
 	Failover       *Percentiles   `json:"failover_ms,omitempty"`
+	PauseFailover  *Percentiles   `json:"pause_failover_ms,omitempty"`
 	Cache          Cache          `json:"cache"`
 	Control        Control        `json:"control"`
 	FaultsInjected map[string]int `json:"faults_injected"`
@@ -65,7 +68,10 @@
 	row("deployment", "%s, %d daemons, policy %s, seed %d, %.1f s", r.Deployment, r.Daemons, r.Policy, r.Seed, r.Seconds)
 	r.Callers.rows(row)
 	if r.Failover != nil {
-		row("fail-over", "%s", *r.Failover)
+		row("fail-over after a crash", "%s", *r.Failover)
+	}
+	if r.PauseFailover != nil {
+		row("fail-over from a paused daemon", "%s", *r.PauseFailover)
 	}
 	row("cache", "%d prompt tokens, %d reused, %d wasted (%.1f%%)",
 		r.Cache.PromptTokens, r.Cache.ReusedTokens, r.Cache.WastedTokens, 100*r.Cache.WastedRatio)
