--- a/cmd/barleyshelf/apply.go
+++ b/cmd/barleyshelf/apply.go
@@ -39,7 +39,8 @@
 func (c *applyCommand) Execute([]string) error {
 	var applied *operatorapi.Applied
 	err := c.Connection.ask(c.app.context, func(ctx context.Context, client *operatorapi.Client) (err error) {
-		applied, err = client.ApplyPlan(ctx, &operatorapi.Confirmation{AcceptedHarms: c.Accept}, operatorapi.ApplyPlanParams{PlanID: c.Positional.Plan})
+		confirmation := &operatorapi.Confirmation{AcceptedHarms: c.Accept}
+		applied, err = client.ApplyPlan(ctx, confirmation, operatorapi.ApplyPlanParams{PlanID: c.Positional.Plan})
 		return err
 	})
 	if err != nil {
--- a/cmd/barleyshelf/client.go
+++ b/cmd/barleyshelf/client.go
@@ -27,6 +27,9 @@
 	Timeout   time.Duration `long:"timeout" default:"30s" description:"longest time of one request"`
 }
 
+// request is one request of the operator API.
+type request func(context.Context, *operatorapi.Client) error
+
 // OperatorToken implements operatorapi.SecuritySource.
 func (c *connection) OperatorToken(context.Context, operatorapi.OperationName) (operatorapi.OperatorToken, error) {
 	token := os.Getenv("BARLEYSHELF_OPERATOR_TOKEN")
@@ -45,7 +48,7 @@
 
 // ask sends one request to the first daemon that can be reached. Every request
 // of the operator API may be repeated, so going on to the next does no harm.
-func (c *connection) ask(ctx context.Context, request func(context.Context, *operatorapi.Client) error) error {
+func (c *connection) ask(ctx context.Context, send request) error {
 	if len(c.Addresses) == 0 {
 		return &wrongUse{reason: "no daemon: set --address or BARLEYSHELF_OPERATOR_ADDRESS"}
 	}
@@ -59,7 +62,7 @@
 		if err != nil {
 			return &wrongUse{reason: fmt.Sprintf("address %q: %v", address, err)}
 		}
-		last = c.askOne(ctx, address, client, request)
+		last = c.askOne(ctx, address, client, send)
 		var unreachable *operatorUnreachable
 		if !errors.As(last, &unreachable) {
 			return last
@@ -68,10 +71,10 @@
 	return last
 }
 
-func (c *connection) askOne(ctx context.Context, address string, client *operatorapi.Client, request func(context.Context, *operatorapi.Client) error) error {
+func (c *connection) askOne(ctx context.Context, address string, client *operatorapi.Client, send request) error {
 	bounded, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	err := request(bounded, client)
+	err := send(bounded, client)
 	var problem *operatorapi.ProblemStatusCode
 	if errors.As(err, &problem) {
 		return &refusal{problem: problem.Response}
--- a/cmd/barleyshelf/get.go
+++ b/cmd/barleyshelf/get.go
@@ -97,8 +97,10 @@
 	}
 	var rows []string
 	for _, engine := range found.Engines {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%d/%d\t%t\t%s", engine.ID, engine.Zone, engine.Role, strings.Join(engine.Loaded, ", "),
-			engine.Running, engine.Waiting, engine.CacheUsedTokens, engine.CacheCapacityTokens, engine.Leaving, engine.ReportedAt.Format(time.RFC3339)))
+		cache := fmt.Sprintf("%d/%d", engine.CacheUsedTokens, engine.CacheCapacityTokens)
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%t\t%s",
+			engine.ID, engine.Zone, engine.Role, strings.Join(engine.Loaded, ", "), engine.Running, engine.Waiting,
+			cache, engine.Leaving, engine.ReportedAt.Format(time.RFC3339)))
 	}
 	if !found.All {
 		rows = append(rows, "(the daemon asked follows a part of the engines)")
@@ -113,7 +115,8 @@
 	}
 	var rows []string
 	for _, shard := range found.Shards {
-		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%d\t%s", shard.Shard, shard.Domain, shard.Leader.Or("none known"), shard.Term, strings.Join(shard.Members, ", ")))
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%d\t%s",
+			shard.Shard, shard.Domain, shard.Leader.Or("none known"), shard.Term, strings.Join(shard.Members, ", ")))
 	}
 	return found, table("SHARD\tDOMAIN\tLEADER\tTERM\tMEMBERS", rows), nil
 }
@@ -140,7 +143,8 @@
 	}
 	rows := []string{fmt.Sprintf("%d\t%s", found.Version, found.PlanID), "", "DOMAIN\tZONES\tSHARDS"}
 	for _, domain := range found.Domains {
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%d to %d", domain.Name, strings.Join(domain.Zones, ", "), domain.FirstShard, domain.FirstShard+domain.ShardCount-1))
+		last := domain.FirstShard + domain.ShardCount - 1
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%d to %d", domain.Name, strings.Join(domain.Zones, ", "), domain.FirstShard, last))
 	}
 	return found, table("VERSION\tPLAN", rows), nil
 }
--- a/cmd/barleyshelf/main.go
+++ b/cmd/barleyshelf/main.go
@@ -55,13 +55,48 @@
 
 func commands(app *application) []command {
 	return []command{
-		{"daemon", "run a daemon", "Runs one daemon until it is told to stop.", &daemonCommand{app: app}},
-		{"plan", "show what declarations would change", "Makes a plan from a directory of declarations. Nothing changes.", &planCommand{app: app}},
-		{"apply", "confirm a plan", "Puts a plan in force, once, and only from the version that it was made from.", &applyCommand{app: app}},
-		{"get", "show resources", "Shows " + resourceKinds + ".", &getCommand{app: app}},
-		{"drain", "stop a daemon or empty a zone", "Starts the planned stop of a daemon (node NAME), or makes the plan that drains a zone (zone NAME).", &drainCommand{app: app}},
-		{"validate", "check settings and declarations", "Checks a settings file, declarations or both, without starting anything.", &validateCommand{app: app}},
-		{"version", "show the version", "Shows the version of this program and of the declarations that it reads.", &versionCommand{app: app}},
+		{
+			name:  "daemon",
+			short: "run a daemon",
+			long:  "Runs one daemon until it is told to stop.",
+			data:  &daemonCommand{app: app},
+		},
+		{
+			name:  "plan",
+			short: "show what declarations would change",
+			long:  "Makes a plan from a directory of declarations. Nothing changes.",
+			data:  &planCommand{app: app},
+		},
+		{
+			name:  "apply",
+			short: "confirm a plan",
+			long:  "Puts a plan in force, once, and only from the version that it was made from.",
+			data:  &applyCommand{app: app},
+		},
+		{
+			name:  "get",
+			short: "show resources",
+			long:  "Shows " + resourceKinds + ".",
+			data:  &getCommand{app: app},
+		},
+		{
+			name:  "drain",
+			short: "stop a daemon or empty a zone",
+			long:  "Starts the planned stop of a daemon (node NAME), or makes the plan that drains a zone (zone NAME).",
+			data:  &drainCommand{app: app},
+		},
+		{
+			name:  "validate",
+			short: "check settings and declarations",
+			long:  "Checks a settings file, declarations or both, without starting anything.",
+			data:  &validateCommand{app: app},
+		},
+		{
+			name:  "version",
+			short: "show the version",
+			long:  "Shows the version of this program and of the declarations that it reads.",
+			data:  &versionCommand{app: app},
+		},
 	}
 }
 
--- a/cmd/barleyshelf/output.go
+++ b/cmd/barleyshelf/output.go
@@ -80,7 +80,11 @@
 	}
 	for _, one := range problem.Problems {
 		r.Problems = append(r.Problems, strictyaml.Problem{
-			File: one.File.Or(""), Line: one.Line.Or(0), Field: one.Field.Or(""), Reason: one.Reason, Allowed: one.Allowed.Or(""),
+			File:    one.File.Or(""),
+			Line:    one.Line.Or(0),
+			Field:   one.Field.Or(""),
+			Reason:  one.Reason,
+			Allowed: one.Allowed.Or(""),
 		})
 	}
 }
--- a/cmd/barleyshelf/plan.go
+++ b/cmd/barleyshelf/plan.go
@@ -76,8 +76,11 @@
 
 func differenceText(one operatorapi.Difference) string {
 	return operator.DifferenceText(structs.Difference{
-		Object: one.Object, Change: structs.Change(one.Change),
-		Field: one.Field.Or(""), Before: one.Before.Or(""), After: one.After.Or(""),
+		Object: one.Object,
+		Change: structs.Change(one.Change),
+		Field:  one.Field.Or(""),
+		Before: one.Before.Or(""),
+		After:  one.After.Or(""),
 	})
 }
 
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -141,7 +141,11 @@
 	}
 	eventConflict.Log("plan", a.plan.ID, "operator", a.confirmation.Operator, "base", a.plan.BaseVersion, "inForce", inForce.Version)
 	return Applied{}, &PlanConflict{
-		PlanID: a.plan.ID, Base: a.plan.BaseVersion, InForce: inForce.Version, Mine: a.plan.Differences, Theirs: theirs,
+		PlanID:  a.plan.ID,
+		Base:    a.plan.BaseVersion,
+		InForce: inForce.Version,
+		Mine:    a.plan.Differences,
+		Theirs:  theirs,
 	}
 }
 
@@ -194,7 +198,10 @@
 		record.PreviousBase = inForce.Audit.Base
 	}
 	return &structs.Configuration{
-		PlanID: a.plan.ID, Declarations: a.plan.Declarations, Domains: a.plan.Domains, Audit: record,
+		PlanID:       a.plan.ID,
+		Declarations: a.plan.Declarations,
+		Domains:      a.plan.Domains,
+		Audit:        record,
 	}
 }
 
--- a/internal/operator/convert.go
+++ b/internal/operator/convert.go
@@ -11,9 +11,14 @@
 
 func planResponse(made *plan.Plan, state PlanState) *operatorapi.Plan {
 	return &operatorapi.Plan{
-		ID: made.ID, BaseVersion: int64(made.BaseVersion), Operator: made.Operator, CreatedAt: made.CreatedAt,
-		State:       operatorapi.PlanState(state),
-		Differences: differences(made.Differences), Consequences: consequences(made.Consequences), Harms: harms(made.Harms),
+		ID:           made.ID,
+		BaseVersion:  int64(made.BaseVersion),
+		Operator:     made.Operator,
+		CreatedAt:    made.CreatedAt,
+		State:        operatorapi.PlanState(state),
+		Differences:  differences(made.Differences),
+		Consequences: consequences(made.Consequences),
+		Harms:        harms(made.Harms),
 	}
 }
 
@@ -21,8 +26,11 @@
 	converted := make([]operatorapi.Difference, 0, len(all))
 	for _, one := range all {
 		converted = append(converted, operatorapi.Difference{
-			Object: one.Object, Change: operatorapi.DifferenceChange(one.Change),
-			Field: optional(one.Field), Before: optional(one.Before), After: optional(one.After),
+			Object: one.Object,
+			Change: operatorapi.DifferenceChange(one.Change),
+			Field:  optional(one.Field),
+			Before: optional(one.Before),
+			After:  optional(one.After),
 		})
 	}
 	return converted
@@ -32,7 +40,10 @@
 	converted := make([]operatorapi.Consequence, 0, len(all))
 	for _, one := range all {
 		row := operatorapi.Consequence{
-			Kind: operatorapi.ConsequenceKind(one.Kind), Object: one.Object, Zone: optional(string(one.Zone)), Detail: one.Detail,
+			Kind:   operatorapi.ConsequenceKind(one.Kind),
+			Object: one.Object,
+			Zone:   optional(string(one.Zone)),
+			Detail: one.Detail,
 		}
 		row.Count = optionalNumber(one.Count)
 		row.Programs = optionalNumber(one.Programs)
@@ -51,7 +62,11 @@
 	converted := make([]operatorapi.Harm, 0, len(all))
 	for _, one := range all {
 		converted = append(converted, operatorapi.Harm{
-			Name: one.Name, Kind: operatorapi.HarmKind(one.Kind), Object: one.Object, Detail: one.Detail, Programs: one.Programs,
+			Name:     one.Name,
+			Kind:     operatorapi.HarmKind(one.Kind),
+			Object:   one.Object,
+			Detail:   one.Detail,
+			Programs: one.Programs,
 		})
 	}
 	return converted
@@ -61,8 +76,14 @@
 	converted := make([]operatorapi.AuditRecord, 0, len(all))
 	for _, one := range all {
 		converted = append(converted, operatorapi.AuditRecord{
-			Version: int64(one.Version), Base: int64(one.Base), PlanID: one.PlanID, PlannedBy: one.PlannedBy, Operator: one.Operator,
-			AcceptedAt: one.AcceptedAt, AcceptedHarms: one.AcceptedHarms, Differences: differences(one.Differences),
+			Version:       int64(one.Version),
+			Base:          int64(one.Base),
+			PlanID:        one.PlanID,
+			PlannedBy:     one.PlannedBy,
+			Operator:      one.Operator,
+			AcceptedAt:    one.AcceptedAt,
+			AcceptedHarms: one.AcceptedHarms,
+			Differences:   differences(one.Differences),
 		})
 	}
 	return converted
@@ -72,8 +93,11 @@
 	converted := make([]operatorapi.FileProblem, 0, len(all))
 	for _, one := range all {
 		converted = append(converted, operatorapi.FileProblem{
-			File: optional(one.File), Line: optionalNumber(one.Line), Field: optional(one.Field),
-			Reason: one.Reason, Allowed: optional(one.Allowed),
+			File:    optional(one.File),
+			Line:    optionalNumber(one.Line),
+			Field:   optional(one.Field),
+			Reason:  one.Reason,
+			Allowed: optional(one.Allowed),
 		})
 	}
 	return converted
@@ -85,9 +109,17 @@
 		loaded = append(loaded, string(model.Model)+" "+model.Version)
 	}
 	return operatorapi.Engine{
-		ID: string(engine.ID), Zone: string(engine.Zone), Address: engine.Address, Role: string(engine.Role), Loaded: loaded,
-		CacheCapacityTokens: engine.CacheCapacityTokens, CacheUsedTokens: engine.CacheUsedTokens,
-		Running: engine.Running, Waiting: engine.Waiting, Leaving: engine.Leaving, ReportedAt: engine.ReportedAt,
+		ID:                  string(engine.ID),
+		Zone:                string(engine.Zone),
+		Address:             engine.Address,
+		Role:                string(engine.Role),
+		Loaded:              loaded,
+		CacheCapacityTokens: engine.CacheCapacityTokens,
+		CacheUsedTokens:     engine.CacheUsedTokens,
+		Running:             engine.Running,
+		Waiting:             engine.Waiting,
+		Leaving:             engine.Leaving,
+		ReportedAt:          engine.ReportedAt,
 	}
 }
 
--- a/internal/operator/operations.go
+++ b/internal/operator/operations.go
@@ -90,10 +90,18 @@
 	if err != nil {
 		return nil, &failure.Internal{Cause: err}
 	}
-	response := &operatorapi.Configuration{Version: int64(inForce.Version), PlanID: inForce.PlanID, Declarations: text, Domains: []operatorapi.Domain{}}
+	response := &operatorapi.Configuration{
+		Version:      int64(inForce.Version),
+		PlanID:       inForce.PlanID,
+		Declarations: text,
+		Domains:      []operatorapi.Domain{},
+	}
 	for _, domain := range inForce.Domains {
 		response.Domains = append(response.Domains, operatorapi.Domain{
-			Name: domain.Name, Zones: texts(domain.Zones), FirstShard: int64(domain.FirstShard), ShardCount: int64(domain.ShardCount),
+			Name:       domain.Name,
+			Zones:      texts(domain.Zones),
+			FirstShard: int64(domain.FirstShard),
+			ShardCount: int64(domain.ShardCount),
 		})
 	}
 	return response, nil
@@ -113,8 +121,14 @@
 	response := &operatorapi.Nodes{Nodes: []operatorapi.Node{}}
 	for _, node := range o.service.backend.Nodes() {
 		response.Nodes = append(response.Nodes, operatorapi.Node{
-			ID: string(node.ID), Incarnation: fmt.Sprint(node.Incarnation), Region: node.Region, Zone: string(node.Zone),
-			State: operatorapi.NodeState(node.State), PeerAddress: node.PeerAddress, CallerAddress: node.CallerAddress, HasDisk: node.HasDisk,
+			ID:            string(node.ID),
+			Incarnation:   fmt.Sprint(node.Incarnation),
+			Region:        node.Region,
+			Zone:          string(node.Zone),
+			State:         operatorapi.NodeState(node.State),
+			PeerAddress:   node.PeerAddress,
+			CallerAddress: node.CallerAddress,
+			HasDisk:       node.HasDisk,
 		})
 	}
 	return response, nil
@@ -139,7 +153,12 @@
 func (o *operations) GetShards(ctx context.Context) (*operatorapi.Shards, error) {
 	response := &operatorapi.Shards{Shards: []operatorapi.Shard{}}
 	for _, shard := range o.service.backend.Shards(ctx) {
-		row := operatorapi.Shard{Shard: int64(shard.Shard), Domain: shard.Domain, Term: int64(shard.Term), Members: texts(shard.Members)}
+		row := operatorapi.Shard{
+			Shard:   int64(shard.Shard),
+			Domain:  shard.Domain,
+			Term:    int64(shard.Term),
+			Members: texts(shard.Members),
+		}
 		if shard.Leader != "" {
 			row.Leader = operatorapi.NewOptString(string(shard.Leader))
 		}
@@ -154,7 +173,10 @@
 	response := &operatorapi.Programs{Complete: use.Known, Counts: []operatorapi.ProgramCount{}}
 	for _, count := range use.Counts {
 		response.Counts = append(response.Counts, operatorapi.ProgramCount{
-			Program: string(count.Program), Tenant: string(count.Tenant), Domain: count.Domain, UnderWay: count.UnderWay,
+			Program:  string(count.Program),
+			Tenant:   string(count.Tenant),
+			Domain:   count.Domain,
+			UnderWay: count.UnderWay,
 		})
 	}
 	return response, nil
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -71,8 +71,10 @@
 	var conflict *PlanConflict
 	if errors.As(f, &conflict) {
 		problem.Conflict = operatorapi.NewOptConflict(operatorapi.Conflict{
-			Base: int64(conflict.Base), InForce: int64(conflict.InForce),
-			Mine: differences(conflict.Mine), Theirs: auditRecords(conflict.Theirs),
+			Base:    int64(conflict.Base),
+			InForce: int64(conflict.InForce),
+			Mine:    differences(conflict.Mine),
+			Theirs:  auditRecords(conflict.Theirs),
 		})
 	}
 }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -47,7 +47,13 @@
 			continue
 		}
 		held, answered := answers[node.ID]
-		row := NodeStatus{Node: node.ID, Zone: node.Zone, Answered: answered, Version: held, InForce: answered && held >= version}
+		row := NodeStatus{
+			Node:     node.ID,
+			Zone:     node.Zone,
+			Answered: answered,
+			Version:  held,
+			InForce:  answered && held >= version,
+		}
 		if !row.InForce {
 			missing++
 		}
--- a/internal/plan/difference.go
+++ b/internal/plan/difference.go
@@ -80,7 +80,11 @@
 			continue
 		}
 		found = append(found, structs.Difference{
-			Object: object, Change: structs.ChangeChanged, Field: path, Before: earlier[path], After: later[path],
+			Object: object,
+			Change: structs.ChangeChanged,
+			Field:  path,
+			Before: earlier[path],
+			After:  later[path],
 		})
 	}
 	return found
--- a/internal/plan/models.go
+++ b/internal/plan/models.go
@@ -28,8 +28,11 @@
 	}
 	if loadedBytes > 0 {
 		c.cause(Consequence{
-			Kind: Load, Object: objectName("Deployment", c.after.Deployment.Name), Bytes: loadedBytes,
-			Milliseconds: c.loadTime(loadedBytes), Detail: "all loads together, at the weight store's rate" + c.rateText(),
+			Kind:         Load,
+			Object:       objectName("Deployment", c.after.Deployment.Name),
+			Bytes:        loadedBytes,
+			Milliseconds: c.loadTime(loadedBytes),
+			Detail:       "all loads together, at the weight store's rate" + c.rateText(),
 		})
 	}
 }
@@ -41,12 +44,23 @@
 	fresh := after - replaced
 	reload := had && (earlier.Version != model.Version || roleOf(earlier) != roleOf(model)) && replaced > 0
 	if before > after {
-		c.cause(Consequence{Kind: Unload, Object: objectName("Model", model.Name), Zone: zone, Count: before - after,
-			Detail: fmt.Sprintf("%d engines drain and unload %s", before-after, model.Name)})
+		c.cause(Consequence{
+			Kind:   Unload,
+			Object: objectName("Model", model.Name),
+			Zone:   zone,
+			Count:  before - after,
+			Detail: fmt.Sprintf("%d engines drain and unload %s", before-after, model.Name),
+		})
 	}
 	if reload {
-		c.cause(Consequence{Kind: Drain, Object: objectName("Model", model.Name), Zone: zone, Count: replaced,
-			Detail: fmt.Sprintf("%d engines drain one after another before they change version or role; their cache of %s is lost", replaced, model.Name)})
+		c.cause(Consequence{
+			Kind:   Drain,
+			Object: objectName("Model", model.Name),
+			Zone:   zone,
+			Count:  replaced,
+			Detail: fmt.Sprintf("%d engines drain one after another before they change version or role; their cache of %s is lost",
+				replaced, model.Name),
+		})
 	}
 	if reload && earlier.Version != model.Version {
 		fresh += replaced
@@ -55,8 +69,15 @@
 		return 0
 	}
 	size := int64(fresh) * model.WeightsBytes
-	c.cause(Consequence{Kind: Load, Object: objectName("Model", model.Name), Zone: zone, Count: fresh, Bytes: size,
-		Milliseconds: c.loadTime(size), Detail: fmt.Sprintf("%d engines load %s %s", fresh, model.Name, model.Version)})
+	c.cause(Consequence{
+		Kind:         Load,
+		Object:       objectName("Model", model.Name),
+		Zone:         zone,
+		Count:        fresh,
+		Bytes:        size,
+		Milliseconds: c.loadTime(size),
+		Detail:       fmt.Sprintf("%d engines load %s %s", fresh, model.Name, model.Version),
+	})
 	return size
 }
 
@@ -82,8 +103,12 @@
 			continue
 		}
 		c.cause(Consequence{Kind: Unload, Object: object, Detail: "engines unload adapter " + adapter})
-		c.cause(Consequence{Kind: Refuse, Object: object, Programs: c.input.Use.usersOf(c.before, model.Name),
-			Detail: "calls that ask for adapter " + adapter + " would be refused"})
+		c.cause(Consequence{
+			Kind:     Refuse,
+			Object:   object,
+			Programs: c.input.Use.usersOf(c.before, model.Name),
+			Detail:   "calls that ask for adapter " + adapter + " would be refused",
+		})
 	}
 }
 
@@ -93,8 +118,13 @@
 		if replicas == 0 {
 			continue
 		}
-		c.cause(Consequence{Kind: Unload, Object: objectName("Model", model.Name), Zone: zone.Name, Count: replicas,
-			Detail: fmt.Sprintf("%d engines drain and unload %s", replicas, model.Name)})
+		c.cause(Consequence{
+			Kind:   Unload,
+			Object: objectName("Model", model.Name),
+			Zone:   zone.Name,
+			Count:  replicas,
+			Detail: fmt.Sprintf("%d engines drain and unload %s", replicas, model.Name),
+		})
 	}
 }
 
@@ -114,8 +144,13 @@
 	if live >= wanted {
 		return
 	}
-	c.cause(Consequence{Kind: LackCapacity, Object: objectName("Model", model.Name), Zone: zone, Count: wanted - live,
-		Detail: fmt.Sprintf("%d replicas wanted, engines that report: %d", wanted, live)})
+	c.cause(Consequence{
+		Kind:   LackCapacity,
+		Object: objectName("Model", model.Name),
+		Zone:   zone,
+		Count:  wanted - live,
+		Detail: fmt.Sprintf("%d replicas wanted, engines that report: %d", wanted, live),
+	})
 }
 
 // loadTime is 0 where the rate isn't declared.
--- a/internal/plan/places.go
+++ b/internal/plan/places.go
@@ -15,11 +15,21 @@
 		wanted, kept := c.new.zones[zone.Name]
 		switch {
 		case !kept:
-			c.cause(Consequence{Kind: Drain, Object: objectName("Zone", zone.Name), Zone: zone.Name,
-				Count: len(zone.Engines), Detail: "the zone leaves: its engines take no new work"})
+			c.cause(Consequence{
+				Kind:   Drain,
+				Object: objectName("Zone", zone.Name),
+				Zone:   zone.Name,
+				Count:  len(zone.Engines),
+				Detail: "the zone leaves: its engines take no new work",
+			})
 		case wanted.Draining && !zone.Draining:
-			c.cause(Consequence{Kind: Drain, Object: objectName("Zone", zone.Name), Zone: zone.Name,
-				Count: len(zone.Engines), Detail: "the zone drains: no new work, what may move moves out"})
+			c.cause(Consequence{
+				Kind:   Drain,
+				Object: objectName("Zone", zone.Name),
+				Zone:   zone.Name,
+				Count:  len(zone.Engines),
+				Detail: "the zone drains: no new work, what may move moves out",
+			})
 		}
 	}
 	for _, domain := range c.held {
@@ -36,18 +46,28 @@
 	programs := c.input.Use.ofDomain(domain.Name)
 	open := c.new.openZones(domain.Zones)
 	if len(c.old.openZones(domain.Zones)) > 0 && len(open) == 0 {
-		c.harm(Harm{Name: "strand-domain-" + domain.Name, Kind: DataStranded, Object: objectName("Domain", domain.Name), Programs: programs,
-			Detail: fmt.Sprintf("all zones of the domain (%s) leave or drain: %s can neither move nor go on", zoneText(domain.Zones), countText(programs))})
+		c.strandDomain(domain, programs, fmt.Sprintf("all zones of the domain (%s) leave or drain: %s can neither move nor go on",
+			zoneText(domain.Zones), countText(programs)))
 		return
 	}
 	if len(c.input.Nodes) > 0 && len(c.eligible(c.old, domain)) > 0 && len(c.eligible(c.new, domain)) == 0 {
-		c.harm(Harm{Name: "strand-domain-" + domain.Name, Kind: DataStranded, Object: objectName("Domain", domain.Name), Programs: programs,
-			Detail: fmt.Sprintf("no daemon is known in the zones that stay (%s): %s can't move", zoneText(open), countText(programs))})
+		c.strandDomain(domain, programs, fmt.Sprintf("no daemon is known in the zones that stay (%s): %s can't move",
+			zoneText(open), countText(programs)))
 		return
 	}
 	c.moves(domain)
 }
 
+func (c *comparison) strandDomain(domain structs.Domain, programs int, detail string) {
+	c.harm(Harm{
+		Name:     "strand-domain-" + domain.Name,
+		Kind:     DataStranded,
+		Object:   objectName("Domain", domain.Name),
+		Programs: programs,
+		Detail:   detail,
+	})
+}
+
 // moves counts the replicas of a held domain that change machines, and those
 // that should but find no machine in the domain.
 func (c *comparison) moves(domain structs.Domain) {
@@ -65,8 +85,14 @@
 		return
 	}
 	programs := c.input.Use.ofDomain(domain.Name)
-	c.cause(Consequence{Kind: Move, Object: objectName("Domain", domain.Name), Count: moved, Programs: programs,
-		Detail: fmt.Sprintf("%d replicas of %d shards are copied to other machines, one member of a group at a time; %s stay served", moved, domain.ShardCount, countText(programs))})
+	c.cause(Consequence{
+		Kind:     Move,
+		Object:   objectName("Domain", domain.Name),
+		Count:    moved,
+		Programs: programs,
+		Detail: fmt.Sprintf("%d replicas of %d shards are copied to other machines, one member of a group at a time; %s stay served",
+			moved, domain.ShardCount, countText(programs)),
+	})
 }
 
 // members returns the group's present members where the input has them, else
@@ -115,8 +141,12 @@
 	if found >= wanted {
 		return
 	}
-	c.cause(Consequence{Kind: LackCapacity, Object: objectName("Domain", domain.Name), Count: wanted - found,
-		Detail: fmt.Sprintf("%d replicas wanted, daemons in %s: %d", wanted, zoneText(c.new.openZones(domain.Zones)), found)})
+	c.cause(Consequence{
+		Kind:   LackCapacity,
+		Object: objectName("Domain", domain.Name),
+		Count:  wanted - found,
+		Detail: fmt.Sprintf("%d replicas wanted, daemons in %s: %d", wanted, zoneText(c.new.openZones(domain.Zones)), found),
+	})
 }
 
 // replicaCount says which groups a smaller size concerns.
@@ -125,8 +155,12 @@
 	if before <= after {
 		return
 	}
-	c.cause(Consequence{Kind: Touch, Object: objectName("Deployment", c.after.Deployment.Name), Count: after,
-		Detail: fmt.Sprintf("groups that exist keep %d replicas; those of new domains have %d", before, after)})
+	c.cause(Consequence{
+		Kind:   Touch,
+		Object: objectName("Deployment", c.after.Deployment.Name),
+		Count:  after,
+		Detail: fmt.Sprintf("groups that exist keep %d replicas; those of new domains have %d", before, after),
+	})
 }
 
 // eligible returns the daemons that may hold replicas of the domain.
--- a/internal/plan/programs.go
+++ b/internal/plan/programs.go
@@ -43,21 +43,40 @@
 	}
 	programs := c.input.Use.ofTenant(tenant.Name)
 	object := objectName("Tenant", tenant.Name)
-	c.cause(Consequence{Kind: Refuse, Object: object, Programs: programs, Detail: lost + ": its requests would be refused as unauthenticated"})
-	c.harm(Harm{Name: "cut-off-tenant-" + string(tenant.Name), Kind: ProgramsCutOff, Object: object, Programs: programs,
-		Detail: fmt.Sprintf("%s: %s lose their caller", lost, countText(programs))})
+	c.cause(Consequence{
+		Kind:     Refuse,
+		Object:   object,
+		Programs: programs,
+		Detail:   lost + ": its requests would be refused as unauthenticated",
+	})
+	c.harm(Harm{
+		Name:     "cut-off-tenant-" + string(tenant.Name),
+		Kind:     ProgramsCutOff,
+		Object:   object,
+		Programs: programs,
+		Detail:   fmt.Sprintf("%s: %s lose their caller", lost, countText(programs)),
+	})
 }
 
 func (c *comparison) removedProgram(program structs.AgentProgram) {
 	programs := c.input.Use.ofProgram(program.Name)
-	c.cause(Consequence{Kind: Refuse, Object: objectName("AgentProgram", program.Name), Programs: programs,
-		Detail: "opening it would be refused as not permitted"})
+	c.cause(Consequence{
+		Kind:     Refuse,
+		Object:   objectName("AgentProgram", program.Name),
+		Programs: programs,
+		Detail:   "opening it would be refused as not permitted",
+	})
 	c.cutOff(program.Name, programs, "the program is no longer declared")
 }
 
 func (c *comparison) cutOff(name structs.ProgramName, programs int, reason string) {
-	c.harm(Harm{Name: "cut-off-program-" + string(name), Kind: ProgramsCutOff, Object: objectName("AgentProgram", name), Programs: programs,
-		Detail: fmt.Sprintf("%s: %s can't go on", reason, countText(programs))})
+	c.harm(Harm{
+		Name:     "cut-off-program-" + string(name),
+		Kind:     ProgramsCutOff,
+		Object:   objectName("AgentProgram", name),
+		Programs: programs,
+		Detail:   fmt.Sprintf("%s: %s can't go on", reason, countText(programs)),
+	})
 }
 
 // programTenants reports tenants that can open the program no more. Programs
@@ -68,8 +87,12 @@
 			continue
 		}
 		programs := c.input.Use.ofPair(earlier.Name, tenant)
-		c.cause(Consequence{Kind: Refuse, Object: objectName("AgentProgram", earlier.Name), Programs: programs,
-			Detail: fmt.Sprintf("tenant %s may open it no more, also as a sub-agent; %s go on", tenant, countText(programs))})
+		c.cause(Consequence{
+			Kind:     Refuse,
+			Object:   objectName("AgentProgram", earlier.Name),
+			Programs: programs,
+			Detail:   fmt.Sprintf("tenant %s may open it no more, also as a sub-agent; %s go on", tenant, countText(programs)),
+		})
 	}
 }
 
@@ -88,8 +111,12 @@
 }
 
 func (c *comparison) lostTarget(program structs.ProgramName, target string, programs int) {
-	c.cause(Consequence{Kind: Refuse, Object: objectName("AgentProgram", program), Programs: programs,
-		Detail: fmt.Sprintf("its calls of %s would be refused as not permitted", target)})
+	c.cause(Consequence{
+		Kind:     Refuse,
+		Object:   objectName("AgentProgram", program),
+		Programs: programs,
+		Detail:   fmt.Sprintf("its calls of %s would be refused as not permitted", target),
+	})
 	c.cutOff(program, programs, fmt.Sprintf("it may no longer call %s", target))
 }
 
@@ -105,8 +132,13 @@
 	if len(lost) == 0 {
 		return
 	}
-	c.harm(Harm{Name: "strand-program-" + string(program), Kind: DataStranded, Object: objectName("AgentProgram", program), Programs: programs,
-		Detail: fmt.Sprintf("%s of %s may stay in %s, where it may no longer rest, until they end", data, countText(programs), zoneText(lost))})
+	c.harm(Harm{
+		Name:     "strand-program-" + string(program),
+		Kind:     DataStranded,
+		Object:   objectName("AgentProgram", program),
+		Programs: programs,
+		Detail:   fmt.Sprintf("%s of %s may stay in %s, where it may no longer rest, until they end", data, countText(programs), zoneText(lost)),
+	})
 }
 
 // programTerms reports other terms. A program keeps those that it was opened
@@ -120,8 +152,12 @@
 	}
 	programs := c.input.Use.ofProgram(earlier.Name)
 	if earlier.MaxAnswerTokens != wanted.MaxAnswerTokens && programs != 0 {
-		c.cause(Consequence{Kind: Touch, Object: object, Programs: programs,
-			Detail: fmt.Sprintf("answers to further calls of %s are bounded by %d tokens", countText(programs), wanted.MaxAnswerTokens)})
+		c.cause(Consequence{
+			Kind:     Touch,
+			Object:   object,
+			Programs: programs,
+			Detail:   fmt.Sprintf("answers to further calls of %s are bounded by %d tokens", countText(programs), wanted.MaxAnswerTokens),
+		})
 	}
 }
 
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -110,8 +110,11 @@
 	target.Set(filled)
 }
 
+// pairVisitor takes one key of a mapping, its path and its pair.
+type pairVisitor func(key, fieldPath string, pair *ast.MappingValueNode)
+
 // eachPair visits the keys of a mapping and reports duplicates.
-func (r *decoding) eachPair(path string, node ast.Node, target reflect.Value, visit func(key, fieldPath string, pair *ast.MappingValueNode)) {
+func (r *decoding) eachPair(path string, node ast.Node, target reflect.Value, visit pairVisitor) {
 	mapping, ok := node.(*ast.MappingNode)
 	if !ok {
 		r.report(path, node, "must be a mapping", allowedFor(target.Type()))
