Scheduling: move KV cache where it saves at least two seconds

Cause: an engine that leaves takes the cache of its programs with it; moves without a margin, tried before, wandered between engines and lost to staying. Change: a move must save MoveMargin by prediction.

--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -17,6 +17,9 @@
 	MovePerToken time.Duration
 	// MoveFixed is the time to set a copy up.
 	MoveFixed time.Duration
+	// MoveMargin is how much a move must save: the saving is a prediction from
+	// late reports, and a program that moves often has no home.
+	MoveMargin time.Duration
 	// AnswerTokens is the length of a usual answer.
 	AnswerTokens int64
 	// MaxBatch stands in for engines that report none.
@@ -32,6 +35,7 @@
 		PrefillPerToken:        50 * time.Microsecond,
 		MovePerToken:           5 * time.Microsecond,
 		MoveFixed:              20 * time.Millisecond,
+		MoveMargin:             2 * time.Second,
 		AnswerTokens:           100,
 		MaxBatch:               32,
 	}
--- a/internal/schedule/program_aware.go
+++ b/internal/schedule/program_aware.go
@@ -30,7 +30,7 @@
 // defaultOptions are the parts that measurements support; the design note holds
 // the figures.
 func defaultOptions() options {
-	return options{retention: true, order: true, homes: true, admission: true}
+	return options{moves: true, retention: true, order: true, homes: true, admission: true}
 }
 
 func newProgramAware(name string, chosen options) *programAware {
--- a/internal/schedule/registry.go
+++ b/internal/schedule/registry.go
@@ -22,9 +22,9 @@
 // variants are the default policy with one part switched over. They exist to
 // measure what the part is worth and are not offered to operators.
 var variants = map[string]func(*options){
-	"program-aware/moves":        func(o *options) { o.moves = !o.moves },
 	"program-aware/no-admission": func(o *options) { o.admission = !o.admission },
 	"program-aware/no-homes":     func(o *options) { o.homes = !o.homes },
+	"program-aware/no-moves":     func(o *options) { o.moves = !o.moves },
 	"program-aware/no-order":     func(o *options) { o.order = !o.order },
 	"program-aware/no-retention": func(o *options) { o.retention = !o.retention },
 }
--- a/internal/schedule/score_cache.go
+++ b/internal/schedule/score_cache.go
@@ -32,9 +32,10 @@
 	return time.Duration(tokens) * s.model.PrefillPerToken * time.Duration(1+s.model.batch(engine))
 }
 
-// move is the cost of copying what another engine holds and computing the rest.
+// move is the cost of copying what another engine holds and computing the rest,
+// with the margin that a move must save.
 func (s cacheAffinity) move(engine *Engine, request *Request, source int64) time.Duration {
 	copied := max(0, source-request.Cached[engine.ID])
-	transfer := s.model.MoveFixed + time.Duration(copied)*s.model.MovePerToken
+	transfer := s.model.MoveMargin + s.model.MoveFixed + time.Duration(copied)*s.model.MovePerToken
 	return transfer + s.compute(engine, max(0, request.PromptTokens-source))
 }
--- a/internal/schedule/score_test.go
+++ b/internal/schedule/score_test.go
@@ -50,6 +50,7 @@
 	model, engine, request := DefaultCostModel(), idleEngine("one"), testRequest()
 	request.PromptTokens = 20_000
 	request.Cached = map[structs.EngineID]int64{"two": 19_900}
+	engine.Running = 10
 	without := cacheAffinity{&model, false}.Score(testNow, &engine, request)
 	with := cacheAffinity{&model, true}.Score(testNow, &engine, request)
 	require.Less(t, with, without/2)
@@ -138,3 +139,15 @@
 		})
 	}
 }
+
+func TestCacheOfALeavingEngineIsMovedOut(t *testing.T) {
+	snapshot, request := threeEngines(), testRequest()
+	snapshot.Engines[0].Leaving = true
+	request.PromptTokens = 20_000
+	request.Cached = map[structs.EngineID]int64{"one": 19_000}
+	choice := chosen(t, "program-aware", snapshot, request)
+	require.NotEqual(t, structs.EngineID("one"), choice.Engine)
+	require.Equal(t, structs.EngineID("one"), choice.MoveFrom)
+	snapshot.Engines[0].Zone = "b"
+	require.Empty(t, chosen(t, "program-aware", snapshot, request).MoveFrom, "the source stands where the cache may not rest")
+}
