--- a/internal/journal/schedule_test.go
+++ b/internal/journal/schedule_test.go
@@ -440,7 +440,7 @@
 
 // exchange delivers and stores everything, to and fro a few times.
 func (s *simulation) exchange() {
-	const trips = 6
+	const trips = 8
 	for range trips {
 		for count := len(s.flying); count > 0; count-- {
 			s.deliverAt(0)
