--- a/cmd/barleyshelf/apply.go
+++ b/cmd/barleyshelf/apply.go
@@ -11,8 +11,12 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/operatorapi"
 )
 
-// statusPeriod is the time between two looks at where a version is in force.
-const statusPeriod = 250 * time.Millisecond
+// Times between two looks at where a version is in force. Each look asks every
+// daemon, so the time doubles.
+const (
+	firstStatusPeriod = 250 * time.Millisecond
+	statusPeriodLimit = 2 * time.Second
+)
 
 type applyCommand struct {
 	Accept      []string      `long:"accept" value-name:"NAME" description:"name of a harm that is accepted; may be repeated"`
@@ -71,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(c.app.context, c.WaitTimeout)
 	defer cancel()
 	missing := &notEverywhere{version: version}
-	for {
+	for period := firstStatusPeriod; ; period = min(2*period, statusPeriodLimit) {
 		status, err := c.Connection.inForce(ctx, version)
 		if err == nil && status.Everywhere {
 			return nil
@@ -83,7 +87,7 @@
 		select {
 		case <-ctx.Done():
 			return missing
-		case <-time.After(statusPeriod):
+		case <-time.After(period):
 		}
 	}
 }
