--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -93,7 +93,7 @@
 		done:    make(chan struct{}),
 		stop:    stop,
 	}
-	c.view.Store(newView(c.state.Nodes()))
+	c.view.Store(NewView(c.state.Nodes()))
 	go c.run(running)
 	return c, nil
 }
@@ -206,8 +206,8 @@
 	c.mutex.Lock()
 	step(time.Now())
 	outgoing, events := c.state.Drain()
-	if slices.ContainsFunc(events, changesView) {
-		c.view.Store(newView(c.state.Nodes()))
+	if view := c.view.Load(); len(events) > 0 {
+		c.view.Store(view.After(events))
 	}
 	c.queue = append(c.queue, events...)
 	c.mutex.Unlock()
@@ -223,14 +223,6 @@
 	}
 }
 
-func changesView(event membership.Event) bool {
-	switch event.Kind {
-	case membership.NodeChanged, membership.ZoneReachable, membership.ZoneUnreachable:
-		return true
-	}
-	return false
-}
-
 // deliver passes queued events on, in order and one at a time.
 func (c *Cluster) deliver() {
 	c.deliveries.Lock()
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,11 +41,10 @@
 func programName(p *structs.AgentProgram) string { return string(p.Name) }
 func domainName(d *structs.Domain) string        { return d.Name }
 
-// diff returns what leads from one configuration to another.
-func diff(from, to *structs.Configuration) *configurationDelta {
+// diff returns what leads from one configuration, of the given hash, to another.
+func diff(from, to *structs.Configuration, hash uint64) *configurationDelta {
 	delta := &configurationDelta{
 		PlanID:   to.PlanID,
-		Hash:     hashConfiguration(to),
 		Zones:    diffList(from.Declarations.Zones, to.Declarations.Zones, zoneName),
 		Tenants:  diffList(from.Declarations.Tenants, to.Declarations.Tenants, tenantName),
 		Models:   diffList(from.Declarations.Models, to.Declarations.Models, modelName),
@@ -55,6 +55,7 @@
 	if from.Declarations.Deployment != to.Declarations.Deployment {
 		delta.Deployment = &to.Declarations.Deployment
 	}
+	delta.Hash = delta.nextHash(from, hash)
 	return delta
 }
 
@@ -154,13 +155,13 @@
 
 func diffList[T any](from, to []T, name func(*T) string) listDelta[T] {
 	var delta listDelta[T]
-	before := map[string]uint64{}
+	before := make(map[string]int, len(from))
 	for i := range from {
-		before[name(&from[i])] = objectHash("", from[i])
+		before[name(&from[i])] = i
 	}
 	for i := range to {
 		key := name(&to[i])
-		if hash, known := before[key]; !known || hash != objectHash("", to[i]) {
+		if at, known := before[key]; !known || !reflect.DeepEqual(from[at], to[i]) {
 			delta.Changed = append(delta.Changed, to[i])
 		}
 		delete(before, key)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -68,7 +68,7 @@
 		eventBadDelta.Log("base", delta.Base, "version", delta.Version)
 		return false
 	}
-	s.held, s.hash = change.apply(s.held, delta.Version), hash
+	s.hold(change.apply(s.held, delta.Version), hash)
 	s.keep(delta)
 	s.putInForce()
 	return true
@@ -120,7 +120,7 @@
 	if s.held != nil && c.Version <= s.held.Version || c.Version < s.floor {
 		return false
 	}
-	s.held, s.hash = c, hashConfiguration(c)
+	s.hold(c, hashConfiguration(c))
 	s.log, s.bytes = nil, 0
 	s.putInForce()
 	return true
--- a/internal/config/feed.go
+++ b/internal/config/feed.go
@@ -21,12 +21,15 @@
 	Key     string
 	Version uint64
 	Value   []byte
+	// Deleted objects come from watches alone and have no value.
+	Deleted bool
 }
 
 // Watch is a stream of changes of the platform's objects.
 type Watch interface {
 	// Next blocks until an object changed, or the stream ends with an error.
 	Next() (Object, error)
+	Close() error
 }
 
 // Source reads the platform's object API.
@@ -145,6 +148,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = watch.Close() }()
 	for {
 		object, err := watch.Next()
 		if spanned.Err() != nil {
@@ -153,7 +157,7 @@
 		if err != nil {
 			return err
 		}
-		if object.Key == RootKey {
+		if object.Key == RootKey && !object.Deleted {
 			f.take(object)
 		}
 		if !f.Reading() {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -42,6 +42,7 @@
 	whole        []byte
 	wholeVersion uint64
 	disk         *disk
+	share        func(*structs.Configuration) *structs.Configuration
 
 	deliveries sync.Mutex
 	listeners  []func(*structs.Configuration)
@@ -116,20 +117,22 @@
 		s.putInForce()
 		return before, true
 	}
-	if s.held != nil && s.held.Version < c.Version {
-		s.appendLog(s.held, c)
+	if s.held == nil {
+		s.hold(c, hashConfiguration(c))
+	} else {
+		s.advance(c)
 	}
-	s.held, s.hash = c, hashConfiguration(c)
 	s.putInForce()
 	return before, true
 }
 
-func (s *Store) appendLog(from, to *structs.Configuration) {
-	data, err := json.Marshal(diff(from, to))
-	if err != nil {
-		return
+// advance replaces the held version by a newer one and logs the difference.
+func (s *Store) advance(c *structs.Configuration) {
+	delta := diff(s.held, c, s.hash)
+	if data, err := json.Marshal(delta); err == nil {
+		s.keep(&gossipv1.DocumentDelta{Base: s.held.Version, Version: c.Version, Data: data})
 	}
-	s.keep(&gossipv1.DocumentDelta{Base: from.Version, Version: to.Version, Data: data})
+	s.hold(c, delta.Hash)
 }
 
 // keep adds a delta to the log and drops the oldest beyond the bounds.
@@ -150,6 +153,22 @@
 	s.inForce.Store(s.held)
 }
 
+// Share lets stores of one process hold one copy of equal configurations: the
+// function returns the copy to hold in place of its argument.
+func (s *Store) Share(share func(*structs.Configuration) *structs.Configuration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.share = share
+}
+
+// hold makes a configuration the newest one known.
+func (s *Store) hold(c *structs.Configuration, hash uint64) {
+	if s.share != nil {
+		c = s.share(c)
+	}
+	s.held, s.hash = c, hash
+}
+
 func (s *Store) version() uint64 {
 	if current := s.inForce.Load(); current != nil {
 		return current.Version
--- a/internal/membership/document.go
+++ b/internal/membership/document.go
@@ -38,6 +38,17 @@
 	documentRequestTimeout = time.Second
 )
 
+// pushedDeltaBytes is the size up to which deltas are pushed unasked.
+const pushedDeltaBytes = 1 << 10
+
+func deltaBytes(deltas []*gossipv1.DocumentDelta) int {
+	total := 0
+	for _, delta := range deltas {
+		total += len(delta.Data)
+	}
+	return total
+}
+
 // documentFetch is the request that the daemon waits for.
 type documentFetch struct {
 	asked   time.Time
@@ -157,6 +168,10 @@
 func (s *State) documentChanged(before uint64, source structs.NodeID) {
 	s.emit(Event{Kind: DocumentInForce, Version: s.options.Document.InForce()})
 	deltas := s.options.Document.Deltas(before)
+	if deltaBytes(deltas) > pushedDeltaBytes {
+		// Each neighbour asks one daemon for it, instead of getting it from all.
+		deltas = nil
+	}
 	for _, neighbour := range s.topology().neighbours {
 		if neighbour.node.ID == source {
 			continue
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -20,12 +20,17 @@
 // Publish spreads an item. An item that is not newer than the one held is dropped.
 func (s *State) Publish(now time.Time, item Item) {
 	s.now = now
-	s.learn(&gossipv1.Fact{
+	s.learn(ItemFact(item), "")
+}
+
+// ItemFact is the fact that carries an item.
+func ItemFact(item Item) *gossipv1.Fact {
+	return &gossipv1.Fact{
 		Key:   itemPrefix + item.Key,
 		Major: item.Version,
 		Minor: xxhash.Sum64(item.Value),
 		Value: item.Value,
-	}, "")
+	}
 }
 
 // Item returns the newest item held under the key.
@@ -71,6 +76,10 @@
 		return false
 	}
 	s.lastChanged = s.now
+	if !s.joined {
+		// What a joining daemon is told, the others know.
+		return true
+	}
 	if len(s.pending) == 0 {
 		s.nextFlush = s.now.Add(s.timing.Gather)
 	}
@@ -125,47 +134,3 @@
 		}
 	}
 }
-
-// reunionPeriod is how often a daemon that misses others looks for them.
-const reunionPeriod = 10 * time.Second
-
-// join asks the seeds while the daemon knows no other.
-func (s *State) join() {
-	s.nextJoin = s.now.Add(s.timing.Join)
-	for _, m := range s.members {
-		if m.node.ID != s.options.Self.ID && m.node.State != structs.NodeDead {
-			return
-		}
-	}
-	for _, seed := range s.options.Seeds {
-		s.greet(structs.Node{PeerAddress: seed})
-	}
-}
-
-// reunite greets a seed and a removed or suspected member, so that parts that
-// lost each other find together again.
-func (s *State) reunite() {
-	s.nextReunion = s.now.Add(reunionPeriod)
-	if missing := s.randomMember(func(m *member) bool {
-		return s.present(m).State == structs.NodeDead || s.present(m).State == structs.NodeSuspect
-	}); missing != nil {
-		s.greet(missing.node)
-	}
-	if seeds := s.options.Seeds; len(seeds) > 0 && len(s.members) <= len(seeds) {
-		s.greet(structs.Node{PeerAddress: seeds[s.options.Random.IntN(len(seeds))]})
-	}
-}
-
-// greet introduces the daemon to a peer that may not know it and starts a
-// comparison of facts.
-func (s *State) greet(to structs.Node) {
-	if to.PeerAddress == s.options.Self.PeerAddress {
-		return
-	}
-	s.send(to, &gossipv1.Message{
-		Address:         s.options.Self.PeerAddress,
-		Facts:           []*gossipv1.Fact{s.facts.get(nodeKey(s.options.Self.ID)).message()},
-		Sync:            &gossipv1.Sync{Buckets: s.facts.folded()},
-		DocumentVersion: s.documentVersion(),
-	})
-}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -51,6 +51,15 @@
 	}, "")
 }
 
+// FirstFact is the fact by which a daemon of the next incarnation presents itself.
+func FirstFact(node structs.Node) *gossipv1.Fact {
+	return &gossipv1.Fact{
+		Key:   nodeKey(node.ID),
+		Major: uint64(node.Incarnation) + 1,
+		Value: encodeNode(node, nil),
+	}
+}
+
 func encodeNode(node structs.Node, witnesses []string) []byte {
 	value, err := proto.Marshal(&gossipv1.NodeFact{
 		Region:        node.Region,
@@ -250,6 +259,7 @@
 				s.facts.forget(held)
 			}
 			delete(s.members, id)
+			s.emit(Event{Kind: NodeForgotten, Node: m.node})
 		}
 	}
 	for nonce, p := range s.pings {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
@@ -95,6 +96,8 @@
 	// one of them came back.
 	ZoneUnreachable
 	ZoneReachable
+	// NodeForgotten: a daemon that was removed long ago is no longer known.
+	NodeForgotten
 )
 
 // Event is a change that the runner reports.
@@ -156,6 +159,11 @@
 	lastChanged time.Time
 	nextSync    time.Time
 	fetch       *documentFetch
+	// joined daemons hold what the others hold and have introduced themselves.
+	joined       bool
+	joinAttempts int
+	// joinTotal is the number of facts that a seed said it sent; 0 if none did.
+	joinTotal   int
 	removedSelf bool
 	leaving     bool
 
@@ -224,13 +232,13 @@
 	if s.removedSelf {
 		return
 	}
+	if !s.joined && !now.Before(s.nextJoin) {
+		s.join()
+	}
 	s.topology()
 	if !now.Before(s.nextHeartbeat) {
 		s.beat()
 	}
-	if !now.Before(s.nextJoin) {
-		s.join()
-	}
 	if !now.Before(s.nextReunion) {
 		s.reunite()
 	}
@@ -263,6 +271,9 @@
 		return s.now.Add(s.timing.Heartbeat)
 	}
 	wake := s.nextHeartbeat
+	if !s.joined && s.nextJoin.Before(wake) {
+		wake = s.nextJoin
+	}
 	earlier := func(at time.Time) {
 		if at.Before(wake) {
 			wake = at
@@ -275,6 +286,9 @@
 		earlier(w.due())
 	}
 	for _, a := range s.accusations {
+		if !slices.Contains(a.witnesses, s.options.Self.ID) {
+			continue
+		}
 		earlier(a.confirmed.Add(s.timing.Refutation))
 	}
 	if !wake.After(s.now) {
@@ -290,6 +304,9 @@
 	if s.nextHeartbeat.Before(s.now) {
 		s.nextHeartbeat = s.now.Add(s.timing.Heartbeat)
 	}
+	if !s.joined {
+		return
+	}
 	for _, neighbour := range s.topology().neighbours {
 		s.send(neighbour.node, &gossipv1.Message{
 			Heartbeat:       s.heartbeat,
@@ -313,7 +330,11 @@
 	if s.removedSelf || m.From == string(s.options.Self.ID) {
 		return
 	}
+	if s.receiveJoin(m) {
+		return
+	}
 	s.receiveFacts(m)
+	s.completeJoin(m)
 	from, known := s.members[structs.NodeID(m.From)]
 	if !known || s.turnAway(from, m) {
 		return
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -168,19 +168,32 @@
 	}
 	var candidates []*member
 	for ring := 0; ring < watcherCount; ring++ {
-		ordered := slices.Clone(zone)
-		slices.SortFunc(ordered, func(a, b *member) int {
-			return cmp.Compare(watcher.ring[ring]-a.ring[ring], watcher.ring[ring]-b.ring[ring])
-		})
-		for _, candidate := range ordered[:reach+1] {
-			if candidate != watcher && !slices.Contains(candidates, candidate) {
-				candidates = append(candidates, candidate)
+		for _, near := range predecessors(watcher, zone, ring, reach) {
+			if !slices.Contains(candidates, near) {
+				candidates = append(candidates, near)
 			}
 		}
 	}
 	return candidates
 }
 
+// predecessors returns the members nearest before the watcher on the ring.
+func predecessors(watcher *member, zone []*member, ring, count int) []*member {
+	distance := func(m *member) uint64 { return watcher.ring[ring] - m.ring[ring] }
+	nearest := make([]*member, 0, count+1)
+	for _, m := range zone {
+		at := len(nearest)
+		for at > 0 && distance(m) < distance(nearest[at-1]) {
+			at--
+		}
+		if m != watcher && at < count {
+			nearest = slices.Insert(nearest, at, m)
+			nearest = nearest[:min(count, len(nearest))]
+		}
+	}
+	return nearest
+}
+
 // deriveLinks finds each two neighbouring zones and the daemons that link them.
 func (s *State) deriveLinks(t *topology, byZone map[structs.ZoneName][]*member) {
 	self := s.members[s.options.Self.ID]
@@ -223,19 +236,34 @@
 	return pairs
 }
 
-// representatives returns the members of a zone that hold its ends of the links.
+// representatives returns the members of a zone that hold its ends of the
+// links: the first by rendezvous hash.
 func representatives(zone []*member, pair zonePair) []*member {
-	ordered := slices.Clone(zone)
-	rendezvousSort(ordered, string(pair.from)+"\x00"+string(pair.to))
-	return ordered[:min(linksPerZonePair, len(ordered))]
+	salt := xxhash.Sum64String(string(pair.from) + "\x00" + string(pair.to))
+	var first []*member
+	for _, m := range zone {
+		at := len(first)
+		for at > 0 && rendezvousBefore(m, first[at-1], salt) {
+			at--
+		}
+		if at < linksPerZonePair {
+			first = slices.Insert(first, at, m)
+			first = first[:min(linksPerZonePair, len(first))]
+		}
+	}
+	return first
+}
+
+func rendezvousBefore(a, b *member, salt uint64) bool { return rendezvousOrder(a, b, salt) < 0 }
+
+func rendezvousOrder(a, b *member, salt uint64) int {
+	return cmp.Or(cmp.Compare(mix(a.ring[0]^salt), mix(b.ring[0]^salt)), byID(a, b))
 }
 
 // rendezvousSort orders members by the hash of the key and their ids.
 func rendezvousSort(members []*member, key string) {
 	salt := xxhash.Sum64String(key)
-	slices.SortFunc(members, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(mix(a.ring[0]^salt), mix(b.ring[0]^salt)), byID(a, b))
-	})
+	slices.SortFunc(members, func(a, b *member) int { return rendezvousOrder(a, b, salt) })
 }
 
 func byID(a, b *member) int { return cmp.Compare(a.node.ID, b.node.ID) }
