Serve operators, tenants' shares, certificates and metrics from the daemon

The operators' API answers for the whole deployment by asking every daemon of the view; tenants' rates are kept by shares between daemons; listeners and peer connections use certificates that are read again on change, and plain TCP only where the settings ask for it.

--- a/cmd/barleyshelf/daemon.go
+++ b/cmd/barleyshelf/daemon.go
@@ -49,7 +49,12 @@
 		running.Kill()
 		return err
 	}
-	<-c.app.context.Done()
+	select {
+	case <-c.app.context.Done():
+	case <-running.Done():
+		// An operator drained it.
+		return nil
+	}
 	signal.Reset(os.Interrupt, syscall.SIGTERM)
 	return running.Stop(context.Background())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,10 +14,12 @@
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/fleet"
 	"github.com/barleyshelf/barleyshelf/internal/identity"
+	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/peer"
 	"github.com/barleyshelf/barleyshelf/internal/platform"
 	"github.com/barleyshelf/barleyshelf/internal/settings"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/tool"
 )
 
@@ -53,11 +54,12 @@
 	tenants   *identity.Tenants
 	directory *directory
 	policies  policyChoice
+	shares    *limit.Shares
+	registry  *telemetry.Registry
 	admission *admission
 	core      atomic.Pointer[core]
 
-	peerTLS   peerSecurity
-	serverTLS *tls.Config
+	security security
 
 	servers []*server
 	// stopping is set when a planned stop begins, draining when new requests
@@ -72,6 +74,7 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	stopOnce sync.Once
+	stopped  chan struct{}
 }
 
 // New prepares a daemon with valid settings. The error is a failure.Failure.
@@ -88,9 +91,12 @@
 		directory: newDirectory(),
 		context:   ctx,
 		cancel:    cancel,
+		stopped:   make(chan struct{}),
+		registry:  telemetry.NewRegistry(),
 	}
 	d.self = selfNode(configured)
-	d.admission = &admission{draining: &d.draining}
+	d.shares = limit.NewShares(limit.Holder{Node: d.self.ID, Incarnation: d.self.Incarnation}, time.Now(), options.Seed)
+	d.admission = &admission{draining: &d.draining, shares: d.shares}
 	d.backends = newBackendClient(d.gate, options.Dial)
 	d.platform = platform.NewClient(configured.PlatformAddress, d.backends)
 	d.engines = engine.NewClient(d.backends)
@@ -118,6 +124,9 @@
 // Start opens the listeners and joins the cluster. It returns once the daemon
 // can be reached; it serves callers once a configuration is in force.
 func (d *Daemon) Start(ctx context.Context) error {
+	if err := d.loadSecurity(); err != nil {
+		return err
+	}
 	if err := d.prepareStore(); err != nil {
 		return err
 	}
@@ -130,6 +139,7 @@
 	if err := d.openListeners(); err != nil {
 		return err
 	}
+	d.defineMetrics()
 	d.startTasks()
 	eventStarted.Log("node", d.self.ID, "zone", d.self.Zone, "incarnation", d.self.Incarnation)
 	return ctx.Err()
@@ -141,6 +151,8 @@
 	d.task(func() { d.fleet.Run(d.context) })
 	d.task(d.runGroups)
 	d.task(d.runReconcile)
+	d.task(d.runShares)
+	d.watchCertificates()
 }
 
 func (d *Daemon) task(work func()) {
@@ -187,5 +199,6 @@
 		<-d.cluster.Done()
 		d.tasks.Wait()
 		d.backends.CloseIdleConnections()
+		close(d.stopped)
 	})
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -1,21 +1,35 @@
 package daemon
 
-import "net/http"
+import (
+	"net/http"
 
-// operatorHandler serves the operators' address.
+	"github.com/barleyshelf/barleyshelf/internal/operator"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+)
+
+// operatorHandler serves the operators' address: their API, liveness,
+// readiness and metrics.
 func (d *Daemon) operatorHandler() (http.Handler, error) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
-		writer.WriteHeader(http.StatusNoContent)
+	service := operator.NewService(operator.Options{Platform: d.platform, Backend: operatorBackend{daemon: d}})
+	api, err := operator.NewHandler(operator.HandlerOptions{
+		Service:      service,
+		TokensSHA256: d.settings.OperatorTokensSHA256,
 	})
-	mux.HandleFunc("GET /readyz", d.serveReady)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", api)
+	telemetry.Mount(mux, d.registry, d.readiness)
 	return mux, nil
 }
 
-func (d *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
+func (d *Daemon) readiness() telemetry.Readiness {
 	if refusal := d.refusal(); refusal != nil {
-		http.Error(writer, refusal.Error(), http.StatusServiceUnavailable)
-		return
+		return telemetry.Readiness{Reason: refusal.Error()}
+	}
+	if d.draining.Load() {
+		return telemetry.Readiness{Reason: "the daemon is stopping"}
 	}
-	writer.WriteHeader(http.StatusNoContent)
+	return telemetry.Readiness{Ready: true}
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/caller"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/identity"
 	"github.com/barleyshelf/barleyshelf/internal/peer"
 )
 
@@ -54,6 +55,7 @@
 		Admission:     d.admission,
 		Ready:         d.refusal,
 		MaxBodyBytes:  d.settings.MaxBodyBytes,
+		Metrics:       caller.NewMetrics(d.registry),
 	})
 	if err != nil {
 		return &failure.Internal{Cause: err}
@@ -63,31 +65,36 @@
 		return &failure.Internal{Cause: err}
 	}
 	addresses := d.settings.Listen
-	if err := d.listen("peer", addresses.Peer, peer.NewServer(string(d.self.ID), d), d.peerTLS.server); err != nil {
+	if err := d.listen("peer", addresses.Peer, peer.NewServer(string(d.self.ID), d), d.security.peerServerConfig()); err != nil {
 		return err
 	}
-	if err := d.listen("caller", addresses.Caller, d.counted(callers), d.serverTLS); err != nil {
+	if err := d.listen("caller", addresses.Caller, d.counted(callers), d.security.serverConfig()); err != nil {
 		return err
 	}
-	return d.listen("operator", addresses.Operator, operators, d.serverTLS)
+	return d.listen("operator", addresses.Operator, operators, d.security.serverConfig())
 }
 
-// listen binds an address and serves it; plain TCP where security is nil.
-func (d *Daemon) listen(name, address string, handler http.Handler, security *tls.Config) error {
+// listen binds an address and serves it; plain TCP where config is nil, which
+// the settings must allow.
+func (d *Daemon) listen(name, address string, handler http.Handler, config *tls.Config) error {
 	bound, err := net.Listen("tcp", address)
 	if err != nil {
 		return &listenFailed{Address: address, Cause: err}
 	}
+	if config == nil && !d.settings.TLS.AllowPlain {
+		_ = bound.Close()
+		return &identity.PlainRefused{Address: address}
+	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(security == nil)
+	protocols.SetUnencryptedHTTP2(config == nil)
 	created := &server{
 		name:     name,
 		listener: &gatedListener{Listener: bound, gate: d.gate},
 		http: &http.Server{
 			Handler:           handler,
-			TLSConfig:         security,
+			TLSConfig:         config,
 			Protocols:         protocols,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
@@ -95,7 +102,7 @@
 		},
 	}
 	d.servers = append(d.servers, created)
-	d.task(func() { created.serve(security != nil) })
+	d.task(func() { created.serve(config != nil) })
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/shares.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
+	"github.com/barleyshelf/barleyshelf/internal/limit"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// runShares carries the messages of tenants' shares.
+func (d *Daemon) runShares() {
+	for wait(d.context, limit.TickInterval) {
+		d.shares.SetView(time.Now(), d.shareView())
+		d.sendShares(d.shares.Tick(time.Now()))
+	}
+}
+
+// shareView is the cluster as the shares need it.
+func (d *Daemon) shareView() limit.View {
+	nodes := d.cluster.View().Nodes
+	view := limit.View{Known: len(nodes)}
+	for _, node := range nodes {
+		if node.State != structs.NodeDead {
+			view.Nodes = append(view.Nodes, node.ID)
+		}
+	}
+	return view
+}
+
+func (d *Daemon) declareRates(configuration *structs.Configuration) {
+	d.shares.Declare(time.Now(), limit.RatesOf(configuration.Declarations.Tenants))
+}
+
+func (d *Daemon) sendShares(outgoing []limit.Outgoing) {
+	for _, each := range outgoing {
+		address, known := d.peerAddress(each.To)
+		if !known {
+			continue
+		}
+		encoded, err := each.Message.MarshalBinary()
+		if err != nil {
+			continue
+		}
+		message := &limitv1.Message{}
+		if proto.Unmarshal(encoded, message) == nil {
+			d.peers.SendLimit(address, message)
+		}
+	}
+}
+
+// ReceiveLimit takes shares of tenants' rates.
+func (d *Daemon) ReceiveLimit(wire *limitv1.Message) {
+	encoded, err := proto.Marshal(wire)
+	if err != nil {
+		return
+	}
+	message := limit.Message{}
+	if message.UnmarshalBinary(encoded) == nil {
+		d.sendShares(d.shares.Receive(time.Now(), message))
+	}
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -29,14 +29,16 @@
 	d.choosePolicy(nil)
 	store.OnChange(d.tenants.Update)
 	store.OnChange(d.choosePolicy)
+	store.OnChange(d.declareRates)
 	store.OnChange(func(configuration *structs.Configuration) { d.applied.Store(configuration.Version) })
 	return nil
 }
 
 func (d *Daemon) startCluster() error {
+	dial := gatedDialer(d.gate, d.options.Dial)
 	d.peers = peer.NewClient(peer.Options{
-		TLS:     d.peerTLS.client,
-		Dial:    gatedDialer(d.gate, d.options.Dial),
+		Dial:    dial,
+		DialTLS: d.security.peerDialer(dial),
 		Resolve: d.peerAddress,
 	})
 	joined, err := cluster.Start(d.context, cluster.Options{
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -71,7 +71,6 @@
 // Executor carries out the programs of the shards that this daemon leads.
 type Executor struct {
 	options Options
-	refused refusalCounter
 
 	context context.Context
 	cancel  context.CancelFunc
--- a/internal/gen/peerv1/peerv1connect/peer.connect.go
+++ b/internal/gen/peerv1/peerv1connect/peer.connect.go
@@ -11,6 +11,7 @@
 	errors "errors"
 	gossipv1 "github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
 	journalv1 "github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	limitv1 "github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	peerv1 "github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	http "net/http"
 	strings "strings"
@@ -42,6 +43,12 @@
 	PeerServiceGossipProcedure = "/barleyshelf.peer.v1.PeerService/Gossip"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/barleyshelf.peer.v1.PeerService/Forward"
+	// PeerServiceLimitProcedure is the fully-qualified name of the PeerService's Limit RPC.
+	PeerServiceLimitProcedure = "/barleyshelf.peer.v1.PeerService/Limit"
+	// PeerServiceInspectProcedure is the fully-qualified name of the PeerService's Inspect RPC.
+	PeerServiceInspectProcedure = "/barleyshelf.peer.v1.PeerService/Inspect"
+	// PeerServiceDrainProcedure is the fully-qualified name of the PeerService's Drain RPC.
+	PeerServiceDrainProcedure = "/barleyshelf.peer.v1.PeerService/Drain"
 	// PeerServiceConfigInForceProcedure is the fully-qualified name of the PeerService's ConfigInForce
 	// RPC.
 	PeerServiceConfigInForceProcedure = "/barleyshelf.peer.v1.PeerService/ConfigInForce"
@@ -56,6 +63,12 @@
 	Gossip(context.Context, *connect.Request[gossipv1.Message]) (*connect.Response[peerv1.Received], error)
 	// Forward runs a caller's request at the shard's leader.
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest]) (*connect.ServerStreamForClient[peerv1.ForwardEvent], error)
+	// Limit delivers shares of tenants' rates.
+	Limit(context.Context, *connect.Request[limitv1.Message]) (*connect.Response[peerv1.Received], error)
+	// Inspect tells what operators ask of a daemon.
+	Inspect(context.Context, *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error)
+	// Drain begins the daemon's planned stop and returns at once.
+	Drain(context.Context, *connect.Request[peerv1.DrainRequest]) (*connect.Response[peerv1.Received], error)
 	// ConfigInForce tells the version that the daemon acts on.
 	ConfigInForce(context.Context, *connect.Request[peerv1.ConfigInForceRequest]) (*connect.Response[peerv1.ConfigInForceResponse], error)
 }
@@ -89,6 +102,24 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		limit: connect.NewClient[limitv1.Message, peerv1.Received](
+			httpClient,
+			baseURL+PeerServiceLimitProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Limit")),
+			connect.WithClientOptions(opts...),
+		),
+		inspect: connect.NewClient[peerv1.InspectRequest, peerv1.InspectResponse](
+			httpClient,
+			baseURL+PeerServiceInspectProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+			connect.WithClientOptions(opts...),
+		),
+		drain: connect.NewClient[peerv1.DrainRequest, peerv1.Received](
+			httpClient,
+			baseURL+PeerServiceDrainProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Drain")),
+			connect.WithClientOptions(opts...),
+		),
 		configInForce: connect.NewClient[peerv1.ConfigInForceRequest, peerv1.ConfigInForceResponse](
 			httpClient,
 			baseURL+PeerServiceConfigInForceProcedure,
@@ -103,6 +134,9 @@
 	journal       *connect.Client[journalv1.Batch, peerv1.Received]
 	gossip        *connect.Client[gossipv1.Message, peerv1.Received]
 	forward       *connect.Client[peerv1.ForwardRequest, peerv1.ForwardEvent]
+	limit         *connect.Client[limitv1.Message, peerv1.Received]
+	inspect       *connect.Client[peerv1.InspectRequest, peerv1.InspectResponse]
+	drain         *connect.Client[peerv1.DrainRequest, peerv1.Received]
 	configInForce *connect.Client[peerv1.ConfigInForceRequest, peerv1.ConfigInForceResponse]
 }
 
@@ -121,6 +155,21 @@
 	return c.forward.CallServerStream(ctx, req)
 }
 
+// Limit calls barleyshelf.peer.v1.PeerService.Limit.
+func (c *peerServiceClient) Limit(ctx context.Context, req *connect.Request[limitv1.Message]) (*connect.Response[peerv1.Received], error) {
+	return c.limit.CallUnary(ctx, req)
+}
+
+// Inspect calls barleyshelf.peer.v1.PeerService.Inspect.
+func (c *peerServiceClient) Inspect(ctx context.Context, req *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error) {
+	return c.inspect.CallUnary(ctx, req)
+}
+
+// Drain calls barleyshelf.peer.v1.PeerService.Drain.
+func (c *peerServiceClient) Drain(ctx context.Context, req *connect.Request[peerv1.DrainRequest]) (*connect.Response[peerv1.Received], error) {
+	return c.drain.CallUnary(ctx, req)
+}
+
 // ConfigInForce calls barleyshelf.peer.v1.PeerService.ConfigInForce.
 func (c *peerServiceClient) ConfigInForce(ctx context.Context, req *connect.Request[peerv1.ConfigInForceRequest]) (*connect.Response[peerv1.ConfigInForceResponse], error) {
 	return c.configInForce.CallUnary(ctx, req)
@@ -135,6 +184,12 @@
 	Gossip(context.Context, *connect.Request[gossipv1.Message]) (*connect.Response[peerv1.Received], error)
 	// Forward runs a caller's request at the shard's leader.
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest], *connect.ServerStream[peerv1.ForwardEvent]) error
+	// Limit delivers shares of tenants' rates.
+	Limit(context.Context, *connect.Request[limitv1.Message]) (*connect.Response[peerv1.Received], error)
+	// Inspect tells what operators ask of a daemon.
+	Inspect(context.Context, *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error)
+	// Drain begins the daemon's planned stop and returns at once.
+	Drain(context.Context, *connect.Request[peerv1.DrainRequest]) (*connect.Response[peerv1.Received], error)
 	// ConfigInForce tells the version that the daemon acts on.
 	ConfigInForce(context.Context, *connect.Request[peerv1.ConfigInForceRequest]) (*connect.Response[peerv1.ConfigInForceResponse], error)
 }
@@ -164,6 +219,24 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceLimitHandler := connect.NewUnaryHandler(
+		PeerServiceLimitProcedure,
+		svc.Limit,
+		connect.WithSchema(peerServiceMethods.ByName("Limit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceInspectHandler := connect.NewUnaryHandler(
+		PeerServiceInspectProcedure,
+		svc.Inspect,
+		connect.WithSchema(peerServiceMethods.ByName("Inspect")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceDrainHandler := connect.NewUnaryHandler(
+		PeerServiceDrainProcedure,
+		svc.Drain,
+		connect.WithSchema(peerServiceMethods.ByName("Drain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceConfigInForceHandler := connect.NewUnaryHandler(
 		PeerServiceConfigInForceProcedure,
 		svc.ConfigInForce,
@@ -178,6 +251,12 @@
 			peerServiceGossipHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceLimitProcedure:
+			peerServiceLimitHandler.ServeHTTP(w, r)
+		case PeerServiceInspectProcedure:
+			peerServiceInspectHandler.ServeHTTP(w, r)
+		case PeerServiceDrainProcedure:
+			peerServiceDrainHandler.ServeHTTP(w, r)
 		case PeerServiceConfigInForceProcedure:
 			peerServiceConfigInForceHandler.ServeHTTP(w, r)
 		default:
@@ -201,6 +280,18 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.Forward is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Limit(context.Context, *connect.Request[limitv1.Message]) (*connect.Response[peerv1.Received], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.Limit is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Inspect(context.Context, *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.Inspect is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Drain(context.Context, *connect.Request[peerv1.DrainRequest]) (*connect.Response[peerv1.Received], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.Drain is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) ConfigInForce(context.Context, *connect.Request[peerv1.ConfigInForceRequest]) (*connect.Response[peerv1.ConfigInForceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.peer.v1.PeerService.ConfigInForce is not implemented"))
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +11,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -32,8 +32,8 @@
 
 // Options set up a Client.
 type Options struct {
-	// TLS is the client side of mutual TLS; nil means plain TCP.
-	TLS *tls.Config
+	// DialTLS opens connections secured by mutual TLS; nil means plain TCP.
+	DialTLS Dialer
 	// Dial replaces the plain dialer; nil means net.Dialer.
 	Dial Dialer
 	// Resolve returns the peer address (IP:port) of a node, if it is known.
@@ -59,15 +59,15 @@
 	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(options.TLS == nil)
+	protocols.SetUnencryptedHTTP2(options.DialTLS == nil)
 	transport := &http.Transport{
-		DialContext:     options.Dial,
-		TLSClientConfig: options.TLS,
-		Protocols:       protocols,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		DialContext:    options.Dial,
+		DialTLSContext: options.DialTLS,
+		Protocols:      protocols,
+		HTTP2:          &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
 	scheme := "https"
-	if options.TLS == nil {
+	if options.DialTLS == nil {
 		scheme = "http"
 	}
 	return &Client{
@@ -101,6 +101,33 @@
 	}()
 }
 
+// SendLimit sends shares of tenants' rates; they are lost when the peer cannot
+// be reached.
+func (c *Client) SendLimit(address string, message *limitv1.Message) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+		defer cancel()
+		_, _ = c.service(address).Limit(ctx, connect.NewRequest(message))
+	}()
+}
+
+// Inspect asks a peer for what operators want to know of it.
+func (c *Client) Inspect(ctx context.Context, address string) (*peerv1.InspectResponse, error) {
+	response, err := c.service(address).Inspect(ctx, connect.NewRequest(&peerv1.InspectRequest{}))
+	if err != nil {
+		return nil, &Unreachable{Address: address, Cause: err}
+	}
+	return response.Msg, nil
+}
+
+// Drain begins the peer's planned stop.
+func (c *Client) Drain(ctx context.Context, address string) error {
+	if _, err := c.service(address).Drain(ctx, connect.NewRequest(&peerv1.DrainRequest{})); err != nil {
+		return &Unreachable{Address: address, Cause: err}
+	}
+	return nil
+}
+
 // Forward runs request at the peer and calls receive for each event. The error
 // is the failure the peer reported, *Unreachable, or receive's own.
 func (c *Client) Forward(ctx context.Context, address string, request *peerv1.ForwardRequest, receive func(*peerv1.ForwardEvent) error) error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
 )
@@ -28,6 +29,12 @@
 	ReceiveGossip(message *gossipv1.Message)
 	// Forwarded runs a caller's request here; send passes its events back.
 	Forwarded(ctx context.Context, request *peerv1.ForwardRequest, send func(*peerv1.ForwardEvent) error) error
+	// ReceiveLimit takes shares of tenants' rates.
+	ReceiveLimit(message *limitv1.Message)
+	// Inspect tells what operators ask of a daemon.
+	Inspect() *peerv1.InspectResponse
+	// BeginStop begins the planned stop and returns at once.
+	BeginStop()
 	// ConfigInForce returns the version of the configuration acted on; 0 is none.
 	ConfigInForce() uint64
 }
@@ -73,6 +80,23 @@
 	return stream.Send(&peerv1.ForwardEvent{Event: &peerv1.ForwardEvent_Failure{Failure: encodeFailure(err)}})
 }
 
+// Limit takes one message.
+func (s *Server) Limit(_ context.Context, request *connect.Request[limitv1.Message]) (*connect.Response[peerv1.Received], error) {
+	s.handler.ReceiveLimit(request.Msg)
+	return connect.NewResponse(&peerv1.Received{}), nil
+}
+
+// Inspect tells what operators ask of a daemon.
+func (s *Server) Inspect(context.Context, *connect.Request[peerv1.InspectRequest]) (*connect.Response[peerv1.InspectResponse], error) {
+	return connect.NewResponse(s.handler.Inspect()), nil
+}
+
+// Drain begins the daemon's planned stop.
+func (s *Server) Drain(context.Context, *connect.Request[peerv1.DrainRequest]) (*connect.Response[peerv1.Received], error) {
+	s.handler.BeginStop()
+	return connect.NewResponse(&peerv1.Received{}), nil
+}
+
 // ConfigInForce tells the version of the configuration acted on.
 func (s *Server) ConfigInForce(context.Context, *connect.Request[peerv1.ConfigInForceRequest]) (*connect.Response[peerv1.ConfigInForceResponse], error) {
 	return connect.NewResponse(&peerv1.ConfigInForceResponse{Node: s.node, Version: s.handler.ConfigInForce()}), nil
