replication: tests of wiped, removed, paused and stopping members; compress short records

Cause: a suspicion that was raised and taken back between two looks at the view stayed in force at the replicas, so that a woken member was not sent to. Records of one turn did not compress at all.

Change: taking a suspicion back acts at once; a suspicion names one life of a node. Literals are entropy coded even where there are no matches.

--- a/internal/replication/compress.go
+++ b/internal/replication/compress.go
@@ -29,6 +29,8 @@
 
 var (
 	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest),
+		// One turn is too short for matches: the letters alone must compress.
+		zstd.WithAllLitEntropyCompression(true),
 		zstd.WithEncoderConcurrency(encoderConcurrency), zstd.WithWindowSize(encoderWindowBytes), zstd.WithLowerEncoderMem(true)))
 	decoder = must(zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderConcurrency(0)))
 )
--- /dev/null
+++ b/internal/replication/member_test.go
@@ -0,0 +1,227 @@
+package replication
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/journal"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// inGroup runs a test on a group of three whose first daemon leads.
+func inGroup(t *testing.T, test func(t *testing.T, n *network, group []*daemon)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(time.Millisecond)
+		group := startGroup(t, n, 3)
+		_, err := group[0].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		defer n.closeAll(t)
+		test(t, n, group)
+	})
+}
+
+func suspectAt(id structs.NodeID, daemons ...*daemon) {
+	for _, d := range daemons {
+		d.NodeSuspected(id)
+	}
+}
+
+func TestWipedMemberNeverVotes(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 3)
+		genesis := Group{Shard: testShard, Members: members(group...)}
+		n.kill(t, group[2])
+		wiped := n.start(t, "c", 2, nil)
+		require.NoError(t, wiped.Create(genesis))
+		_, held := wiped.Status(testShard)
+		require.False(t, held, "the old genesis must make no replica")
+
+		// The other two are a majority; without one of them there is none,
+		// whatever the wiped one is asked.
+		n.kill(t, group[0])
+		suspectAt("a", group[1], wiped)
+		_, err := group[1].EnsureLeader(context.Background(), testShard)
+		require.Error(t, err)
+		_, held = wiped.Status(testShard)
+		require.False(t, held, "a vote for another incarnation must be dropped")
+	})
+}
+
+func TestWipedMemberIsAdmittedCaughtUpAndPromoted(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 30)
+		n.kill(t, group[2])
+		suspectAt("c", group[0])
+		wiped := n.start(t, "c", 2, nil)
+		wanted := members(group[0], group[1], wiped)
+		group[0].Reconcile(testShard, wanted)
+		time.Sleep(2 * flagLifetime)
+		require.Equal(t, group[0].records(testShard), wiped.records(testShard))
+		status, _ := group[0].Status(testShard)
+		require.Len(t, status.Members, 3)
+		for _, member := range status.Members {
+			require.False(t, member.Learner)
+		}
+
+		// It counts now: with it, the group goes on without the leader.
+		n.kill(t, group[0])
+		suspectAt("a", group[1], wiped)
+		_, err := wiped.EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		leaders := 0
+		for _, d := range []*daemon{group[1], wiped} {
+			if d.Propose(context.Background(), testShard, []byte("y")) == nil {
+				leaders++
+			}
+		}
+		require.Equal(t, 1, leaders)
+	})
+}
+
+func TestRemovedMemberTellsTheMembersItKnows(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 3)
+		fresh := n.start(t, "d", 1, nil)
+		wanted := members(group[1], group[2], fresh)
+		for _, d := range group {
+			d.Reconcile(testShard, wanted)
+		}
+		time.Sleep(2 * time.Second)
+		status, known := group[0].Status(testShard)
+		require.True(t, known)
+		require.True(t, status.Removed)
+		require.Len(t, status.Members, 3)
+		require.Equal(t, structs.NodeID("d"), status.Members[2].Node)
+		require.Empty(t, group[0].Statuses())
+		require.Error(t, group[0].Propose(context.Background(), testShard, []byte("z")))
+		require.Len(t, fresh.records(testShard), 3)
+	})
+}
+
+func TestLargeStateCatchesUpByChunks(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		// 3 MiB of records that hardly compress: the log in memory is compacted
+		// and only a snapshot of many chunks can bring the learner up.
+		for i := range 24 {
+			record := make([]byte, 128<<10)
+			for j := range record {
+				record[j] = byte((j*j + i*j) >> 3)
+			}
+			require.NoError(t, group[0].Propose(context.Background(), testShard, record))
+		}
+		fresh := n.start(t, "d", 1, nil)
+		group[0].Reconcile(testShard, members(group[0], group[1], fresh))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, group[0].records(testShard), fresh.records(testShard))
+		status, _ := fresh.Status(testShard)
+		require.Len(t, status.Members, 3)
+	})
+}
+
+func TestPlannedStopHandsLeadershipAndReplicasOver(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 5)
+		fresh := n.start(t, "d", 1, nil)
+		for _, d := range group {
+			d.Reconcile(testShard, members(group[1], group[2], fresh))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		require.NoError(t, group[0].HandOver(ctx))
+		n.kill(t, group[0])
+		leader, err := group[1].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.NotEqual(t, structs.NodeID("a"), leader)
+		status, _ := group[1].Status(testShard)
+		require.Len(t, status.Members, 3)
+	})
+}
+
+func TestIdleShardsSendNothing(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 5)
+		time.Sleep(5 * time.Second)
+		n.mutex.Lock()
+		before := n.batches
+		n.mutex.Unlock()
+		time.Sleep(time.Hour)
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		require.Equal(t, before, n.batches)
+	})
+}
+
+func TestPausedLeaderDoesNoHarmWhenItWakes(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 2)
+		n.isolate(group[0], true)
+		suspectAt("a", group[1], group[2])
+		_, err := group[1].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		proposeMany(t, group[1], "y", 2)
+
+		// The former leader still believes in itself.
+		status, _ := group[0].Status(testShard)
+		require.True(t, status.Serving)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		require.Error(t, group[0].ConfirmLeadership(ctx, testShard))
+		n.isolate(group[0], false)
+		require.Error(t, group[0].Propose(context.Background(), testShard, []byte("stale")))
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"x-0", "x-1", "y-0", "y-1"}, group[0].records(testShard))
+	})
+}
+
+func TestMessagesToAnotherIncarnationAreDropped(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, group []*daemon) {
+		vote := &journalv1.Message{
+			Shard: uint32(testShard) + 1, Type: journalv1.MessageType_MESSAGE_TYPE_VOTE, Term: 9,
+		}
+		for incarnation, creates := range map[uint64]bool{2: false, 1: true} {
+			group[0].Receive(&journalv1.Batch{
+				Messages: []*journalv1.Message{vote}, FromNode: "z", FromIncarnation: 1, ToIncarnation: incarnation,
+			})
+			synctest.Wait()
+			_, held := group[0].Status(testShard + 1)
+			if creates {
+				require.True(t, held)
+				continue
+			}
+			require.False(t, held)
+		}
+	})
+}
+
+func TestLeadershipIsToldInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(time.Millisecond)
+		var told []leadershipNotice
+		d := n.start(t, "a", 1, func(o *Options) {
+			o.OnLeadership = func(shard structs.ShardID, leading bool, term uint64) {
+				told = append(told, leadershipNotice{shard: shard, leading: leading, term: term})
+			}
+		})
+		other := n.start(t, "b", 1, nil)
+		for _, each := range []*daemon{d, other} {
+			require.NoError(t, each.Create(Group{Shard: testShard, Members: members(d, other)}))
+		}
+		_, err := d.EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.NoError(t, d.HandOver(context.Background()))
+		time.Sleep(time.Second)
+		require.Equal(t, []leadershipNotice{
+			{shard: testShard, leading: true, term: 1}, {shard: testShard, leading: false, term: 1},
+		}, told)
+		status, _ := other.Status(testShard)
+		require.Equal(t, journal.Leader, status.Role)
+		require.NoError(t, d.Close())
+		require.NoError(t, other.Close())
+	})
+}
--- a/internal/replication/network_test.go
+++ b/internal/replication/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -149,6 +150,15 @@
 	require.NoError(t, d.Close())
 }
 
+func (n *network) closeAll(t testing.TB) {
+	n.mutex.Lock()
+	hosts := maps.Clone(n.hosts)
+	n.mutex.Unlock()
+	for _, host := range hosts {
+		require.NoError(t, host.Close())
+	}
+}
+
 func (n *network) isolate(d *daemon, cut bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/replication/suspicion.go
+++ b/internal/replication/suspicion.go
@@ -22,7 +22,7 @@
 // suspects holds the nodes that NodeSuspected named and that were not heard
 // since, and the last view of the cluster.
 type suspects struct {
-	flagged sync.Map // structs.NodeID -> time.Time
+	flagged sync.Map // structs.NodeID -> flag
 	count   atomic.Int64
 	view    atomic.Pointer[map[structs.NodeID]structs.Node]
 	// first and seen tell whether a view is the one looked at last.
@@ -30,38 +30,65 @@
 	seen  int
 }
 
-// heard takes back a suspicion: the node has sent something.
-func (s *suspects) heard(from journal.MemberID) {
+// flag is a suspicion of one life of a node.
+type flag struct {
+	since time.Time
+	// incarnation is that of the suspected life, or 0 where it is not known.
+	incarnation structs.Incarnation
+}
+
+// heard takes back a suspicion, and reports whether there was one: the node
+// has sent something.
+func (s *suspects) heard(from journal.MemberID) bool {
 	if s.count.Load() == 0 {
-		return
+		return false
 	}
-	if _, was := s.flagged.LoadAndDelete(from.Node); was {
+	_, was := s.flagged.LoadAndDelete(from.Node)
+	if was {
 		s.count.Add(-1)
 	}
+	return was
 }
 
 func (s *suspects) flag(id structs.NodeID) {
-	if _, was := s.flagged.Swap(id, time.Now()); !was {
+	raised := flag{since: time.Now()}
+	if view := s.view.Load(); view != nil {
+		raised.incarnation = (*view)[id].Incarnation
+	}
+	if _, was := s.flagged.Swap(id, raised); !was {
 		s.count.Add(1)
 	}
 }
 
-// expire takes back suspicions that are too old.
-func (s *suspects) expire(now time.Time) {
+// expire takes back suspicions that are too old, and reports whether there
+// were any.
+func (s *suspects) expire(now time.Time) bool {
+	expired := false
 	if s.count.Load() == 0 {
-		return
+		return expired
 	}
-	s.flagged.Range(func(id, since any) bool {
-		if now.Sub(since.(time.Time)) >= flagLifetime && s.flagged.CompareAndDelete(id, since) {
+	s.flagged.Range(func(id, raised any) bool {
+		if now.Sub(raised.(flag).since) >= flagLifetime && s.flagged.CompareAndDelete(id, raised) {
 			s.count.Add(-1)
+			expired = true
 		}
 		return true
 	})
+	return expired
+}
+
+func (s *suspects) flaggedLife(member Member) bool {
+	raised, flagged := s.flagged.Load(member.Node)
+	if !flagged {
+		return false
+	}
+	known := raised.(flag).incarnation
+	return known == 0 || member.Incarnation <= known
 }
 
 // suspected reports whether the member is held to be gone.
 func (s *suspects) suspected(member Member) bool {
-	if _, flagged := s.flagged.Load(member.Node); flagged {
+	if s.flaggedLife(member) {
 		return true
 	}
 	view := s.view.Load()
@@ -121,15 +148,12 @@
 func (h *Host) watchNodes() {
 	ticker := time.NewTicker(nodesInterval)
 	defer ticker.Stop()
-	flagged := int64(0)
 	for {
-		h.suspects.expire(time.Now())
+		expired := h.suspects.expire(time.Now())
 		changed := h.options.Nodes != nil && h.suspects.update(h.options.Nodes())
-		count := h.suspects.count.Load()
-		if changed || count != flagged {
+		if changed || expired {
 			h.refreshSuspicions()
 		}
-		flagged = count
 		select {
 		case <-h.closing:
 			return
--- a/internal/replication/worker.go
+++ b/internal/replication/worker.go
@@ -161,7 +161,9 @@
 	from := journal.MemberID{
 		Node: structs.NodeID(batch.FromNode), Incarnation: structs.Incarnation(batch.FromIncarnation),
 	}
-	h.suspects.heard(from)
+	if h.suspects.heard(from) {
+		h.refreshSuspicions()
+	}
 	parts := make(map[*worker][]*journalv1.Message, 1)
 	for _, message := range batch.Messages {
 		owner := h.workers[int(message.Shard)%len(h.workers)]
