replication: tests of the store; a probe ends with the leader's answer alone

Cause: an append that was sent before a probe was taken as a sign of life, so that EnsureLeader named a leader whose disk had failed meanwhile.

Change: only the answer to the probe counts.

--- a/internal/journal/step.go
+++ b/internal/journal/step.go
@@ -117,7 +117,7 @@
 }
 
 // follow takes the sender of a message that only a leader of this term sends
-// as the leader.
+// as the leader. It ends no probe: the message may be older than that.
 func (r *Replica) follow(leader MemberID) {
 	if r.role == Leader {
 		return
@@ -125,7 +125,6 @@
 	if r.role != Follower || r.leader != leader {
 		r.becomeFollower(r.term, leader)
 	}
-	r.doubt = doubt{}
 }
 
 // tellRemoved tells a sender that the committed membership known here does not
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -106,14 +106,10 @@
 
 func TestLargeStateCatchesUpByChunks(t *testing.T) {
 	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
-		// 3 MiB of records that hardly compress: the log in memory is compacted
+		// 3 MiB of records that do not compress: the log in memory is compacted
 		// and only a snapshot of many chunks can bring the learner up.
 		for i := range 24 {
-			record := make([]byte, 128<<10)
-			for j := range record {
-				record[j] = byte((j*j + i*j) >> 3)
-			}
-			require.NoError(t, group[0].Propose(context.Background(), testShard, record))
+			require.NoError(t, group[0].Propose(context.Background(), testShard, noise(i, 128<<10)))
 		}
 		fresh := n.start(t, "d", 1, nil)
 		group[0].Reconcile(testShard, members(group[0], group[1], fresh))
--- a/internal/replication/network_test.go
+++ b/internal/replication/network_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -186,6 +187,13 @@
 	return daemons
 }
 
+// noise returns bytes that do not compress.
+func noise(seed, size int) []byte {
+	data := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)}).Read(data)
+	return data
+}
+
 const testShard structs.ShardID = 7
 
 func proposeMany(t testing.TB, d *daemon, prefix string, count int) {
