membership: tests by random faults, and what they found

Cause: random faults against an oracle showed three ways to disagree for ever or for long. Change: a daemon whose introduction was lost is asked for it again when its heartbeat comes; accusations are renewed by their witness and expire, so that one whose witness died no longer stays; seeds refer joining daemons to other members, so that the seeds do not carry every join.

--- a/internal/hollow/configuration.go
+++ b/internal/hollow/configuration.go
@@ -118,3 +118,16 @@
 	}
 	return len(encoded)
 }
+
+// copyConfiguration copies a configuration with all that it refers to.
+func copyConfiguration(c *structs.Configuration) *structs.Configuration {
+	copied := &structs.Configuration{}
+	encoded, err := json.Marshal(c)
+	if err == nil {
+		err = json.Unmarshal(encoded, copied)
+	}
+	if err != nil {
+		return c
+	}
+	return copied
+}
--- a/internal/hollow/daemon.go
+++ b/internal/hollow/daemon.go
@@ -95,7 +95,11 @@
 // simulating that all daemons join at once.
 func (d *daemon) preload(facts []*gossipv1.Fact) {
 	d.begin()
-	d.store.Offer(d.run.latest)
+	latest := d.run.latest
+	if d.sampled() {
+		latest = copyConfiguration(latest)
+	}
+	d.store.Offer(latest)
 	now := d.run.now()
 	d.state.Tick(now)
 	d.state.Receive(now, &gossipv1.Message{
@@ -181,8 +185,8 @@
 // stop leaves as a planned stop does.
 func (d *daemon) stop() {
 	d.step(func(now time.Time) { d.state.Leave(now) })
-	d.step(func(now time.Time) { d.state.Left(now) })
 	d.alive = false
+	d.step(func(now time.Time) { d.state.Left(now) })
 }
 
 // read takes what the platform's watch gave, if the daemon is a reader of its zone.
--- a/internal/membership/accusation.go
+++ b/internal/membership/accusation.go
@@ -14,11 +14,35 @@
 type accusation struct {
 	incarnation structs.Incarnation
 	revision    uint64
-	witnesses   []structs.NodeID
+	witnesses   []witness
 	// confirmed is when the witnesses became enough; far in the future before.
 	confirmed time.Time
 }
 
+// witness is a daemon that accuses. It renews its accusation, so that one whose
+// witness is gone does not stay for ever.
+type witness struct {
+	id    structs.NodeID
+	round uint32
+	heard time.Time
+}
+
+const (
+	// renewal is how often a witness tells all again.
+	renewal = 5 * time.Second
+	// accusationLife is how long an accusation that is not renewed counts.
+	accusationLife = 12 * time.Second
+)
+
+func (a *accusation) witness(id structs.NodeID) *witness {
+	for i := range a.witnesses {
+		if a.witnesses[i].id == id {
+			return &a.witnesses[i]
+		}
+	}
+	return nil
+}
+
 func (s *State) accused(m *member) bool {
 	_, accused := s.accusations[m.node.ID]
 	return accused
@@ -29,7 +53,7 @@
 	if subject.node.State == structs.NodeDead {
 		return
 	}
-	s.addWitness(subject, s.options.Self.ID, "")
+	s.addWitness(subject, s.options.Self.ID, 1, "")
 }
 
 // receiveAccusations takes over accusations; a daemon that finds itself
@@ -37,8 +61,8 @@
 func (s *State) receiveAccusations(from *member, m *gossipv1.Message) {
 	for _, a := range m.Accusations {
 		subject, known := s.members[structs.NodeID(a.Subject)]
-		witness, witnessKnown := s.members[structs.NodeID(a.Witness)]
-		if !known || !witnessKnown || witness == subject || witness.node.State == structs.NodeDead {
+		accuser, accuserKnown := s.members[structs.NodeID(a.Witness)]
+		if !known || !accuserKnown || accuser == subject || accuser.node.State == structs.NodeDead {
 			continue
 		}
 		if subject.node.State == structs.NodeDead || !current(subject, a) {
@@ -48,7 +72,7 @@
 			s.refute(subject)
 			continue
 		}
-		s.addWitness(subject, witness.node.ID, from.node.ID)
+		s.addWitness(subject, accuser.node.ID, a.Round, from.node.ID)
 	}
 }
 
@@ -63,26 +87,31 @@
 	s.flush()
 }
 
-func (s *State) addWitness(subject *member, witness, source structs.NodeID) {
+func (s *State) addWitness(subject *member, id structs.NodeID, round uint32, source structs.NodeID) {
 	a, accused := s.accusations[subject.node.ID]
 	if !accused {
 		a = &accusation{incarnation: subject.node.Incarnation, revision: subject.revision, confirmed: farFuture}
 		s.accusations[subject.node.ID] = a
 	}
-	if slices.Contains(a.witnesses, witness) {
+	held := a.witness(id)
+	if held != nil && round <= held.round {
 		return
 	}
-	a.witnesses = append(a.witnesses, witness)
+	if held == nil {
+		a.witnesses = append(a.witnesses, witness{id: id})
+		held = a.witness(id)
+	}
+	held.round, held.heard = round, s.now
 	if a.confirmed == farFuture && s.independent(subject, a.witnesses) {
 		a.confirmed = s.now
 	}
 	s.report(subject, false)
-	s.spreadAccusation(subject, a, witness, source)
+	s.spreadAccusation(subject, a, held, source)
 }
 
 // spreadAccusation tells the neighbours; a first-hand one also goes straight
 // to the subject and to the other watchers, who decide together.
-func (s *State) spreadAccusation(subject *member, a *accusation, witness, source structs.NodeID) {
+func (s *State) spreadAccusation(subject *member, a *accusation, by *witness, source structs.NodeID) {
 	targets := slices.Clone(s.topology().neighbours)
 	if source == "" {
 		targets = append(targets, subject)
@@ -95,29 +124,46 @@
 			continue
 		}
 		told = append(told, id)
-		s.send(target.node, &gossipv1.Message{Accusations: []*gossipv1.Accusation{a.message(subject, witness)}})
+		s.send(target.node, &gossipv1.Message{Accusations: []*gossipv1.Accusation{a.message(subject, by)}})
 	}
 }
 
-func (a *accusation) message(subject *member, witness structs.NodeID) *gossipv1.Accusation {
+func (a *accusation) message(subject *member, by *witness) *gossipv1.Accusation {
 	return &gossipv1.Accusation{
 		Subject:     string(subject.node.ID),
 		Incarnation: uint64(a.incarnation),
 		Revision:    a.revision,
-		Witness:     string(witness),
+		Witness:     string(by.id),
+		Round:       by.round,
 	}
 }
 
 // repeatAccusations tells each daemon that this one accuses so again, in case
-// it is reachable once more and can contradict.
+// it is reachable once more and can contradict, and now and then all others.
 func (s *State) repeatAccusations() {
 	for _, id := range sortedKeys(s.accusations) {
-		a := s.accusations[id]
-		if slices.Contains(a.witnesses, s.options.Self.ID) {
-			subject := s.members[id]
-			message := a.message(subject, s.options.Self.ID)
-			s.send(subject.node, &gossipv1.Message{Accusations: []*gossipv1.Accusation{message}})
+		a, subject := s.accusations[id], s.members[id]
+		own := a.witness(s.options.Self.ID)
+		if own == nil {
+			continue
+		}
+		if s.now.Sub(own.heard) >= renewal {
+			s.addWitness(subject, own.id, own.round+1, "")
+			continue
 		}
+		s.send(subject.node, &gossipv1.Message{Accusations: []*gossipv1.Accusation{a.message(subject, own)}})
+	}
+}
+
+// expireWitnesses drops accusations that were not renewed.
+func (s *State) expireWitnesses(subject *member, a *accusation) {
+	a.witnesses = slices.DeleteFunc(a.witnesses, func(w witness) bool { return s.now.Sub(w.heard) > accusationLife })
+	if !s.independent(subject, a.witnesses) {
+		a.confirmed = farFuture
+	}
+	if len(a.witnesses) == 0 {
+		delete(s.accusations, subject.node.ID)
+		s.report(subject, false)
 	}
 }
 
@@ -138,16 +184,16 @@
 
 // independent reports whether the witnesses are enough to remove the subject:
 // two of its own zone, or two of different zones.
-func (s *State) independent(subject *member, witnesses []structs.NodeID) bool {
+func (s *State) independent(subject *member, witnesses []witness) bool {
 	zones := map[structs.ZoneName]bool{}
 	inZone := 0
-	for _, id := range witnesses {
-		witness, known := s.members[id]
-		if !known || witness.node.State == structs.NodeDead {
+	for _, by := range witnesses {
+		accuser, known := s.members[by.id]
+		if !known || accuser.node.State == structs.NodeDead {
 			continue
 		}
-		zones[witness.node.Zone] = true
-		if witness.node.Zone == subject.node.Zone {
+		zones[accuser.node.Zone] = true
+		if accuser.node.Zone == subject.node.Zone {
 			inZone++
 		}
 	}
@@ -160,7 +206,8 @@
 	for _, id := range sortedKeys(s.accusations) {
 		a := s.accusations[id]
 		subject := s.members[id]
-		if s.now.Before(a.confirmed.Add(s.timing.Refutation)) || !slices.Contains(a.witnesses, s.options.Self.ID) {
+		s.expireWitnesses(subject, a)
+		if s.now.Before(a.confirmed.Add(s.timing.Refutation)) || a.witness(s.options.Self.ID) == nil {
 			continue
 		}
 		if !s.mayRemove(subject) {
@@ -199,8 +246,8 @@
 
 func (s *State) remove(subject *member, a *accusation) {
 	witnesses := make([]string, 0, len(a.witnesses))
-	for _, id := range a.witnesses {
-		witnesses = append(witnesses, string(id))
+	for _, by := range a.witnesses {
+		witnesses = append(witnesses, string(by.id))
 	}
 	s.learn(&gossipv1.Fact{
 		Key:   nodeKey(subject.node.ID),
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -20,8 +20,28 @@
 		return
 	}
 	s.joinAttempts++
-	seed := structs.Node{PeerAddress: seeds[s.options.Random.IntN(len(seeds))]}
-	s.send(seed, &gossipv1.Message{Address: s.options.Self.PeerAddress, Sync: &gossipv1.Sync{All: true}})
+	s.askAll(seeds[s.options.Random.IntN(len(seeds))], false)
+}
+
+func (s *State) askAll(address string, referred bool) {
+	s.send(structs.Node{PeerAddress: address}, &gossipv1.Message{
+		Address: s.options.Self.PeerAddress,
+		Sync:    &gossipv1.Sync{All: true, Referred: referred},
+	})
+}
+
+// referFrom is the number of members from which on a seed refers joining
+// daemons to others, so that the few seeds don't carry every join.
+const referFrom = 32
+
+// refer returns a member that can answer a joining daemon as well.
+func (s *State) refer(joining string) *member {
+	if len(s.members) < referFrom {
+		return nil
+	}
+	return s.randomMember(func(m *member) bool {
+		return s.present(m).State == structs.NodeAlive && m.node.PeerAddress != joining && m.node.ID != s.options.Self.ID
+	})
 }
 
 func (s *State) otherSeeds() []string {
@@ -48,6 +68,10 @@
 		return true
 	}
 	to := structs.Node{PeerAddress: m.Address}
+	if other := s.refer(m.Address); other != nil && !m.Sync.Referred {
+		s.send(to, &gossipv1.Message{Sync: &gossipv1.Sync{Refer: other.node.PeerAddress}})
+		return true
+	}
 	itself := nodeKey(structs.NodeID(m.From))
 	var facts []*gossipv1.Fact
 	for bucket := range bucketCount {
@@ -71,6 +95,9 @@
 	if s.joined {
 		return
 	}
+	if m.Sync != nil && m.Sync.Refer != "" {
+		s.askAll(m.Sync.Refer, true)
+	}
 	if m.Sync != nil && m.Sync.Total > 0 {
 		s.joinTotal = int(m.Sync.Total)
 	}
@@ -82,6 +109,7 @@
 // introduce tells the daemon's place in the cluster to its neighbours.
 func (s *State) introduce() {
 	s.joined = true
+	s.introduced = s.now
 	s.derived = nil
 	s.watches = map[structs.NodeID]*watch{}
 	s.links = map[structs.NodeID]*link{}
@@ -90,6 +118,17 @@
 	s.flush()
 }
 
+// introductionSpan is how long a daemon's heartbeats carry its address after it
+// introduced itself, for those whom the introduction did not reach.
+const introductionSpan = 20 * time.Second
+
+// askStranger greets the sender of a heartbeat whose introduction was lost.
+func (s *State) askStranger(m *gossipv1.Message) {
+	if s.joined && m.Heartbeat > 0 && m.Address != "" {
+		s.greet(structs.Node{PeerAddress: m.Address})
+	}
+}
+
 // reunite greets a removed or suspected member, so that parts that lost each
 // other find together again.
 func (s *State) reunite() {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -147,6 +147,7 @@
 	s.options.Self.Incarnation = incarnation
 	s.removedSelf = false
 	own.revision = 0
+	s.introduced = now
 	s.publishSelf()
 	s.nextHeartbeat = now
 	s.nextJoin = now
--- /dev/null
+++ b/internal/membership/simulation_test.go
@@ -0,0 +1,212 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
+	"github.com/barleyshelf/barleyshelf/internal/membership"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// step is the grain of simulated time.
+const step = 20 * time.Millisecond
+
+type peer struct {
+	node    structs.Node
+	state   *membership.State
+	running bool
+	paused  bool
+	// versions are the newest item versions that the daemon ever reported in this life.
+	versions map[string]uint64
+	removed  int
+}
+
+type delivery struct {
+	at   time.Time
+	to   *peer
+	from *peer
+	data []byte
+}
+
+// simulation drives states over a lossy network and watches what they do.
+type simulation struct {
+	now     time.Time
+	random  *rand.Rand
+	loss    float64
+	cut     map[structs.ZoneName]bool
+	peers   []*peer
+	flight  []delivery
+	faults  []string
+	tampers func(from *peer, m *gossipv1.Message)
+}
+
+func newSimulation(seed uint64, count, zones int) *simulation {
+	s := &simulation{
+		now:    time.Unix(1000, 0),
+		random: rand.New(rand.NewPCG(seed, 9)),
+		cut:    map[structs.ZoneName]bool{},
+	}
+	for i := range count {
+		p := &peer{node: structs.Node{
+			ID:          structs.NodeID(fmt.Sprintf("n%02d", i)),
+			Zone:        structs.ZoneName(fmt.Sprintf("z%d", i%zones)),
+			Region:      "r",
+			PeerAddress: fmt.Sprintf("10.0.0.%d:1", i+1),
+		}}
+		s.peers = append(s.peers, p)
+		s.start(p)
+	}
+	return s
+}
+
+func (s *simulation) start(p *peer) {
+	p.node.Incarnation++
+	p.node.State = structs.NodeAlive
+	p.running, p.paused = true, false
+	p.versions = map[string]uint64{}
+	p.state = membership.New(membership.Options{
+		Self:   p.node,
+		Seeds:  []string{s.peers[0].node.PeerAddress, s.peers[min(1, len(s.peers)-1)].node.PeerAddress},
+		Random: rand.New(rand.NewPCG(s.random.Uint64(), uint64(p.node.Incarnation))),
+	})
+}
+
+// run lets time pass.
+func (s *simulation) run(span time.Duration) {
+	for end := s.now.Add(span); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		s.arrive()
+		for _, p := range s.peers {
+			if p.running && !p.paused {
+				p.state.Tick(s.now)
+				s.collect(p)
+			}
+		}
+	}
+}
+
+func (s *simulation) arrive() {
+	due := slices.DeleteFunc(slices.Clone(s.flight), func(d delivery) bool { return d.at.After(s.now) })
+	s.flight = slices.DeleteFunc(s.flight, func(d delivery) bool { return !d.at.After(s.now) })
+	for _, d := range due {
+		if !d.to.running || d.to.paused {
+			continue
+		}
+		m := &gossipv1.Message{}
+		if err := proto.Unmarshal(d.data, m); err != nil {
+			s.faults = append(s.faults, err.Error())
+			continue
+		}
+		d.to.state.Receive(s.now, m)
+		s.collect(d.to)
+	}
+}
+
+func (s *simulation) collect(p *peer) {
+	outgoing, events := p.state.Drain()
+	for _, out := range outgoing {
+		if s.tampers != nil {
+			s.tampers(p, out.Message)
+		}
+		s.transmit(p, out)
+	}
+	for _, event := range events {
+		s.watch(p, event)
+	}
+}
+
+func (s *simulation) transmit(from *peer, out membership.Outgoing) {
+	at := slices.IndexFunc(s.peers, func(p *peer) bool { return p.node.PeerAddress == out.To.PeerAddress })
+	if at < 0 {
+		return
+	}
+	to := s.peers[at]
+	if from.node.Zone != to.node.Zone && (s.cut[from.node.Zone] || s.cut[to.node.Zone]) {
+		return
+	}
+	if s.random.Float64() < s.loss {
+		return
+	}
+	data, err := proto.Marshal(out.Message)
+	if err != nil {
+		s.faults = append(s.faults, err.Error())
+		return
+	}
+	delay := time.Duration(s.random.Int64N(int64(60 * time.Millisecond)))
+	s.flight = append(s.flight, delivery{s.now.Add(delay), to, from, data})
+}
+
+// watch holds the events against the oracle.
+func (s *simulation) watch(p *peer, event membership.Event) {
+	switch event.Kind {
+	case membership.ItemChanged:
+		if event.Item.Version < p.versions[event.Item.Key] {
+			s.faults = append(s.faults, fmt.Sprintf("%s: item %s went back to %d", p.node.ID, event.Item.Key, event.Item.Version))
+		}
+		p.versions[event.Item.Key] = event.Item.Version
+	case membership.SelfRemoved:
+		p.removed++
+		p.node.Incarnation++
+		p.state.Rejoin(s.now, p.node.Incarnation)
+	case membership.NodeChanged:
+		s.watchNode(p, event.Node)
+	}
+}
+
+func (s *simulation) watchNode(p *peer, node structs.Node) {
+	at := slices.IndexFunc(s.peers, func(other *peer) bool { return other.node.ID == node.ID })
+	if node.Incarnation > s.peers[at].node.Incarnation {
+		s.faults = append(s.faults, fmt.Sprintf("%s: %s has a life %d that never was", p.node.ID, node.ID, node.Incarnation))
+	}
+}
+
+// disagreement tells the first difference between what running daemons see and
+// what is; empty if there is none.
+func (s *simulation) disagreement() string {
+	for _, viewer := range s.peers {
+		if !viewer.running {
+			continue
+		}
+		for _, subject := range s.peers {
+			node, known := viewer.state.Node(subject.node.ID)
+			switch {
+			case subject.running && (!known || node.State != structs.NodeAlive || node.Incarnation != subject.node.Incarnation):
+				return fmt.Sprintf("%s sees running %s as %q life %d (is %d)", viewer.node.ID, subject.node.ID, node.State, node.Incarnation, subject.node.Incarnation)
+			case !subject.running && known && node.State == structs.NodeAlive:
+				return fmt.Sprintf("%s sees stopped %s alive", viewer.node.ID, subject.node.ID)
+			}
+		}
+	}
+	return ""
+}
+
+// publication is the last version of an item, and the life that published it.
+type publication struct {
+	version uint64
+	by      *peer
+	life    structs.Incarnation
+}
+
+// itemDisagreement tells the first item that the running daemons don't hold at
+// one version. That is the last one published, unless its publisher crashed:
+// then it may be lost, everywhere.
+func (s *simulation) itemDisagreement(published map[string]publication) string {
+	for key, last := range published {
+		first, _ := s.peers[0].state.Item(key)
+		survives := last.by.node.Incarnation == last.life
+		if survives && first.Version != last.version || first.Version > last.version {
+			return fmt.Sprintf("%s is at %d, published %d", key, first.Version, last.version)
+		}
+		for _, viewer := range s.peers {
+			if item, _ := viewer.state.Item(key); item.Version != first.Version {
+				return fmt.Sprintf("%s holds %s at %d, not %d", viewer.node.ID, key, item.Version, first.Version)
+			}
+		}
+	}
+	return ""
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -11,7 +11,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
@@ -159,6 +158,8 @@
 	lastChanged time.Time
 	nextSync    time.Time
 	fetch       *documentFetch
+	// introduced is when the daemon told its neighbours of itself.
+	introduced time.Time
 	// joined daemons hold what the others hold and have introduced themselves.
 	joined       bool
 	joinAttempts int
@@ -286,7 +287,7 @@
 		earlier(w.due())
 	}
 	for _, a := range s.accusations {
-		if !slices.Contains(a.witnesses, s.options.Self.ID) {
+		if a.witness(s.options.Self.ID) == nil {
 			continue
 		}
 		earlier(a.confirmed.Add(s.timing.Refutation))
@@ -307,11 +308,16 @@
 	if !s.joined {
 		return
 	}
+	address := ""
+	if s.now.Sub(s.introduced) < introductionSpan {
+		address = s.options.Self.PeerAddress
+	}
 	for _, neighbour := range s.topology().neighbours {
 		s.send(neighbour.node, &gossipv1.Message{
 			Heartbeat:       s.heartbeat,
 			Digest:          s.facts.root(),
 			DocumentVersion: s.documentVersion(),
+			Address:         address,
 		})
 	}
 	s.repeatAccusations()
@@ -336,7 +342,11 @@
 	s.receiveFacts(m)
 	s.completeJoin(m)
 	from, known := s.members[structs.NodeID(m.From)]
-	if !known || s.turnAway(from, m) {
+	if !known {
+		s.askStranger(m)
+		return
+	}
+	if s.turnAway(from, m) {
 		return
 	}
 	s.signOfLife(from, m)
@@ -354,7 +364,9 @@
 	if uint64(from.node.Incarnation) >= m.Incarnation {
 		held := s.facts.get(nodeKey(from.node.ID))
 		s.send(from.node, &gossipv1.Message{Facts: []*gossipv1.Fact{held.message()}})
+		return true
 	}
+	s.askStranger(m)
 	return true
 }
 
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if len(m.Sync.Buckets) == bucketCount {
-		s.listDifferences(from, m.Sync.Buckets)
+		s.listDifferences(from, m.Sync.Buckets, m.Address != "")
 	}
 	if len(m.Sync.Listed) > 0 {
 		s.compareListing(from, m.Sync)
@@ -43,8 +43,9 @@
 }
 
 // listDifferences answers with the index of buckets that differ, beginning at
-// a random one.
-func (s *State) listDifferences(to *member, theirs []uint32) {
+// a random one. A peer that greets may not know this daemon, which then
+// introduces itself along with it.
+func (s *State) listDifferences(to *member, theirs []uint32, introduce bool) {
 	ours := s.facts.folded()
 	sync := &gossipv1.Sync{Reply: true}
 	start := s.options.Random.IntN(bucketCount)
@@ -59,9 +60,14 @@
 			break
 		}
 	}
-	if len(sync.Listed) > 0 {
-		s.send(to.node, &gossipv1.Message{Sync: sync})
+	if len(sync.Listed) == 0 {
+		return
+	}
+	answer := &gossipv1.Message{Sync: sync}
+	if introduce {
+		answer.Facts = []*gossipv1.Fact{s.facts.get(nodeKey(s.options.Self.ID)).message()}
 	}
+	s.send(to.node, answer)
 }
 
 func (s *State) entries(bucket int) []*gossipv1.Entry {
