program: a history can be unpacked without the machine

Reading 840,000 tokens takes 11 ms, which a leader spent with its shard's state locked. PackedHistory refers to the packed texts, which never change, in 6 us; Turns unpacks them outside of any lock.

--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// BenchmarkPackedHistory measures the part of it that needs the machine.
+func BenchmarkPackedHistory(b *testing.B) {
+	d := &driver{machine: NewMachine(testShard)}
+	id := d.open("k")
+	d.fill(id, 840_000)
+	for b.Loop() {
+		if _, err := d.machine.PackedHistory(id); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkDuties measures a look at the duties of a shard where ten programs
 // become due, beside so many that are not.
 func BenchmarkDuties(b *testing.B) {
--- a/internal/program/read.go
+++ b/internal/program/read.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/programv1"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -146,16 +147,45 @@
 // of its next model call. Calls that failed, were refused or cancelled are no
 // part of it. Errors: *failure.UnknownProgram, *BadEncoding.
 func (m *Machine) History(id structs.ProgramID) ([]Turn, error) {
-	found, err := m.findAny(id)
+	packed, err := m.PackedHistory(id)
 	if err != nil {
 		return nil, err
 	}
-	var turns []Turn
+	return packed.Turns()
+}
+
+// PackedHistory is a program's history as the machine keeps it. Nothing that it
+// refers to is ever changed, so that it may be unpacked while the machine goes
+// on.
+type PackedHistory struct{ turns []packedTurn }
+
+// packedTurn refers to a finished call's texts.
+type packedTurn struct {
+	accepted *programv1.CallAccepted
+	answer   []byte
+}
+
+// PackedHistory returns what History unpacks, at a cost that does not depend on
+// the size of the texts. The error is a *failure.UnknownProgram.
+func (m *Machine) PackedHistory(id structs.ProgramID) (PackedHistory, error) {
+	found, err := m.findAny(id)
+	if err != nil {
+		return PackedHistory{}, err
+	}
+	packed := PackedHistory{turns: make([]packedTurn, 0, found.cursor)}
 	for _, issued := range found.calls[:found.cursor] {
-		if issued.state != Finished {
-			continue
+		if issued.state == Finished {
+			packed.turns = append(packed.turns, packedTurn{accepted: issued.accepted, answer: issued.answer})
 		}
-		turn, err := issued.turn()
+	}
+	return packed, nil
+}
+
+// Turns unpacks the history. The error is a *BadEncoding.
+func (h PackedHistory) Turns() ([]Turn, error) {
+	var turns []Turn
+	for _, packed := range h.turns {
+		turn, err := packed.unpack()
 		if err != nil {
 			return nil, err
 		}
@@ -164,19 +194,19 @@
 	return turns, nil
 }
 
-func (c *call) turn() (Turn, error) {
-	input, err := unpack(c.accepted.GetInput())
+func (t packedTurn) unpack() (Turn, error) {
+	input, err := unpack(t.accepted.GetInput())
 	if err != nil {
 		return Turn{}, err
 	}
-	answer, err := unpack(c.answer)
+	answer, err := unpack(t.answer)
 	if err != nil {
 		return Turn{}, err
 	}
 	return Turn{
-		Number: structs.CallNumber(c.accepted.GetNumber()),
-		Kind:   kindFrom(c.accepted.GetKind()),
-		Target: c.accepted.GetTarget(),
+		Number: structs.CallNumber(t.accepted.GetNumber()),
+		Kind:   kindFrom(t.accepted.GetKind()),
+		Target: t.accepted.GetTarget(),
 		Input:  input,
 		Answer: answer,
 	}, nil
