--- /dev/null
+++ b/cmd/barleyshelf/cluster_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/daemon"
+	"github.com/barleyshelf/barleyshelf/internal/plan"
+	"github.com/barleyshelf/barleyshelf/internal/settings"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// convergence bounds the waits for daemons; it decides no verdict on speed.
+const convergence = 30 * time.Second
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(t *testing.T, count int) []string {
+	var found []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		found = append(found, listener.Addr().String())
+	}
+	return found
+}
+
+// startDaemons starts one daemon in each zone, with lin as their operator.
+func startDaemons(t *testing.T, platformAddress string, zones ...structs.ZoneName) []*daemon.Daemon {
+	const listeners = 3
+	sum := sha256.Sum256([]byte("token-of-lin"))
+	addresses := freeAddresses(t, listeners*len(zones))
+	var daemons []*daemon.Daemon
+	for i, zone := range zones {
+		configured := settings.Default()
+		configured.Node, configured.Region, configured.Zone = structs.NodeID(fmt.Sprintf("daemon-%d", i+1)), "taiwan", zone
+		own := addresses[i*listeners : (i+1)*listeners]
+		configured.Listen = settings.Addresses{Caller: own[0], Operator: own[1], Peer: own[2]}
+		configured.Seeds = []string{addresses[2]}
+		configured.PlatformAddress = platformAddress
+		configured.TLS.AllowPlain = true
+		configured.OperatorTokensSHA256 = map[string]string{"lin": hex.EncodeToString(sum[:])}
+		started, err := daemon.New(configured, daemon.Options{Seed: uint64(i + 1)})
+		require.NoError(t, err)
+		require.NoError(t, started.Start(context.Background()))
+		t.Cleanup(started.Kill)
+		daemons = append(daemons, started)
+	}
+	return daemons
+}
+
+// TestOperatorsDriveRealDaemons plans, applies, watches and drains through the
+// operator addresses of five daemons over TCP. The domain without nantou has
+// four of them, so that a drained one can be replaced.
+func TestOperatorsDriveRealDaemons(t *testing.T) {
+	b := newBench(t)
+	daemons := startDaemons(t, b.platform.Address(), "taichung-1", "taichung-1", "taichung-2", "changhua", "nantou")
+	b.address = "http://" + daemons[0].OperatorAddress()
+	b.eventually("get nodes", func(shown string) bool { return strings.Count(shown, `"alive"`) == len(daemons) })
+
+	var applied applyReport
+	require.Equal(t, exitDone, b.command(&applied, "apply", b.plan(unchanged).ID, "--wait"))
+	require.True(t, applied.Everywhere)
+	for _, each := range daemons {
+		require.EqualValues(t, applied.Version, each.ConfigurationVersion())
+	}
+	b.eventually("get shards", func(shown string) bool {
+		return strings.Count(shown, `"leader"`) == 32 && strings.Count(shown, `"members": []`) == 0
+	})
+	// Another daemon answers alike: none is set aside.
+	b.address = "http://" + daemons[4].OperatorAddress()
+	second := b.plan(replaced("weight: 4", "weight: 5"))
+	require.Len(t, second.Differences, 1)
+	require.Empty(t, second.Harms)
+	require.Equal(t, exitDone, b.command(&applied, "apply", second.ID, "--wait"))
+	require.True(t, applied.Everywhere)
+
+	require.Equal(t, exitDone, b.command(nil, "drain", "node", "daemon-4"))
+	select {
+	case <-daemons[3].Done():
+	case <-time.After(convergence):
+		require.Fail(t, "the drained daemon did not stop")
+	}
+	b.eventually("get shards", func(shown string) bool { return !strings.Contains(shown, "daemon-4") })
+	var made planAnswer
+	require.Equal(t, exitDone, b.command(&made, "drain", "zone", "changhua"))
+	require.Empty(t, made.Harms, "nothing is under way")
+}
+
+// TestHarmlessPlanIsToldFromAHarmfulOneByRealCounts: all shards are counted, so
+// that removing a program that nobody runs needs no accepting.
+func TestHarmlessPlanIsToldFromAHarmfulOneByRealCounts(t *testing.T) {
+	b := newBench(t)
+	daemons := startDaemons(t, b.platform.Address(), "taichung-1", "taichung-2", "changhua", "nantou")
+	b.address = "http://" + daemons[1].OperatorAddress()
+	b.eventually("get nodes", func(shown string) bool { return strings.Count(shown, `"alive"`) == len(daemons) })
+	require.Equal(t, exitDone, b.command(nil, "apply", b.plan(unchanged).ID, "--wait"))
+	b.eventually("get programs", func(shown string) bool { return strings.Contains(shown, `"complete": true`) })
+	made := b.plan(replaced("tools: [refund]", "tools: [cabinet-status]"))
+	require.Empty(t, made.Harms)
+	// Without a majority of daemons counts are missing, and harm can't be ruled out.
+	daemons[0].Kill()
+	daemons[2].Kill()
+	daemons[3].Kill()
+	b.eventually("get programs", func(shown string) bool { return strings.Contains(shown, `"complete": false`) })
+	made = b.plan(replaced("tools: [refund]", "tools: [cabinet-status]"))
+	require.Len(t, made.Harms, 1)
+	require.Equal(t, plan.Unknown, made.Harms[0].Programs)
+}
+
+// eventually repeats a command until holds is true of its JSON output.
+func (b *bench) eventually(line string, holds func(shown string) bool) {
+	var shown strings.Builder
+	deadline := time.Now().Add(convergence)
+	for time.Now().Before(deadline) {
+		shown.Reset()
+		arguments := append(strings.Fields(line), "--address", b.address, "--output", "json")
+		if run(context.Background(), arguments, &shown, &shown) == exitDone && holds(shown.String()) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(b.t, "did not come about", fmt.Sprintf("%s: %s", line, shown.String()))
+}
