--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -208,6 +208,9 @@
 	if len(delta.Order) > 0 {
 		to = reorder(to, delta.Order, name)
 	}
+	if len(to) == 0 {
+		return nil
+	}
 	return to
 }
 
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 	restartGap = 2 * time.Second
 	// replaceAfter is when a dead daemon's machine was replaced.
 	replaceAfter = 30 * time.Second
+	// gcPercent is the garbage collector's target while a run goes on.
+	gcPercent = 200
 	// platformDelay is the lag of the platform's watches.
 	platformDelay = 100 * time.Millisecond
 )
@@ -53,6 +56,8 @@
 	begin := time.Now()
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
+	// Most of the heap lives as long as the run: collect it seldom.
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	options = options.Scaled()
 	r := &run{
 		options: options,
--- a/internal/membership/accusation.go
+++ b/internal/membership/accusation.go
@@ -115,7 +115,7 @@
 	targets := slices.Clone(s.topology().neighbours)
 	if source == "" {
 		targets = append(targets, subject)
-		targets = append(targets, s.watchersOf(subject, s.membersByZone())...)
+		targets = append(targets, s.watchersOf(subject, s.byZone)...)
 	}
 	var told []structs.NodeID
 	for _, target := range targets {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -100,7 +100,6 @@
 	if !known {
 		held = &member{}
 		s.members[id] = held
-		s.derived = nil
 	}
 	s.updateMember(held, id, f, &value)
 	return true
@@ -183,14 +182,27 @@
 			m.ring[ring] = ringPosition(string(id), ring)
 		}
 	}
-	if (before.State == structs.NodeDead) != (m.node.State == structs.NodeDead) || before.Zone != m.node.Zone {
-		s.derived = nil
-	}
+	s.place(m, before)
 	s.dropStaleAccusation(m)
 	changed := before != m.node
 	s.report(m, changed)
 }
 
+// place follows a member's admission, removal and move to another zone.
+func (s *State) place(m *member, before structs.Node) {
+	was := before.ID != "" && before.State != structs.NodeDead
+	is := m.node.State != structs.NodeDead
+	if was == is && before.Zone == m.node.Zone {
+		return
+	}
+	if was {
+		s.exit(m, before.Zone)
+	}
+	if is {
+		s.enter(m)
+	}
+}
+
 // intern lets equal names share memory.
 func (s *State) intern(name string) string {
 	if name == string(s.options.Self.Zone) {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -137,6 +137,9 @@
 
 	members map[structs.NodeID]*member
 	facts   factStore
+	// byZone holds the members that were not removed.
+	byZone  map[structs.ZoneName][]*member
+	ends    map[endsKey][]*member
 	derived *topology
 
 	heartbeat     uint64
@@ -184,6 +187,8 @@
 		options:     options,
 		timing:      options.Timing,
 		members:     map[structs.NodeID]*member{},
+		byZone:      map[structs.ZoneName][]*member{},
+		ends:        map[endsKey][]*member{},
 		watches:     map[structs.NodeID]*watch{},
 		accusations: map[structs.NodeID]*accusation{},
 		pings:       map[uint64]ping{},
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -50,7 +50,7 @@
 }
 
 func (s *State) deriveTopology() *topology {
-	byZone := s.membersByZone()
+	byZone := s.byZone
 	t := &topology{pairs: map[zonePair][]*member{}}
 	for zone := range byZone {
 		t.zones = append(t.zones, zone)
@@ -59,7 +59,7 @@
 	own := s.members[s.options.Self.ID]
 	t.watchers = s.watchersOf(own, byZone)
 	t.watched = s.watchedBy(own, byZone)
-	s.deriveLinks(t, byZone)
+	s.deriveLinks(t)
 	t.neighbours = slices.Clone(t.watchers)
 	for _, link := range t.links {
 		if !slices.Contains(t.neighbours, link) {
@@ -69,16 +69,46 @@
 	return t
 }
 
-// membersByZone groups the members that were not removed, each zone in the
-// order of the first ring.
-func (s *State) membersByZone() map[structs.ZoneName][]*member {
-	byZone := map[structs.ZoneName][]*member{}
-	for _, m := range s.members {
-		if m.node.State != structs.NodeDead {
-			byZone[m.node.Zone] = append(byZone[m.node.Zone], m)
+// endsKey names the ends that a zone holds of the links with another.
+type endsKey struct {
+	pair zonePair
+	zone structs.ZoneName
+}
+
+// enter and exit keep the members that were not removed by zone. The topology
+// is derived anew, but only for the zone that changed.
+func (s *State) enter(m *member) {
+	s.byZone[m.node.Zone] = append(s.byZone[m.node.Zone], m)
+	s.forgetEnds(m.node.Zone)
+}
+
+func (s *State) exit(m *member, zone structs.ZoneName) {
+	rest := slices.DeleteFunc(s.byZone[zone], func(other *member) bool { return other == m })
+	s.byZone[zone] = rest
+	if len(rest) == 0 {
+		delete(s.byZone, zone)
+	}
+	s.forgetEnds(zone)
+}
+
+func (s *State) forgetEnds(zone structs.ZoneName) {
+	s.derived = nil
+	for key := range s.ends {
+		if key.zone == zone {
+			delete(s.ends, key)
 		}
 	}
-	return byZone
+}
+
+// endsOf returns the members of a zone that hold its ends of the pair's links.
+func (s *State) endsOf(zone structs.ZoneName, pair zonePair) []*member {
+	key := endsKey{pair, zone}
+	ends, known := s.ends[key]
+	if !known {
+		ends = representatives(s.byZone[zone], pair)
+		s.ends[key] = ends
+	}
+	return ends
 }
 
 // watchersOf returns the daemons that watch the subject: its successors on
@@ -195,11 +225,11 @@
 }
 
 // deriveLinks finds each two neighbouring zones and the daemons that link them.
-func (s *State) deriveLinks(t *topology, byZone map[structs.ZoneName][]*member) {
+func (s *State) deriveLinks(t *topology) {
 	self := s.members[s.options.Self.ID]
 	for _, pair := range zonePairs(t.zones) {
-		ends := representatives(byZone[pair.from], pair)
-		others := representatives(byZone[pair.to], pair)
+		ends := s.endsOf(pair.from, pair)
+		others := s.endsOf(pair.to, pair)
 		t.pairs[pair] = others
 		t.pairs[zonePair{pair.to, pair.from}] = ends
 		for i := 0; i < max(len(ends), len(others)); i++ {
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -146,12 +146,10 @@
 		return m != subject && m.node.ID != s.options.Self.ID && s.present(m).State == structs.NodeAlive
 	}
 	var chosen []*member
-	near := s.randomMember(func(m *member) bool { return usable(m) && m.node.Zone == subject.node.Zone })
-	far := s.randomMember(func(m *member) bool {
-		return usable(m) && m.node.Zone != subject.node.Zone && m.node.Region == subject.node.Region
-	})
+	near := s.randomOf(s.byZone[subject.node.Zone], usable)
+	far := s.randomElsewhere(subject, func(m *member) bool { return usable(m) && m.node.Region == subject.node.Region })
 	if far == nil {
-		far = s.randomMember(func(m *member) bool { return usable(m) && m != near })
+		far = s.randomElsewhere(subject, usable)
 	}
 	for _, helper := range []*member{near, far} {
 		if helper != nil && len(chosen) < helperCount {
@@ -161,6 +159,36 @@
 	return chosen
 }
 
+// randomOf picks a member that fits from a list, from a random place on.
+func (s *State) randomOf(members []*member, fits func(*member) bool) *member {
+	if len(members) == 0 {
+		return nil
+	}
+	start := s.options.Random.IntN(len(members))
+	for i := range members {
+		if m := members[(start+i)%len(members)]; fits(m) {
+			return m
+		}
+	}
+	return nil
+}
+
+// randomElsewhere picks a member that fits from another zone than the subject's.
+func (s *State) randomElsewhere(subject *member, fits func(*member) bool) *member {
+	zones := s.topology().zones
+	start := s.options.Random.IntN(len(zones))
+	for i := range zones {
+		zone := zones[(start+i)%len(zones)]
+		if zone == subject.node.Zone {
+			continue
+		}
+		if m := s.randomOf(s.byZone[zone], fits); m != nil {
+			return m
+		}
+	}
+	return nil
+}
+
 // randomMember picks evenly among the members that fit; nil if none does.
 func (s *State) randomMember(fits func(*member) bool) *member {
 	var chosen *member
