settings: refuse an advertised port 0

Port 0 may be bound, but the daemon tells others the address of its settings, so one that listens on a free port must say what it advertises.

--- a/cmd/barleyshelf/main_test.go
+++ b/cmd/barleyshelf/main_test.go
@@ -257,10 +257,11 @@
 	b := newBench(t)
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
+	addresses := freeAddresses(t, 3)
 	var stdout bytes.Buffer
 	code := run(ctx, []string{
 		"daemon", "--node", "daemon-1", "--region", "taiwan", "--zone", "nantou", "--platform-address", b.platform.Address(),
-		"--listen.caller", "127.0.0.1:0", "--listen.operator", "127.0.0.1:0", "--listen.peer", "127.0.0.1:0", "--tls.allow-plain",
+		"--listen.caller", addresses[0], "--listen.operator", addresses[1], "--listen.peer", addresses[2], "--tls.allow-plain",
 	}, &stdout, &stdout)
 	require.Equal(t, exitDone, code, stdout.String())
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,7 +88,7 @@
 		fields = append(fields, problem.Field)
 	}
 	require.ElementsMatch(t, []string{
-		"node", "region", "listen.caller", "advertise.operator", "seeds", "platformAddress", "tls.serverKey",
+		"node", "region", "listen.caller", "advertise.operator", "advertise.peer", "seeds", "platformAddress", "tls.serverKey",
 		"tls.peerCertificate", "operatorTokensSHA256.lin", "maxBodyBytes", "drainTimeoutMilliseconds", "logVerbosity", "policy",
 	}, fields)
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -69,7 +69,7 @@
 }
 
 // advertise checks the addresses that others will dial: an unspecified IP such
-// as 0.0.0.0 may be bound but can't be dialled.
+// as 0.0.0.0, or port 0, may be bound but can't be dialled.
 func (c *collector) advertise(s Settings) {
 	advertised := s.Advertised()
 	c.dialable("advertise.caller", s.Advertise.Caller, advertised.Caller)
@@ -82,8 +82,8 @@
 		return
 	}
 	parsed, err := netip.ParseAddrPort(effective)
-	if err == nil && parsed.Addr().IsUnspecified() {
-		c.add(field, "others can't dial "+effective, "an IP of this machine")
+	if err == nil && (parsed.Addr().IsUnspecified() || parsed.Port() == 0) {
+		c.add(field, "others can't dial "+effective, "an IP of this machine and the port that it listens on")
 	}
 }
 
