replication: a planned stop waits for the successors of its replicas

Cause: HandOver gave leadership away, but a follower did not know whether its group was to go on without it. Two planned stops in a row could take the memory of a majority.

Change: a leader's answer to a probe says whether it moves the group toward members without the asker. HandOver asks, waits for those groups, and leaves alone those that have no other place.

--- a/internal/journal/change.go
+++ b/internal/journal/change.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// unwanted reports whether the group is to go on without a member.
+func (r *Replica) unwanted(id MemberID) bool { return len(r.wanted) > 0 && !r.isWanted(id) }
+
+// Leaving reports whether the group is to go on without this replica, as far
+// as it was told by SetWanted or by its leader's last answer to a probe.
+func (r *Replica) Leaving() bool { return r.unwanted(r.config.Self) || r.toldLeaving }
+
 // Voter reports whether the replica is a voter of the membership in force.
 func (r *Replica) Voter() bool { return !r.removed && r.current().isVoter(r.config.Self) }
 
--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -263,7 +263,8 @@
 
 func (r *Replica) stepProbe(from MemberID) {
 	r.sendEarly(from, &journalv1.Message{
-		Type: journalv1.MessageType_MESSAGE_TYPE_PROBE_ANSWER, Term: r.term, Leading: r.role == Leader,
+		Type: journalv1.MessageType_MESSAGE_TYPE_PROBE_ANSWER, Term: r.term,
+		Leading: r.role == Leader, Leaving: r.role == Leader && r.unwanted(from),
 	})
 }
 
@@ -273,6 +274,7 @@
 	}
 	if m.Leading {
 		r.doubt = doubt{}
+		r.toldLeaving = m.Leaving
 		return
 	}
 	r.leaderLost()
--- a/internal/journal/replica.go
+++ b/internal/journal/replica.go
@@ -32,6 +32,9 @@
 	suspected map[MemberID]bool
 	// wanted are the members that a leading replica moves the group toward.
 	wanted []Member
+	// toldLeaving says that the leader moves the group toward members without
+	// this replica.
+	toldLeaving bool
 	// round is the last confirmation round begun in any term.
 	round uint64
 
--- a/internal/replication/bench_test.go
+++ b/internal/replication/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -188,3 +189,32 @@
 	b.Fatal("no leader")
 	return 0
 }
+
+// BenchmarkIdleShards holds many shards of three members in one process and
+// measures their memory, and that nothing is sent.
+func BenchmarkIdleShards(b *testing.B) {
+	const shards = 2000
+	for range b.N {
+		n, group := benchGroup(b, 0, false)
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for id := range structs.ShardID(shards) {
+			for _, d := range group {
+				_ = d.Create(Group{Shard: 100 + id, Members: members(group...)})
+			}
+			_, _ = group[int(id)%len(group)].EnsureLeader(context.Background(), 100+id)
+		}
+		time.Sleep(time.Second)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		n.mutex.Lock()
+		sent := n.batches
+		n.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		n.mutex.Lock()
+		b.ReportMetric(float64(n.batches-sent), "batches-idle")
+		n.mutex.Unlock()
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(shards*len(group)), "B/replica")
+	}
+}
--- a/internal/replication/handover.go
+++ b/internal/replication/handover.go
@@ -10,18 +10,25 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// handOverInterval is how often HandOver looks again.
-const handOverInterval = 20 * time.Millisecond
+// handOverInterval is how often HandOver looks again, handOverGrace how long it
+// gives the leaders' daemons to notice that this one leaves.
+const (
+	handOverInterval = 50 * time.Millisecond
+	handOverGrace    = 1500 * time.Millisecond
+)
 
 // HandOver prepares a planned stop: it gives the leadership of every shard to
-// another voter, and waits until the groups that are wanted without this
-// daemon (Reconcile) go on without it. The error is *failure.ShardUnavailable
+// another voter, and waits until those groups that are to go on without this
+// daemon do. A group whose leader wants to keep this daemon, since there is no
+// other place for it, is left as it is. The error is *failure.ShardUnavailable
 // for the first shard that was not handed over when the context ended.
 func (h *Host) HandOver(ctx context.Context) error {
 	ticker := time.NewTicker(handOverInterval)
 	defer ticker.Stop()
+	grace := time.After(handOverGrace)
+	noticed := false
 	for {
-		left := h.toHandOver()
+		left := h.toHandOver(noticed)
 		if len(left) == 0 {
 			return nil
 		}
@@ -30,23 +37,24 @@
 			return &failure.ShardUnavailable{Shard: uint32(left[0])}
 		case <-h.closing:
 			return &failure.ShardUnavailable{Shard: uint32(left[0])}
+		case <-grace:
+			noticed = true
 		case <-ticker.C:
 		}
 	}
 }
 
-// toHandOver returns the shards that still need this daemon, and begins the
-// transfers that are possible.
-func (h *Host) toHandOver() []structs.ShardID {
+// toHandOver returns the shards that still need this daemon, or, before the
+// leaders can have noticed that it leaves, all that it holds.
+func (h *Host) toHandOver(noticed bool) []structs.ShardID {
 	var left []structs.ShardID
 	for _, found := range *h.shards.Load() {
 		status := found.status.Load()
-		if status.Role == journal.Leader && len(status.Members) > 1 {
-			found.worker.post(&inputTransfer{shard: found})
-			left = append(left, found.id)
+		if len(status.Members) < 2 {
 			continue
 		}
-		if found.leaving.Load() {
+		if status.Role == journal.Leader || status.Leaving || !noticed {
+			found.worker.post(&inputHandOver{shard: found})
 			left = append(left, found.id)
 		}
 	}
--- a/internal/replication/inputs.go
+++ b/internal/replication/inputs.go
@@ -108,12 +108,15 @@
 	w.touched[in.shard] = true
 }
 
-type inputTransfer struct{ shard *shard }
+// inputHandOver gives leadership away, or asks the leader whether the group is
+// to go on without this daemon.
+type inputHandOver struct{ shard *shard }
 
-func (in *inputTransfer) run(w *worker) {
+func (in *inputHandOver) run(w *worker) {
 	if target, found := in.shard.replica.TransferTarget(); found {
 		in.shard.replica.TransferLeadership(target)
 	}
+	in.shard.replica.AskMembership()
 	w.touched[in.shard] = true
 }
 
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -139,6 +139,30 @@
 	})
 }
 
+func TestPlannedStopOfFollowerWaitsForItsSuccessor(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		proposeMany(t, group[0], "x", 5)
+		fresh := n.start(t, "d", 1, nil)
+		// Only the leader's daemon knows yet that c leaves.
+		group[0].Reconcile(testShard, members(group[0], group[1], fresh))
+		require.NoError(t, group[2].HandOver(context.Background()))
+		status, _ := group[2].Status(testShard)
+		require.True(t, status.Removed)
+		require.Len(t, fresh.records(testShard), 5)
+	})
+}
+
+func TestPlannedStopWithoutSuccessorDoesNotWait(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, group []*daemon) {
+		group[0].Reconcile(testShard, members(group...))
+		began := time.Now()
+		require.NoError(t, group[2].HandOver(context.Background()))
+		require.Less(t, time.Since(began), 2*time.Second)
+		status, _ := group[2].Status(testShard)
+		require.False(t, status.Removed)
+	})
+}
+
 func TestIdleShardsSendNothing(t *testing.T) {
 	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
 		proposeMany(t, group[0], "x", 5)
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -1,7 +1,6 @@
 package replication
 
 import (
-	"slices"
 	"sync/atomic"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
@@ -26,8 +25,6 @@
 	replica *journal.Replica
 	machine StateMachine
 	status  atomic.Pointer[Status]
-	// leaving says that the wanted members do not include this daemon.
-	leaving atomic.Bool
 
 	queued     []*inputPropose
 	proposals  []proposal
@@ -156,7 +153,7 @@
 	role, term, leader, commit, _ := s.replica.Position()
 	s.status.Store(&Status{
 		Shard: s.id, Role: role, Term: term, Leader: leader.Node, Serving: s.serving(),
-		Members: s.replica.Members(), MembersIndex: s.replica.MembershipIndex(), Commit: commit, Applied: s.applied,
+		Members: s.replica.Members(), MembersIndex: s.replica.MembershipIndex(), Commit: commit, Applied: s.applied, Leaving: s.replica.Leaving(),
 	})
 }
 
@@ -175,14 +172,9 @@
 }
 
 func (s *shard) reconcile(wanted []Member) {
-	wantedHere := slices.ContainsFunc(wanted, func(m Member) bool { return m.ID().Life() == s.host.self })
 	s.wanted = wanted
 	s.refreshSuspicion()
-	s.leaving.Store(len(wanted) > 0 && !wantedHere)
 	s.replica.SetWanted(wanted)
-	if s.leaving.Load() {
-		s.replica.AskMembership()
-	}
 }
 
 // leave drops the replica of a group that goes on without it.
--- a/internal/replication/status.go
+++ b/internal/replication/status.go
@@ -21,6 +21,9 @@
 	// MembersIndex orders memberships: the higher one is newer.
 	MembersIndex    uint64
 	Commit, Applied uint64
+	// Leaving says that the group is about to go on without this daemon, as far
+	// as it was told.
+	Leaving bool
 	// Removed says that the group goes on without this daemon.
 	Removed bool
 }
