lab: plan and apply through the daemons, strike those that lead

The demo's operator makes plans and confirms them at any daemon; one made from another version than the declarations were read at is not confirmed.

--- a/cmd/barleyshelf-lab/demo.go
+++ b/cmd/barleyshelf-lab/demo.go
@@ -20,7 +20,7 @@
 	Deployment     string        `long:"deployment" default:"deploy/voltkai" description:"directory of declarations"`
 	Programs       int           `long:"programs" default:"120" description:"programs to run; sub-agents come on top"`
 	Seed           uint64        `long:"seed" default:"1" description:"seed of the workload and of the faults"`
-	Duration       time.Duration `long:"duration" default:"20s" description:"span over which programs arrive"`
+	Duration       time.Duration `long:"duration" description:"span over which programs arrive; 20s without faults, longer with them"`
 	Faults         string        `long:"faults" default:"none" description:"none, all, or names of faults with commas"`
 	Policy         string        `long:"policy" description:"scheduling policy in place of the declared one"`
 	DaemonsPerZone int           `long:"daemons-per-zone" default:"2" description:"daemons in each zone"`
--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -83,7 +83,11 @@
 		failed:        map[string]int{},
 	}
 	created.http = clientHTTP(network)
-	created.operator = newOperator(created)
+	created.operator, err = newOperator(created)
+	if err != nil {
+		outside.Close()
+		return nil, err
+	}
 	return created, nil
 }
 
--- a/internal/lab/demo/failover.go
+++ b/internal/lab/demo/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,13 +16,11 @@
 )
 
 const (
-	// failoverPrograms is the number of programs that are watched; they spread
-	// over all domains, and by their keys over the shards.
-	failoverPrograms = 64
+	// failoverPrograms is the number of programs that are opened; they spread
+	// over all domains, and by their keys over the shards. Those whose shard the
+	// victim leads are watched.
+	failoverPrograms = 96
 	failoverPeriod   = 20 * time.Millisecond
-	// failoverThreshold is the least time without an answer that counts as an
-	// interruption: several periods and answers.
-	failoverThreshold = 100 * time.Millisecond
 	// failoverSpan is how long programs are watched after the fault began.
 	failoverSpan    = 4 * time.Second
 	failoverTimeout = 15 * time.Second
@@ -46,7 +45,7 @@
 }
 
 // prepareFailover opens the programs to watch, before the fault.
-func (b *bench) prepareFailover(ctx context.Context, victim *topology.Member) *failoverWatch {
+func (b *bench) prepareFailover(ctx context.Context, victim *topology.Member) (*failoverWatch, error) {
 	watch := &failoverWatch{bench: b}
 	for _, member := range b.cluster.Members {
 		if member != victim {
@@ -55,7 +54,21 @@
 	}
 	key := time.Now().UnixNano()
 	watch.each(failoverPrograms, func(number int) { watch.open(ctx, number, fmt.Sprintf("failover-%d-%d", key, number)) })
-	return watch
+	return watch, watch.keepLedBy(ctx, victim.Spec.Node)
+}
+
+// keepLedBy drops all programs but those whose shard the victim leads.
+func (w *failoverWatch) keepLedBy(ctx context.Context, victim structs.NodeID) error {
+	leaders, err := w.bench.operator.leaders(ctx)
+	if err != nil {
+		return err
+	}
+	w.programs = slices.DeleteFunc(w.programs, func(program watchedProgram) bool {
+		shard, err := program.id.Shard()
+		return err != nil || leaders[shard] != victim
+	})
+	w.bench.progress("watching %d programs of shards that %s leads; %d shards have a leader", len(w.programs), victim, len(leaders))
+	return nil
 }
 
 func (w *failoverWatch) open(ctx context.Context, number int, key string) {
@@ -96,8 +109,7 @@
 }
 
 // measure asks for every program's status again and again while fault is
-// brought about, and records the longest time that each had no answer. Programs
-// that were not interrupted are left out.
+// brought about, and records the longest time that each had no answer.
 func (w *failoverWatch) measure(ctx context.Context, into *report.Distribution, fault func() error) error {
 	watched, cancel := context.WithTimeout(ctx, failoverTimeout)
 	defer cancel()
@@ -107,9 +119,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if gap := w.longestGap(watched, number, w.programs[number], &until); gap > failoverThreshold {
-				into.Record(gap)
-			}
+			into.Record(w.longestGap(watched, number, w.programs[number], &until))
 		}()
 	}
 	wait(ctx, failoverWarmUp)
--- a/internal/lab/demo/fault_daemon.go
+++ b/internal/lab/demo/fault_daemon.go
@@ -31,23 +31,22 @@
 
 // killDaemon crashes a daemon and starts it again with the disk it had.
 func killDaemon(ctx context.Context, b *bench, random *rand.Rand) error {
-	return b.crash(ctx, b.anyMember(random), false)
+	return b.crash(ctx, b.anyLeader(ctx, random, anyone), false)
 }
 
 // amnesia crashes a daemon that has a disk and starts it again without.
 func amnesia(ctx context.Context, b *bench, random *rand.Rand) error {
-	for {
-		if member := b.anyMember(random); member.Spec.DataFolder != "" {
-			return b.crash(ctx, member, true)
-		}
-	}
+	return b.crash(ctx, b.anyLeader(ctx, random, hasDisk), true)
 }
 
 func (b *bench) crash(ctx context.Context, member *topology.Member, erase bool) error {
 	b.progress("killing %s", member.Spec.Node)
-	watch := b.prepareFailover(ctx, member)
+	watch, err := b.prepareFailover(ctx, member)
+	if err != nil {
+		return err
+	}
 	began := time.Now()
-	err := watch.measure(ctx, b.failover, func() error {
+	err = watch.measure(ctx, b.failover, func() error {
 		member.Kill()
 		wait(ctx, daemonDownSpan)
 		if !erase {
@@ -67,10 +66,13 @@
 }
 
 func pauseDaemon(ctx context.Context, b *bench, random *rand.Rand) error {
-	member := b.anyMember(random)
-	watch := b.prepareFailover(ctx, member)
+	member := b.anyLeader(ctx, random, anyone)
+	watch, err := b.prepareFailover(ctx, member)
+	if err != nil {
+		return err
+	}
 	began := time.Now()
-	err := watch.measure(ctx, b.pauseFailover, func() error {
+	err = watch.measure(ctx, b.pauseFailover, func() error {
 		member.Freeze(ctx, pauseSpan)
 		return nil
 	})
--- a/internal/lab/demo/fault_platform.go
+++ b/internal/lab/demo/fault_platform.go
@@ -59,7 +59,7 @@
 func raceOperators(ctx context.Context, b *bench, _ *rand.Rand) error {
 	var failures []error
 	for range raceRounds {
-		version, configuration, err := b.operator.current(ctx)
+		version, declarations, err := b.operator.current(ctx)
 		if err != nil {
 			return err
 		}
@@ -69,12 +69,12 @@
 			group.Add(1)
 			go func() {
 				defer group.Done()
-				outcomes[i] = b.operator.change(ctx, version, configuration)
+				outcomes[i] = b.operator.change(ctx, version, declarations)
 			}()
 		}
 		group.Wait()
 		for _, outcome := range outcomes {
-			if outcome != nil && !failure.IsType(outcome, "version_conflict") {
+			if outcome != nil && !conflict(outcome) {
 				failures = append(failures, outcome)
 			}
 		}
--- a/internal/lab/demo/operator.go
+++ b/internal/lab/demo/operator.go
@@ -11,10 +11,9 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/operatorapi"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
-	"github.com/barleyshelf/barleyshelf/internal/placement"
-	"github.com/barleyshelf/barleyshelf/internal/platform"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -26,13 +25,15 @@
 // rootKey is the platform's object that holds the configuration.
 const rootKey = "config/root"
 
-// operator changes the configuration and remembers what was accepted.
+// operator changes the configuration by plans that it confirms, at any daemon,
+// and remembers what was accepted.
 type operator struct {
-	bench    *bench
-	platform *platform.Client
+	bench   *bench
+	clients []*operatorapi.Client
 
 	mutex   sync.Mutex
 	changes int
+	asked   int
 	// accepted are credentials by the version that brought them in.
 	accepted []acceptedChange
 }
@@ -44,83 +45,179 @@
 	at         time.Time
 }
 
-func newOperator(b *bench) *operator {
-	return &operator{bench: b, platform: platform.NewClient(b.outside.Platform.Address(), b.http)}
+// operatorToken is the credential of the lab's operator.
+type operatorToken struct{}
+
+// OperatorToken implements operatorapi.SecuritySource.
+func (operatorToken) OperatorToken(context.Context, operatorapi.OperationName) (operatorapi.OperatorToken, error) {
+	return operatorapi.OperatorToken{Token: topology.Token(OperatorName)}, nil
 }
 
-// first puts the deployment's declarations in place.
-func (o *operator) first(ctx context.Context) error {
-	declarations := o.bench.outside.Declarations
-	configuration := structs.Configuration{
-		PlanID:       "first",
-		Declarations: declarations,
-		Domains:      placement.Domains(declarations, nil),
+func newOperator(b *bench) (*operator, error) {
+	created := &operator{bench: b}
+	for _, member := range b.cluster.Members {
+		address := "http://" + member.Spec.OperatorAddress
+		made, err := operatorapi.NewClient(address, operatorToken{}, operatorapi.WithClient(b.http))
+		if err != nil {
+			return nil, &failure.Internal{Cause: err}
+		}
+		created.clients = append(created.clients, made)
+	}
+	return created, nil
+}
+
+// Bounds of the operator's requests.
+const (
+	operatorAttempts = 60
+	operatorTimeout  = 5 * time.Second
+)
+
+// ask sends a request to one daemon after another until one answers. Every
+// request of the operators' API may be repeated. The error is a daemon's
+// refusal, as a *failure.Relayed, or a *failure.PlatformUnavailable.
+func (o *operator) ask(ctx context.Context, send func(context.Context, *operatorapi.Client) error) error {
+	var last error
+	for range operatorAttempts {
+		limited, cancel := context.WithTimeout(ctx, operatorTimeout)
+		last = relayed(send(limited, o.nextClient()))
+		cancel()
+		known, refused := failure.As(last)
+		if last == nil || (refused && !known.Retry().Allowed) {
+			return last
+		}
+		if !wait(ctx, probePeriod) {
+			break
+		}
+	}
+	if _, refused := failure.As(last); refused {
+		return last
+	}
+	return &failure.PlatformUnavailable{Operation: "change the configuration"}
+}
+
+func (o *operator) nextClient() *operatorapi.Client {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.asked++
+	return o.clients[o.asked%len(o.clients)]
+}
+
+// relayed returns a daemon's problem details as a failure.
+func relayed(err error) error {
+	problem := &operatorapi.ProblemStatusCode{}
+	if !errors.As(err, &problem) {
+		return err
 	}
-	return o.change(ctx, 0, configuration)
+	told := problem.Response
+	return &failure.Relayed{
+		Kind:   failure.Type(told.Type[strings.LastIndex(told.Type, "/")+1:]),
+		Detail: told.Detail.Or(told.Title),
+		Effect: failure.Outcome(told.Outcome),
+		Again: failure.Retry{
+			Allowed: told.Retry,
+			After:   time.Duration(told.RetryAfterMilliseconds.Or(0)) * time.Millisecond,
+		},
+	}
+}
+
+// first puts the deployment's declarations in force.
+func (o *operator) first(ctx context.Context) error {
+	return o.change(ctx, 0, o.bench.outside.Declarations)
 }
 
-// change adds a credential and writes the configuration over the expected
-// version. Errors: *failure.VersionConflict, *failure.PlatformUnavailable.
-func (o *operator) change(ctx context.Context, expected uint64, configuration structs.Configuration) error {
+// change makes a plan that adds a credential to the declarations of a version,
+// and confirms it. A plan made from another version would take that version's
+// change back, so it is not confirmed. The error says what was in the way.
+func (o *operator) change(ctx context.Context, version uint64, declarations structs.Declarations) error {
 	credential := o.nextCredential()
-	configuration.PlanID = credential
-	configuration.Declarations.Tenants = withProbeCredential(configuration.Declarations.Tenants, credential)
-	encoded, err := json.Marshal(configuration)
+	planned, err := o.plan(ctx, declarations, credential)
 	if err != nil {
-		return &failure.Internal{Cause: err}
+		return err
 	}
-	version, err := o.platform.Put(ctx, rootKey, expected, encoded)
-	if failure.IsType(err, "platform_unavailable") {
-		version, err = o.settle(ctx, credential, err)
+	if base := uint64(planned.BaseVersion); base != version {
+		return &failure.VersionConflict{Expected: version, Found: base}
 	}
+	return o.confirm(ctx, planned.ID, credential)
+}
+
+func (o *operator) plan(ctx context.Context, declarations structs.Declarations, credential string) (*operatorapi.Plan, error) {
+	declarations.Tenants = withProbeCredential(declarations.Tenants, credential)
+	encoded, err := json.Marshal(declarations)
 	if err != nil {
-		return err
+		return nil, &failure.Internal{Cause: err}
 	}
-	o.accept(version, credential)
-	return nil
+	var made *operatorapi.Plan
+	err = o.ask(ctx, func(ctx context.Context, client *operatorapi.Client) error {
+		var err error
+		made, err = client.CreatePlan(ctx, &operatorapi.CreatePlan{Declarations: encoded})
+		return err
+	})
+	return made, err
 }
 
-// settle finds out whether a write without an answer took effect.
-func (o *operator) settle(ctx context.Context, credential string, lost error) (uint64, error) {
-	const attempts = 40
-	for range attempts {
-		version, current, err := o.current(ctx)
-		if err == nil {
-			if holdsCredential(current.Declarations, credential) {
-				return version, nil
-			}
-			return 0, lost
-		}
-		if !wait(ctx, probePeriod) {
-			return 0, ctx.Err()
-		}
+func (o *operator) confirm(ctx context.Context, planned, credential string) error {
+	var applied *operatorapi.Applied
+	err := o.ask(ctx, func(ctx context.Context, client *operatorapi.Client) error {
+		var err error
+		applied, err = client.ApplyPlan(ctx, &operatorapi.Confirmation{}, operatorapi.ApplyPlanParams{PlanID: planned})
+		return err
+	})
+	if err != nil {
+		return err
 	}
-	return 0, lost
+	o.accept(uint64(applied.Version), credential)
+	return nil
 }
 
 // update makes one accepted change, whatever others change meanwhile.
 func (o *operator) update(ctx context.Context) error {
 	for {
-		version, configuration, err := o.current(ctx)
+		version, declarations, err := o.current(ctx)
 		if err == nil {
-			err = o.change(ctx, version, configuration)
+			err = o.change(ctx, version, declarations)
 		}
-		if err == nil || !failure.IsType(err, "version_conflict") {
+		if err == nil || !conflict(err) {
 			return err
 		}
 	}
 }
 
-func (o *operator) current(ctx context.Context) (uint64, structs.Configuration, error) {
-	var configuration structs.Configuration
-	stored, err := o.platform.Get(ctx, rootKey)
-	if err != nil {
-		return 0, configuration, err
-	}
-	if err := json.Unmarshal(stored.Value, &configuration); err != nil {
-		return 0, configuration, &failure.Internal{Cause: err}
-	}
-	return stored.Version, configuration, nil
+// conflict reports whether another change was accepted first.
+func conflict(err error) bool {
+	return failure.IsType(err, "plan_conflict") || failure.IsType(err, "version_conflict")
+}
+
+// current returns the newest accepted declarations and their version.
+func (o *operator) current(ctx context.Context) (uint64, structs.Declarations, error) {
+	var version uint64
+	var declarations structs.Declarations
+	err := o.ask(ctx, func(ctx context.Context, client *operatorapi.Client) error {
+		configuration, err := client.GetConfiguration(ctx)
+		if err != nil {
+			return err
+		}
+		version, declarations = uint64(configuration.Version), structs.Declarations{}
+		return json.Unmarshal(configuration.Declarations, &declarations)
+	})
+	return version, declarations, err
+}
+
+// leaders returns the leader of each shard that has one.
+func (o *operator) leaders(ctx context.Context) (map[structs.ShardID]structs.NodeID, error) {
+	leaders := map[structs.ShardID]structs.NodeID{}
+	err := o.ask(ctx, func(ctx context.Context, client *operatorapi.Client) error {
+		shards, err := client.GetShards(ctx)
+		if err != nil {
+			return err
+		}
+		for _, shard := range shards.Shards {
+			if leader := shard.Leader.Or(""); leader != "" {
+				leaders[structs.ShardID(shard.Shard)] = structs.NodeID(leader)
+			}
+		}
+		return nil
+	})
+	return leaders, err
 }
 
 func (o *operator) nextCredential() string {
--- a/internal/lab/demo/options.go
+++ b/internal/lab/demo/options.go
@@ -19,7 +19,7 @@
 	// Programs is the number of programs; sub-agents come on top.
 	Programs int
 	Seed     uint64
-	// Duration is the span over which programs arrive.
+	// Duration is the span over which programs arrive; 0 fits it to the faults.
 	Duration time.Duration
 	// Faults are names of Faults.
 	Faults []string
--- a/internal/lab/demo/progress.go
+++ b/internal/lab/demo/progress.go
@@ -40,3 +40,10 @@
 	}
 	return found, most > 0
 }
+
+// at returns the number of requests in progress at a daemon.
+func (r *requestsInProgress) at(daemon structs.NodeID) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.counts[daemon]
+}
--- a/internal/lab/demo/routine.go
+++ b/internal/lab/demo/routine.go
@@ -8,6 +8,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/emulator"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // Times of the routine.
@@ -16,6 +17,8 @@
 	// stopLead lets requests come in before the stop, so that it has some in
 	// progress to keep.
 	stopLead = 2 * time.Second
+	// stopWait bounds the wait for requests in progress before a stop.
+	stopWait = 2 * time.Second
 	// busyTimeout bounds the wait for a daemon with requests in progress.
 	busyTimeout = 5 * time.Second
 	busyPoll    = 5 * time.Millisecond
@@ -25,6 +28,7 @@
 
 // plannedStop stops a daemon in an orderly way and starts it again.
 func (b *bench) plannedStop(ctx context.Context, member *topology.Member) error {
+	b.awaitRequests(ctx, member)
 	stop := promise.PlannedStop{Daemon: member.Spec.Node, Begun: time.Now()}
 	limited, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
@@ -41,6 +45,15 @@
 	return member.Start(ctx)
 }
 
+// awaitRequests returns when the daemon has requests in progress, so that its
+// stop has some to keep, or after a while.
+func (b *bench) awaitRequests(ctx context.Context, member *topology.Member) {
+	limited, cancel := context.WithTimeout(ctx, stopWait)
+	defer cancel()
+	for b.requests.at(member.Spec.Node) == 0 && wait(limited, busyPoll) {
+	}
+}
+
 // departure marks an engine as leaving in the machine list, and takes the mark
 // back after a while. The promise counts from when the list shows it.
 func (b *bench) departure(ctx context.Context, engine *emulator.Engine) {
@@ -85,6 +98,37 @@
 	}
 }
 
+// anyLeader returns a member at random, the more shards it leads the likelier.
+// Where no leader is known, any member that suits will do.
+func (b *bench) anyLeader(ctx context.Context, random *rand.Rand, suits func(*topology.Member) bool) *topology.Member {
+	leaders, err := b.operator.leaders(ctx)
+	if err != nil {
+		b.progress("no leaders known: %v", err)
+	}
+	led := map[structs.NodeID]int{}
+	for _, leader := range leaders {
+		led[leader]++
+	}
+	var tickets []*topology.Member
+	for _, member := range b.cluster.Members {
+		for range led[member.Spec.Node] {
+			if suits(member) {
+				tickets = append(tickets, member)
+			}
+		}
+	}
+	for len(tickets) == 0 {
+		if member := b.anyMember(random); suits(member) {
+			tickets = append(tickets, member)
+		}
+	}
+	return tickets[random.IntN(len(tickets))]
+}
+
+func anyone(*topology.Member) bool { return true }
+
+func hasDisk(member *topology.Member) bool { return member.Spec.DataFolder != "" }
+
 // anyMember returns a member at random.
 func (b *bench) anyMember(random *rand.Rand) *topology.Member {
 	return b.cluster.Members[random.IntN(len(b.cluster.Members))]
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
+	options.Duration = cmp.Or(options.Duration, defaultDuration(chosen))
 	generator, err := workload.NewGenerator(options.Declarations.Deployment.Name, options.Seed)
 	if err != nil {
 		return nil, err
@@ -42,14 +43,26 @@
 	return written, nil
 }
 
+// defaultDuration makes programs arrive for as long as the faults take.
+func defaultDuration(chosen []fault) time.Duration {
+	const quiet, perDaemonFault = 20 * time.Second, 7 * time.Second
+	span := quiet
+	for _, each := range chosen {
+		if each.lane == daemonLane {
+			span += perDaemonFault
+		}
+	}
+	return span
+}
+
 // start brings the deployment up and measures it while it is idle.
 func (b *bench) start(ctx context.Context) (report.Control, *probes, error) {
 	probing := newProbes(b)
 	began := time.Now()
-	if err := b.operator.first(ctx); err != nil {
+	if err := b.cluster.Start(ctx); err != nil {
 		return report.Control{}, nil, err
 	}
-	if err := b.cluster.Start(ctx); err != nil {
+	if err := b.operator.first(ctx); err != nil {
 		return report.Control{}, nil, err
 	}
 	if err := probing.awaitReady(ctx); err != nil {
--- a/internal/lab/promise/control.go
+++ b/internal/lab/promise/control.go
@@ -41,8 +41,11 @@
 // could learn is behind an accepted version for longer than the bound, and no
 // accepted change is lost.
 func checkConfiguration(evidence *Evidence, _ *index, verdict *Verdict) {
+	changes := map[uint64]int{}
 	for _, accepted := range evidence.Accepted {
+		changes[accepted.Version]++
 		verdict.check(!accepted.Lost, "the change accepted as version %d is gone", accepted.Version)
+		verdict.check(changes[accepted.Version] == 1, "two changes were accepted as version %d", accepted.Version)
 	}
 	byDaemon := map[structs.NodeID][]Sample{}
 	for _, sample := range evidence.Samples {
--- a/internal/lab/promise/promise_test.go
+++ b/internal/lab/promise/promise_test.go
@@ -133,6 +133,7 @@
 			e.Samples = append(e.Samples, promise.Sample{Daemon: "d1", At: at(20), Version: 1})
 		}},
 		{"version late", promise.ConfigInForce, func(e *promise.Evidence) { e.Samples[1].Version = 1 }},
+		{"two changes accepted as one version", promise.ConfigInForce, func(e *promise.Evidence) { e.Accepted = append(e.Accepted, e.Accepted[0]) }},
 		{"accepted change lost", promise.ConfigInForce, func(e *promise.Evidence) { e.Accepted[0].Lost = true }},
 	}
 	for _, planted := range plants {
--- a/internal/lab/session/call.go
+++ b/internal/lab/session/call.go
@@ -33,7 +33,7 @@
 	patient, cancel := context.WithTimeout(ctx, s.options.Patience)
 	defer cancel()
 	requests := newRequester(&s.options, s.tenant, random)
-	requests.daemon = s.daemon()
+	requests.daemon, requests.tracked = s.daemon(), !plan.disconnect
 	err := s.fetch(patient, requests, id, request, answer)
 	s.keepDaemon(requests.daemon)
 	record := newRecord(request)
--- a/internal/lab/session/requester.go
+++ b/internal/lab/session/requester.go
@@ -23,10 +23,12 @@
 // requester sends one request after another until one is final. It stays with
 // a daemon that answers, and moves on from one that does not.
 type requester struct {
-	options  *Options
-	tenant   structs.TenantID
-	random   *rand.Rand
-	daemon   structs.NodeID
+	options *Options
+	tenant  structs.TenantID
+	random  *rand.Rand
+	daemon  structs.NodeID
+	// tracked requests are reported to Options.Track.
+	tracked  bool
 	attempts []promise.Attempt
 }
 
@@ -85,7 +87,7 @@
 }
 
 func (r *requester) track(daemon structs.NodeID) (ended func()) {
-	if r.options.Track == nil {
+	if r.options.Track == nil || !r.tracked {
 		return func() {}
 	}
 	return r.options.Track(daemon)
--- a/internal/lab/session/session.go
+++ b/internal/lab/session/session.go
@@ -38,8 +38,8 @@
 	// Declared returns the declared budget of a program; only programs that
 	// overspend ask for it.
 	Declared func(structs.ProgramName) structs.Amount
-	// Track, if set, is told of each request to a daemon when it is sent, and
-	// calls back when it has ended.
+	// Track, if set, is told of each request for an answer when it is sent to a
+	// daemon, and is called back when it has ended.
 	Track func(daemon structs.NodeID) (ended func())
 	// TimeScale multiplies the workload's pauses.
 	TimeScale float64
