limit: bursts that small shares need

Cause: with the tenants' requests spread over 10 daemons each, a share of a quarter of a request a second refused most requests that were within the rate: a bucket of one token cannot follow irregular arrivals. Ruled out: the budget of reports alone (it was used up by the refusals' urgent reports). Change: at least 5 requests of burst a daemon; a few requests more or fewer are no news to the home; demand is averaged over 10 s.

--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -36,7 +36,7 @@
 }
 
 // demandHalfLife is how fast demand forgets, in seconds.
-const demandHalfLife = 5.0
+const demandHalfLife = 10.0
 
 // add counts an arrival.
 func (d *demand) add(now time.Time) {
--- a/internal/limit/message.go
+++ b/internal/limit/message.go
@@ -72,10 +72,17 @@
 	reserveFraction = 0.05
 	// burstSeconds of its rate a tenant may use at once after a pause.
 	burstSeconds = 1.0
+	// leastBurst of requests a tenant may always use at once at a daemon after a
+	// pause. At a small share requests come as irregularly as at a large one, and
+	// a smaller burst would refuse many that are within the rate.
+	leastBurst = 5.0
 	// headroom is the multiple of its demand that a daemon is granted where the
 	// rate allows.
 	headroom = 2.0
 	// leastFraction of a tenant's rate is what any daemon that sees the tenant
 	// is granted, and may use at once, where the rate allows.
 	leastFraction = 1.0 / 16
+	// demandNoise is the change of demand, in requests a second, that a few
+	// requests more or fewer make, and that is no news to the home.
+	demandNoise = Rate(0.5)
 )
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -58,7 +58,7 @@
 
 // burst returns how many requests may follow each other at once.
 func (s *share) burst(now time.Time) float64 {
-	return max(1, burstSeconds*float64(s.rate(now)), burstSeconds*leastFraction*float64(s.declared))
+	return max(leastBurst, burstSeconds*float64(s.rate(now)), burstSeconds*leastFraction*float64(s.declared))
 }
 
 // setTerms takes a declared rate and the number of daemons known into use.
@@ -104,10 +104,10 @@
 	if since < urgentInterval {
 		return 0, false
 	}
-	if s.short || s.lowered || demanded > s.told*headroom {
+	if s.short || s.lowered || demanded > s.told*headroom+demandNoise {
 		return 1 + float64(demanded), false
 	}
-	surplus := demanded < s.told/headroom && s.granted > s.declared*leastFraction
+	surplus := demanded+demandNoise < s.told/headroom && s.granted > s.declared*leastFraction
 	if surplus || since >= reportInterval && demanded > idleDemand {
 		return since.Seconds() / Lifetime.Seconds(), false
 	}
