--- a/internal/plan/models.go
+++ b/internal/plan/models.go
@@ -40,43 +40,59 @@
 // modelInZone compares one zone's engines and returns the bytes to load.
 func (c *comparison) modelInZone(earlier structs.Model, had bool, model structs.Model, zone structs.ZoneName) int64 {
 	before, after := earlier.ReplicasPerZone[zone], model.ReplicasPerZone[zone]
-	replaced := min(before, after)
-	fresh := after - replaced
-	reload := had && (earlier.Version != model.Version || roleOf(earlier) != roleOf(model)) && replaced > 0
-	if before > after {
-		c.cause(Consequence{
-			Kind:   Unload,
-			Object: objectName("Model", model.Name),
-			Zone:   zone,
-			Count:  before - after,
-			Detail: fmt.Sprintf("%d engines drain and unload %s", before-after, model.Name),
-		})
+	kept := min(before, after)
+	c.unload(model.Name, zone, before-kept)
+	fresh := after - kept
+	newVersion := had && earlier.Version != model.Version
+	if newVersion || had && roleOf(earlier) != roleOf(model) {
+		c.drainEngines(model.Name, zone, kept)
 	}
-	if reload {
-		c.cause(Consequence{
-			Kind:   Drain,
-			Object: objectName("Model", model.Name),
-			Zone:   zone,
-			Count:  replaced,
-			Detail: fmt.Sprintf("%d engines drain one after another before they change version or role; their cache of %s is lost",
-				replaced, model.Name),
-		})
+	if newVersion {
+		fresh += kept
 	}
-	if reload && earlier.Version != model.Version {
-		fresh += replaced
+	return c.load(model, zone, fresh)
+}
+
+func (c *comparison) unload(model structs.ModelName, zone structs.ZoneName, engines int) {
+	if engines == 0 {
+		return
 	}
-	if fresh == 0 {
+	c.cause(Consequence{
+		Kind:   Unload,
+		Object: objectName("Model", model),
+		Zone:   zone,
+		Count:  engines,
+		Detail: fmt.Sprintf("%d engines drain and unload %s", engines, model),
+	})
+}
+
+func (c *comparison) drainEngines(model structs.ModelName, zone structs.ZoneName, engines int) {
+	if engines == 0 {
+		return
+	}
+	c.cause(Consequence{
+		Kind:   Drain,
+		Object: objectName("Model", model),
+		Zone:   zone,
+		Count:  engines,
+		Detail: fmt.Sprintf("%d engines drain one after another before they change version or role; their cache of %s is lost", engines, model),
+	})
+}
+
+// load returns the bytes that the engines read from the weight store.
+func (c *comparison) load(model structs.Model, zone structs.ZoneName, engines int) int64 {
+	if engines == 0 {
 		return 0
 	}
-	size := int64(fresh) * model.WeightsBytes
+	size := int64(engines) * model.WeightsBytes
 	c.cause(Consequence{
 		Kind:         Load,
 		Object:       objectName("Model", model.Name),
 		Zone:         zone,
-		Count:        fresh,
+		Count:        engines,
 		Bytes:        size,
 		Milliseconds: c.loadTime(size),
-		Detail:       fmt.Sprintf("%d engines load %s %s", fresh, model.Name, model.Version),
+		Detail:       fmt.Sprintf("%d engines load %s %s", engines, model.Name, model.Version),
 	})
 	return size
 }
@@ -114,17 +130,7 @@
 
 func (c *comparison) removedModel(model structs.Model) {
 	for _, zone := range c.before.Zones {
-		replicas := model.ReplicasPerZone[zone.Name]
-		if replicas == 0 {
-			continue
-		}
-		c.cause(Consequence{
-			Kind:   Unload,
-			Object: objectName("Model", model.Name),
-			Zone:   zone.Name,
-			Count:  replicas,
-			Detail: fmt.Sprintf("%d engines drain and unload %s", replicas, model.Name),
-		})
+		c.unload(model.Name, zone.Name, model.ReplicasPerZone[zone.Name])
 	}
 }
 
