fleet: tests for four breakages that survived

Deliberate breakages of the code were tried against the tests. Four got through: planning from old reports (caught by the property test only in long runs), an orphan's grace of zero, dispatches not counted since the report, followers of other zones rounded away. Each has a test now that fails with it.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -177,6 +177,7 @@
 		time.Sleep(1100 * time.Millisecond)
 		ended := b.fleet.Dispatched(first.ID, 500)
 		also := b.fleet.Dispatched(first.ID, 70)
+		time.Sleep(500 * time.Millisecond)
 		found, _ := b.fleet.View().Engine(first.ID)
 		require.Equal(t, 3, found.Running)
 		require.Equal(t, 2, found.OwnRunning)
@@ -279,11 +280,11 @@
 	}
 	prepare := func(o *Options) {
 		o.Orphans = orphans
-		o.SweepInterval = orphanGrace / 4
+		o.SweepInterval = time.Second
 	}
 	run(t, prepare, func(t *testing.T, b *bench) {
 		b.engines.change(first.Address, func(e *fakeEngine) { e.holders = []structs.ProgramID{"new"} })
-		time.Sleep(orphanGrace - time.Second)
+		time.Sleep(4 * time.Second)
 		recorded.Store(true)
 		time.Sleep(time.Minute)
 		synctest.Wait()
--- a/internal/fleet/reconciler_test.go
+++ b/internal/fleet/reconciler_test.go
@@ -372,3 +372,29 @@
 	}
 	t.Fatalf("not as declared after %d rounds", rounds)
 }
+
+// TestReportOlderThanOrderIsNotPlannedFrom has an engine emptied whose last
+// report still shows the model, and another engine that needs draining.
+func TestReportOlderThanOrderIsNotPlannedFrom(t *testing.T) {
+	w := newWorld(2, 0, 0)
+	spare := structs.LoadedModel{Model: "undeclared", Version: "1"}
+	w.engines[1].status.Loaded = append(w.engines[1].status.Loaded, spare)
+	r := w.reconcilers[0]
+	declare := func(version string) {
+		w.models = slices.Clone(w.models)
+		w.models[0].Version = version
+	}
+	declare("2")
+	for len(w.engines[0].status.Loaded) > 0 {
+		w.observe(r)
+		r.step(t.Context(), w.configuration())
+		w.advance(time.Second)
+	}
+	declare("1")
+	for range 5 {
+		for _, next := range r.prepare(t.Context(), w.configuration()) {
+			require.NotEqual(t, actionDrain, next.kind, "%s", next.engine)
+			r.execute(t.Context(), []action{next})
+		}
+	}
+}
--- a/internal/fleet/subset_test.go
+++ b/internal/fleet/subset_test.go
@@ -31,7 +31,7 @@
 	nodes, engines := place(300, 2200, 17, 6)
 	covered := map[structs.EngineID]int{}
 	coveredInZone := map[structs.EngineID]int{}
-	total := 0
+	total, otherZones := 0, 0
 	for _, self := range nodes {
 		subset := Subset(self, nodes, engines, DefaultSubsetSize)
 		require.LessOrEqual(t, len(subset), capFactor*DefaultSubsetSize)
@@ -40,9 +40,12 @@
 			covered[e.ID]++
 			if e.Zone == self.Zone {
 				coveredInZone[e.ID]++
+			} else {
+				otherZones++
 			}
 		}
 	}
+	require.InDelta(t, DefaultSubsetSize*(1-ownZoneShare), float64(otherZones)/float64(len(nodes)), 2)
 	for _, e := range engines {
 		require.GreaterOrEqual(t, coveredInZone[e.ID], minCoverage-1, "engine %s", e.ID)
 		require.GreaterOrEqual(t, covered[e.ID], minCoverage)
