--- a/internal/replication/bench_test.go
+++ b/internal/replication/bench_test.go
@@ -218,3 +218,36 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(shards*len(group)), "B/replica")
 	}
 }
+
+// BenchmarkReplaceMember measures from the wish for a new member to the group
+// in which it votes instead of another, with a state of 840,000 tokens.
+func BenchmarkReplaceMember(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		n, group := benchGroup(b, time.Millisecond, false)
+		random := rand.New(rand.NewPCG(3, 4))
+		for left := 840_000 * bytesPerToken; left > 0; left -= historyChunk {
+			require.NoError(b, group[0].Propose(context.Background(), testShard, text(random, min(left, historyChunk))))
+		}
+		fresh := n.start(b, "d", 1, func(o *Options) {
+			o.NewStateMachine = func(structs.ShardID) StateMachine { return &historyMachine{} }
+		})
+		b.Cleanup(func() { _ = fresh.Close() })
+		n.mutex.Lock()
+		before := n.bytes
+		n.mutex.Unlock()
+		b.StartTimer()
+		group[0].Reconcile(testShard, members(group[0], group[1], fresh))
+		for {
+			status, _ := group[0].Status(testShard)
+			if len(status.Members) == 3 && status.Members[2].Node == "d" {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		b.StopTimer()
+		n.mutex.Lock()
+		b.ReportMetric(float64(n.bytes-before), "wire-B")
+		n.mutex.Unlock()
+	}
+}
--- a/internal/replication/events.go
+++ b/internal/replication/events.go
@@ -12,6 +12,8 @@
 	eventLeading     = event.Define(1104, event.Info, "leads the shard", "")
 	eventNotLeading  = event.Define(1105, event.Info, "no longer leads the shard", "")
 	eventRemoved     = event.Define(1106, event.Info, "replica removed; the group goes on without this daemon", "")
-	eventSnapshotBad = event.Define(1107, event.Error, "state machine refused a snapshot",
-		"Compare the versions of the daemons; file a report with the shard's number.")
+	eventSnapshotBad = event.Define(1107, event.Error, "state machine refused a snapshot or record; replica dropped",
+		"Compare the versions of the group's daemons, then restart this one without its data folder.")
+	eventSnapshotFailed = event.Define(1108, event.Error, "state machine gave no snapshot",
+		"Members that lag cannot catch up; file a report with the shard's number.")
 )
--- a/internal/replication/host_test.go
+++ b/internal/replication/host_test.go
@@ -22,7 +22,7 @@
 		proposeMany(t, group[0], "x", 3)
 		require.Equal(t, []string{"x-0", "x-1", "x-2"}, group[0].records(testShard))
 		require.NoError(t, group[0].ConfirmLeadership(context.Background(), testShard))
-		require.NoError(t, group[0].Close())
+		n.closeAll(t)
 	})
 }
 
@@ -47,11 +47,45 @@
 		require.Equal(t, structs.NodeID("b"), leader)
 		proposeMany(t, group[1], "y", 5)
 		require.Len(t, group[1].records(testShard), 25)
-		require.NoError(t, group[1].Close())
-		require.NoError(t, group[2].Close())
+		n.closeAll(t)
 	})
 }
 
+func TestProposeInTermRefusesAnotherTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(time.Millisecond)
+		group := startGroup(t, n, 1)
+		defer n.closeAll(t)
+		_, err := group[0].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.NoError(t, group[0].ProposeInTerm(context.Background(), testShard, 1, []byte("x")))
+		err = group[0].ProposeInTerm(context.Background(), testShard, 2, []byte("y"))
+		require.True(t, failure.IsType(err, "not_leader"), "%v", err)
+		require.Equal(t, []string{"x"}, group[0].records(testShard))
+	})
+}
+
+func TestRefusedSnapshotDropsTheReplica(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		for i := range 24 {
+			require.NoError(t, group[0].Propose(context.Background(), testShard, noise(i, 128<<10)))
+		}
+		broken := n.start(t, "d", 1, func(o *Options) {
+			o.NewStateMachine = func(structs.ShardID) StateMachine { return &refusing{} }
+		})
+		group[0].Reconcile(testShard, members(group[0], group[1], broken))
+		time.Sleep(3 * time.Second)
+		status, held := broken.Status(testShard)
+		require.True(t, held && status.Removed)
+		require.Empty(t, broken.Statuses())
+		require.NoError(t, group[0].Propose(context.Background(), testShard, []byte("goes on")))
+	})
+}
+
+type refusing struct{ counter }
+
+func (r *refusing) Restore([]byte) error { return &BadFrame{Reason: "test"} }
+
 func TestProposeWithoutMajorityAnswersAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(time.Millisecond)
@@ -66,8 +100,6 @@
 		err = group[0].Propose(context.Background(), testShard, []byte("x"))
 		require.True(t, failure.IsType(err, "shard_unavailable"), "%v", err)
 		require.Zero(t, time.Since(began))
-		for _, d := range group {
-			require.NoError(t, d.Close())
-		}
+		n.closeAll(t)
 	})
 }
--- a/internal/replication/job.go
+++ b/internal/replication/job.go
@@ -66,8 +66,12 @@
 
 func (in *inputRestored) run(w *worker) {
 	s := in.shard
+	if s.dropped {
+		return
+	}
 	if in.err != nil {
-		eventSnapshotBad.Log("shard", s.id, "cause", in.err.Error())
+		s.refused(in.err)
+		return
 	}
 	if s.jobs.restore == in.snapshot {
 		s.jobs.restore = nil
@@ -101,7 +105,7 @@
 		data, err := s.machine.Snapshot()
 		s.worker.post(&inputCopied{shard: s})
 		if err != nil {
-			eventSnapshotBad.Log("shard", s.id, "cause", err.Error())
+			eventSnapshotFailed.Log("shard", s.id, "cause", err.Error())
 			return
 		}
 		taken.snapshot.Data = encodeRecord(data)
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -237,7 +237,6 @@
 		}, told)
 		status, _ := other.Status(testShard)
 		require.Equal(t, journal.Leader, status.Role)
-		require.NoError(t, d.Close())
-		require.NoError(t, other.Close())
+		n.closeAll(t)
 	})
 }
--- a/internal/replication/network_test.go
+++ b/internal/replication/network_test.go
@@ -27,6 +27,7 @@
 	delay   time.Duration
 	bytes   int
 	batches int
+	done    sync.WaitGroup
 }
 
 type delivery struct {
@@ -160,7 +161,7 @@
 	defer n.mutex.Unlock()
 	queue := make(chan delivery, 1<<16)
 	n.hosts[host.self.Node], n.queues[host.self.Node], n.cut[host.self.Node] = host, queue, false
-	go n.deliver(host, queue)
+	n.done.Go(func() { n.deliver(host, queue) })
 	return d
 }
 
@@ -178,6 +179,7 @@
 	for _, host := range hosts {
 		require.NoError(t, host.Close())
 	}
+	n.done.Wait()
 }
 
 func (n *network) isolate(d *daemon, cut bool) {
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -106,11 +106,16 @@
 }
 
 func (s *shard) apply(entry *journalv1.Entry) {
+	if s.dropped {
+		return
+	}
 	if entry.Type == journalv1.EntryType_ENTRY_TYPE_DATA {
 		data, err := decodeRecord(entry.Data)
-		if err == nil {
-			s.machine.Apply(entry.Index, data)
+		if err != nil {
+			s.refused(err)
+			return
 		}
+		s.machine.Apply(entry.Index, data)
 	}
 	s.applied = entry.Index
 	for len(s.proposals) > 0 && s.proposals[0].index <= entry.Index {
@@ -189,9 +194,20 @@
 	}
 }
 
+// refused drops a replica whose state machine no longer follows the log. It
+// must neither serve nor vote, and keeps its identity so that it is not begun
+// again with an empty log.
+func (s *shard) refused(cause error) {
+	eventSnapshotBad.Log("shard", s.id, "cause", cause.Error())
+	tombstone := s.replica.Tombstone()
+	s.drop(s.notLeader())
+	s.host.dropShard(s, tombstone)
+}
+
 // drop answers all who wait; the replica takes part in nothing any more.
 func (s *shard) drop(cause error) {
 	s.dropped = true
+	delete(s.worker.active, s)
 	refuse(s.queued, cause)
 	s.queued = nil
 	for _, waiting := range s.confirming {
