--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -49,6 +49,7 @@
 		Declarations: declarations,
 		EngineScale:  engineTimeScale,
 		ToolWork:     toolWork,
+		RateScale:    1 / engineTimeScale,
 		MachineLag:   machineListLag,
 		Seed:         options.Seed,
 	}, network)
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -137,6 +137,7 @@
 	b.measured.ProgramStarted()
 	outcome := session.New(b.sessionOptions(), program.Tenant, behavior).Run(ctx, program, random)
 	b.measured.ProgramEnded(outcome.Completed, outcome.Cause, time.Since(planned))
+	b.measured.SubAgentsUnfinished(outcome.SubAgents)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.programs = append(b.programs, outcome.Records...)
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -74,6 +74,7 @@
 		},
 		Done: func(number int, latency time.Duration) {
 			measured.ProgramEnded(outcomes[number].Completed, outcomes[number].Cause, latency)
+			measured.SubAgentsUnfinished(outcomes[number].SubAgents)
 		},
 	}
 	runner.Run(options.Arrivals)
--- a/internal/lab/report/meter.go
+++ b/internal/lab/report/meter.go
@@ -74,6 +74,15 @@
 	m.program.Record(latency)
 }
 
+// SubAgentsUnfinished counts causes for which sub-agents were not completed.
+func (m *Meter) SubAgentsUnfinished(causes map[string]int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for cause, count := range causes {
+		m.unfinished["sub-agent: "+cause] += count
+	}
+}
+
 // Programs counts the programs so far.
 func (m *Meter) Programs() (started, completed, ended int) {
 	m.mutex.Lock()
--- a/internal/lab/session/program.go
+++ b/internal/lab/session/program.go
@@ -23,6 +23,8 @@
 	mutex   sync.Mutex
 	home    structs.NodeID
 	records []promise.Program
+	// subAgents counts the causes for which sub-agents were not completed.
+	subAgents map[string]int
 }
 
 // Outcome is what became of one program and its sub-agents.
@@ -33,11 +35,14 @@
 	Completed bool
 	// Cause is why the program was not completed, or empty.
 	Cause string
+	// SubAgents counts the causes for which sub-agents were not completed. Their
+	// parent goes on without them.
+	SubAgents map[string]int
 }
 
 // New returns a session of the tenant.
 func New(options Options, tenant structs.TenantID, behavior Behavior) *Session {
-	return &Session{options: options, tenant: tenant, behavior: behavior}
+	return &Session{options: options, tenant: tenant, behavior: behavior, subAgents: map[string]int{}}
 }
 
 // Run runs the program to its end. It returns early when ctx ends.
@@ -45,7 +50,7 @@
 	completed, cause := s.runProgram(ctx, program, "", nil, random)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return Outcome{Records: s.records, Completed: completed, Cause: cause}
+	return Outcome{Records: s.records, Completed: completed, Cause: cause, SubAgents: s.subAgents}
 }
 
 // run is one program under way.
@@ -232,12 +237,20 @@
 			if child.InheritsHistory {
 				history = inherited
 			}
-			r.session.runProgram(ctx, child, r.record.ID, history, random)
+			if completed, cause := r.session.runProgram(ctx, child, r.record.ID, history, random); !completed {
+				r.session.noteSubAgent(cause)
+			}
 		}()
 	}
 	group.Wait()
 }
 
+func (s *Session) noteSubAgent(cause string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.subAgents[cause]++
+}
+
 // history returns the whole text that the program holds so far.
 func (r *run) history() []byte {
 	var text []byte
--- a/internal/lab/topology/outside.go
+++ b/internal/lab/topology/outside.go
@@ -18,6 +18,8 @@
 	EngineScale float64
 	// ToolWork is the time that a tool call takes.
 	ToolWork time.Duration
+	// RateScale multiplies the tenants' declared rates.
+	RateScale float64
 	// MachineLag is how late the machine list shows a change.
 	MachineLag time.Duration
 	Seed       uint64
@@ -60,7 +62,7 @@
 	if err := outside.startTools(options, network); err != nil {
 		return outside, err
 	}
-	outside.Declarations.Tenants = withCredentials(options.Declarations.Tenants)
+	outside.Declarations.Tenants = withCredentials(options.Declarations.Tenants, options.RateScale)
 	outside.Platform.SetMachines(outside.machines)
 	return outside, nil
 }
@@ -158,9 +160,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func withCredentials(tenants []structs.Tenant) []structs.Tenant {
+func withCredentials(tenants []structs.Tenant, rateScale float64) []structs.Tenant {
 	credentialed := append([]structs.Tenant(nil), tenants...)
 	for i := range credentialed {
+		credentialed[i].RequestsPerSecond *= rateScale
 		credentialed[i].TokenSHA256 = []string{TokenHash(string(credentialed[i].Name))}
 	}
 	return credentialed
