limit: admit by the delay that calls meet, and refuse at once

The calls under way are bounded by a limit that follows the delay until the first part of an answer. Nothing is queued: a request beyond the limit is refused with a time to come back, one after the other at the rate at which calls end. Openings leave room for calls of programs under way, and where room is contested tenants share it by weight.

--- /dev/null
+++ b/internal/limit/admitter_test.go
@@ -0,0 +1,139 @@
+package limit
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestFullDaemonRefusesAtOnceWithATimeToComeBack(t *testing.T) {
+	a := NewAdmitter(start, Config{Initial: 10})
+	for range 10 {
+		_, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall})
+		require.NoError(t, err)
+	}
+	var waits []time.Duration
+	for range 50 {
+		_, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall})
+		var overloaded *failure.Overloaded
+		require.ErrorAs(t, err, &overloaded)
+		require.Equal(t, failure.NotRun, overloaded.Outcome())
+		waits = append(waits, overloaded.Wait)
+	}
+	require.Equal(t, 10, a.UnderWay())
+	// One a second is told to come back, so the last comes after about 50 s.
+	require.InDelta(t, 1, waits[0].Seconds(), 0.2)
+	require.InDelta(t, 50, waits[49].Seconds(), 6)
+}
+
+func TestOpeningsLeaveRoomForCalls(t *testing.T) {
+	a := NewAdmitter(start, Config{Initial: 100})
+	opened := 0
+	for range 200 {
+		ticket, err := a.Admit(start, Request{Tenant: "a", Class: ClassOpening})
+		if err == nil {
+			ticket.Done(start, Finished)
+			opened++
+		}
+	}
+	require.Equal(t, 80, opened, "an ended opening keeps its place for a while")
+	_, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall})
+	require.NoError(t, err)
+	_, err = a.Admit(start, Request{Tenant: "a", Class: ClassOpening, Priority: 2})
+	require.NoError(t, err, "a higher priority has more room")
+	_, err = a.Admit(start.Add(windowLength), Request{Tenant: "a", Class: ClassOpening})
+	require.NoError(t, err, "the next window frees the places")
+}
+
+func TestDeadlineThatCannotBeMetIsRefused(t *testing.T) {
+	a := NewAdmitter(start, Config{Initial: 10})
+	_, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall, Deadline: start})
+	require.True(t, failure.IsType(err, "overloaded"))
+	require.Zero(t, a.UnderWay())
+	for range 8 {
+		ticket, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall})
+		require.NoError(t, err)
+		ticket.FirstPart(start.Add(10 * time.Second))
+	}
+	_, err = a.Admit(start, Request{Tenant: "a", Class: ClassCall, Deadline: start.Add(time.Second)})
+	require.True(t, failure.IsType(err, "overloaded"))
+	_, err = a.Admit(start, Request{Tenant: "a", Class: ClassCall, Deadline: start.Add(time.Minute)})
+	require.NoError(t, err)
+}
+
+func TestLimitFollowsTheDelay(t *testing.T) {
+	bounds := func(l adaptive, seen window) float64 { return l.next(seen, 4, 1000).limit }
+	base := adaptive{limit: 100, threshold: 50}
+	require.Equal(t, 100.0, bounds(base, window{samples: 4, late: 4, peak: 100}), "too few to judge")
+	require.Equal(t, 100.0, bounds(base, window{samples: 50, peak: 50}), "not in use")
+	require.Equal(t, 102.0, bounds(base, window{samples: 50, peak: 90}))
+	require.Equal(t, 120.0, bounds(adaptive{limit: 100, threshold: 500}, window{samples: 50, peak: 90}))
+	require.Equal(t, 85.5, bounds(base, window{samples: 50, late: 10, peak: 90}))
+	require.Equal(t, 72.0, bounds(base, window{samples: 50, late: 30, peak: 90}))
+	require.Equal(t, 4.0, bounds(base, window{overloads: 50, peak: 1}), "never below the smallest")
+	require.Equal(t, 50.0, base.next(window{overloads: 50, peak: 90}, 4, 1000).threshold, "an outage is no measure")
+}
+
+func TestRetriesAreAFractionOfSuccesses(t *testing.T) {
+	budget := NewRetryBudget(start, 0.125, 0.5)
+	allowed := 0
+	for range 1000 {
+		if budget.Allow(start) {
+			allowed++
+		}
+	}
+	require.Equal(t, retryBurst, allowed)
+	for range 40 {
+		budget.Succeeded(start)
+	}
+	for range 5 {
+		require.True(t, budget.Allow(start))
+	}
+	require.False(t, budget.Allow(start))
+	require.True(t, budget.Allow(start.Add(2*time.Second)), "a steady trickle")
+	require.False(t, budget.Allow(start.Add(2*time.Second)))
+}
+
+// Many at once: the places taken are never more than the limit, and all are
+// given back.
+func TestConcurrentRequestsKeepTheLimit(t *testing.T) {
+	const workers, rounds = 16, 500
+	a := NewAdmitter(start, Config{Initial: 8, Largest: 8})
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for i := range rounds {
+				now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+				ticket, err := a.Admit(now, Request{Tenant: "a", Class: ClassCall})
+				if err != nil {
+					continue
+				}
+				ticket.FirstPart(now)
+				ticket.Done(now, Finished)
+				ticket.Done(now, Finished)
+			}
+		})
+	}
+	group.Wait()
+	require.Zero(t, a.UnderWay())
+	_, err := a.Admit(start.Add(time.Hour), Request{Tenant: "a", Class: ClassCall})
+	require.NoError(t, err)
+}
+
+// BenchmarkAdmit is the cost on the path of a request.
+func BenchmarkAdmit(b *testing.B) {
+	a := NewAdmitter(start, Config{Initial: 4096})
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if ticket, err := a.Admit(start, Request{Tenant: "a", Class: ClassCall}); err == nil {
+				ticket.Done(start, Finished)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/limit/retry.go
@@ -0,0 +1,46 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryBudget bounds retries to a fraction of the requests that succeed, so that
+// a failing back end gets little more than its load once. It is safe for
+// concurrent use.
+type RetryBudget struct {
+	mutex  sync.Mutex
+	ratio  float64
+	steady Rate
+	bucket bucket
+}
+
+// retryBurst is the number of retries that may be saved up.
+const retryBurst = 10
+
+// NewRetryBudget returns a budget of ratio retries for each success, and of
+// steady retries a second without any, so that a daemon with little traffic can
+// retry at all.
+func NewRetryBudget(now time.Time, ratio float64, steady Rate) *RetryBudget {
+	return &RetryBudget{
+		ratio:  ratio,
+		steady: steady,
+		bucket: bucket{tokens: retryBurst, updated: now},
+	}
+}
+
+// Succeeded adds a success's part to the budget.
+func (r *RetryBudget) Succeeded(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.bucket.tokens += r.ratio
+	r.bucket.refill(now, r.steady, retryBurst)
+}
+
+// Allow takes one retry out of the budget, if there is one.
+func (r *RetryBudget) Allow(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.bucket.refill(now, r.steady, retryBurst)
+	return r.bucket.take()
+}
