--- a/internal/caller/answer_test.go
+++ b/internal/caller/answer_test.go
@@ -188,3 +188,16 @@
 	require.True(t, failure.IsType(err, "no_answer"), "%v", err)
 	require.ErrorIs(t, <-ended, context.Canceled)
 }
+
+// blockingCall tells when it is entered and completes once it may leave.
+func blockingCall(entered, leave chan struct{}) func(context.Context, caller.CallRequest, caller.AnswerSink) error {
+	return func(ctx context.Context, _ caller.CallRequest, sink caller.AnswerSink) error {
+		close(entered)
+		select {
+		case <-leave:
+			return sink.Part(caller.AnswerPart{Attempt: 1, Complete: true})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/caller/operations.go
+++ b/internal/caller/operations.go
@@ -80,6 +80,7 @@
 		return nil, err
 	}
 	feed := startFeed(ctx, Sequence{}, func(ctx context.Context, sink AnswerSink) error {
+		sink = observed(ticket, request.Kind, sink)
 		err := o.options.Backend.Call(ctx, tenantOf(ctx), id, request, sink)
 		ticket.Done(err)
 		return err
