fleet: load a new version into an empty engine before an old one is taken away

With an empty engine in the group a roll-out keeps all replicas serving, also those of a model that has only one. An old engine is drained only when each engine that the model is assigned to serves it.

--- a/internal/fleet/assign.go
+++ b/internal/fleet/assign.go
@@ -107,10 +107,10 @@
 	return structs.LoadedModel{}, false
 }
 
-// loads reports whether a model is being loaded; with a version, that one.
+// loads reports whether a model's version is being loaded.
 func (m *member) loads(model structs.ModelName, version string) bool {
 	for _, entry := range m.status.Loading {
-		if entry.Model == model && len(entry.Adapters) == 0 && (version == "" || entry.Version == version) {
+		if entry.Model == model && entry.Version == version && len(entry.Adapters) == 0 {
 			return true
 		}
 	}
@@ -125,31 +125,67 @@
 	return m.reachable || now.Sub(m.status.ReportedAt) < replaceAfter
 }
 
-// assign gives engines to models: first those that have the model already,
-// then engines without use. The result is the model of each engine that has one.
+// assignment is the model of each engine that is to hold one.
+type assignment struct {
+	models  map[structs.EngineID]wantedModel
+	missing []int
+}
+
+// assign gives engines to models, so that as little as possible has to be done:
+// first engines that have or load the declared version, then empty engines,
+// before engines with another version, which can go on serving until a replica
+// more is there, and last engines with other models.
 func assign(now time.Time, models []wantedModel, members []*member) map[structs.EngineID]wantedModel {
-	assigned := map[structs.EngineID]wantedModel{}
-	missing := make([]int, len(models))
+	a := &assignment{models: map[structs.EngineID]wantedModel{}}
+	for _, model := range models {
+		a.missing = append(a.missing, model.replicas)
+	}
+	order := make([][]*member, len(models))
+	for i, model := range models {
+		order[i] = preferred(now, model, members)
+		a.give(i, model, order[i], -1, func(m *member) bool { return affinity(m, model) >= affinityLoading })
+	}
+	// Models that lack replicas of any version need an empty engine most.
 	for i, model := range models {
-		missing[i] = model.replicas
-		for _, m := range preferred(now, model, members) {
-			_, taken := assigned[m.status.ID]
-			if missing[i] > 0 && !taken && affinity(m, model) > 0 {
-				assigned[m.status.ID] = model
-				missing[i]--
+		older := 0
+		for _, m := range order[i] {
+			if affinity(m, model) == affinityOtherVersion {
+				older++
 			}
 		}
+		a.give(i, model, order[i], max(a.missing[i]-older, 0), (*member).empty)
 	}
 	for i, model := range models {
-		for _, m := range preferred(now, model, members) {
-			_, taken := assigned[m.status.ID]
-			if missing[i] > 0 && !taken && m.reachable {
-				assigned[m.status.ID] = model
-				missing[i]--
-			}
+		a.give(i, model, order[i], -1, (*member).empty)
+	}
+	for i, model := range models {
+		a.give(i, model, order[i], -1, func(m *member) bool { return affinity(m, model) == affinityOtherVersion })
+	}
+	for i, model := range models {
+		a.give(i, model, order[i], -1, func(m *member) bool { return m.reachable })
+	}
+	return a.models
+}
+
+// give assigns matching engines to a model, as many as it lacks and, unless
+// most is negative, at most so many.
+func (a *assignment) give(index int, model wantedModel, order []*member, most int, match func(*member) bool) {
+	for _, m := range order {
+		if a.missing[index] == 0 || most == 0 {
+			return
 		}
+		if _, taken := a.models[m.status.ID]; taken || !match(m) {
+			continue
+		}
+		a.models[m.status.ID] = model
+		a.missing[index]--
+		most--
 	}
-	return assigned
+}
+
+// empty reports whether an engine that can be reached has no model.
+func (m *member) empty() bool {
+	return m.reachable && len(m.status.Loaded) == 0 && len(m.status.Loading) == 0
 }
 
 // preferred orders the engines that may have a model by how little has to be
@@ -173,20 +209,28 @@
 	return candidates
 }
 
-// affinity says how much of a model an engine has; 0 is nothing.
+// How much of a model an engine has.
+const (
+	affinityNone = iota
+	affinityOtherVersion
+	affinityLoading
+	affinityOtherRole
+	affinityReady
+)
+
+// affinity says how much of a model an engine has.
 func affinity(m *member, model wantedModel) int {
-	const loading, otherVersion, thisVersion, ready = 1, 2, 3, 4
 	entry, held := m.holds(model.Name)
 	switch {
 	case held && entry.Version == model.Version && m.status.Role == model.role():
-		return ready
+		return affinityReady
 	case held && entry.Version == model.Version:
-		return thisVersion
+		return affinityOtherRole
+	case m.loads(model.Name, model.Version):
+		return affinityLoading
 	case held:
-		return otherVersion
-	case m.loads(model.Name, ""):
-		return loading
+		return affinityOtherVersion
 	default:
-		return 0
+		return affinityNone
 	}
 }
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -128,7 +128,7 @@
 		return action{}, false
 	}
 	if disruptive {
-		may := fenced && !drains && !m.heldBack && s.spares(m)
+		may := fenced && !drains && !m.heldBack && s.spares(m, assigned)
 		return action{kind: actionDrain, engine: m.status.ID}, may
 	}
 	return s.nextLoad(m, wanting[0], loads)
@@ -163,46 +163,6 @@
 	return order.Kind != engine.OrderLoad && len(m.status.Loaded) > 0
 }
 
-// spares reports whether every declared model that the engine serves has all
-// its replicas serving, so that one may go.
-func (s *situation) spares(m *member) bool {
-	for _, model := range s.models {
-		if !m.servesModel(model) {
-			continue
-		}
-		if s.serving(model) < min(model.replicas, len(s.members)) {
-			return false
-		}
-	}
-	return true
-}
-
-// needs reports whether a model that a drained engine holds lacks more replicas
-// than the drained one.
-func (s *situation) needs(m *member) bool {
-	return slices.ContainsFunc(s.models, func(model wantedModel) bool {
-		_, held := m.holds(model.Name)
-		return held && s.serving(model) < min(model.replicas, len(s.members))-1
-	})
-}
-
-// servesModel reports whether the engine gives answers of a model, of any version.
-func (m *member) servesModel(model wantedModel) bool {
-	_, held := m.holds(model.Name)
-	return held && m.reachable && !m.status.Leaving && !m.draining()
-}
-
-// serving counts the engines that serve a model.
-func (s *situation) serving(model wantedModel) int {
-	count := 0
-	for _, m := range s.members {
-		if m.servesModel(model) {
-			count++
-		}
-	}
-	return count
-}
-
 // wanting returns the orders that make an engine what it is to be: first those
 // that take away, then the role, then the loads.
 func (s *situation) wanting(m *member, assigned map[structs.EngineID]wantedModel) []engine.Order {
--- a/internal/fleet/orders_test.go
+++ b/internal/fleet/orders_test.go
@@ -25,6 +25,12 @@
 	return m
 }
 
+func loadingNew(number int) *member {
+	m := fenced(number, "")
+	m.status.Loading = []structs.LoadedModel{{Model: modelA, Version: "2"}}
+	return m
+}
+
 func wanting(replicas int, members ...*member) *situation {
 	model := wantedModel{Model: structs.Model{Name: modelA, Version: "2"}, replicas: replicas}
 	return &situation{now: planTime, token: 5, models: []wantedModel{model}, members: members, drainTimeout: time.Minute}
@@ -74,6 +80,9 @@
 		"lost for good is replaced":   {wanting(1, fenced(0, ""), gone), []string{"engine-000 orderload"}},
 		"leaving is replaced":         {wanting(1, fenced(0, ""), leaving), []string{"engine-000 orderload"}},
 		"one too many is taken away":  {wanting(1, fenced(0, "2"), fenced(1, "1")), []string{"engine-001 drain"}},
+		"free engine is used first":   {wanting(1, fenced(0, "1"), fenced(1, "")), []string{"engine-001 orderload"}},
+		"old one serves until then":   {wanting(1, fenced(0, "1"), loadingNew(1)), nil},
+		"then the old one is drained": {wanting(1, fenced(0, "1"), fenced(1, "2")), []string{"engine-000 drain"}},
 		"two loads at once":           {wanting(4, fenced(0, ""), fenced(1, ""), fenced(2, ""), fenced(3, "")), []string{"engine-000 orderload", "engine-001 orderload"}},
 		"superseded does nothing":     {func() *situation { s := wanting(2, fenced(0, "1"), fenced(1, "1")); s.token = 4; return s }(), nil},
 		"busy store holds back":       {func() *situation { s := wanting(2, fenced(0, ""), fenced(1, "2")); s.loadsHeldBack = true; return s }(), nil},
