config: deltas carry the audit record; hollow: count daemons over the byte budget

Cause: a member added to the configuration was lost on its way to daemons that follow by deltas. Change: deltas carry it, and a test fails when a member is added that none carries.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,7 @@
 
 func drawConfiguration(t *rapid.T, version uint64) *structs.Configuration {
 	c := &structs.Configuration{Version: version, PlanID: fmt.Sprintf("p%d", version)}
+	c.Audit = &structs.AuditRecord{PlanID: c.PlanID, Base: version - 1}
 	c.Declarations.Deployment.Replicas = rapid.IntRange(1, 3).Draw(t, "replicas")
 	names := rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 6, rapid.ID[int])
 	for _, i := range names.Draw(t, "tenants") {
@@ -59,6 +61,18 @@
 	})
 }
 
+// TestDeltasCoverTheWholeConfiguration fails when a member is added that no
+// delta carries yet.
+func TestDeltasCoverTheWholeConfiguration(t *testing.T) {
+	covered := []string{"Version", "PlanID", "Declarations", "Domains", "Audit",
+		"Deployment", "Zones", "Tenants", "Models", "Tools", "Programs"}
+	for _, outer := range []reflect.Type{reflect.TypeFor[structs.Configuration](), reflect.TypeFor[structs.Declarations]()} {
+		for i := range outer.NumField() {
+			require.Contains(t, covered, outer.Field(i).Name)
+		}
+	}
+}
+
 func follow(t require.TestingT, from, to *config.Store) {
 	source, target := from.Document(), to.Document()
 	for _, delta := range source.Deltas(target.Held()) {
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -24,6 +24,7 @@
 // configurationDelta is the difference between two configurations.
 type configurationDelta struct {
 	PlanID     string                          `json:"p"`
+	Audit      *structs.AuditRecord            `json:"u,omitempty"`
 	Hash       uint64                          `json:"h"`
 	Deployment *structs.Deployment             `json:"d,omitempty"`
 	Zones      listDelta[structs.Zone]         `json:"z"`
@@ -45,6 +46,7 @@
 func diff(from, to *structs.Configuration, hash uint64) *configurationDelta {
 	delta := &configurationDelta{
 		PlanID:   to.PlanID,
+		Audit:    to.Audit,
 		Zones:    diffList(from.Declarations.Zones, to.Declarations.Zones, zoneName),
 		Tenants:  diffList(from.Declarations.Tenants, to.Declarations.Tenants, tenantName),
 		Models:   diffList(from.Declarations.Models, to.Declarations.Models, modelName),
@@ -65,6 +67,7 @@
 	to := &structs.Configuration{
 		Version: version,
 		PlanID:  d.PlanID,
+		Audit:   d.Audit,
 		Declarations: structs.Declarations{
 			Deployment: from.Declarations.Deployment,
 			Zones:      applyList(from.Declarations.Zones, d.Zones, zoneName),
--- a/internal/hollow/churn.go
+++ b/internal/hollow/churn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"strings"
 	"time"
@@ -127,7 +126,9 @@
 }
 
 func leaderItem(shard int, term uint64, leader *daemon) membership.Item {
-	value := binary.BigEndian.AppendUint32(nil, uint32(leader.index))
+	// The form of a shard's entry: its replicas, the leader first.
+	second, third := (leader.index+1)%len(leader.run.daemons), (leader.index+2)%len(leader.run.daemons)
+	value := fmt.Appendf(nil, `{"n":["daemon-%04d","daemon-%04d","daemon-%04d"]}`, leader.index, second, third)
 	return membership.Item{Key: fmt.Sprintf("leader/%06d", shard), Version: term, Value: value}
 }
 
--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -42,8 +42,14 @@
 	// and IP headers.
 	BytesPerSecond    Spread `json:"bytes_per_second"`
 	MessagesPerSecond Spread `json:"messages_per_second"`
+	// OverByteBudget counts daemons above the budget of bytes, which a transfer
+	// to a joining daemon within the measured time can bring about.
+	OverByteBudget int `json:"daemons_over_byte_budget"`
 }
 
+// byteBudget is the target's bound on a daemon's control bytes a second.
+const byteBudget = 5000
+
 // KindRate is the mean rate of one kind of message, sent and received together.
 type KindRate struct {
 	MessagesPerSecond float64 `json:"messages_per_second"`
@@ -133,7 +139,14 @@
 		}
 		return spread(values)
 	}
+	overBudget := 0
+	for _, d := range r.daemons {
+		if float64(d.measured.bytes()) > byteBudget*seconds {
+			overBudget++
+		}
+	}
 	return Control{
+		OverByteBudget:      overBudget,
 		CPUFraction:         over(func(d *daemon) float64 { return d.measured.processor().Seconds() }),
 		DecisionCPUFraction: over(func(d *daemon) float64 { return d.measured.busy.Seconds() }),
 		BytesPerSecond:      over(func(d *daemon) float64 { return float64(d.measured.bytes()) }),
--- a/internal/hollow/write.go
+++ b/internal/hollow/write.go
@@ -124,8 +124,8 @@
 	fmt.Fprintf(&b, "  processor   %.3f%% of a core (median), %.3f%% (max); decisions alone %.3f%%, %.3f%%\n",
 		100*c.CPUFraction.Median, 100*c.CPUFraction.Max, 100*c.DecisionCPUFraction.Median, 100*c.DecisionCPUFraction.Max)
 	fmt.Fprintf(&b, "  heap        %.2f MB (median), %.2f MB (max)\n", c.HeapBytes.Median/1e6, c.HeapBytes.Max/1e6)
-	fmt.Fprintf(&b, "  bytes/s     %.0f (median), %.0f (max); messages/s %.2f, %.2f\n",
-		c.BytesPerSecond.Median, c.BytesPerSecond.Max, c.MessagesPerSecond.Median, c.MessagesPerSecond.Max)
+	fmt.Fprintf(&b, "  bytes/s     %.0f (median), %.0f (max); %d daemons over %d; messages/s %.2f, %.2f\n",
+		c.BytesPerSecond.Median, c.BytesPerSecond.Max, c.OverByteBudget, byteBudget, c.MessagesPerSecond.Median, c.MessagesPerSecond.Max)
 	for kind := range kindCount {
 		rate := r.ByKind[kind.String()]
 		fmt.Fprintf(&b, "    %-10s %8.1f bytes/s %7.3f messages/s (mean)\n", kind, rate.BytesPerSecond, rate.MessagesPerSecond)
