--- a/internal/caller/context.go
+++ b/internal/caller/context.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
@@ -27,11 +28,17 @@
 func withRequest(r *http.Request) context.Context {
 	traits := requestTraits{
 		acceptsEvents: strings.Contains(r.Header.Get("Accept"), eventStreamType),
-		resend:        r.Method == http.MethodPut && r.URL.Query().Get("resend") == "true",
+		resend:        r.Method == http.MethodPut && isTrue(r.URL.Query().Get("resend")),
 	}
 	return context.WithValue(r.Context(), requestKey{}, traits)
 }
 
+// isTrue reads a boolean parameter as the generated server does.
+func isTrue(text string) bool {
+	value, err := strconv.ParseBool(text)
+	return err == nil && value
+}
+
 func traitsOf(ctx context.Context) requestTraits {
 	traits, _ := ctx.Value(requestKey{}).(requestTraits)
 	return traits
--- a/internal/caller/failures.go
+++ b/internal/caller/failures.go
@@ -91,6 +91,7 @@
 	"unauthenticated":        true,
 	"not_permitted":          true,
 	"unknown_resource":       true,
+	"method_not_allowed":     true,
 	"request_too_large":      true,
 	"unsupported_media_type": true,
 	"rate_limited":           true,
