--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -8,6 +8,18 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+)
+
+var (
+	metricLimit = telemetry.Define(telemetry.Definition{
+		Name: "admission_limit", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Requests that may be under way at once, by the delay that calls meet.",
+	})
+	metricAdmitted = telemetry.Define(telemetry.Definition{
+		Name: "admission_under_way", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Admitted requests that have not ended.",
+	})
 )
 
 // Limits is an Admission that keeps tenants' declared rates and bounds the calls
@@ -119,3 +131,9 @@
 		return sink.Part(part)
 	})
 }
+
+// Observe makes the metrics of the admission in the registry, once.
+func (l *Limits) Observe(registry *telemetry.Registry) {
+	registry.GaugeFunc(metricLimit, func() float64 { return float64(l.admitter.Limit()) })
+	registry.GaugeFunc(metricAdmitted, func() float64 { return float64(l.admitter.UnderWay()) })
+}
