placement: a group in the midst of a change goes back to its size

Wanted took the members present as the least size, so the learner of a change under way raised it for good: a group of three that exchanged one member asked for four. It now keeps the best of too many.

--- a/internal/placement/wanted.go
+++ b/internal/placement/wanted.go
@@ -10,7 +10,8 @@
 // this daemon's view of the nodes. Members that are dead or leaving are
 // replaced, each as soon as the domain has a daemon to take its place; the
 // others stay. Nothing moves out of the domain: where no daemon of it is free,
-// the member stays wanted and the shard waits for it.
+// the member stays wanted and the shard waits for it. A group with more usable
+// members than size, as in the midst of a change, goes back to size.
 //
 // A member that the view does not show is taken for dead only while the view
 // shows a majority of the group as usable: a daemon that has just joined knows
@@ -18,27 +19,40 @@
 func Wanted(domain structs.Domain, shard structs.ShardID, current []structs.NodeID, nodes []structs.Node, size int) []structs.Node {
 	view := indexNodes(nodes)
 	staying, lost := split(current, view)
+	if len(staying) > size {
+		return best(shard, staying, size)
+	}
 	chosen := newSelection(shard, candidates(domain, nodes))
 	for _, member := range staying {
 		chosen.keep(member)
 	}
 	trusted := 2*len(staying) > len(current)
-	target := max(size, len(current))
 	for _, member := range lost {
 		_, shown := view[member.ID]
 		if !shown && !trusted {
 			chosen.keep(member)
 		}
 	}
-	chosen.fill(target)
-	return chosen.withLost(lost, target)
+	chosen.fill(size)
+	return chosen.withLost(lost, size)
+}
+
+// best returns the size members that a group should keep of too many.
+func best(shard structs.ShardID, members []structs.Node, size int) []structs.Node {
+	ranked := make([]*structs.Node, len(members))
+	for i := range members {
+		ranked[i] = &members[i]
+	}
+	chosen := newSelection(shard, ranked)
+	chosen.fill(size)
+	return chosen.members
 }
 
 // withLost keeps lost members where the domain has no daemon in their place.
-func (s *selection) withLost(lost []structs.Node, target int) []structs.Node {
+func (s *selection) withLost(lost []structs.Node, size int) []structs.Node {
 	for _, member := range lost {
 		present := slices.ContainsFunc(s.members, func(n structs.Node) bool { return n.ID == member.ID })
-		if len(s.members) < target && !present {
+		if len(s.members) < size && !present {
 			s.members = append(s.members, member)
 		}
 	}
