--- a/internal/lab/demo/failover.go
+++ b/internal/lab/demo/failover.go
@@ -24,7 +24,7 @@
 	// failoverSpan is how long programs are watched after the fault began.
 	failoverSpan    = 4 * time.Second
 	failoverTimeout = 15 * time.Second
-	failoverAttempt = 2 * time.Second
+	failoverAttempt = 10 * time.Second
 	failoverWarmUp  = 300 * time.Millisecond
 	failoverBatch   = 20
 )
--- a/internal/lab/demo/fault_daemon.go
+++ b/internal/lab/demo/fault_daemon.go
@@ -14,17 +14,23 @@
 	daemonDownSpan = 1500 * time.Millisecond
 	// repairSpan is left after a daemon lost its memory, so that its groups are
 	// whole again before the next one does: a group of three may lose one.
-	repairSpan  = 6 * time.Second
-	pauseSpan   = 2500 * time.Millisecond
-	zoneCutSpan = 3 * time.Second
+	repairSpan = 6 * time.Second
+	pauseSpan  = 2500 * time.Millisecond
+	// longPauseSpan is longer than the others wait before they go on without a
+	// daemon: it wakes as a former leader.
+	longPauseSpan = 7 * time.Second
+	zoneCutSpan   = 3 * time.Second
+	zoneLostSpan  = 3 * time.Second
 )
 
 func daemonFaults() []fault {
 	return []fault{
 		{"daemon-kill", daemonLane, killDaemon},
 		{"daemon-amnesia", daemonLane, amnesia},
-		{"daemon-pause", daemonLane, pauseDaemon},
+		{"daemon-pause", daemonLane, pauseDaemon(pauseSpan)},
+		{"daemon-long-pause", daemonLane, pauseDaemon(longPauseSpan)},
 		{"zone-cut", daemonLane, cutZone},
+		{"zone-lost", daemonLane, loseZone},
 		{"rolling-restart", daemonLane, rollingRestart},
 	}
 }
@@ -65,19 +71,23 @@
 	return nil
 }
 
-func pauseDaemon(ctx context.Context, b *bench, random *rand.Rand) error {
-	member := b.anyLeader(ctx, random, anyone)
-	watch, err := b.prepareFailover(ctx, member)
-	if err != nil {
+// pauseDaemon freezes a daemon that leads shards, and lets it go on.
+func pauseDaemon(span time.Duration) func(context.Context, *bench, *rand.Rand) error {
+	return func(ctx context.Context, b *bench, random *rand.Rand) error {
+		member := b.anyLeader(ctx, random, anyone)
+		b.progress("pausing %s", member.Spec.Node)
+		watch, err := b.prepareFailover(ctx, member)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		err = watch.measure(ctx, b.pauseFailover, func() error {
+			member.Freeze(ctx, span)
+			return nil
+		})
+		b.impair(member.Spec.Node, began, time.Now())
 		return err
 	}
-	began := time.Now()
-	err = watch.measure(ctx, b.pauseFailover, func() error {
-		member.Freeze(ctx, pauseSpan)
-		return nil
-	})
-	b.impair(member.Spec.Node, began, time.Now())
-	return err
 }
 
 // cutZone cuts one zone off from all others.
@@ -105,6 +115,56 @@
 	}
 }
 
+// loseZone crashes every daemon and engine of a zone at once, and starts them
+// again with the disks they had.
+func loseZone(ctx context.Context, b *bench, random *rand.Rand) error {
+	zones := b.options.Declarations.Zones
+	lost := zones[random.IntN(len(zones))].Name
+	b.progress("losing %s", lost)
+	began := time.Now()
+	for _, engine := range b.outside.Engines {
+		if engine.Zone() == lost {
+			engine.Crash()
+		}
+	}
+	for _, member := range b.cluster.Members {
+		if member.Spec.Zone == lost {
+			member.Kill()
+		}
+	}
+	wait(ctx, zoneLostSpan)
+	if err := b.restoreZone(ctx, lost); err != nil {
+		return err
+	}
+	for _, member := range b.cluster.Members {
+		if member.Spec.Zone == lost {
+			b.impair(member.Spec.Node, began, time.Now())
+		}
+	}
+	wait(ctx, repairSpan)
+	return nil
+}
+
+func (b *bench) restoreZone(ctx context.Context, lost structs.ZoneName) error {
+	for _, engine := range b.outside.Engines {
+		if engine.Zone() != lost {
+			continue
+		}
+		if err := engine.Restart(); err != nil {
+			return err
+		}
+	}
+	for _, member := range b.cluster.Members {
+		if member.Spec.Zone != lost {
+			continue
+		}
+		if err := member.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // rollingRestart stops and starts every daemon in turn.
 func rollingRestart(ctx context.Context, b *bench, _ *rand.Rand) error {
 	for _, member := range b.cluster.Members {
