--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -23,6 +23,8 @@
 const (
 	rolloutZone  = structs.ZoneName("changhua")
 	rolloutModel = structs.ModelName("swap-agent")
+	// rolloutTries ends a roll-out that goes nowhere; it takes 50 tries.
+	rolloutTries = 5000
 )
 
 // outside is stand-ins for a zone with three engines, one of them empty.
@@ -132,7 +134,8 @@
 	running.Go(func() { sendStreams(ctx, daemons[0], client, &streams) })
 	for _, version := range []string{"1", "2"} {
 		configuration.Store(o.configuration(version))
-		for o.ready(t, client, version) < len(o.engines) {
+		for tries := 0; o.ready(t, client, version) < len(o.engines); tries++ {
+			require.Less(t, tries, rolloutTries, "version %s", version)
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
--- a/internal/tool/client_test.go
+++ b/internal/tool/client_test.go
@@ -38,23 +38,30 @@
 
 func TestFailureSaysWhetherTheCallRan(t *testing.T) {
 	unknown := &failure.ToolOutcomeUnknown{Tool: string(toolName)}
+	ran := func(service *emulator.Tool) bool { return len(service.Ledger()) == 1 }
+	arrived := func(service *emulator.Tool) bool { return service.Requests() == 1 }
 	cases := map[string]struct {
 		fault func(*emulator.ToolFaults)
+		// leave is when the client gives the call up; nil for never.
+		leave func(*emulator.Tool) bool
 		want  error
 		ran   int
 	}{
-		"refused": {func(f *emulator.ToolFaults) { f.Refuse.Store(true) }, &failure.ToolRefused{Tool: string(toolName), Wait: time.Second}, 0},
-		"failed":  {func(f *emulator.ToolFaults) { f.Fail.Store(true) }, &failure.ToolFailed{Tool: string(toolName), Status: 500}, 1},
-		"lost":    {func(f *emulator.ToolFaults) { f.LoseAnswer.Set(1) }, unknown, 1},
-		"hung":    {func(f *emulator.ToolFaults) { f.Hang.Store(true) }, unknown, 1},
-		"stuck":   {func(f *emulator.ToolFaults) { f.HangBefore.Store(true) }, unknown, 0},
+		"refused": {func(f *emulator.ToolFaults) { f.Refuse.Store(true) }, nil, &failure.ToolRefused{Tool: string(toolName), Wait: time.Second}, 0},
+		"failed":  {func(f *emulator.ToolFaults) { f.Fail.Store(true) }, nil, &failure.ToolFailed{Tool: string(toolName), Status: 500}, 1},
+		"lost":    {func(f *emulator.ToolFaults) { f.LoseAnswer.Set(1) }, nil, unknown, 1},
+		"hung":    {func(f *emulator.ToolFaults) { f.Hang.Store(true) }, ran, unknown, 1},
+		"stuck":   {func(f *emulator.ToolFaults) { f.HangBefore.Store(true) }, arrived, unknown, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			service, client, declared := start(t, false)
 			c.fault(&service.Faults)
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
+			if c.leave != nil {
+				go cancelWhen(ctx, cancel, func() bool { return c.leave(service) })
+			}
 			_, err := client.Call(ctx, declared, "key-1", []byte("door 7"))
 			require.Equal(t, c.want, err)
 			require.Len(t, service.Ledger(), c.ran, "no repeat is hidden in the client")
@@ -62,6 +69,14 @@
 	}
 }
 
+// cancelWhen cancels once a condition holds.
+func cancelWhen(ctx context.Context, cancel context.CancelFunc, condition func() bool) {
+	for ctx.Err() == nil && !condition() {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+}
+
 func TestServiceThatIsDownDidNotRunTheCall(t *testing.T) {
 	service, client, declared := start(t, false)
 	service.Crash()
@@ -92,8 +107,13 @@
 func TestOutcomeOfCallUnderWayIsPending(t *testing.T) {
 	service, client, declared := start(t, true)
 	service.Faults.Slow.Set(time.Hour)
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	pending := func() bool {
+		outcome, err := client.Outcome(ctx, declared, "key-1")
+		return err == nil && outcome.Pending
+	}
+	go cancelWhen(ctx, cancel, pending)
 	_, err := client.Call(ctx, declared, "key-1", nil)
 	require.IsType(t, &failure.ToolOutcomeUnknown{}, err)
 	outcome, err := client.Outcome(t.Context(), declared, "key-1")
