Scheduling: learn how long programs of a name grow, admit by it

Cause: one constant for the memory a new program will need is too much for door sessions and too little for nominations. Change: GrowthEstimator learns the growth of each program name; admission uses it in place of the constant.

--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -7,9 +7,9 @@
 const (
 	admissionInterval = 250 * time.Millisecond
 	admissionShare    = 0.5
-	// admissionGrowth is the room, in tokens, that a program needs beyond its
-	// first call.
-	admissionGrowth = 6_000
+	// unknownGrowth is the room, in tokens, that a program needs beyond its first
+	// call, where nothing has been learned of its name.
+	unknownGrowth = 6_000
 	// admissionFill is how full an engine's memory may be made by new programs.
 	admissionFill = 0.95
 )
@@ -27,7 +27,11 @@
 	if request.Deadline.IsZero() || held >= limit {
 		return 0
 	}
-	need := request.PromptTokens + request.MaxAnswerTokens + admissionGrowth + engine.OwnQueuedTokens
+	growth := request.ExpectedGrowth
+	if growth == 0 {
+		growth = unknownGrowth
+	}
+	need := request.PromptTokens + request.MaxAnswerTokens + growth + engine.OwnQueuedTokens
 	if float64(engine.CacheUsedTokens+need) <= admissionFill*float64(engine.CacheCapacityTokens) {
 		return 0
 	}
--- a/internal/schedule/admission_test.go
+++ b/internal/schedule/admission_test.go
@@ -14,6 +14,10 @@
 	require.Zero(t, deferral(testNow, &engine, request), "there is room")
 	engine.CacheUsedTokens = 90_000
 	require.Equal(t, admissionInterval, deferral(testNow, &engine, request))
+	engine.CacheUsedTokens = 80_000
+	require.Zero(t, deferral(testNow, &engine, request))
+	request.ExpectedGrowth = 20_000
+	require.Equal(t, admissionInterval, deferral(testNow, &engine, request), "programs of its name grow long")
 	engine.OwnQueuedTokens, engine.CacheUsedTokens = 90_000, 0
 	require.Equal(t, admissionInterval, deferral(testNow, &engine, request), "what was sent since the report counts")
 	engine.CacheCapacityTokens = 0
--- a/internal/schedule/baseline_test.go
+++ b/internal/schedule/baseline_test.go
@@ -77,3 +77,12 @@
 	var unknown *UnknownPolicy
 	require.ErrorAs(t, err, &unknown)
 }
+
+func TestGrowthEstimatorLearnsByName(t *testing.T) {
+	estimator := NewGrowthEstimator()
+	require.Zero(t, estimator.Expected("nominate"))
+	estimator.Observe("nominate", 10_000)
+	estimator.Observe("nominate", 20_000)
+	require.Equal(t, int64(11_000), estimator.Expected("nominate"))
+	require.Zero(t, estimator.Expected("renominate"))
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -66,6 +66,9 @@
 	// ExpectedPause is how long after this call the program's next call is
 	// expected; zero means unknown, a negative value that none will come.
 	ExpectedPause time.Duration
+	// ExpectedGrowth is by how many tokens the program's prompt will grow, as a
+	// GrowthEstimator learned it; zero means unknown.
+	ExpectedGrowth int64
 	// Exclude holds engines that already failed this call.
 	Exclude map[structs.EngineID]bool
 }
--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -27,6 +27,7 @@
 	policy schedule.Policy
 	random *rand.Rand
 	pauses *schedule.PauseEstimator
+	growth *schedule.GrowthEstimator
 	views  []engineView
 }
 
@@ -85,7 +86,8 @@
 		PromptTokens: r.historyTokens, MaxAnswerTokens: r.program.MaxAnswerTokens,
 		Cached: r.cached, ParentEngine: r.parentEngine, SharedPrefix: r.root.sharedPrefix, Received: r.root.received,
 		Started: started, Deadline: started.Add(r.root.program.Deadline), Priority: r.root.program.Priority,
-		ExpectedPause: d.pauses.Expected(r.program.Name, c.step.ExpectedPause), Exclude: c.excluded,
+		ExpectedPause:  d.pauses.Expected(r.program.Name, c.step.ExpectedPause),
+		ExpectedGrowth: d.growth.Expected(r.program.Name), Exclude: c.excluded,
 	}
 }
 
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -20,7 +20,9 @@
 	// engine has computed for this program or the one it inherited from.
 	history       []segment
 	historyTokens int64
-	computed      int64
+	// firstPrompt is the prompt's length at the first model call.
+	firstPrompt int64
+	computed    int64
 	// cached is what the daemon believes to be cached where.
 	cached       map[structs.EngineID]int64
 	lastDispatch map[structs.EngineID]time.Duration
@@ -119,6 +121,9 @@
 
 // call hands a model call to the run's daemon.
 func (r *run) call(step workload.Step) {
+	if r.firstPrompt == 0 {
+		r.firstPrompt = r.historyTokens
+	}
 	if r.answeredAt > 0 {
 		r.daemon.pauses.Observe(r.program.Name, r.world.clock.now-r.answeredAt)
 	}
@@ -147,6 +152,7 @@
 // end closes the program: every engine that held memory for it is told.
 func (r *run) end() {
 	r.ended = true
+	r.daemon.growth.Observe(r.program.Name, r.historyTokens-r.firstPrompt)
 	for _, e := range r.world.engines {
 		if _, held := r.lastDispatch[e.id]; held {
 			r.world.clock.after(r.world.deployment.ZoneDelay, func() { e.cache.release(r) })
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -68,7 +68,7 @@
 			}
 			stream := uint64(policyStream + len(w.daemons))
 			added := &daemon{
-				world: w, zone: zone, policy: policy, pauses: schedule.NewPauseEstimator(),
+				world: w, zone: zone, policy: policy, pauses: schedule.NewPauseEstimator(), growth: schedule.NewGrowthEstimator(),
 				random: rand.New(rand.NewPCG(config.Seed, stream)), views: make([]engineView, len(w.engines)),
 			}
 			for index, e := range w.engines {
