fleet: find engines beyond the subset for confined programs and rare models

A daemon's subset need not have an engine in each zone, or with each model, that its programs may use. Want looks through such a zone's engines, eight at a time.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,8 @@
 	leaving  atomic.Pointer[leavingFacts]
 	drained  atomic.Pointer[drainingFacts]
 
+	wants wants
+
 	// runs counts the followers' goroutines.
 	runs sync.WaitGroup
 }
@@ -36,9 +38,13 @@
 	// list is ordered by ids.
 	list []*follower
 	byID map[structs.EngineID]*follower
-	// configuration and nodes are what the subset was made from.
+	// configuration, its endpoints and nodes are what the subset was made from;
+	// extra are engines wanted beyond it.
 	configuration *structs.Configuration
+	endpoints     []Endpoint
 	nodes         uint64
+	subset        []Endpoint
+	extra         []Endpoint
 	// draining are the zones that the declarations drain.
 	draining map[structs.ZoneName]bool
 }
@@ -46,6 +52,7 @@
 // New returns a fleet that follows no engine until Run.
 func New(options Options) *Fleet {
 	f := &Fleet{options: options.withDefaults(), now: time.Now}
+	f.wants.byPair = map[wantedPair]*want{}
 	f.followed.Store(&followedEngines{byID: map[structs.EngineID]*follower{}})
 	f.leaving.Store(&leavingFacts{})
 	f.drained.Store(&drainingFacts{})
@@ -120,34 +127,49 @@
 	}
 }
 
-// refresh follows another subset when the configuration or the daemons changed.
+// refresh follows another subset when the configuration or the daemons changed,
+// and other engines beyond it when those wanted changed.
 func (f *Fleet) refresh(ctx context.Context) {
 	configuration := f.options.Configuration()
 	if configuration == nil {
 		return
 	}
 	daemons := f.options.Nodes()
-	nodes := fingerprint(daemons)
 	former := f.followed.Load()
-	if former.configuration == configuration && former.nodes == nodes {
-		return
-	}
-	subset := Subset(f.options.Self, daemons, Endpoints(&configuration.Declarations), f.options.SubsetSize)
 	next := &followedEngines{
-		byID:          make(map[structs.EngineID]*follower, len(subset)),
+		byID:          map[structs.EngineID]*follower{},
 		configuration: configuration,
-		nodes:         nodes,
-		draining:      drainingZones(configuration),
+		nodes:         fingerprint(daemons),
+		subset:        former.subset,
+		draining:      former.draining,
+	}
+	if former.configuration != configuration {
+		next.endpoints = Endpoints(&configuration.Declarations)
+		next.draining = drainingZones(configuration)
+	} else {
+		next.endpoints = former.endpoints
+	}
+	changed := former.configuration != configuration || former.nodes != next.nodes
+	if changed {
+		next.subset = Subset(f.options.Self, daemons, next.endpoints, f.options.SubsetSize)
+	}
+	next.extra = f.wanted(next.endpoints)
+	if !changed && slices.Equal(next.extra, former.extra) {
+		return
 	}
-	for _, endpoint := range subset {
+	for _, endpoint := range sortedByID(append(slices.Clone(next.subset), next.extra...)) {
 		next.follow(ctx, f, former, endpoint)
 	}
 	f.followed.Store(next)
 	f.unfollow(former, next)
 }
 
-// follow adds an engine, with its follower where it has one.
+// follow adds an engine, with its follower where it has one. One that is there
+// already is left as it is.
 func (n *followedEngines) follow(ctx context.Context, f *Fleet, former *followedEngines, endpoint Endpoint) {
+	if n.byID[endpoint.ID] != nil {
+		return
+	}
 	kept, known := former.byID[endpoint.ID]
 	if !known || kept.endpoint != endpoint {
 		engineContext, cancel := context.WithCancel(ctx)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -293,3 +293,48 @@
 		require.Empty(t, found.released)
 	})
 }
+
+func TestWantedModelIsFoundBeyondTheSubset(t *testing.T) {
+	const rare = structs.ModelName("rare")
+	synctest.Test(t, func(t *testing.T) {
+		var endpoints []Endpoint
+		for i := range 60 {
+			endpoints = append(endpoints, endpoint(i))
+		}
+		engines := newFakeEngines(endpoints...)
+		holder := endpoints[47]
+		engines.change(holder.Address, func(e *fakeEngine) { e.status.Loaded = []structs.LoadedModel{{Model: rare}} })
+		configuration := configurationOf(false, endpoints...)
+		var peers []structs.Node
+		for i := range 40 {
+			peers = append(peers, structs.Node{ID: structs.NodeID(fmt.Sprintf("peer-%d", i)), Zone: testSelf.Zone, State: structs.NodeAlive})
+		}
+		f := New(Options{
+			Self: testSelf, Engines: engines, SubsetSize: 3,
+			Configuration: func() *structs.Configuration { return configuration },
+			Nodes:         func() []structs.Node { return peers },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Minute)
+		_, known := f.View().Engine(holder.ID)
+		require.False(t, known)
+		subset := len(f.View().Engines)
+		f.Want([]structs.ZoneName{testSelf.Zone}, rare)
+		// Sixty engines are looked at in eight rounds at most.
+		time.Sleep(8 * (wantPatience + tickInterval))
+		_, known = f.View().Engine(holder.ID)
+		require.True(t, known)
+		require.LessOrEqual(t, len(f.View().Engines), subset+wantEngines)
+		time.Sleep(wantLasts)
+		synctest.Wait()
+		_, known = f.View().Engine(holder.ID)
+		require.False(t, known)
+		cancel()
+		<-done
+	})
+}
--- a/internal/fleet/subset.go
+++ b/internal/fleet/subset.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -81,26 +82,25 @@
 // capped keeps the engines of the own zone first, then those with the highest
 // scores.
 func capped(picked []scored, limit int) []Endpoint {
-	slices.SortFunc(picked, func(a, b scored) int {
+	sortByScore(picked)
+	kept := make([]Endpoint, 0, min(len(picked), limit))
+	for _, p := range picked[:min(len(picked), limit)] {
+		kept = append(kept, p.endpoint)
+	}
+	return sortedByID(kept)
+}
+
+// sortByScore orders engines of the own zone first, and by falling scores.
+func sortByScore(engines []scored) {
+	slices.SortFunc(engines, func(a, b scored) int {
 		if a.ownZone != b.ownZone {
 			if a.ownZone {
 				return -1
 			}
 			return 1
 		}
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(string(a.endpoint.ID), string(b.endpoint.ID))
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
-	kept := make([]Endpoint, 0, min(len(picked), limit))
-	for _, p := range picked[:min(len(picked), limit)] {
-		kept = append(kept, p.endpoint)
-	}
-	return sortedByID(kept)
 }
 
 // followersOf returns how many daemons of the observing zone follow each of
