Scheduling: sub-agents start near their parent's cache

A sub-agent's first call has no cache of its own; three quarters of its prompt are taken to be cached with its parent until something is known.

--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -37,8 +37,3 @@
 	}
 	return admissionInterval
 }
-
-// underWay reports whether the program or its parent has been served before.
-func (r *Request) underWay() bool {
-	return r.Received > 0 || r.ParentEngine != "" || len(r.Cached) > 0
-}
--- a/internal/schedule/baseline.go
+++ b/internal/schedule/baseline.go
@@ -100,7 +100,7 @@
 	}
 	best, longest := -1, int64(0)
 	for _, index := range candidates {
-		if cached := request.Cached[snapshot.Engines[index].ID]; cached > longest {
+		if cached := request.cachedOn(snapshot.Engines[index].ID); cached > longest {
 			best, longest = index, cached
 		}
 	}
--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -66,8 +66,3 @@
 	perStream := m.StepPerStream + time.Duration(request.PromptTokens)*m.StepPerThousandContext/1_000
 	return m.StepBase + batch*perStream
 }
-
-// missing is the number of prompt tokens that the engine is believed to lack.
-func missing(engine *Engine, request *Request) int64 {
-	return max(0, request.PromptTokens-request.Cached[engine.ID])
-}
--- a/internal/schedule/filter_model.go
+++ b/internal/schedule/filter_model.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // modelLoaded allows engines that hold the request's model and adapter.
@@ -23,15 +21,3 @@
 	}
 	return false
 }
-
-// serving allows engines that take new work from this request.
-type serving struct{}
-
-// Name returns "serving".
-func (serving) Name() string { return "serving" }
-
-// Allow reports whether the engine is neither leaving nor excluded by an
-// earlier failure of the same call.
-func (serving) Allow(_ time.Time, engine *Engine, request *Request) bool {
-	return !engine.Leaving && !request.Exclude[engine.ID] && engine.Role != structs.RolePrefill
-}
--- a/internal/schedule/program_aware.go
+++ b/internal/schedule/program_aware.go
@@ -80,7 +80,7 @@
 	known := 0
 	for position, index := range passed {
 		id := snapshot.Engines[index].ID
-		if request.Cached[id] > 0 || id == request.ParentEngine {
+		if request.cachedOn(id) > 0 || id == request.ParentEngine {
 			passed[known], passed[position] = passed[position], passed[known]
 			known++
 		}
@@ -97,7 +97,7 @@
 	wait := predictedWait{&p.model}.Score(now, engine, request)
 	if source, held := p.moveSource(snapshot, engine, request); held > 0 {
 		made.MoveFrom = source
-		wait += p.model.MoveFixed + time.Duration(held-request.Cached[engine.ID])*p.model.MovePerToken
+		wait += p.model.MoveFixed + time.Duration(held-request.cachedOn(engine.ID))*p.model.MovePerToken
 		tokens = max(0, request.PromptTokens-held)
 	}
 	made.PredictedWait = wait + time.Duration(tokens)*p.model.PrefillPerToken
@@ -125,7 +125,7 @@
 	affinity := cacheAffinity{&p.model, true}
 	for index := range snapshot.Engines {
 		source := &snapshot.Engines[index]
-		held := request.Cached[source.ID]
+		held := request.cachedOn(source.ID)
 		if source.ID == engine.ID || held != request.longestCached(engine) || held == 0 {
 			continue
 		}
@@ -139,22 +139,6 @@
 	return "", 0
 }
 
-// longestCached is the longest prefix that an engine other than the given one is
-// believed to hold, in tokens of this prompt; zero where the given one holds as
-// much.
-func (r *Request) longestCached(except *Engine) int64 {
-	longest := int64(0)
-	for id, tokens := range r.Cached {
-		if id != except.ID {
-			longest = max(longest, min(tokens, r.PromptTokens))
-		}
-	}
-	if longest <= r.Cached[except.ID] {
-		return 0
-	}
-	return longest
-}
-
 // beyondDeadline returns how long after the deadline a call would start that
 // waits as predicted, and zero where it would start in time. A program that is
 // late already is not refused for it: its caller still waits.
--- a/internal/schedule/score_cache.go
+++ b/internal/schedule/score_cache.go
@@ -35,7 +35,7 @@
 // move is the cost of copying what another engine holds and computing the rest,
 // with the margin that a move must save.
 func (s cacheAffinity) move(engine *Engine, request *Request, source int64) time.Duration {
-	copied := max(0, source-request.Cached[engine.ID])
+	copied := max(0, source-request.cachedOn(engine.ID))
 	transfer := s.model.MoveMargin + s.model.MoveFixed + time.Duration(copied)*s.model.MovePerToken
 	return transfer + s.compute(engine, max(0, request.PromptTokens-source))
 }
--- a/internal/schedule/score_prefix.go
+++ b/internal/schedule/score_prefix.go
@@ -17,7 +17,7 @@
 // program has no cache yet. The last of all engines by rendezvous costs a whole
 // copy, the first nothing.
 func (s sharedPrefix) Score(_ time.Time, engine *Engine, request *Request) time.Duration {
-	if request.SharedPrefix == 0 || request.Cached[engine.ID] > 0 {
+	if request.SharedPrefix == 0 || request.cachedOn(engine.ID) > 0 {
 		return 0
 	}
 	copyCost := time.Duration(s.tokens) * s.model.PrefillPerToken * time.Duration(1+s.model.batch(engine))
--- a/internal/schedule/score_test.go
+++ b/internal/schedule/score_test.go
@@ -151,3 +151,14 @@
 	snapshot.Engines[0].Zone = "b"
 	require.Empty(t, chosen(t, "program-aware", snapshot, request).MoveFrom, "the source stands where the cache may not rest")
 }
+
+func TestSubAgentsStartNearTheirParent(t *testing.T) {
+	snapshot, request := threeEngines(), testRequest()
+	request.PromptTokens = 10_000
+	request.ParentEngine = "three"
+	snapshot.Engines[2].Running = 12
+	require.Equal(t, structs.EngineID("three"), chosen(t, "program-aware", snapshot, request).Engine)
+	require.Equal(t, structs.EngineID("three"), chosen(t, "affinity", snapshot, request).Engine)
+	request.Cached = map[structs.EngineID]int64{"one": 9_000}
+	require.Equal(t, structs.EngineID("one"), chosen(t, "program-aware", snapshot, request).Engine, "its own cache counts more")
+}
