fleet: divide duties in time that does not grow with daemons times engines

Engines of other zones are now passed over at once where these have daemons. Zones without daemons of their own have their engines ordered too.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -233,7 +233,7 @@
 			sweepers := 0
 			for _, self := range daemons {
 				f := New(Options{Self: self, Nodes: func() []structs.Node { return daemons }})
-				if (&sweeper{fleet: f}).responsible(one) {
+				if dutiesOf(self, daemons).first(string(one.ID), one.Zone) {
 					sweepers++
 				}
 				if number == 0 && zone == "zone-0" && f.readsMachines() {
--- a/internal/fleet/reconciler.go
+++ b/internal/fleet/reconciler.go
@@ -87,19 +87,18 @@
 	}
 }
 
-// elect starts reconcilers of the groups that this daemon is the first for in
-// rendezvous order among its zone's daemons, and returns these groups. Two that
-// both believe to be first do no harm: the fence lets one of them act.
+// elect starts reconcilers of the groups that fall to this daemon, and returns
+// these groups. Two daemons that both believe it do no harm: the fence lets one
+// of them act.
 func (f *Fleet) elect(ctx context.Context, configuration *structs.Configuration, running map[group]*reconciler) map[group]bool {
-	self, daemons := f.options.Self, f.options.Nodes()
-	inZone := func(daemon structs.Node) bool { return daemon.Zone == self.Zone }
+	division := dutiesOf(f.options.Self, f.options.Nodes())
 	mine := map[group]bool{}
 	for _, zone := range configuration.Declarations.Zones {
-		if zone.Name != self.Zone || zone.Draining {
+		if zone.Draining || (zone.Name != f.options.Self.Zone && division.populated[zone.Name]) {
 			continue
 		}
 		for g, engines := range groupsOf(zone) {
-			if rank(fenceKey(g), self, daemons, inZone) != 0 {
+			if !division.first(fenceKey(g), zone.Name) {
 				continue
 			}
 			mine[g] = true
--- a/internal/fleet/subset_test.go
+++ b/internal/fleet/subset_test.go
@@ -115,3 +115,14 @@
 		f.View()
 	}
 }
+
+// BenchmarkDutiesAtFullSize finds out which engines a daemon sweeps.
+func BenchmarkDutiesAtFullSize(b *testing.B) {
+	nodes, engines := place(1500, 11000, 17, 6)
+	for b.Loop() {
+		division := dutiesOf(nodes[0], nodes)
+		for _, e := range engines {
+			division.first(string(e.ID), e.Zone)
+		}
+	}
+}
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -70,8 +70,9 @@
 		return
 	}
 	swept := map[sweptEngine]bool{}
+	duties := dutiesOf(s.fleet.options.Self, s.fleet.options.Nodes())
 	for _, endpoint := range Endpoints(&configuration.Declarations) {
-		if ctx.Err() == nil && s.responsible(endpoint) {
+		if ctx.Err() == nil && duties.first(string(endpoint.ID), endpoint.Zone) {
 			swept[s.engine(ctx, endpoint)] = true
 		}
 	}
@@ -82,24 +83,6 @@
 	}
 }
 
-// responsible reports whether this daemon sweeps the engine: the first in the
-// engine's rendezvous order among the daemons of its zone, or among all where
-// the zone has none. Two that both believe so do no harm.
-func (s *sweeper) responsible(endpoint Endpoint) bool {
-	self, daemons := s.fleet.options.Self, s.fleet.options.Nodes()
-	inZone := func(daemon structs.Node) bool { return daemon.Zone == endpoint.Zone }
-	place := rank(string(endpoint.ID), self, daemons, inZone)
-	if place >= 0 {
-		return place == 0
-	}
-	for _, daemon := range daemons {
-		if serves(daemon) && inZone(daemon) {
-			return false
-		}
-	}
-	return rank(string(endpoint.ID), self, daemons, func(structs.Node) bool { return true }) == 0
-}
-
 // engine compares one engine's holders and returns which incarnation it was.
 func (s *sweeper) engine(ctx context.Context, endpoint Endpoint) sweptEngine {
 	requestContext, cancel := context.WithTimeout(ctx, requestTimeout)
