--- a/internal/hollow/meter.go
+++ b/internal/hollow/meter.go
@@ -53,10 +53,10 @@
 		return KindFacts
 	case len(m.Accusations) > 0:
 		return KindAccusation
-	case m.Ping > 0 || m.Ack > 0 || m.ProbeAck > 0 || len(m.Probes) > 0:
-		return KindProbe
-	default:
+	case m.DocumentVersion > 0:
 		return KindDocument
+	default:
+		return KindProbe
 	}
 }
 
--- a/internal/membership/accusation.go
+++ b/internal/membership/accusation.go
@@ -15,6 +15,10 @@
 	incarnation structs.Incarnation
 	revision    uint64
 	witnesses   []witness
+	// probed is when this daemon's own probe had begun, if it is a witness.
+	probed time.Time
+	// isolated is set while this daemon seems to be cut off itself.
+	isolated bool
 	// confirmed is when the witnesses became enough; far in the future before.
 	confirmed time.Time
 }
@@ -54,6 +58,7 @@
 		return
 	}
 	s.addWitness(subject, s.options.Self.ID, 1, "")
+	s.accusations[subject.node.ID].probed = s.now.Add(-s.timing.ProbeTimeout)
 }
 
 // receiveAccusations takes over accusations; a daemon that finds itself
@@ -210,7 +215,7 @@
 		if s.now.Before(a.confirmed.Add(s.timing.Refutation)) || a.witness(s.options.Self.ID) == nil {
 			continue
 		}
-		if !s.mayRemove(subject) {
+		if s.holdRemoval(subject, a) {
 			a.confirmed = s.now
 			continue
 		}
@@ -218,6 +223,30 @@
 	}
 }
 
+// holdRemoval reports whether a removal has to wait for another refutation
+// time: while this daemon seems cut off, and once more when it no longer does,
+// so that the accused can hear of the accusation and contradict.
+func (s *State) holdRemoval(subject *member, a *accusation) bool {
+	own := a.witness(s.options.Self.ID)
+	s.send(subject.node, &gossipv1.Message{Accusations: []*gossipv1.Accusation{a.message(subject, own)}})
+	if !s.connected(a) || !s.mayRemove(subject) {
+		a.isolated = true
+		a.probed = s.now
+		s.askElsewhere(subject)
+		return true
+	}
+	held := a.isolated
+	a.isolated = false
+	return held
+}
+
+// connected reports whether this daemon heard from another zone since it began
+// to probe the accused. A rack that is cut off within its zone does not, and so
+// removes none of the others.
+func (s *State) connected(a *accusation) bool {
+	return len(s.topology().zones) < 2 || s.heardElsewhere.After(a.probed)
+}
+
 // mayRemove reports whether this daemon is on the side of a partition that may
 // remove others: one that holds a majority of all members, or of the zone.
 func (s *State) mayRemove(subject *member) bool {
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -35,10 +35,12 @@
 
 // simulation drives states over a lossy network and watches what they do.
 type simulation struct {
-	now     time.Time
-	random  *rand.Rand
-	loss    float64
-	cut     map[structs.ZoneName]bool
+	now    time.Time
+	random *rand.Rand
+	loss   float64
+	cut    map[structs.ZoneName]bool
+	// rack holds daemons that reach only each other.
+	rack    map[*peer]bool
 	peers   []*peer
 	flight  []delivery
 	faults  []string
@@ -50,6 +52,7 @@
 		now:    time.Unix(1000, 0),
 		random: rand.New(rand.NewPCG(seed, 9)),
 		cut:    map[structs.ZoneName]bool{},
+		rack:   map[*peer]bool{},
 	}
 	for i := range count {
 		p := &peer{node: structs.Node{
@@ -129,7 +132,7 @@
 	if from.node.Zone != to.node.Zone && (s.cut[from.node.Zone] || s.cut[to.node.Zone]) {
 		return
 	}
-	if s.random.Float64() < s.loss {
+	if s.rack[from] != s.rack[to] || s.random.Float64() < s.loss {
 		return
 	}
 	data, err := proto.Marshal(out.Message)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -152,9 +152,11 @@
 	accusations map[structs.NodeID]*accusation
 	pings       map[uint64]ping
 	links       map[structs.NodeID]*link
-	cut         map[structs.ZoneName]bool
-	zonesStale  bool
-	names       map[string]string
+	// heardElsewhere is when a message from another zone came last.
+	heardElsewhere time.Time
+	cut            map[structs.ZoneName]bool
+	zonesStale     bool
+	names          map[string]string
 
 	pending     []pendingFact
 	nextFlush   time.Time
@@ -354,6 +356,9 @@
 	if s.turnAway(from, m) {
 		return
 	}
+	if from.node.Zone != s.options.Self.Zone {
+		s.heardElsewhere = s.now
+	}
 	s.signOfLife(from, m)
 	s.receiveAccusations(from, m)
 	s.receiveProbes(from, m)
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -155,6 +155,27 @@
 	}
 }
 
+func TestRackThatWasCutOffRemovesNobody(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		s := newSimulation(seed, 24, 2)
+		s.run(8 * time.Second)
+		for _, index := range []int{0, 2, 4, 6, 8} {
+			s.rack[s.peers[index]] = true
+		}
+		s.run(15 * time.Second)
+		outside, _ := s.peers[1].state.Node("n04")
+		require.Equal(t, structs.NodeDead, outside.State, "the others remove the rack")
+		s.rack = map[*peer]bool{}
+		s.run(20 * time.Second)
+		require.Empty(t, s.disagreement())
+		for index, p := range s.peers {
+			if index%2 == 1 || index > 8 {
+				require.Zero(t, p.removed, "seed %d: %s was removed by the rack", seed, p.node.ID)
+			}
+		}
+	}
+}
+
 func TestPausedDaemonLearnsThatItWasRemoved(t *testing.T) {
 	s := newSimulation(3, 9, 3)
 	s.run(8 * time.Second)
--- a/internal/membership/watch.go
+++ b/internal/membership/watch.go
@@ -123,9 +123,23 @@
 	w.probing = s.now.Add(timeout)
 	s.send(w.peer.node, &gossipv1.Message{Ping: s.newPing(ping{subject: w.peer.node.ID})})
 	for _, helper := range s.helpers(w.peer) {
-		nonce := s.newPing(ping{subject: w.peer.node.ID})
-		probe := &gossipv1.Probe{Subject: string(w.peer.node.ID), Nonce: nonce}
-		s.send(helper.node, &gossipv1.Message{Probes: []*gossipv1.Probe{probe}})
+		s.askHelper(helper, w.peer)
+	}
+}
+
+func (s *State) askHelper(helper, subject *member) {
+	nonce := s.newPing(ping{subject: subject.node.ID})
+	probe := &gossipv1.Probe{Subject: string(subject.node.ID), Nonce: nonce}
+	s.send(helper.node, &gossipv1.Message{Probes: []*gossipv1.Probe{probe}})
+}
+
+// askElsewhere asks a daemon of another zone once more: its answer, whatever
+// it says of the subject, shows that this daemon is not cut off.
+func (s *State) askElsewhere(subject *member) {
+	self := s.members[s.options.Self.ID]
+	helper := s.randomElsewhere(self, func(m *member) bool { return m != subject && s.present(m).State == structs.NodeAlive })
+	if helper != nil {
+		s.askHelper(helper, subject)
 	}
 }
 
@@ -219,6 +233,9 @@
 	if m.Ping != 0 {
 		s.send(from.node, &gossipv1.Message{Ack: m.Ping})
 	}
+	if len(m.Probes) > 0 && from.node.Zone != s.options.Self.Zone {
+		s.send(from.node, &gossipv1.Message{})
+	}
 	for _, probe := range m.Probes {
 		if subject, known := s.members[structs.NodeID(probe.Subject)]; known {
 			nonce := s.newPing(ping{subject: subject.node.ID, requester: from.node.ID, nonce: probe.Nonce})
