--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -123,7 +123,10 @@
 }
 
 // Restart starts the next incarnation on the same address.
-func (e *Engine) Restart() error { return e.Start() }
+func (e *Engine) Restart() error {
+	e.Crash()
+	return e.Start()
+}
 
 // Ledger returns what really happened so far.
 func (e *Engine) Ledger() EngineLedger {
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -124,7 +124,10 @@
 func (p *Platform) Crash() { p.shut() }
 
 // Restart opens the port again.
-func (p *Platform) Restart() error { return p.Start() }
+func (p *Platform) Restart() error {
+	p.Crash()
+	return p.Start()
+}
 
 // Counters returns the counts of requests so far.
 func (p *Platform) Counters() PlatformCounters {
--- a/internal/emulator/standin.go
+++ b/internal/emulator/standin.go
@@ -10,8 +10,13 @@
 	"time"
 )
 
-// listenAddress lets the system pick a free loopback port.
-const listenAddress = "127.0.0.1:0"
+const (
+	// listenAddress lets the system pick a free loopback port.
+	listenAddress = "127.0.0.1:0"
+	// A port that is taken is tried so often, with a pause after each time.
+	listenTries = 100
+	listenPause = 20 * time.Millisecond
+)
 
 // ListenFailed reports that a stand-in could not open its port.
 type ListenFailed struct {
@@ -53,13 +58,9 @@
 func (s *standIn) listen(handler http.Handler) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	address := s.port
-	if address == "" {
-		address = listenAddress
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenAgain(s.port)
 	if err != nil {
-		return &ListenFailed{Address: address, Cause: err}
+		return err
 	}
 	s.port = listener.Addr().String()
 	s.server = &http.Server{Handler: s.counted(handler), ReadHeaderTimeout: time.Minute}
@@ -67,6 +68,25 @@
 	return nil
 }
 
+// listenAgain opens the former port, or any where there is none. Meanwhile an
+// outgoing connection may have the port for some time, so it is tried again.
+func listenAgain(former string) (net.Listener, error) {
+	address := former
+	if address == "" {
+		address = listenAddress
+	}
+	var cause error
+	for range listenTries {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		cause = err
+		time.Sleep(listenPause)
+	}
+	return nil, &ListenFailed{Address: address, Cause: cause}
+}
+
 // serve returns when the server is closed; its error then says only that.
 func serve(server *http.Server, listener net.Listener) { _ = server.Serve(listener) }
 
--- a/internal/emulator/tool.go
+++ b/internal/emulator/tool.go
@@ -104,7 +104,10 @@
 func (t *Tool) Crash() { t.shut() }
 
 // Restart opens the port again.
-func (t *Tool) Restart() error { return t.Start() }
+func (t *Tool) Restart() error {
+	t.Crash()
+	return t.Start()
+}
 
 // Ledger returns every execution so far, in order.
 func (t *Tool) Ledger() []Execution {
--- a/internal/emulator/weights.go
+++ b/internal/emulator/weights.go
@@ -86,7 +86,10 @@
 func (s *Weights) Crash() { s.Close() }
 
 // Restart opens the port again.
-func (s *Weights) Restart() error { return s.Start() }
+func (s *Weights) Restart() error {
+	s.Crash()
+	return s.Start()
+}
 
 // Ledger returns the finished fetches, in the order of their ends.
 func (s *Weights) Ledger() []WeightFetch {
