limit: hold the work done also with many daemons of few calls each

(1) A window of one second held fewer delays than a judgement needs, so that the limit never moved. (2) Openings were admitted while calls of programs under way were refused, so more programs were begun than could be finished. (3) With few places, openings took nearly all. Ruled out: the floor of the limit (4 or 2 a daemon made no difference).

--- a/internal/limit/admitter.go
+++ b/internal/limit/admitter.go
@@ -28,8 +28,8 @@
 // Defaults of Config.
 const (
 	DefaultTarget   = 800 * time.Millisecond
-	DefaultInitial  = 64
-	DefaultSmallest = 4
+	DefaultInitial  = 32
+	DefaultSmallest = 2
 	DefaultLargest  = 4096
 )
 
@@ -78,15 +78,19 @@
 	limit    atomic.Int64
 	underWay atomic.Int64
 	// opened counts openings that ended in this window and still hold a place.
-	opened  atomic.Int64
-	tenants sync.Map // structs.TenantID to *tenantLoad
-	weights atomic.Uint64
+	opened atomic.Int64
+	// callsBack is when the last refused call was told to come back, in
+	// nanoseconds of the Unix epoch.
+	callsBack atomic.Int64
+	tenants   sync.Map // structs.TenantID to *tenantLoad
+	weights   atomic.Uint64
 	// The window being filled.
 	samples, late, overloads, peak, done atomic.Int64
 
 	mutex     sync.Mutex
 	windowEnd time.Time
 	adaptive  adaptive
+	seen      window // not yet judged
 	doneRate  Rate
 	firstPart time.Duration
 	comebacks [classes]comeback
@@ -140,7 +144,7 @@
 		weight:   float64(tenant.weight.Load()),
 		weights:  float64(a.weights.Load()),
 	}
-	if !seen.admits(request) || a.tooLate(now, request, seen) {
+	if !seen.admits(request) || a.callsComeBack(now, request) || a.tooLate(now, request, seen) {
 		a.underWay.Add(-1)
 		tenant.underWay.Add(-1)
 		return nil, &failure.Overloaded{Resource: "calls under way", Wait: a.wait(now, request.Class)}
@@ -149,6 +153,13 @@
 	return &Ticket{admitter: a, tenant: tenant, class: request.Class, admitted: now}, nil
 }
 
+// callsComeBack tells whether an opening must wait because calls of programs
+// under way were refused and have not come back yet. Otherwise more programs
+// would be begun than can be finished, and the work on them wasted.
+func (a *Admitter) callsComeBack(now time.Time, request Request) bool {
+	return request.Class == ClassOpening && now.UnixNano() < a.callsBack.Load()
+}
+
 // tooLate tells whether an answer cannot come before the request's deadline.
 // Only a full daemon refuses for it: with room, the estimate is no proof.
 func (a *Admitter) tooLate(now time.Time, request Request, seen standing) bool {
@@ -172,7 +183,13 @@
 func (a *Admitter) wait(now time.Time, class Class) time.Duration {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.comebacks[class].wait(now, max(a.doneRate, 1), a.random)
+	rate := max(a.doneRate, 1)
+	if class != ClassCall {
+		return a.comebacks[class].wait(now, rate, longestWait, a.random)
+	}
+	wait := a.comebacks[class].wait(now, rate, longestCallWait, a.random)
+	storeMax(&a.callsBack, now.Add(wait).UnixNano())
+	return wait
 }
 
 // load returns the tenant's load.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -36,25 +36,27 @@
 const (
 	// shortestWait keeps a refused request from coming back at once.
 	shortestWait = 10 * time.Millisecond
-	// longestWait bounds what a request is told. Beyond it the slots wrap, and
-	// requests spread over the whole of it.
-	longestWait = time.Minute
+	// longestWait bounds what a request is told, longestCallWait what a call of a
+	// program under way is told: of these there are never many. Beyond it the
+	// slots wrap, and requests spread over the whole of it.
+	longestWait     = time.Minute
+	longestCallWait = 5 * time.Second
 	// waitJitter is the fraction by which a wait varies, so that equal daemons
 	// do not send their callers back in step.
 	waitJitter = 0.1
 )
 
-// wait returns how long the next refused request is to stay away.
-func (c *comeback) wait(now time.Time, rate Rate, random *rand.Rand) time.Duration {
+// wait returns how long the next refused request is to stay away, longest at most.
+func (c *comeback) wait(now time.Time, rate Rate, longest time.Duration, random *rand.Rand) time.Duration {
 	if c.next.Before(now) {
 		c.next = now
 	}
-	c.next = c.next.Add(rate.interval(longestWait))
+	c.next = c.next.Add(rate.interval(longest))
 	wait := c.next.Sub(now)
-	if wait > longestWait {
-		wait = time.Duration(random.Int64N(int64(longestWait)))
-		c.next = now.Add(longestWait)
+	if wait > longest {
+		wait = time.Duration(random.Int64N(int64(longest)))
+		c.next = now.Add(longest)
 	}
 	wait += time.Duration((2*random.Float64() - 1) * waitJitter * float64(wait))
-	return min(max(wait, shortestWait), longestWait)
+	return min(max(wait, shortestWait), longest)
 }
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -87,7 +87,7 @@
 	s.short = true
 	// Where no share is granted, one is being asked for: a request that comes
 	// back soon finds it.
-	return &failure.RateLimited{Wait: s.comeback.wait(now, max(rate, s.declared*leastFraction), s.random)}
+	return &failure.RateLimited{Wait: s.comeback.wait(now, max(rate, s.declared*leastFraction), longestWait, s.random)}
 }
 
 // due tells whether the tenant's home is to be told now, and how urgently:
--- a/internal/limit/ticket.go
+++ b/internal/limit/ticket.go
@@ -71,23 +71,32 @@
 	}
 	a.underWay.Add(-a.opened.Swap(0))
 	elapsed := now.Sub(a.windowEnd) + windowLength
-	seen := window{
-		samples:   int(a.samples.Swap(0)),
-		late:      int(a.late.Swap(0)),
-		overloads: int(a.overloads.Swap(0)),
-		peak:      int(a.peak.Swap(a.underWay.Load())),
-		done:      int(a.done.Swap(0)),
-	}
-	a.adaptive = a.adaptive.next(seen, float64(a.config.Smallest), float64(a.config.Largest))
-	a.limit.Store(int64(a.adaptive.limit))
+	done := a.done.Swap(0)
 	// The rate of ends, averaged over about five windows.
 	const newPart = 0.2
-	a.doneRate += newPart * (Rate(float64(seen.done)/elapsed.Seconds()) - a.doneRate)
+	a.doneRate += newPart * (Rate(float64(done)/elapsed.Seconds()) - a.doneRate)
+	a.judge()
 	a.weights.Store(a.rollTenants())
 	a.windowEnd = now.Add(windowLength)
 	a.ends.Store(a.windowEnd.UnixNano())
 }
 
+// judge adds what was seen to what was not yet judged, and sets the limit once
+// there are delays enough. A daemon with few calls judges more rarely.
+func (a *Admitter) judge() {
+	a.seen.samples += int(a.samples.Swap(0))
+	a.seen.late += int(a.late.Swap(0))
+	a.seen.overloads += int(a.overloads.Swap(0))
+	a.seen.peak = max(a.seen.peak, int(a.peak.Swap(a.underWay.Load())))
+	a.seen.length++
+	if a.seen.samples+a.seen.overloads < fewestSamples && a.seen.length < mostWindows {
+		return
+	}
+	a.adaptive = a.adaptive.next(a.seen, float64(a.config.Smallest), float64(a.config.Largest))
+	a.limit.Store(int64(a.adaptive.limit))
+	a.seen = window{}
+}
+
 // rollTenants sums the weights of the tenants that ask, and forgets the others.
 func (a *Admitter) rollTenants() uint64 {
 	sum := uint64(0)
--- a/internal/limit/window.go
+++ b/internal/limit/window.go
@@ -6,8 +6,10 @@
 const (
 	// windowLength is the time over which delays are judged together.
 	windowLength = time.Second
-	// fewestSamples is the number of delays that a judgement needs.
+	// fewestSamples is the number of delays that a judgement needs, mostWindows
+	// how many windows it waits for them.
 	fewestSamples = 5
+	mostWindows   = 10
 	// lateFraction of the delays may be over the target.
 	lateFraction = 0.1
 	// veryLateFraction of them over the target tells a standing queue.
@@ -22,7 +24,7 @@
 	strongIncrease = 0.2
 	// inUse is the fraction of the limit that must have been under way for a
 	// window to tell that more would do.
-	inUse = 0.8
+	inUse = 0.5
 )
 
 // window is what was seen of admitted calls in a while.
@@ -35,16 +37,27 @@
 	overloads int
 	// peak is the most calls under way.
 	peak int
-	// done counts calls that ended.
-	done int
+	// length counts the windows that these were seen in.
+	length int
 }
 
-// adaptive is the limit of calls under way, and where it last met delays.
+// adaptive is the limit of calls under way.
 type adaptive struct {
-	limit     float64
+	limit float64
+	// threshold is where the limit last met delays.
 	threshold float64
+	// proven is about the most that was lately under way without delays.
+	proven float64
 }
 
+const (
+	// provenDecay is the fraction of proven that a window in time leaves.
+	provenDecay = 0.99
+	// outageFloor is the fraction of proven that calls are let through at while a
+	// back end refuses all, so that work comes back soon after it does.
+	outageFloor = 0.25
+)
+
 // next returns the limit after a window. It rests where nothing was learnt.
 func (l adaptive) next(seen window, smallest, largest float64) adaptive {
 	judged := seen.samples + seen.overloads
@@ -57,14 +70,23 @@
 		l = l.lowered(seen, strongDecrease)
 	case late > lateFraction:
 		l = l.lowered(seen, decrease)
+	default:
+		l = l.raised(seen)
+	}
+	l.limit = min(max(l.limit, smallest), largest)
+	return l
+}
+
+// raised goes up where the limit was in use: else nothing is known of a higher one.
+func (l adaptive) raised(seen window) adaptive {
+	l.proven = max(l.proven*provenDecay, float64(seen.peak))
+	switch {
 	case float64(seen.peak) < inUse*l.limit:
-		// A limit that was not in use proves nothing about a higher one.
 	case l.limit < l.threshold:
 		l.limit = min(l.limit+max(strongIncrease*l.limit, 1), l.threshold)
 	default:
 		l.limit += max(increase*l.limit, 1)
 	}
-	l.limit = min(max(l.limit, smallest), largest)
 	return l
 }
 
@@ -72,9 +94,11 @@
 // Calls that found no room at all behind the daemon, as in an outage, tell
 // nothing of where delays begin.
 func (l adaptive) lowered(seen window, factor float64) adaptive {
-	l.limit = min(l.limit, float64(seen.peak)) * factor
-	if seen.late > seen.overloads {
-		l.threshold = l.limit
+	lowered := min(l.limit, float64(seen.peak)) * factor
+	if seen.late <= seen.overloads {
+		l.limit = max(lowered, min(l.limit, outageFloor*l.proven))
+		return l
 	}
+	l.limit, l.threshold = lowered, lowered
 	return l
 }
