--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -338,3 +339,32 @@
 		<-done
 	})
 }
+
+// TestOrphanLifeIsBounded lets orphans come to be at all times between sweeps.
+func TestOrphanLifeIsBounded(t *testing.T) {
+	const orphans = 30
+	first := endpoint(1)
+	all := func(_ context.Context, _ structs.EngineID, _ structs.Incarnation, holders []structs.ProgramID) []structs.ProgramID {
+		return holders
+	}
+	run(t, func(o *Options) { o.Orphans = all }, func(t *testing.T, b *bench) {
+		random := rand.New(rand.NewPCG(1, 1))
+		var longest, total time.Duration
+		for i := range orphans {
+			time.Sleep(time.Duration(random.Int64N(int64(defaultSweepInterval))))
+			orphan := structs.ProgramID(fmt.Sprintf("orphan-%d", i))
+			b.engines.change(first.Address, func(e *fakeEngine) { e.holders = []structs.ProgramID{orphan} })
+			born := time.Now()
+			for held := 1; held > 0; {
+				time.Sleep(100 * time.Millisecond)
+				found, err := b.engines.read(first.Address)
+				require.NoError(t, err)
+				held = len(found.holders)
+			}
+			longest = max(longest, time.Since(born))
+			total += time.Since(born)
+		}
+		t.Logf("orphans released after %s on average, %s at most", total/orphans, longest)
+		require.LessOrEqual(t, longest, 2*defaultSweepInterval*5/4+time.Second)
+	})
+}
