--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -174,6 +174,10 @@
 }
 
 func (r *Replica) stepPreVote(from MemberID, m *journalv1.Message) {
+	if !r.upToDate(m) {
+		// The candidate cannot win, and whoever asked it may never ask here.
+		r.EnsureLeader()
+	}
 	granted := m.Term > r.term && r.upToDate(m) && r.mayElect(from, m) && r.yields(from, m)
 	if granted {
 		r.leaveToAnother()
--- a/internal/journal/heal_test.go
+++ b/internal/journal/heal_test.go
@@ -12,7 +12,7 @@
 	}
 	proposed, wanted := uint64(0), s.threeWithout(s.choose(len(s.names)))
 	for round := range rounds {
-		s.healRound(wanted)
+		s.healRound(wanted, round/proposeEvery)
 		if s.oracle.violation != "" {
 			return s.oracle.violation
 		}
@@ -45,13 +45,16 @@
 }
 
 // healRound lets one tick pass, in which messages go to and fro a few times.
-func (s *simulation) healRound(wanted []Member) {
+// Only one of the nodes is asked for a leader.
+func (s *simulation) healRound(wanted []Member, asked int) {
 	s.exchange()
-	for _, name := range s.names {
+	for i, name := range s.names {
 		if m := s.members[name]; m.replica != nil {
 			s.trustAll(m)
 			m.replica.SetWanted(wanted)
-			m.replica.EnsureLeader()
+			if i == asked%len(s.names) {
+				m.replica.EnsureLeader()
+			}
 			m.replica.Tick()
 			m.work()
 		}
--- a/internal/journal/leader.go
+++ b/internal/journal/leader.go
@@ -48,11 +48,25 @@
 		r.leading.uncommittedBytes += entryBytes(r.log.entry(at))
 	}
 	r.syncPeers()
-	r.appendOwn(&journalv1.Entry{Type: journalv1.EntryType_ENTRY_TYPE_NOOP})
+	r.appendOwn(r.firstEntry())
 	r.advanceCommit()
 	r.replicate()
 }
 
+// firstEntry returns the entry that begins the term. It is empty, but where the
+// log holds no membership yet it repeats the genesis, so that members that were
+// begun by a message of the group's learn it.
+func (r *Replica) firstEntry() *journalv1.Entry {
+	if r.current().index > 0 {
+		return &journalv1.Entry{Type: journalv1.EntryType_ENTRY_TYPE_NOOP}
+	}
+	members := encodeMembers(r.current().members)
+	return &journalv1.Entry{
+		Type:       journalv1.EntryType_ENTRY_TYPE_MEMBERSHIP,
+		Membership: &journalv1.Membership{Index: r.log.last() + 1, Term: r.term, Members: members},
+	}
+}
+
 // syncPeers keeps one progress for each other member in force, and notices
 // which members departed.
 func (r *Replica) syncPeers() {
--- a/internal/replication/member_test.go
+++ b/internal/replication/member_test.go
@@ -163,6 +163,38 @@
 	})
 }
 
+func TestMembersBegunByMessagesLearnTheGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(time.Millisecond)
+		defer n.closeAll(t)
+		a, b, c := n.start(t, "a", 1, nil), n.start(t, "b", 1, nil), n.start(t, "c", 1, nil)
+		// Only a hears of the genesis.
+		require.NoError(t, a.Create(Group{Shard: testShard, Members: members(a, b, c)}))
+		_, err := a.EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		proposeMany(t, a, "x", 1)
+		n.kill(t, a)
+		suspectAt("a", b, c)
+		leader, err := b.EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.Equal(t, structs.NodeID("b"), leader)
+		require.Len(t, b.records(testShard), 1)
+	})
+}
+
+func TestLaggingMemberThatIsAskedWakesTheOther(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
+		n.isolate(group[2], true)
+		proposeMany(t, group[0], "x", 3)
+		n.kill(t, group[0])
+		n.isolate(group[2], false)
+		suspectAt("a", group[1:]...)
+		leader, err := group[2].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.Equal(t, structs.NodeID("b"), leader)
+	})
+}
+
 func TestIdleShardsSendNothing(t *testing.T) {
 	inGroup(t, func(t *testing.T, n *network, group []*daemon) {
 		proposeMany(t, group[0], "x", 5)
@@ -232,6 +264,7 @@
 		require.NoError(t, err)
 		require.NoError(t, d.HandOver(context.Background()))
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, []leadershipNotice{
 			{shard: testShard, leading: true, term: 1}, {shard: testShard, leading: false, term: 1},
 		}, told)
--- a/internal/replication/persist.go
+++ b/internal/replication/persist.go
@@ -23,9 +23,10 @@
 		return
 	}
 	write := Write{Shard: s.id, State: ready.State, Snapshot: ready.Snapshot, Entries: ready.Entries}
-	if s.genesis != nil {
-		write.Snapshot, s.genesis = s.genesis, nil
+	if s.genesis != nil && write.Snapshot == nil {
+		write.Snapshot = s.genesis
 	}
+	s.genesis = nil
 	if write.Snapshot != nil {
 		s.storedSnapshot = write.Snapshot.Index
 		s.snapshotBytes, s.logBytes = len(write.Snapshot.Data), 0
