--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -340,9 +340,25 @@
 	})
 }
 
+func TestSweepsOfLongListsAreRare(t *testing.T) {
+	s := &sweeper{fleet: New(Options{}), seen: map[sweptEngine]map[structs.ProgramID]*sweptHolder{}}
+	fill := func(holders int) {
+		list := map[structs.ProgramID]*sweptHolder{}
+		for i := range holders {
+			list[structs.ProgramID(fmt.Sprintf("program-%d", i))] = &sweptHolder{}
+		}
+		s.seen[sweptEngine{id: "engine"}] = list
+	}
+	require.Equal(t, defaultSweepInterval, s.interval())
+	fill(256)
+	require.Equal(t, 23*time.Second, s.interval())
+	fill(10_000)
+	require.Equal(t, maxSweepInterval, s.interval())
+}
+
 // TestOrphanLifeIsBounded lets orphans come to be at all times between sweeps.
 func TestOrphanLifeIsBounded(t *testing.T) {
-	const orphans = 30
+	const orphans = 60
 	first := endpoint(1)
 	all := func(_ context.Context, _ structs.EngineID, _ structs.Incarnation, holders []structs.ProgramID) []structs.ProgramID {
 		return holders
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -85,7 +85,7 @@
 	ReportInterval time.Duration
 	// ReportLag is how late the engines' reports are taken to be.
 	ReportLag time.Duration
-	// SweepInterval is how often an engine's holds are compared.
+	// SweepInterval is how often an engine's holds are compared, at the most.
 	SweepInterval time.Duration
 	// ReconcileInterval is how often orders are planned.
 	ReconcileInterval time.Duration
@@ -103,7 +103,7 @@
 const (
 	defaultReportInterval    = time.Second
 	defaultReportLag         = 300 * time.Millisecond
-	defaultSweepInterval     = 30 * time.Second
+	defaultSweepInterval     = 10 * time.Second
 	defaultReconcileInterval = time.Second
 	defaultSettleTime        = 3 * time.Second
 	defaultDrainTimeout      = 2 * time.Minute
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -13,16 +13,22 @@
 
 // How long an orphan may last: its holder must be on the engine's list in two
 // sweeps that lie at least orphanGrace apart, so it is released at the second
-// sweep, two sweep intervals after it came to be at the latest, plus the time
-// that releases before it take at releasesPerSecond. A holder that the journal
-// knew is asked about again after knownFor.
+// sweep, two intervals with their jitter after it came to be at the latest, plus
+// the time that releases before it take at releasesPerSecond. A holder that the
+// journal knew is asked about again after knownFor. The interval grows with what
+// the lists took, so that reading them stays within sweepBytesPerSecond, up to
+// maxSweepInterval.
 const (
 	// orphanGrace is longer than an engine can take between a program's hold
 	// being recorded and the record being known to the shard's leader.
-	orphanGrace       = 5 * time.Second
-	knownFor          = 5 * time.Minute
-	releasesPerSecond = 20
-	sweepBatch        = 256
+	orphanGrace         = 5 * time.Second
+	knownFor            = 5 * time.Minute
+	releasesPerSecond   = 20
+	sweepBatch          = 256
+	maxSweepInterval    = time.Minute
+	sweepBytesPerSecond = 512
+	// holderBytes is what a holder takes on a list.
+	holderBytes = 46
 )
 
 var (
@@ -58,11 +64,22 @@
 		seen:     map[sweptEngine]map[structs.ProgramID]*sweptHolder{},
 		releases: rate.NewLimiter(releasesPerSecond, releasesPerSecond),
 	}
-	for pause(ctx, jittered(f.options.SweepInterval)) {
+	for pause(ctx, jittered(s.interval())) {
 		s.run(ctx)
 	}
 }
 
+// interval returns the time until the next sweep.
+func (s *sweeper) interval() time.Duration {
+	holders := 0
+	for _, seen := range s.seen {
+		holders += len(seen)
+	}
+	affordable := time.Duration(holders) * holderBytes * time.Second / sweepBytesPerSecond
+	shortest := s.fleet.options.SweepInterval
+	return max(shortest, min(affordable, maxSweepInterval))
+}
+
 // run sweeps each engine that falls to this daemon, once.
 func (s *sweeper) run(ctx context.Context) {
 	configuration := s.fleet.options.Configuration()
