--- a/internal/limit/shares_benchmark_test.go
+++ b/internal/limit/shares_benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -98,11 +99,13 @@
 
 // BenchmarkSharesAtScale runs 1,500 daemons with 7,700 tenants and 21,000
 // requests a second. It reports what one daemon sends, before the transport's
-// own framing, and the part of the requests admitted; tenants ask for three
-// quarters of their rate.
+// own framing, the part of the requests admitted, and a daemon's heap without the
+// table of rates, which the daemons share here; tenants ask for three quarters
+// of their rate.
 func BenchmarkSharesAtScale(b *testing.B) {
 	for _, spread := range []int{1, 3, 10, 100} {
 		b.Run(fmt.Sprintf("daemonsPerTenant=%d", spread), func(b *testing.B) {
+			before := heapBytes()
 			run := newScaleRun(spread)
 			const warmUp = 30
 			for range warmUp {
@@ -122,12 +125,21 @@
 			b.ReportMetric(perSecond(run.bytes, scaleDaemons/2), "bytes/s-median")
 			b.ReportMetric(perSecond(run.bytes, scaleDaemons-1), "bytes/s-max")
 			b.ReportMetric(perSecond(run.messages, scaleDaemons/2), "messages/s-median")
+			b.ReportMetric(float64(heapBytes()-before)/scaleDaemons, "heap-bytes")
 			b.ReportMetric(float64(run.admitted)/float64(run.offered), "admitted-fraction")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(seconds)/scaleDaemons/1e7, "core-percent")
 		})
 	}
 }
 
+// heapBytes returns what is in use after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	stats := runtime.MemStats{}
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // BenchmarkAdmitShare is the cost on the path of a request.
 func BenchmarkAdmitShare(b *testing.B) {
 	f := newFleet(1, 1e9)
