lab: a planned stop that ends a request with a failure of its own cuts it off

A daemon whose planned stop was replaced by a crash went unnoticed, because it answered requests in progress with an internal failure before its connections closed. The check counts such answers as cut off.

--- a/internal/lab/promise/control.go
+++ b/internal/lab/promise/control.go
@@ -7,8 +7,17 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// drainingType is the refusal of a daemon that is stopping.
-const drainingType failure.Type = "draining"
+// turnedAway lists the refusals that are of the system's own state and not of
+// the call. A request in progress that ends with one was cut off.
+var turnedAway = map[failure.Type]bool{
+	"draining":          true,
+	"internal":          true,
+	"not_leader":        true,
+	"not_ready":         true,
+	"peer_unreachable":  true,
+	"proposal_unknown":  true,
+	"shard_unavailable": true,
+}
 
 // checkStops: a request that was in progress at a daemon when its planned stop
 // began got its whole answer, or a final refusal of its own, there.
@@ -20,7 +29,7 @@
 					if !inProgress(attempt, stop) {
 						continue
 					}
-					cut := attempt.Result == Broken || attempt.FailureType == drainingType
+					cut := attempt.Result == Broken || turnedAway[attempt.FailureType]
 					verdict.check(!cut, "%s call %d: cut off by the stop of %s (%s %s)",
 						id, call.Number, stop.Daemon, attempt.Result, attempt.FailureType)
 				}
--- a/internal/lab/promise/promise_test.go
+++ b/internal/lab/promise/promise_test.go
@@ -129,6 +129,10 @@
 		{"stop turned a request away halfway", promise.StopCutsNothing, func(e *promise.Evidence) {
 			call(e, 3).Attempts[0].Result, call(e, 3).Attempts[0].FailureType = promise.Refused, "draining"
 		}},
+		{"stop ended a request with a failure of the daemon's own", promise.StopCutsNothing, func(e *promise.Evidence) {
+			call(e, 3).Attempts[0].Result, call(e, 3).Attempts[0].FailureType = promise.Refused, "internal"
+			call(e, 3).Attempts[0].Outcome = failure.OutcomeUnknown
+		}},
 		{"version goes back", promise.ConfigInForce, func(e *promise.Evidence) {
 			e.Samples = append(e.Samples, promise.Sample{Daemon: "d1", At: at(20), Version: 1})
 		}},
