--- a/internal/hollow/daemon.go
+++ b/internal/hollow/daemon.go
@@ -189,9 +189,10 @@
 	d.step(func(now time.Time) { d.state.Left(now) })
 }
 
-// read takes what the platform's watch gave, if the daemon is a reader of its zone.
+// read takes what the platform's watch gave, if the daemon is a reader of its
+// zone. A zone that is cut off does not reach the platform either.
 func (d *daemon) read(c *structs.Configuration, size int) {
-	if !d.alive || d.view == nil {
+	if !d.alive || d.run.network.cut[d.node.Zone] {
 		return
 	}
 	if !config.IsReader(d.node.ID, d.view.Members(), config.DefaultReadersPerZone) {
--- a/internal/hollow/observe.go
+++ b/internal/hollow/observe.go
@@ -42,9 +42,7 @@
 	falseSuspicions              int
 	selfRemoved                  int
 	backwards                    int
-	cutAt, healedAt              time.Duration
-	mergedAt                     time.Duration
-	unreachable                  map[*daemon]bool
+	healedAt, mergedAt           time.Duration
 }
 
 func (o *observations) begin(r *run) {
@@ -53,7 +51,6 @@
 		deaths:        map[structs.NodeID]*death{},
 		joining:       map[*daemon]time.Duration{},
 		falseRemovals: map[structs.NodeID]structs.Incarnation{},
-		unreachable:   map[*daemon]bool{},
 	}
 	for _, d := range r.daemons {
 		d.inForce = d.document.InForce()
@@ -144,11 +141,12 @@
 }
 
 // changed notes a new version at the platform. Daemons that have none in force
-// yet are joining and are counted there.
+// yet are joining and are counted there; those that are cut off are counted by
+// the time to merge.
 func (o *observations) changed(r *run, version uint64) {
 	waiting := &change{version: version, at: r.queue.now, missing: map[*daemon]bool{}}
 	for _, d := range r.aliveDaemons() {
-		if d.document.InForce() > 0 {
+		if d.document.InForce() > 0 && !r.network.cut[d.node.Zone] {
 			waiting.missing[d] = true
 		}
 	}
@@ -179,7 +177,13 @@
 // watches until all views are whole again.
 func (o *observations) cut(r *run, cut bool) {
 	if cut {
-		o.cutAt = r.queue.now
+		for _, d := range r.daemons {
+			for _, waiting := range o.changes {
+				if r.network.cut[d.node.Zone] {
+					delete(waiting.missing, d)
+				}
+			}
+		}
 		return
 	}
 	o.healedAt = r.queue.now
