--- a/internal/fleet/draining.go
+++ b/internal/fleet/draining.go
@@ -13,9 +13,10 @@
 	// group's reconciler drains.
 	drainingPrefix = "fleet/draining/"
 	// drainingLasts is how long such a fact counts, so that the draining ends
-	// also where the reconciler died; drainingRepeat is how often it is repeated.
-	drainingLasts  = 30 * time.Second
-	drainingRepeat = 10 * time.Second
+	// also where the reconciler died and none came after it; drainingRepeat is
+	// how often it is repeated. Each repeat goes to all daemons.
+	drainingLasts  = 2 * time.Minute
+	drainingRepeat = 40 * time.Second
 	// sequenceBits of a fact's version number the facts of one token.
 	sequenceBits = 20
 )
--- a/internal/fleet/reconciler_test.go
+++ b/internal/fleet/reconciler_test.go
@@ -63,6 +63,8 @@
 
 // reconcilerEngines is the engines as one reconciler reaches them.
 type reconcilerEngines struct {
+	// Engines is nil: a reconciler needs no more than is defined here.
+	Engines
 	*world
 	name string
 }
@@ -76,22 +78,6 @@
 	return nil
 }
 
-func (e reconcilerEngines) WatchStatus(context.Context, string, time.Duration) (Reports, error) {
-	return nil, &failure.EngineUnavailable{}
-}
-
-func (e reconcilerEngines) CacheEvents(context.Context, string, uint64) ([]engine.CacheEvent, error) {
-	return nil, nil
-}
-
-func (e reconcilerEngines) Holds(context.Context, string) (engine.HoldList, error) {
-	return engine.HoldList{}, nil
-}
-
-func (e reconcilerEngines) Release(context.Context, string, structs.Incarnation, structs.ProgramID) error {
-	return nil
-}
-
 func (e reconcilerEngines) Status(_ context.Context, address string) (structs.EngineStatus, error) {
 	if e.cut[cutLink{e.name, address}] {
 		return structs.EngineStatus{}, &failure.EngineUnavailable{}
@@ -195,7 +181,7 @@
 func (w *world) reconciler(name string) *pausedReconciler {
 	f := New(Options{
 		Self:     structs.Node{ID: structs.NodeID(name), Zone: testSelf.Zone},
-		Engines:  reconcilerEngines{w, name},
+		Engines:  reconcilerEngines{nil, w, name},
 		Platform: w.platform,
 		Publish: func(key string, version uint64, value []byte) {
 			w.facts = append(w.facts, sentFact{w.now, key, version, value})
@@ -313,7 +299,7 @@
 			"step":  both,
 			"step2": both,
 			"time":  func(t *rapid.T) { w.advance(time.Duration(rapid.IntRange(100, 8000).Draw(t, "ms")) * time.Millisecond) },
-			"pause": func(*rapid.T) { w.advance(45 * time.Second) },
+			"pause": func(*rapid.T) { w.advance(drainingLasts + time.Second) },
 			"loaded": func(t *rapid.T) {
 				e := pickEngine(t)
 				e.status.Loaded = append(slices.Clone(e.status.Loaded), e.status.Loading...)
