Find the idle leader after a restart; give up forwards to suspected daemons; drain zones

Causes: a member that restarted with its disk campaigned again and again, was refused, and never learned of its leader, which had nothing to send; requests forwarded to a daemon that froze hung until the connection's ping gave up (4 s); a leader that was paused and woke refused calls by a state of the past; an attempt that was stopped here, by its caller or its program's end, marked its engine as failed, so that the next call waited 2 s for an engine; replicas did not leave a zone that drains. Change: a leader asked for a pre-vote shows itself by an append; suspicion of a daemon ends the requests that it is working on, and they search on; refusals by the programs' state and status reads are confirmed by a quorum; only attempts that the engine itself lost count against it; groups see a draining zone's daemons as leaving. Limits on calls under way are in force.

--- a/cmd/barleyshelf/cluster_test.go
+++ b/cmd/barleyshelf/cluster_test.go
@@ -130,3 +130,19 @@
 	}
 	require.Fail(b.t, "did not come about", fmt.Sprintf("%s: %s", line, shown.String()))
 }
+
+// TestZoneThatDrainsHoldsNoReplicasInTheEnd: draining a zone moves its replicas.
+func TestZoneThatDrainsHoldsNoReplicasInTheEnd(t *testing.T) {
+	b := newBench(t)
+	daemons := startDaemons(t, b.platform.Address(), "taichung-1", "taichung-1", "taichung-2", "changhua", "nantou")
+	b.address = "http://" + daemons[0].OperatorAddress()
+	b.eventually("get nodes", func(shown string) bool { return strings.Count(shown, `"alive"`) == len(daemons) })
+	require.Equal(t, exitDone, b.command(nil, "apply", b.plan(unchanged).ID, "--wait"))
+	b.eventually("get shards", func(shown string) bool {
+		return strings.Count(shown, `"leader"`) == 32 && strings.Count(shown, `"members": []`) == 0
+	})
+	var made planAnswer
+	require.Equal(t, exitDone, b.command(&made, "drain", "zone", "changhua"))
+	require.Equal(t, exitDone, b.command(nil, "apply", made.ID, "--wait"))
+	b.eventually("get shards", func(shown string) bool { return !strings.Contains(shown, "daemon-4") })
+}
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -3,46 +3,33 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/caller"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
-	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// admission lets callers' requests in.
+// admission lets callers' requests in, unless the daemon is stopping or a limit
+// stands against them.
 type admission struct {
 	draining *atomic.Bool
-	shares   *limit.Shares
+	limits   *caller.Limits
 }
 
 var _ caller.Admission = (*admission)(nil)
 
-// AdmitOpen admits the opening of a program, unless the daemon is stopping or
-// the tenant is over its rate.
-func (a *admission) AdmitOpen(_ context.Context, tenant structs.TenantID, _ structs.ProgramName) (caller.AdmissionTicket, error) {
-	return a.admit(tenant)
-}
-
-// AdmitCall admits a call, unless the daemon is stopping or the tenant is over
-// its rate.
-func (a *admission) AdmitCall(_ context.Context, tenant structs.TenantID, _ structs.ProgramID) (caller.AdmissionTicket, error) {
-	return a.admit(tenant)
+// AdmitOpen admits the opening of a program.
+func (a *admission) AdmitOpen(ctx context.Context, tenant structs.TenantID, program structs.ProgramName) (caller.AdmissionTicket, error) {
+	if a.draining.Load() {
+		return nil, &failure.Draining{}
+	}
+	return a.limits.AdmitOpen(ctx, tenant, program)
 }
 
-func (a *admission) admit(tenant structs.TenantID) (caller.AdmissionTicket, error) {
+// AdmitCall admits a call of a program under way.
+func (a *admission) AdmitCall(ctx context.Context, tenant structs.TenantID, program structs.ProgramID) (caller.AdmissionTicket, error) {
 	if a.draining.Load() {
 		return nil, &failure.Draining{}
 	}
-	if err := a.shares.Admit(time.Now(), tenant); err != nil {
-		return nil, err
-	}
-	return ticket{}, nil
+	return a.limits.AdmitCall(ctx, tenant, program)
 }
-
-// ticket is held while an admitted request is under way.
-type ticket struct{}
-
-// Done gives the ticket back.
-func (ticket) Done(error) {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/caller"
 	"github.com/barleyshelf/barleyshelf/internal/cluster"
 	"github.com/barleyshelf/barleyshelf/internal/config"
 	"github.com/barleyshelf/barleyshelf/internal/engine"
@@ -96,7 +97,9 @@
 	}
 	d.self = selfNode(configured)
 	d.shares = limit.NewShares(limit.Holder{Node: d.self.ID, Incarnation: d.self.Incarnation}, time.Now(), options.Seed)
-	d.admission = &admission{draining: &d.draining, shares: d.shares}
+	limits := caller.NewLimits(d.shares, limit.NewAdmitter(time.Now(), limit.Config{Seed: options.Seed}), time.Now)
+	limits.Observe(d.registry)
+	d.admission = &admission{draining: &d.draining, limits: limits}
 	d.backends = newBackendClient(d.gate, options.Dial)
 	d.platform = platform.NewClient(configured.PlatformAddress, d.backends)
 	d.engines = engine.NewClient(d.backends)
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -9,6 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/cluster"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
+	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -82,11 +83,11 @@
 	if size <= 0 {
 		size = defaultReplicas
 	}
-	nodes := d.aliveIn(domain)
+	nodes := aliveIn(domain, plan.OpenNodes(configuration.Declarations, d.cluster.View().Nodes))
 	if !d.settled(domain, nodes, settled) {
 		return false
 	}
-	if !enough(domain, nodes, size) {
+	if !enough(openZones(configuration, domain), nodes, size) {
 		eventGroupsWait.Log("domain", domain.Name, "zones", domain.Zones, "nodes", len(nodes), "replicas", size)
 		delete(settled, domain.FirstShard)
 		return false
@@ -111,14 +112,25 @@
 	return true
 }
 
-// enough reports whether groups of the wanted size, spread over as many zones
-// as the domain has, can be made.
-func enough(domain structs.Domain, nodes []structs.Node, size int) bool {
+// openZones counts the domain's zones that do not drain.
+func openZones(configuration *structs.Configuration, domain structs.Domain) int {
+	open := 0
+	for _, zone := range configuration.Declarations.Zones {
+		if domain.Permits(zone.Name) && !zone.Draining {
+			open++
+		}
+	}
+	return open
+}
+
+// enough reports whether groups of the wanted size, spread over as many of the
+// open zones as that takes, can be made.
+func enough(open int, nodes []structs.Node, size int) bool {
 	zones := map[structs.ZoneName]bool{}
 	for _, node := range nodes {
 		zones[node.Zone] = true
 	}
-	return len(nodes) >= size && len(zones) >= min(size, len(domain.Zones))
+	return len(nodes) >= size && len(zones) >= min(size, open)
 }
 
 func (d *Daemon) settled(domain structs.Domain, nodes []structs.Node, settled map[structs.ShardID]*settling) bool {
@@ -134,14 +146,14 @@
 	return time.Since(known.since) >= required
 }
 
-func (d *Daemon) aliveIn(domain structs.Domain) []structs.Node {
-	var nodes []structs.Node
-	for _, node := range d.cluster.View().Nodes {
+func aliveIn(domain structs.Domain, nodes []structs.Node) []structs.Node {
+	var alive []structs.Node
+	for _, node := range nodes {
 		if node.State == structs.NodeAlive && domain.Permits(node.Zone) {
-			nodes = append(nodes, node)
+			alive = append(alive, node)
 		}
 	}
-	return nodes
+	return alive
 }
 
 // spreadGroups tells all daemons the domain's first groups. Items of shards
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/placement"
+	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -29,8 +30,13 @@
 		if running == nil {
 			continue
 		}
+		configuration := d.store.InForce()
+		if configuration == nil {
+			continue
+		}
+		nodes := plan.OpenNodes(configuration.Declarations, d.cluster.View().Nodes)
 		for _, status := range running.host.Statuses() {
-			d.reconcileShard(running, status)
+			d.reconcileShard(running, status, configuration, nodes)
 			if status.Serving {
 				d.publishChange(running, status, published)
 				continue
@@ -53,11 +59,8 @@
 // reconcileShard asks for members in the place of those that have left. Every
 // member of the group keeps the wish, so that whoever leads acts on it, and a
 // daemon that is stopping knows which groups must first go on without it.
-func (d *Daemon) reconcileShard(running *core, status replication.Status) {
-	configuration := d.store.InForce()
-	if configuration == nil {
-		return
-	}
+// Nodes in a zone that drains are given as leaving.
+func (d *Daemon) reconcileShard(running *core, status replication.Status, configuration *structs.Configuration, nodes []structs.Node) {
 	domain, known := domainOf(configuration, status.Shard)
 	if !known {
 		return
@@ -66,7 +69,6 @@
 	if size <= 0 {
 		size = defaultReplicas
 	}
-	nodes := d.cluster.View().Nodes
 	current := nodeIDs(status.Members)
 	wanted := placement.Wanted(domain, status.Shard, current, nodes, size)
 	if sameNodes(wanted, current) {
@@ -78,7 +80,10 @@
 func nodeIDs(members []replication.Member) []structs.NodeID {
 	ids := make([]structs.NodeID, 0, len(members))
 	for _, member := range members {
-		ids = append(ids, member.Node)
+		// Two lives of a daemon may be members for the time of a change.
+		if !slices.Contains(ids, member.Node) {
+			ids = append(ids, member.Node)
+		}
 	}
 	return ids
 }
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -30,10 +30,6 @@
 	return view
 }
 
-func (d *Daemon) declareRates(configuration *structs.Configuration) {
-	d.shares.Declare(time.Now(), limit.RatesOf(configuration.Declarations.Tenants))
-}
-
 func (d *Daemon) sendShares(outgoing []limit.Outgoing) {
 	for _, each := range outgoing {
 		address, known := d.peerAddress(each.To)
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -29,7 +29,7 @@
 	d.choosePolicy(nil)
 	store.OnChange(d.tenants.Update)
 	store.OnChange(d.choosePolicy)
-	store.OnChange(d.declareRates)
+	store.OnChange(d.admission.limits.Update)
 	store.OnChange(func(configuration *structs.Configuration) { d.applied.Store(configuration.Version) })
 	return nil
 }
@@ -93,6 +93,7 @@
 	}
 	if node.State == structs.NodeSuspect || node.State == structs.NodeDead {
 		running.host.NodeSuspected(node.ID)
+		running.executor.NodeSuspected(node.ID)
 	}
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -83,6 +83,7 @@
 	random      *rand.Rand
 
 	quiesced quiescence
+	forwards forwards
 }
 
 // New returns an executor; Start begins its duties.
--- a/internal/executor/local.go
+++ b/internal/executor/local.go
@@ -19,19 +19,26 @@
 		return &failure.NotLeader{Shard: uint32(id)}
 	}
 	err := held.serve(ctx, op, sink)
-	if failure.IsType(err, (&failure.UnknownProgram{}).Type()) {
-		return held.confirmUnknown(ctx, err)
+	if refusedByState(err) {
+		return held.confirmRefusal(ctx, err)
 	}
 	return err
 }
 
-// confirmUnknown makes sure that this daemon still led the shard when it did
-// not find a program: a former leader may lack the latest.
-func (s *shard) confirmUnknown(ctx context.Context, unknown error) error {
+// refusedByState reports whether err says that the request does not fit the
+// programs' state, which a former leader may not know the latest of.
+func refusedByState(err error) bool {
+	known, ok := failure.As(err)
+	return ok && known.Outcome() == failure.NotRun && !searchable(err)
+}
+
+// confirmRefusal makes sure that this daemon still led the shard when it
+// refused. A daemon that was paused may wake as a leader of the past.
+func (s *shard) confirmRefusal(ctx context.Context, refusal error) error {
 	if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
 		return err
 	}
-	return unknown
+	return refusal
 }
 
 func (s *shard) serve(ctx context.Context, op operation, sink replySink) error {
@@ -47,6 +54,9 @@
 	case operationEnd:
 		return s.serveEnd(ctx, op, sink)
 	case operationStatus:
+		if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
+			return err
+		}
 		return s.serveStatus(op, sink)
 	case operationOrphans:
 		return s.serveOrphans(ctx, op, sink)
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -204,11 +204,13 @@
 
 // settleLost takes an attempt back that brought no whole answer. What it cost
 // is not known, so the whole reservation counts as spent, unless the engine
-// refused it.
+// refused it. An attempt that was stopped here says nothing against its engine.
 func (w *worker) settleLost(ctx context.Context, attempt *modelAttempt, cause error) (again bool, err error) {
 	call := attempt.call
 	known := failure.Classify(cause)
-	w.shard.executor.options.Engines.Failed(structs.EngineID(call.TargetID))
+	if ctx.Err() == nil {
+		w.shard.executor.options.Engines.Failed(structs.EngineID(call.TargetID))
+	}
 	request := program.NotRunRequest{
 		Program:       call.Program,
 		Number:        call.Number,
--- a/internal/executor/route.go
+++ b/internal/executor/route.go
@@ -54,6 +54,8 @@
 	if target == e.options.Self.ID {
 		return e.local(ctx, shard, op, sink)
 	}
+	ctx, done := e.forwards.begin(ctx, target)
+	defer done()
 	err = e.options.Forwarder.Forward(ctx, target, op.wire(hops+1, sink), sink.receive)
 	if err != nil && unreachable(err) {
 		avoid[target] = true
--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -174,6 +174,9 @@
 }
 
 func (r *Replica) stepPreVote(from MemberID, m *journalv1.Message) {
+	if r.role == Leader {
+		r.introduce(from)
+	}
 	if !r.upToDate(m) {
 		// The candidate cannot win, and whoever asked it may never ask here.
 		r.EnsureLeader()
@@ -187,6 +190,14 @@
 	})
 }
 
+// introduce shows this leader to a candidate that does not know it, as one that
+// restarted does not: an idle leader sends nothing else.
+func (r *Replica) introduce(candidate MemberID) {
+	if peer, known := r.leading.peers[candidate]; known && peer.snapshot == 0 {
+		r.sendProbeAppend(candidate, peer)
+	}
+}
+
 func answerTerm(granted bool, asked, own uint64) uint64 {
 	if granted {
 		return asked
