placement: a daemon that is a member with two of its lives counts once

While a restarted daemon is admitted under its new incarnation, both its lives are members. Wanted took them for two daemons, and so filled a group of three with two; Spread saw a crowded zone.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -227,6 +227,17 @@
 	require.NotContains(t, idsOf(Wanted(domain, 5, majority, nodes, 3)), structs.NodeID("x"))
 }
 
+func TestDaemonWithTwoLivesCountsOnce(t *testing.T) {
+	nodes, domain := fleet(9, 3), wholeDomain(3)
+	restarted := []structs.NodeID{"node-1", "node-1", "node-0"}
+	wanted := idsOf(Wanted(domain, 5, restarted, nodes, 3))
+	slices.Sort(wanted)
+	require.Len(t, slices.Compact(wanted), 3)
+	whole := []structs.NodeID{"node-1", "node-0", "node-2", "node-1"}
+	require.ElementsMatch(t, whole[:3], idsOf(Wanted(domain, 5, whole, nodes, 3)))
+	require.ElementsMatch(t, whole[:3], idsOf(Spread(domain, 5, whole, nodes)))
+}
+
 func TestSpreadReturnsToALostZone(t *testing.T) {
 	nodes, domain := fleet(9, 3), wholeDomain(3)
 	current := []structs.NodeID{"node-0", "node-3", "node-1"}
--- a/internal/placement/wanted.go
+++ b/internal/placement/wanted.go
@@ -68,9 +68,15 @@
 }
 
 // split tells the members that stay from those that are dead, leaving or not
-// shown; the last have only their id.
+// shown; the last have only their id. A daemon that is a member with two of its
+// lives counts once.
 func split(current []structs.NodeID, view map[structs.NodeID]structs.Node) (staying, lost []structs.Node) {
+	seen := map[structs.NodeID]bool{}
 	for _, id := range current {
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
 		node, shown := view[id]
 		switch {
 		case !shown:
