--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -181,7 +181,7 @@
 		// The candidate cannot win, and whoever asked it may never ask here.
 		r.EnsureLeader()
 	}
-	granted := m.Term > r.term && r.upToDate(m) && r.mayElect(from, m) && r.yields(from, m)
+	granted := r.mayElect(from, m) && m.Term > r.term && r.upToDate(m) && r.yields(from, m)
 	if granted {
 		r.leaveToAnother()
 	}
@@ -234,6 +234,7 @@
 		return true
 	}
 	if r.role == Leader {
+		r.tellLeader(candidate)
 		return false
 	}
 	if r.leader == (MemberID{}) || r.leader == candidate || r.suspected[r.leader.Life()] {
@@ -243,6 +244,14 @@
 	return false
 }
 
+// tellLeader lets a member that looks for a leader, because it restarted, find
+// this one: it has no heartbeats to wait for.
+func (r *Replica) tellLeader(candidate MemberID) {
+	if peer, known := r.leading.peers[candidate]; known && peer.snapshot == 0 {
+		r.sendProbeAppend(candidate, peer)
+	}
+}
+
 func (r *Replica) upToDate(m *journalv1.Message) bool {
 	if r.broken.skipElectionCheck {
 		return true
--- a/internal/journal/heal_test.go
+++ b/internal/journal/heal_test.go
@@ -21,12 +21,34 @@
 			proposed = s.proposeAnywhere()
 		}
 		if proposed > 0 && s.oracle.highest >= proposed && s.settled(wanted) {
-			return ""
+			return s.findLeader(wanted)
 		}
 	}
 	return "the healed group makes no progress:\n" + s.describe()
 }
 
+// findLeader restarts each member in turn and asks it for the leader: it must
+// find it, or become it.
+func (s *simulation) findLeader(wanted []Member) string {
+	for _, member := range wanted {
+		m := s.members[member.Node]
+		m.crash()
+		for range proposeEvery {
+			m.replica.EnsureLeader()
+			m.replica.Tick()
+			m.work()
+			s.exchange()
+			if m.replica.LeaderConfirmed() {
+				break
+			}
+		}
+		if !m.replica.LeaderConfirmed() {
+			return "a restarted member finds no leader:\n" + s.describe()
+		}
+	}
+	return s.oracle.violation
+}
+
 const proposeEvery = 50
 
 // exchange delivers and stores everything, to and fro a few times.
--- a/internal/replication/bolt_test.go
+++ b/internal/replication/bolt_test.go
@@ -56,6 +56,23 @@
 	require.NoError(t, d.Close())
 }
 
+func TestRestartedMemberFindsTheLeaderThatLives(t *testing.T) {
+	n, folder := newNetwork(0), t.TempDir()
+	a, b, c := n.start(t, "a", 1, nil), n.start(t, "b", 1, nil), n.start(t, "c", 1, func(o *Options) { o.DataDir = folder })
+	defer n.closeAll(t)
+	for _, d := range []*daemon{a, b, c} {
+		require.NoError(t, d.Create(Group{Shard: testShard, Members: members(a, b, c)}))
+	}
+	lead(t, a)
+	proposeMany(t, a, "x", 3)
+	require.NoError(t, c.Close())
+	again := n.start(t, "c", 1, func(o *Options) { o.DataDir = folder })
+	leader, err := again.EnsureLeader(context.Background(), testShard)
+	require.NoError(t, err)
+	require.Equal(t, structs.NodeID("a"), leader)
+	proposeMany(t, a, "y", 3)
+}
+
 func TestStoredSnapshotStandsForOldRecords(t *testing.T) {
 	folder := t.TempDir()
 	d := onDisk(t, newNetwork(0), folder, 1)
