membership: spread heartbeats over the period; a rejoined daemon holds nothing against others

Cause: daemons that started together sent their heartbeats together; and a member of a cut-off rack that was removed and rejoined went on with the accusations of its earlier life (seed 3 of the rack test). Change: the phase after the first heartbeat is random; rejoining drops accusations. The rack test runs 20 seeds instead of 5.

--- a/internal/hollow/churn.go
+++ b/internal/hollow/churn.go
@@ -35,7 +35,8 @@
 	span := killGap * time.Duration(r.options.Kills)
 	r.repeat(r.options.ChangesPerDay, span, r.changeConfiguration)
 	for i := range r.options.Kills {
-		r.queue.after(killGap*time.Duration(i), r.killOne)
+		phase := time.Duration(r.random.Int64N(int64(time.Second)))
+		r.queue.after(killGap*time.Duration(i)+phase, r.killOne)
 	}
 }
 
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -147,11 +147,25 @@
 	s.removedSelf = false
 	own.revision = 0
 	s.introduced = now
+	s.forgetSuspicions()
 	s.publishSelf()
 	s.nextHeartbeat = now
 	s.nextJoin = now
 }
 
+// forgetSuspicions drops what an earlier life held against others: it may have
+// been cut off itself.
+func (s *State) forgetSuspicions() {
+	accused := sortedKeys(s.accusations)
+	s.accusations = map[structs.NodeID]*accusation{}
+	s.watches = map[structs.NodeID]*watch{}
+	s.links = map[structs.NodeID]*link{}
+	s.derived = nil
+	for _, id := range accused {
+		s.report(s.members[id], false)
+	}
+}
+
 func (s *State) updateMember(m *member, id structs.NodeID, f *fact, value *gossipv1.NodeFact) {
 	before := m.node
 	m.node = structs.Node{
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -244,7 +244,7 @@
 		s.join()
 	}
 	s.topology()
-	if !now.Before(s.nextHeartbeat) {
+	if s.joined && !now.Before(s.nextHeartbeat) {
 		s.beat()
 	}
 	if !now.Before(s.nextReunion) {
@@ -264,10 +264,9 @@
 	}
 }
 
-// start spreads the daemons' heartbeats over the period.
 func (s *State) start() {
 	s.started = true
-	s.nextHeartbeat = s.now.Add(time.Duration(s.options.Random.Int64N(int64(s.timing.Heartbeat))))
+	s.nextHeartbeat = s.now
 	s.nextJoin = s.now
 	s.nextReunion = s.now.Add(reunionPeriod)
 	s.nextSweep = s.now.Add(sweepPeriod)
@@ -279,7 +278,7 @@
 		return s.now.Add(s.timing.Heartbeat)
 	}
 	wake := s.nextHeartbeat
-	if !s.joined && s.nextJoin.Before(wake) {
+	if !s.joined {
 		wake = s.nextJoin
 	}
 	earlier := func(at time.Time) {
@@ -309,12 +308,14 @@
 func (s *State) beat() {
 	s.heartbeat++
 	s.nextHeartbeat = s.nextHeartbeat.Add(s.timing.Heartbeat)
+	if s.heartbeat == 1 {
+		// The first one goes out at once; the phase of the others is random, so
+		// that daemons that started together don't send together.
+		s.nextHeartbeat = s.now.Add(time.Duration(s.options.Random.Int64N(int64(s.timing.Heartbeat))))
+	}
 	if s.nextHeartbeat.Before(s.now) {
 		s.nextHeartbeat = s.now.Add(s.timing.Heartbeat)
 	}
-	if !s.joined {
-		return
-	}
 	address := ""
 	if s.now.Sub(s.introduced) < introductionSpan {
 		address = s.options.Self.PeerAddress
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -156,7 +156,7 @@
 }
 
 func TestRackThatWasCutOffRemovesNobody(t *testing.T) {
-	for seed := uint64(1); seed <= 5; seed++ {
+	for seed := uint64(1); seed <= 20; seed++ {
 		s := newSimulation(seed, 24, 2)
 		s.run(8 * time.Second)
 		for _, index := range []int{0, 2, 4, 6, 8} {
