--- a/internal/journal/election.go
+++ b/internal/journal/election.go
@@ -234,7 +234,6 @@
 		return true
 	}
 	if r.role == Leader {
-		r.tellLeader(candidate)
 		return false
 	}
 	if r.leader == (MemberID{}) || r.leader == candidate || r.suspected[r.leader.Life()] {
@@ -244,14 +243,6 @@
 	return false
 }
 
-// tellLeader lets a member that looks for a leader, because it restarted, find
-// this one: it has no heartbeats to wait for.
-func (r *Replica) tellLeader(candidate MemberID) {
-	if peer, known := r.leading.peers[candidate]; known && peer.snapshot == 0 {
-		r.sendProbeAppend(candidate, peer)
-	}
-}
-
 func (r *Replica) upToDate(m *journalv1.Message) bool {
 	if r.broken.skipElectionCheck {
 		return true
--- a/internal/journal/heal_test.go
+++ b/internal/journal/heal_test.go
@@ -27,10 +27,13 @@
 	return "the healed group makes no progress:\n" + s.describe()
 }
 
-// findLeader restarts each member in turn and asks it for the leader: it must
-// find it, or become it.
+// findLeader restarts each member in turn, when nothing is outstanding, and asks
+// it for the leader: it must find it, or become it.
 func (s *simulation) findLeader(wanted []Member) string {
 	for _, member := range wanted {
+		for range proposeEvery {
+			s.healRound(wanted, -1)
+		}
 		m := s.members[member.Node]
 		m.crash()
 		for range proposeEvery {
--- a/internal/replication/bolt_test.go
+++ b/internal/replication/bolt_test.go
@@ -65,6 +65,12 @@
 	}
 	lead(t, a)
 	proposeMany(t, a, "x", 3)
+	// Nothing may be left that the leader still has to tell.
+	require.Eventually(t, func() bool {
+		status, _ := c.Status(testShard)
+		return status.Commit == 4
+	}, 10*time.Second, time.Millisecond)
+	time.Sleep(20 * DefaultTickInterval)
 	require.NoError(t, c.Close())
 	again := n.start(t, "c", 1, func(o *Options) { o.DataDir = folder })
 	leader, err := again.EnsureLeader(context.Background(), testShard)
