--- a/cmd/barleyshelf-lab/load.go
+++ b/cmd/barleyshelf-lab/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/caller/client"
 	"github.com/barleyshelf/barleyshelf/internal/lab/load"
+	"github.com/barleyshelf/barleyshelf/internal/lab/report"
 	"github.com/barleyshelf/barleyshelf/internal/lab/session"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -44,14 +45,29 @@
 	if err != nil {
 		return err
 	}
-	if c.Output == "json" {
-		encoder := json.NewEncoder(c.lab.stdout)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(written)
+	if err := c.write(written); err != nil {
+		return err
+	}
+	if written.ProgramsCompleted == 0 {
+		return &noneCompleted{}
 	}
-	return written.WriteText(c.lab.stdout)
+	return nil
 }
 
+func (c *loadCommand) write(written report.Callers) error {
+	if c.Output != "json" {
+		return written.WriteText(c.lab.stdout)
+	}
+	encoder := json.NewEncoder(c.lab.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(written)
+}
+
+// noneCompleted ends a run of load whose report says why.
+type noneCompleted struct{}
+
+func (*noneCompleted) Error() string { return "no program was completed" }
+
 // endpoints returns the daemons as each tenant reaches them.
 func (c *loadCommand) endpoints() func(structs.TenantID) []session.Endpoint {
 	scheme := "http://"
--- a/cmd/barleyshelf-lab/main_test.go
+++ b/cmd/barleyshelf-lab/main_test.go
@@ -25,6 +25,7 @@
 		{"demo --deployment no/such/directory", exitFailed, "no/such/directory"},
 		{"emulate", exitUsage, "engine"},
 		{"load --daemon 127.0.0.1:1 --token nobody:secret --programs 1 --rate 1000", exitFailed, "no token is given"},
+		{"load --daemon 127.0.0.1:1 --token riders:x --token dispatchers:x --programs 1 --rate 1000 --patience 50ms --output json", exitFailed, "no program was completed"},
 	} {
 		var stdout, stderr bytes.Buffer
 		line := each.line
