--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -10,113 +10,12 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// Options configure a State.
-type Options struct {
-	// Self is the daemon; its incarnation must be higher than in any earlier life.
-	Self structs.Node
-	// Seeds are peer addresses through which the daemon joins.
-	Seeds []string
-	// Document is the large value that all daemons share; nil if there is none.
-	Document Document
-	// Random is the source of every choice by chance.
-	Random *rand.Rand
-	// NewEstimator makes the timeout of a watched peer; nil means DefaultEstimator.
-	NewEstimator func() Estimator
-	// Timing holds the periods; the zero value means DefaultTiming.
-	Timing Timing
-}
-
-// Timing holds the periods of failure detection and dissemination.
-type Timing struct {
-	// Heartbeat is the period of heartbeats.
-	Heartbeat time.Duration
-	// Grace is how long a newly watched peer may stay silent.
-	Grace time.Duration
-	// ProbeTimeout bounds the wait for direct and indirect answers.
-	ProbeTimeout time.Duration
-	// Refutation is how long an accused daemon has to contradict before it is removed.
-	Refutation time.Duration
-	// Gather is how long a changed fact waits for others to be sent with it.
-	Gather time.Duration
-	// LinkSilence is how long a link between zones may be silent before it
-	// counts as cut.
-	LinkSilence time.Duration
-	// Settle is how long digests may differ before they are compared by bucket.
-	Settle time.Duration
-	// Tombstone is how long a removed daemon is remembered.
-	Tombstone time.Duration
-	// Join is the period at which a daemon that knows no other asks its seeds.
-	Join time.Duration
-}
-
-// DefaultTiming returns the periods that docs/design/membership.md derives.
-func DefaultTiming() Timing {
-	return Timing{
-		Heartbeat:    time.Second,
-		Grace:        3 * time.Second,
-		ProbeTimeout: 600 * time.Millisecond,
-		Refutation:   800 * time.Millisecond,
-		Gather:       50 * time.Millisecond,
-		LinkSilence:  3500 * time.Millisecond,
-		Settle:       2 * time.Second,
-		Tombstone:    time.Hour,
-		Join:         time.Second,
-	}
-}
-
-// Outgoing is a message to send.
-type Outgoing struct {
-	To      structs.Node
-	Message *gossipv1.Message
-}
-
-// EventKind says what an Event reports.
-type EventKind int
-
-// The kinds of events.
-const (
-	// NodeChanged: a member was admitted or its state or addresses changed.
-	NodeChanged EventKind = iota
-	// ItemChanged: a newer item is held.
-	ItemChanged
-	// DocumentInForce: a newer version of the document is in force.
-	DocumentInForce
-	// SelfRemoved: the others removed this daemon. It must stop leading, and
-	// call Rejoin to come back under a higher incarnation.
-	SelfRemoved
-	// ZoneUnreachable and ZoneReachable: all links from a zone fell silent, or
-	// one of them came back.
-	ZoneUnreachable
-	ZoneReachable
-	// NodeForgotten: a daemon that was removed long ago is no longer known.
-	NodeForgotten
-)
-
-// Event is a change that the runner reports.
-type Event struct {
-	Kind    EventKind
-	Node    structs.Node
-	Item    Item
-	Version uint64
-	Zone    structs.ZoneName
-}
-
-// Item is a versioned fact that daemons publish. Keys must be bounded in
-// number: an item is never dropped. Equal versions with different values are
-// settled by the values, the same way everywhere.
-type Item struct {
-	Key     string
-	Version uint64
-	Value   []byte
-}
-
 // member is a daemon as this one knows it.
 type member struct {
 	node structs.Node
@@ -337,55 +236,3 @@
 	}
 	return s.options.Document.InForce()
 }
-
-// Receive handles a message.
-func (s *State) Receive(now time.Time, m *gossipv1.Message) {
-	s.now = now
-	if s.removedSelf || m.From == string(s.options.Self.ID) {
-		return
-	}
-	if s.receiveJoin(m) {
-		return
-	}
-	s.receiveFacts(m)
-	s.completeJoin(m)
-	from, known := s.members[structs.NodeID(m.From)]
-	if !known {
-		s.askStranger(m)
-		return
-	}
-	if s.turnAway(from, m) {
-		return
-	}
-	if from.node.Zone != s.options.Self.Zone {
-		s.heardElsewhere = s.now
-	}
-	s.signOfLife(from, m)
-	s.receiveAccusations(from, m)
-	s.receiveProbes(from, m)
-	s.receiveSync(from, m)
-	s.receiveDocument(from, m)
-}
-
-// turnAway tells a daemon that was removed so, and reports whether it was.
-func (s *State) turnAway(from *member, m *gossipv1.Message) bool {
-	if from.node.State != structs.NodeDead {
-		return false
-	}
-	if uint64(from.node.Incarnation) >= m.Incarnation {
-		held := s.facts.get(nodeKey(from.node.ID))
-		s.send(from.node, &gossipv1.Message{Facts: []*gossipv1.Fact{held.message()}})
-		return true
-	}
-	s.askStranger(m)
-	return true
-}
-
-// send queues a message.
-func (s *State) send(to structs.Node, m *gossipv1.Message) {
-	m.From = string(s.options.Self.ID)
-	m.Incarnation = uint64(s.options.Self.Incarnation)
-	s.outgoing = append(s.outgoing, Outgoing{To: to, Message: m})
-}
-
-func (s *State) emit(event Event) { s.events = append(s.events, event) }
