--- a/internal/hollow/churn.go
+++ b/internal/hollow/churn.go
@@ -117,11 +117,11 @@
 	var facts []*gossipv1.Fact
 	for _, d := range r.daemons {
 		facts = append(facts, membership.FirstFact(d.node))
-		for i := range shardsPerDaemon {
-			shard := d.index*shardsPerDaemon + i
-			d.led[shard] = true
-			facts = append(facts, membership.ItemFact(leaderItem(shard, 1, d)))
-		}
+	}
+	for shard := range r.options.Programs / programsPerShard {
+		leader := r.daemons[shard%len(r.daemons)]
+		leader.led[shard] = true
+		facts = append(facts, membership.ItemFact(leaderItem(shard, 1, leader)))
 	}
 	return facts
 }
--- a/internal/hollow/run.go
+++ b/internal/hollow/run.go
@@ -22,8 +22,8 @@
 	killGap = 4 * time.Second
 	// seedCount is the number of daemons that others join through.
 	seedCount = 5
-	// shardsPerDaemon is the number of shards each daemon leads at first.
-	shardsPerDaemon = 2
+	// programsPerShard gives the number of shards whose leaders are told.
+	programsPerShard = 333
 	// restartGap is how long a restarting daemon is away.
 	restartGap = 2 * time.Second
 	// replaceAfter is when a dead daemon's machine was replaced.
--- a/internal/hollow/run_test.go
+++ b/internal/hollow/run_test.go
@@ -13,7 +13,7 @@
 
 func runSmall(t *testing.T, options hollow.Options) *hollow.Report {
 	options.Daemons, options.Zones, options.Workers, options.Tenants = 40, 4, 100, 100
-	options.Duration, options.Loss, options.ChangesPerDay = 60*time.Second, 0.01, 14000
+	options.Programs, options.Duration, options.Loss, options.ChangesPerDay = 10000, 60*time.Second, 0.01, 14000
 	report, err := hollow.Run(options)
 	require.NoError(t, err)
 	return report
