Give the scheduler what it learns from: pauses, growth, shared prefixes, evictions

Order and deadline are those of the outermost program; a call that no engine has room for before its deadline is refused before anything is recorded of it, and the same call may come back; the first call of a program is held while no engine has memory for it.

--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -23,7 +23,7 @@
 		Self:          node,
 		Forwarder:     forwarder{daemon: d},
 		Directory:     d.directory,
-		Engines:       newEngineView(d.fleet),
+		Engines:       engineView{fleet: d.fleet},
 		EngineClient:  d.engines,
 		ToolClient:    d.tools,
 		Configuration: d.store.InForce,
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -5,6 +5,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/cluster"
 	"github.com/barleyshelf/barleyshelf/internal/config"
+	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/fleet"
 	"github.com/barleyshelf/barleyshelf/internal/peer"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
@@ -76,7 +77,8 @@
 		Publish: func(key string, version uint64, value []byte) {
 			d.cluster.Publish(cluster.Item{Key: key, Version: version, Value: value})
 		},
-		Orphans: d.orphans,
+		Orphans:    d.orphans,
+		CacheEvent: d.noteCacheEvent,
 	})
 }
 
@@ -85,6 +87,13 @@
 // a group that went on without this daemon tells it so.
 func rejoin(removed structs.Incarnation) structs.Incarnation { return removed + 1 }
 
+// noteCacheEvent passes on what an engine says of its cache.
+func (d *Daemon) noteCacheEvent(id structs.EngineID, event engine.CacheEvent) {
+	if running := d.core.Load(); running != nil && !event.Stored {
+		running.executor.NoteEvicted(id, event.Holder, event.Tokens)
+	}
+}
+
 // nodeChanged passes suspicions of a daemon on to the replicas.
 func (d *Daemon) nodeChanged(node structs.Node) {
 	running := d.core.Load()
--- a/internal/executor/duties.go
+++ b/internal/executor/duties.go
@@ -98,6 +98,7 @@
 // engine's word that it is free, or that the incarnation which held it is gone.
 func (s *shard) release(ctx context.Context, duty program.Duty) {
 	hold := duty.Hold
+	s.forgetProgram(duty.Program)
 	attempt, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	err := s.executor.options.EngineClient.Release(attempt, hold.Address, hold.Incarnation, hold.Program)
@@ -112,6 +113,16 @@
 	s.logDuty(duty, err)
 }
 
+// forgetProgram drops what the leader noticed of a program that has ended.
+func (s *shard) forgetProgram(id structs.ProgramID) {
+	s.mutex.Lock()
+	status, found := s.machine.Lookup(id)
+	s.mutex.Unlock()
+	if found {
+		s.forgetNote(status)
+	}
+}
+
 func (s *shard) end(ctx context.Context, duty program.Duty) {
 	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
 		return machine.End(now, duty.Tenant, duty.Program, duty.Cause)
@@ -124,9 +135,6 @@
 	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
 		return machine.Remove(now, duty.Program)
 	}, duty.Program)
-	s.mutex.Lock()
-	delete(s.cached, duty.Program)
-	s.mutex.Unlock()
 	s.logDuty(duty, err)
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -49,6 +49,9 @@
 	Dispatched(id structs.EngineID, tokens int64) func()
 	// Failed tells that the engine did not answer.
 	Failed(id structs.EngineID)
+	// Want asks for engines that serve the model in the zones to be followed:
+	// none of those followed could take a call.
+	Want(zones []structs.ZoneName, model structs.ModelName)
 }
 
 // Options set up an Executor. All fields but Seed are required.
@@ -82,6 +85,9 @@
 	randomMutex sync.Mutex
 	random      *rand.Rand
 
+	pauses *schedule.PauseEstimator
+	growth *schedule.GrowthEstimator
+
 	quiesced quiescence
 	forwards forwards
 }
@@ -94,6 +100,8 @@
 		context: ctx,
 		cancel:  cancel,
 		shards:  map[structs.ShardID]*shard{},
+		pauses:  schedule.NewPauseEstimator(),
+		growth:  schedule.NewGrowthEstimator(),
 		random:  rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation))),
 	}
 }
--- a/internal/executor/local.go
+++ b/internal/executor/local.go
@@ -114,6 +114,9 @@
 	if err == nil && !repeated {
 		err = permittedCall(s.executor.options.Configuration(), status, &request)
 	}
+	if err == nil && !repeated {
+		err = s.roomFor(status, request)
+	}
 	return callRequest(op, request, hash), err
 }
 
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -135,9 +135,24 @@
 // there; reports of engines are late.
 func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) (schedule.Choice, error) {
 	deadline := time.Now().Add(engineSearchTimeout)
-	request := w.scheduleRequest(attempt, status, excluded)
+	request := w.shard.scheduleRequest(status, prospect{
+		model:           structs.ModelName(attempt.call.Target),
+		adapter:         attempt.call.Adapter,
+		promptTokens:    attempt.prompt,
+		maxAnswerTokens: attempt.call.MaxAnswerTokens,
+		pauseHint:       attempt.call.ExpectedPause,
+		firstInput:      attempt.segments[0],
+	})
+	request.Exclude = excluded
 	for {
 		choice, err := w.shard.executor.choose(request)
+		if err == nil && choice.Defer > 0 && time.Now().Before(deadline) {
+			// The program's first call is held while no engine has memory for it.
+			if !sleep(w.context, choice.Defer) {
+				return schedule.Choice{}, w.shard.notLeader()
+			}
+			continue
+		}
 		if err == nil {
 			err = placement.Permit(placement.Policy{CacheZones: status.CacheZones}, placement.Cache, w.shard.executor.engineZone(choice.Engine))
 		}
@@ -145,7 +160,9 @@
 			attempt.moveFrom = w.moveSource(choice, status)
 			return choice, nil
 		}
-		searching := failure.IsType(err, (&failure.EngineUnavailable{}).Type())
+		w.shard.executor.options.Engines.Want(status.CacheZones, request.Model)
+		known, isFailure := failure.As(err)
+		searching := isFailure && known.Retry().Allowed
 		if !searching || time.Now().After(deadline) || !sleep(w.context, engineSearchDelay) {
 			return schedule.Choice{}, err
 		}
@@ -198,7 +215,7 @@
 		return err
 	}
 	w.shard.endLive(call)
-	w.shard.noteCached(call.Program, structs.EngineID(call.TargetID), tokens)
+	w.shard.noteAnswered(call.Program, structs.EngineID(call.TargetID), tokens)
 	return nil
 }
 
--- /dev/null
+++ b/internal/executor/scheduling.go
@@ -0,0 +1,97 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/engine"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/schedule"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// prospect is a model call as the scheduler is to see it.
+type prospect struct {
+	model           structs.ModelName
+	adapter         string
+	promptTokens    int64
+	maxAnswerTokens int64
+	pauseHint       time.Duration
+	// firstInput begins the prompt; nil where it is not at hand.
+	firstInput []byte
+}
+
+// scheduleRequest describes a call of the program to the policy. Order and
+// deadline are those of the outermost program: its latency is what counts.
+func (s *shard) scheduleRequest(status program.Status, call prospect) *schedule.Request {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	root := s.outermost(status)
+	return &schedule.Request{
+		Program:         status.ID,
+		Model:           call.model,
+		Adapter:         call.adapter,
+		CacheZones:      status.CacheZones,
+		CallerZone:      s.executor.options.Self.Zone,
+		PromptTokens:    call.promptTokens,
+		MaxAnswerTokens: call.maxAnswerTokens,
+		Cached:          s.cachedTokens(status),
+		ParentEngine:    s.parentEngine(status.Parent),
+		SharedPrefix:    s.sharedPrefix(status.ID, call),
+		Received:        time.Duration(root.Spent.Milliseconds) * time.Millisecond,
+		Started:         root.Opened,
+		Deadline:        root.Deadline,
+		Priority:        root.Priority,
+		ExpectedPause:   s.executor.pauses.Expected(status.Program, call.pauseHint),
+		ExpectedGrowth:  s.executor.growth.Expected(status.Program),
+	}
+}
+
+// outermost follows the parents as far as this shard knows them; they all lie
+// in it. The mutex is held.
+func (s *shard) outermost(status program.Status) program.Status {
+	for status.Parent != "" {
+		parent, found := s.machine.Lookup(status.Parent)
+		if !found {
+			break
+		}
+		status = parent
+	}
+	return status
+}
+
+// sharedPrefix returns the key of the prompt's start, which is worked out once
+// for a program. The mutex is held.
+func (s *shard) sharedPrefix(id structs.ProgramID, call prospect) uint64 {
+	if call.firstInput == nil {
+		return 0
+	}
+	note := s.noteOf(id)
+	if note.sharedPrefix == 0 {
+		note.sharedPrefix = schedule.SharedPrefixKey(call.model, call.adapter, call.firstInput)
+	}
+	if note.firstPrompt == 0 {
+		note.firstPrompt = call.promptTokens
+	}
+	return note.sharedPrefix
+}
+
+// roomFor refuses a model call that no engine has room for before its deadline,
+// while nothing is recorded of it yet and the same call may be sent again.
+func (s *shard) roomFor(status program.Status, request caller.CallRequest) error {
+	if request.Kind != caller.CallModel {
+		return nil
+	}
+	s.notePause(status)
+	_, err := s.executor.choose(s.scheduleRequest(status, prospect{
+		model:           structs.ModelName(request.Target),
+		adapter:         request.Adapter,
+		promptTokens:    status.HistoryTokens + engine.TokenCount(request.Input),
+		maxAnswerTokens: request.MaxAnswerTokens,
+	}))
+	if failure.IsType(err, (&failure.Overloaded{}).Type()) {
+		return err
+	}
+	return nil
+}
--- a/internal/executor/shard.go
+++ b/internal/executor/shard.go
@@ -36,7 +36,7 @@
 	live    map[callKey]*liveAnswer
 	workers map[structs.ProgramID]*worker
 	duties  map[dutyKey]bool
-	cached  map[structs.ProgramID]cacheNote
+	notes   map[structs.ProgramID]*programNote
 }
 
 // programLock serialises the proposals of one program.
@@ -61,7 +61,7 @@
 	s.live = map[callKey]*liveAnswer{}
 	s.workers = map[structs.ProgramID]*worker{}
 	s.duties = map[dutyKey]bool{}
-	s.cached = map[structs.ProgramID]cacheNote{}
+	s.notes = map[structs.ProgramID]*programNote{}
 }
 
 // Apply applies a committed batch of records.
