--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -195,8 +195,9 @@
 func (d *Daemon) Kill() {
 	d.stopOnce.Do(func() {
 		d.gate.open()
-		d.cancel()
+		// Connections break before any handler can answer that it was cancelled.
 		d.closeListeners()
+		d.cancel()
 		d.peers.Close()
 		d.closeCore()
 		<-d.cluster.Done()
