--- a/internal/lab/session/program.go
+++ b/internal/lab/session/program.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -53,6 +52,15 @@
 	return Outcome{Records: s.records, Completed: completed, Cause: cause, SubAgents: s.subAgents}
 }
 
+// causeOf names the kind of a failure, so that equal ones are counted together.
+func causeOf(err error) string {
+	result := resultOf(err)
+	if known, reported := failure.As(err); reported && result == promise.Refused {
+		return string(known.Type())
+	}
+	return string(result)
+}
+
 // run is one program under way.
 type run struct {
 	session *Session
@@ -72,7 +80,7 @@
 func (s *Session) runProgram(ctx context.Context, program *workload.Program, parent structs.ProgramID, inherited []byte, random *rand.Rand) (bool, string) {
 	status, err := s.open(ctx, program, parent, random)
 	if err != nil {
-		return false, "open: " + err.Error()
+		return false, "open: " + causeOf(err)
 	}
 	current := &run{session: s, program: program, random: random, inherited: inherited}
 	current.record = promise.Program{ID: status.ID, Parent: parent, Tenant: s.tenant, Name: program.Name, Budget: status.Budget}
@@ -134,7 +142,7 @@
 	if err == nil {
 		r.record.Ended = time.Now()
 	} else if r.cause == "" {
-		r.cause = "end: " + err.Error()
+		r.cause = "end: " + causeOf(err)
 	}
 }
 
@@ -218,7 +226,7 @@
 		return
 	}
 	if !record.Settled() {
-		r.cause = fmt.Sprintf("call %d never settled", record.Number)
+		r.cause = "a call never settled"
 	}
 	if record.FailureType != "" && record.Outcome == failure.NotRun {
 		r.cause = "refused: " + string(record.FailureType)
