--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -43,6 +43,33 @@
 // newBench starts the stand-ins and plans the daemons.
 func newBench(options Options) (*bench, error) {
 	network := topology.NewNetwork(options.Delays)
+	outside, err := startOutside(options, network)
+	if err != nil {
+		return nil, err
+	}
+	created := &bench{
+		options:       options,
+		network:       network,
+		outside:       outside,
+		measured:      report.NewMeter(),
+		failover:      report.NewDistribution(),
+		pauseFailover: report.NewDistribution(),
+		endpoints:     map[structs.TenantID][]session.Endpoint{},
+		injected:      map[string]int{},
+		failed:        map[string]int{},
+		http:          clientHTTP(network),
+	}
+	if created.cluster, err = planCluster(options, outside, network); err == nil {
+		created.operator, err = newOperator(created)
+	}
+	if err != nil {
+		outside.Close()
+		return nil, err
+	}
+	return created, nil
+}
+
+func startOutside(options Options, network *topology.Network) (*topology.Outside, error) {
 	declarations := options.Declarations
 	declarations.Tenants = append(append([]structs.Tenant(nil), declarations.Tenants...), structs.Tenant{Name: probeTenant})
 	outside, err := topology.StartOutside(topology.OutsideOptions{
@@ -57,8 +84,12 @@
 		return nil, err
 	}
 	network.Register(hostPort(outside.Platform.Address()), topology.Place{})
-	cluster, err := topology.NewCluster(topology.ClusterOptions{
-		Zones:           declarations.Zones,
+	return outside, nil
+}
+
+func planCluster(options Options, outside *topology.Outside, network *topology.Network) (*topology.Cluster, error) {
+	return topology.NewCluster(topology.ClusterOptions{
+		Zones:           options.Declarations.Zones,
 		PerZone:         options.DaemonsPerZone,
 		DataFolder:      options.DataFolder,
 		PlatformAddress: outside.Platform.Address(),
@@ -66,30 +97,6 @@
 		Factory:         options.Factory,
 		Seed:            options.Seed,
 	}, network)
-	if err != nil {
-		outside.Close()
-		return nil, err
-	}
-	created := &bench{
-		options:  options,
-		network:  network,
-		outside:  outside,
-		cluster:  cluster,
-		measured: report.NewMeter(),
-		failover: report.NewDistribution(),
-
-		pauseFailover: report.NewDistribution(),
-		endpoints:     map[structs.TenantID][]session.Endpoint{},
-		injected:      map[string]int{},
-		failed:        map[string]int{},
-	}
-	created.http = clientHTTP(network)
-	created.operator, err = newOperator(created)
-	if err != nil {
-		outside.Close()
-		return nil, err
-	}
-	return created, nil
 }
 
 const idleConnections = 256
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -45,41 +45,43 @@
 	limited, cancel := context.WithTimeout(ctx, options.Limit)
 	defer cancel()
 	measured := report.NewMeter()
-	random := rand.New(rand.NewPCG(options.Seed, seedStream))
-	seeds := make([]uint64, len(programs))
-	for i := range seeds {
-		seeds[i] = random.Uint64()
+	var group sync.WaitGroup
+	runner := newRunner(limited, options, programs, measured)
+	runner.Spawn = func(work func()) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			work()
+		}()
 	}
+	runner.Run(options.Arrivals)
+	group.Wait()
+	return measured.Callers(), nil
+}
+
+// newRunner returns a runner that plays the programs by the wall clock.
+func newRunner(ctx context.Context, options Options, programs []*workload.Program, measured *report.Meter) *Runner {
 	played := session.Options{
 		Endpoints: options.Endpoints, Observer: measured, TimeScale: options.TimeScale,
 		Patience: options.Patience, Stall: options.Patience,
 	}
-	var group sync.WaitGroup
 	outcomes := make([]session.Outcome, len(programs))
-	runner := Runner{
+	return &Runner{
 		Now:   time.Now,
-		Sleep: func(span time.Duration) { pause(limited, span) },
-		Spawn: func(work func()) {
-			group.Add(1)
-			go func() {
-				defer group.Done()
-				work()
-			}()
-		},
+		Sleep: func(span time.Duration) { pause(ctx, span) },
 		Work: func(number int) {
 			measured.ProgramStarted()
 			program := programs[number]
 			behaved := session.New(played, program.Tenant, session.Behavior{})
-			outcomes[number] = behaved.Run(limited, program, rand.New(rand.NewPCG(seeds[number], seedStream)))
+			random := rand.New(rand.NewPCG(options.Seed, seedStream+uint64(number)))
+			outcomes[number] = behaved.Run(ctx, program, random)
 		},
 		Done: func(number int, latency time.Duration) {
-			measured.ProgramEnded(outcomes[number].Completed, outcomes[number].Cause, latency)
-			measured.SubAgentsUnfinished(outcomes[number].SubAgents)
+			outcome := outcomes[number]
+			measured.ProgramEnded(outcome.Completed, outcome.Cause, latency)
+			measured.SubAgentsUnfinished(outcome.SubAgents)
 		},
 	}
-	runner.Run(options.Arrivals)
-	group.Wait()
-	return measured.Callers(), nil
 }
 
 // draw draws the programs and makes sure that each can be opened.
