--- a/cmd/barleyshelf-lab/scale.go
+++ b/cmd/barleyshelf-lab/scale.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/hollow"
@@ -36,6 +38,8 @@
 
 // Execute runs the command.
 func (c *scaleCommand) Execute([]string) error {
+	// A run holds nothing that has to be closed: a signal ends it at once.
+	signal.Reset(os.Interrupt, syscall.SIGTERM)
 	if c.Compare {
 		return c.compare()
 	}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -62,10 +62,11 @@
 		return nil, err
 	}
 	s.disk = kept
+	s.floor = kept.floor()
 	if remembered := kept.load(); remembered != nil {
 		s.held = remembered
 		s.hash = hashConfiguration(remembered)
-		s.floor = remembered.Version
+		s.floor = max(s.floor, remembered.Version)
 	}
 	return s, nil
 }
