--- a/internal/journal/check_test.go
+++ b/internal/journal/check_test.go
@@ -52,21 +52,28 @@
 // TestHostileSchedules lets rapid choose every step and shrink what fails.
 func TestHostileSchedules(t *testing.T) {
 	var checked tally
-	rapid.Check(t, func(rt *rapid.T) {
-		shares := profiles[uniform(len(profiles)).Draw(rt, "profile")]
-		choose := func(n int) int { return uniform(n).Draw(rt, "choice") }
-		s := newSimulation(choose, faults{}, shares, nodes, firstMembers)
-		if violation := s.run(stepsOfHistory); violation != "" {
-			rt.Fatal(violation)
-		}
-		if wrong := s.heal(healRounds); wrong != "" {
-			rt.Fatal(wrong)
-		}
-		checked.add(s)
-	})
+	rapid.Check(t, func(rt *rapid.T) { checked.add(drawnHistory(rt)) })
 	t.Logf("%+v", checked)
 }
 
+// FuzzHostileSchedules lets the fuzzer choose every step.
+func FuzzHostileSchedules(f *testing.F) {
+	f.Fuzz(rapid.MakeFuzz(func(rt *rapid.T) { drawnHistory(rt) }))
+}
+
+func drawnHistory(rt *rapid.T) *simulation {
+	shares := profiles[uniform(len(profiles)).Draw(rt, "profile")]
+	choose := func(n int) int { return uniform(n).Draw(rt, "choice") }
+	s := newSimulation(choose, faults{}, shares, nodes, firstMembers)
+	if violation := s.run(stepsOfHistory); violation != "" {
+		rt.Fatal(violation)
+	}
+	if wrong := s.heal(healRounds); wrong != "" {
+		rt.Fatal(wrong)
+	}
+	return s
+}
+
 // uniform draws below n without rapid's preference for small numbers.
 func uniform(n int) *rapid.Generator[int] {
 	for len(numbers) < n {
--- a/internal/replication/compress.go
+++ b/internal/replication/compress.go
@@ -32,7 +32,7 @@
 		// One turn is too short for matches: the letters alone must compress.
 		zstd.WithAllLitEntropyCompression(true),
 		zstd.WithEncoderConcurrency(encoderConcurrency), zstd.WithWindowSize(encoderWindowBytes), zstd.WithLowerEncoderMem(true)))
-	decoder = must(zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderConcurrency(0)))
+	decoder = must(zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderConcurrency(maxWorkers), zstd.WithDecoderLowmem(true)))
 )
 
 // must is for constructors whose options are constants of this file.
