--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,20 +127,12 @@
 // Start opens the listeners and joins the cluster. It returns once the daemon
 // can be reached; it serves callers once a configuration is in force.
 func (d *Daemon) Start(ctx context.Context) error {
-	if err := d.loadSecurity(); err != nil {
-		return err
-	}
-	if err := d.prepareStore(); err != nil {
-		return err
-	}
-	if err := d.startCluster(); err != nil {
-		return err
-	}
-	if err := d.startCore(); err != nil {
-		return err
-	}
-	if err := d.openListeners(); err != nil {
-		return err
+	for _, step := range []func() error{
+		d.loadSecurity, d.bind, d.prepareStore, d.startCluster, d.startCore, d.serve,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
 	}
 	d.defineMetrics()
 	d.startTasks()
@@ -191,16 +183,19 @@
 // Resume ends Pause.
 func (d *Daemon) Resume() { d.gate.open() }
 
-// Kill stops the daemon at once, as a crash would: nothing is handed over.
+// Kill stops the daemon at once, as a crash would: nothing is handed over. It
+// also clears up after a Start that failed.
 func (d *Daemon) Kill() {
 	d.stopOnce.Do(func() {
 		d.gate.open()
 		// Connections break before any handler can answer that it was cancelled.
 		d.closeListeners()
 		d.cancel()
-		d.peers.Close()
-		d.closeCore()
-		<-d.cluster.Done()
+		if d.cluster != nil {
+			d.peers.Close()
+			d.closeCore()
+			<-d.cluster.Done()
+		}
 		d.tasks.Wait()
 		d.backends.CloseIdleConnections()
 		close(d.stopped)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,12 +1,15 @@
 package daemon_test
 
 import (
+	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/emulator"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/lab/demo"
+	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
 )
 
 // A program opened and called at one daemon goes on at another, and a daemon
@@ -64,3 +67,21 @@
 		require.NotEmpty(t, opened.ID)
 	}
 }
+
+// A daemon whose address is taken fails to start before it tells any peer of
+// itself, with a failure that names the address.
+func TestDaemonWhoseAddressIsTakenDoesNotStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, taken.Close()) }()
+	spec := topology.Spec{
+		Node: "n1", Region: "r", Zone: "z1", PlatformAddress: "http://127.0.0.1:1",
+		CallerAddress: "127.0.0.1:1", OperatorAddress: "127.0.0.1:2", PeerAddress: taken.Addr().String(),
+	}
+	prepared, err := demo.RealDaemon(spec)
+	require.NoError(t, err)
+	err = prepared.Start(t.Context())
+	require.True(t, failure.IsType(err, "listen_failed"), "%v", err)
+	require.Contains(t, err.Error(), spec.PeerAddress)
+	prepared.Kill()
+}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -22,6 +22,7 @@
 // server is one listener with its HTTP server.
 type server struct {
 	name     string
+	secured  bool
 	listener net.Listener
 	http     *http.Server
 }
@@ -48,67 +49,95 @@
 // Unwrap returns the operating system's error.
 func (e *listenFailed) Unwrap() error { return e.Cause }
 
-func (d *Daemon) openListeners() error {
-	callers, err := caller.NewHandler(caller.Options{
-		Backend:       currentBackend{daemon: d},
-		Authenticator: d.tenants,
-		Admission:     d.admission,
-		Ready:         d.refusal,
-		MaxBodyBytes:  d.settings.MaxBodyBytes,
-		Metrics:       caller.NewMetrics(d.registry),
-	})
-	if err != nil {
-		return &failure.Internal{Cause: err}
-	}
-	operators, err := d.operatorHandler()
-	if err != nil {
-		return &failure.Internal{Cause: err}
-	}
+// endpoint is one address of the daemon.
+type endpoint struct {
+	name    string
+	address string
+	config  *tls.Config
+}
+
+func (d *Daemon) endpoints() []endpoint {
 	addresses := d.settings.Listen
-	if err := d.listen("peer", addresses.Peer, peer.NewServer(string(d.self.ID), d), d.security.peerServerConfig()); err != nil {
-		return err
-	}
-	if err := d.listen("caller", addresses.Caller, d.counted(callers), d.security.serverConfig()); err != nil {
-		return err
+	return []endpoint{
+		{name: "peer", address: addresses.Peer, config: d.security.peerServerConfig()},
+		{name: "caller", address: addresses.Caller, config: d.security.serverConfig()},
+		{name: "operator", address: addresses.Operator, config: d.security.serverConfig()},
 	}
-	return d.listen("operator", addresses.Operator, operators, d.security.serverConfig())
 }
 
-// listen binds an address and serves it; plain TCP where config is nil, which
-// the settings must allow.
-func (d *Daemon) listen(name, address string, handler http.Handler, config *tls.Config) error {
-	bound, err := net.Listen("tcp", address)
-	if err != nil {
-		return &listenFailed{Address: address, Cause: err}
-	}
-	if config == nil && !d.settings.TLS.AllowPlain {
-		_ = bound.Close()
-		return &identity.PlainRefused{Address: address}
+// bind takes the daemon's addresses, before anybody is told of them.
+func (d *Daemon) bind() error {
+	for _, each := range d.endpoints() {
+		if each.config == nil && !d.settings.TLS.AllowPlain {
+			return &identity.PlainRefused{Address: each.address}
+		}
+		bound, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return &listenFailed{Address: each.address, Cause: err}
+		}
+		d.servers = append(d.servers, d.newServer(each, bound))
 	}
+	return nil
+}
+
+func (d *Daemon) newServer(at endpoint, bound net.Listener) *server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(config == nil)
-	created := &server{
-		name:     name,
+	protocols.SetUnencryptedHTTP2(at.config == nil)
+	return &server{
+		name:     at.name,
+		secured:  at.config != nil,
 		listener: &gatedListener{Listener: bound, gate: d.gate},
 		http: &http.Server{
-			Handler:           handler,
-			TLSConfig:         config,
+			TLSConfig:         at.config,
 			Protocols:         protocols,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return d.context },
 		},
 	}
-	d.servers = append(d.servers, created)
-	d.task(func() { created.serve(config != nil) })
+}
+
+// serve begins to answer on the addresses that bind took.
+func (d *Daemon) serve() error {
+	handlers, err := d.handlers()
+	if err != nil {
+		return &failure.Internal{Cause: err}
+	}
+	for _, each := range d.servers {
+		each.http.Handler = handlers[each.name]
+		d.task(each.serve)
+	}
 	return nil
 }
 
-func (s *server) serve(secured bool) {
+func (d *Daemon) handlers() (map[string]http.Handler, error) {
+	callers, err := caller.NewHandler(caller.Options{
+		Backend:       currentBackend{daemon: d},
+		Authenticator: d.tenants,
+		Admission:     d.admission,
+		Ready:         d.refusal,
+		MaxBodyBytes:  d.settings.MaxBodyBytes,
+		Metrics:       caller.NewMetrics(d.registry),
+	})
+	if err != nil {
+		return nil, err
+	}
+	operators, err := d.operatorHandler()
+	if err != nil {
+		return nil, err
+	}
+	return map[string]http.Handler{
+		"peer":     peer.NewServer(string(d.self.ID), d),
+		"caller":   d.counted(callers),
+		"operator": operators,
+	}, nil
+}
+
+func (s *server) serve() {
 	var err error
-	if secured {
+	if s.secured {
 		err = s.http.ServeTLS(s.listener, "", "")
 	} else {
 		err = s.http.Serve(s.listener)
@@ -121,6 +150,7 @@
 func (d *Daemon) closeListeners() {
 	for _, each := range d.servers {
 		_ = each.http.Close()
+		_ = each.listener.Close()
 	}
 }
 
