--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -86,6 +86,7 @@
 	}
 	inBackground(probing.run)
 	inBackground(b.operator.runChanges)
+	inBackground(b.watchHolds)
 	inBackground(b.runProgress)
 	disturbed := make(chan struct{})
 	go func() {
@@ -178,6 +179,7 @@
 		Seconds:        elapsed.Seconds(),
 		Daemons:        len(b.cluster.Members),
 		Callers:        b.measured.Callers(),
+		Release:        b.releases(),
 		Cache:          b.outside.Cache(),
 		FaultsInjected: b.injected,
 		FaultsFailed:   b.failed,
--- a/internal/lab/promise/evidence.go
+++ b/internal/lab/promise/evidence.go
@@ -32,6 +32,8 @@
 	ToolRuns []ToolRun
 	// Holds are the engines' own lists of holders at the end of the run.
 	Holds []Hold
+	// LastHeld is when an engine was last seen to hold memory for a program.
+	LastHeld map[structs.ProgramID]time.Time
 	// Collected is when Holds were read.
 	Collected time.Time
 	// Departures are the engines that were told to leave.
--- a/internal/lab/promise/promise_test.go
+++ b/internal/lab/promise/promise_test.go
@@ -110,6 +110,9 @@
 			e.Streams = append(e.Streams, promise.Stream{Engine: "e2", Holder: "c", Model: "m", Digest: digest([][]byte{[]byte("c")}), Started: at(6), PromptTokens: 60})
 		}},
 		{"memory held after the end", promise.MemoryReleased, func(e *promise.Evidence) { e.Holds = []promise.Hold{{Engine: "e2", Holder: "p"}} }},
+		{"memory released late", promise.MemoryReleased, func(e *promise.Evidence) {
+			e.LastHeld = map[structs.ProgramID]time.Time{"p": at(18)}
+		}},
 		{"memory held for nobody", promise.MemoryReleased, func(e *promise.Evidence) { e.Holds = []promise.Hold{{Engine: "e2", Holder: "x"}} }},
 		{"answer cut short", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 3).Answer = call(e, 3).Answer[:70] }},
 		{"another tool call's answer", promise.WholeAnswers, func(e *promise.Evidence) { call(e, 2).Answer = []byte("ok for another") }},
--- a/internal/lab/promise/resources.go
+++ b/internal/lab/promise/resources.go
@@ -53,8 +53,8 @@
 	return spent
 }
 
-// checkMemory: no engine holds memory for a program that ended longer ago
-// than the bound.
+// checkMemory: no engine holds memory, or was seen to hold it, for a program
+// that had ended longer ago than the bound.
 func checkMemory(evidence *Evidence, x *index, verdict *Verdict) {
 	held := map[structs.ProgramID]structs.EngineID{}
 	for _, hold := range evidence.Holds {
@@ -65,12 +65,17 @@
 		}
 	}
 	for id, program := range x.programs {
+		if !usedEngine(x.runs[id]) || program.Ended.IsZero() {
+			continue
+		}
+		late := evidence.LastHeld[id].Sub(program.Ended)
+		verdict.check(late <= evidence.Bounds.Release, "an engine held memory for %s until %s after its end", id, late)
 		engine, still := held[id]
-		mayHold := program.Ended.IsZero() || evidence.Collected.Sub(program.Ended) < evidence.Bounds.Release
-		if !usedEngine(x.runs[id]) || (still && mayHold) {
+		since := evidence.Collected.Sub(program.Ended)
+		if still && since < evidence.Bounds.Release {
 			continue
 		}
-		verdict.check(!still, "engine %s holds memory for %s, ended %s before", engine, id, evidence.Collected.Sub(program.Ended))
+		verdict.check(!still, "engine %s holds memory for %s, ended %s before", engine, id, since)
 	}
 }
 
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -22,8 +22,10 @@
 	Callers
 	// Failover and PauseFailover are the times without an answer that programs
 	// had after a daemon crashed, and after one was paused.
-	Failover       *Percentiles   `json:"failover_ms,omitempty"`
-	PauseFailover  *Percentiles   `json:"pause_failover_ms,omitempty"`
+	Failover      *Percentiles `json:"failover_ms,omitempty"`
+	PauseFailover *Percentiles `json:"pause_failover_ms,omitempty"`
+	// Release is how long engines kept memory after the end of its program.
+	Release        Percentiles    `json:"release_ms"`
 	Cache          Cache          `json:"cache"`
 	Control        Control        `json:"control"`
 	FaultsInjected map[string]int `json:"faults_injected"`
@@ -73,6 +75,7 @@
 	if r.PauseFailover != nil {
 		row("fail-over from a paused daemon", "%s", *r.PauseFailover)
 	}
+	row("engine memory kept after the end", "%s", r.Release)
 	row("cache", "%d prompt tokens, %d reused, %d wasted (%.1f%%)",
 		r.Cache.PromptTokens, r.Cache.ReusedTokens, r.Cache.WastedTokens, 100*r.Cache.WastedRatio)
 	row("control a daemon", "%.2f%% of a core, %.0f B/s, %.1f MB heap",
