replication: a daemon that ceases to lead forgets whom it wanted as members

Cause: a daemon that led again much later began to move its groups toward members of that earlier time, until it was told anew.

Change: the wish ends with the leadership.

--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -260,7 +260,8 @@
 }
 
 // Reconcile moves the group toward the wanted voters while this daemon leads
-// it. The wish is kept: call it at every member, so that any leader acts on it.
+// it. A daemon that does not lead keeps the wish until it has led; one that
+// ceases to lead forgets it. Call it now and then at the leader.
 func (h *Host) Reconcile(id structs.ShardID, wanted []Member) {
 	found, exists := h.shard(id)
 	if !exists {
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -139,6 +139,8 @@
 		eventNotLeading.Log("shard", s.id, "term", s.servingTerm)
 		s.host.notices.notify(leadershipNotice{shard: s.id, term: s.servingTerm})
 		s.servingTerm = 0
+		// What a leader wished for may be long out of date when it leads again.
+		s.reconcile(nil)
 	}
 	if role != journal.Leader {
 		s.failWaiting(&failure.ProposalUnknown{Shard: uint32(s.id)}, s.notLeader())
