replication: faults of hosts with disks; a whole group that restarts

Change: two of the five hosts of the fault test keep a disk over their restarts. A group of three that is killed as a whole three times keeps all that was acknowledged.

--- a/internal/replication/faults_test.go
+++ b/internal/replication/faults_test.go
@@ -20,6 +20,7 @@
 	random       *rand.Rand
 	daemons      map[string]*daemon
 	lives        map[string]uint64
+	disks        map[string]*durable
 	acknowledged []string
 	next         int
 }
@@ -27,7 +28,7 @@
 func newChaos(t *testing.T, seed uint64) *chaos {
 	c := &chaos{
 		t: t, network: newNetwork(time.Millisecond), random: rand.New(rand.NewPCG(seed, 7)),
-		daemons: map[string]*daemon{}, lives: map[string]uint64{},
+		daemons: map[string]*daemon{}, lives: map[string]uint64{}, disks: map[string]*durable{"a": {}, "d": {}},
 	}
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
 		c.start(name)
@@ -39,9 +40,17 @@
 	return c
 }
 
+// start begins a life without memory, unless the daemon has a disk.
 func (c *chaos) start(name string) {
-	c.lives[name]++
-	c.daemons[name] = c.network.start(c.t, name, c.lives[name], nil)
+	disk, has := c.disks[name]
+	if !has || c.lives[name] == 0 {
+		c.lives[name]++
+	}
+	c.daemons[name] = c.network.start(c.t, name, c.lives[name], func(o *Options) {
+		if has {
+			o.Storage = disk
+		}
+	})
 }
 
 // propose asks every daemon in turn until one takes the record, as a caller's
@@ -73,8 +82,8 @@
 	return names
 }
 
-// replace kills a daemon and starts it without its memory, then lets the group
-// take it, or another, as its member.
+// replace kills a daemon and starts it again, then lets the group take it, or
+// another, as its member.
 func (c *chaos) replace() {
 	name := c.shuffled()[0]
 	c.network.kill(c.t, c.daemons[name])
@@ -171,3 +180,34 @@
 	}
 	t.Logf("%d histories, %d faults, %d records acknowledged", seeds, seeds*rounds, acknowledged)
 }
+
+func TestWholeGroupRestartsFromItsDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(time.Millisecond)
+		defer n.closeAll(t)
+		names, disks := []string{"a", "b", "c"}, map[string]*durable{"a": {}, "b": {}, "c": {}}
+		begin := func() []*daemon {
+			var group []*daemon
+			for _, name := range names {
+				group = append(group, n.start(t, name, 1, func(o *Options) { o.Storage = disks[name] }))
+			}
+			return group
+		}
+		group := begin()
+		for _, d := range group {
+			require.NoError(t, d.Create(Group{Shard: testShard, Members: members(group...)}))
+		}
+		for life := range 3 {
+			_, err := group[life].EnsureLeader(context.Background(), testShard)
+			require.NoError(t, err)
+			proposeMany(t, group[life], fmt.Sprint(life), 10)
+			for _, d := range group {
+				n.kill(t, d)
+			}
+			group = begin()
+		}
+		_, err := group[0].EnsureLeader(context.Background(), testShard)
+		require.NoError(t, err)
+		require.Len(t, group[0].records(testShard), 30)
+	})
+}
--- /dev/null
+++ b/internal/replication/memory_test.go
@@ -0,0 +1,59 @@
+package replication
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
+)
+
+// durable is a storage that outlives the hosts that use it, as a disk does.
+type durable struct {
+	mutex  sync.Mutex
+	shards map[structs.ShardID]Stored
+}
+
+func (d *durable) Load() (map[structs.ShardID]Stored, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return maps.Clone(d.shards), nil
+}
+
+func (d *durable) Write(writes []Write) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.shards == nil {
+		d.shards = map[structs.ShardID]Stored{}
+	}
+	for _, write := range writes {
+		d.shards[write.Shard] = changed(d.shards[write.Shard], write)
+	}
+	return nil
+}
+
+func changed(stored Stored, write Write) Stored {
+	if write.Remove {
+		stored = Stored{}
+	}
+	if write.State != nil {
+		stored.State = write.State
+	}
+	if write.Snapshot != nil {
+		stored.Snapshot = *write.Snapshot
+		stored.Entries = slices.DeleteFunc(slices.Clone(stored.Entries), func(e *journalv1.Entry) bool {
+			return !write.KeepLater || e.Index <= write.Snapshot.Index
+		})
+	}
+	if len(write.Entries) > 0 {
+		first := write.Entries[0].Index
+		stored.Entries = slices.DeleteFunc(slices.Clone(stored.Entries), func(e *journalv1.Entry) bool {
+			return e.Index >= first
+		})
+		stored.Entries = append(stored.Entries, write.Entries...)
+	}
+	return stored
+}
+
+func (d *durable) Close() error { return nil }
