Simulator: drop prefixes that no program holds, as the stand-in engine does

Cause: the model kept shared prefixes for ever; reports of memory in use then counted what nobody needed, and the stand-in engine differs.

--- a/internal/simulation/daemon.go
+++ b/internal/simulation/daemon.go
@@ -133,7 +133,7 @@
 
 func (d *daemon) stream(c *call, choice schedule.Choice) *stream {
 	return &stream{
-		prompt: c.run.history, promptTokens: c.run.historyTokens, answer: c.answer,
+		holder: c.run, prompt: c.run.history, promptTokens: c.run.historyTokens, answer: c.answer,
 		maxAnswer: c.run.program.MaxAnswerTokens, priority: choice.Priority, retain: choice.Retain,
 		done: func(used usage) {
 			d.world.clock.after(d.world.delay(c.engine.zone, d.zone), func() { c.run.answered(c, used) })
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -9,6 +9,7 @@
 
 // stream is one model call on an engine.
 type stream struct {
+	holder       *run
 	prompt       []segment
 	promptTokens int64
 	answer       segment
@@ -214,7 +215,7 @@
 // find it, and pins it in place of the shorter prefix.
 func (e *engine) keepPrompt(s *stream) {
 	before := e.cache.used
-	node := e.cache.insert(e.clock.now, s.prompt, s.retain)
+	node := e.cache.insert(e.clock.now, s.holder, s.prompt, s.retain)
 	added := e.cache.used - before
 	e.cache.reserved -= added
 	s.reserved -= added
@@ -225,7 +226,7 @@
 
 func (e *engine) finish(s *stream) {
 	e.cache.reserved -= s.reserved
-	e.cache.insert(e.clock.now, append(slices.Clone(s.prompt), s.answer), s.retain)
+	e.cache.insert(e.clock.now, s.holder, append(slices.Clone(s.prompt), s.answer), s.retain)
 	pin(s.matched, -1)
 	service := e.clock.now - e.admittedAt[s]
 	delete(e.admittedAt, s)
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -127,7 +127,7 @@
 	w.moves++
 	w.movedTokens += tokens
 	w.clock.after(took, func() {
-		to.importPrefix(moved)
+		to.importPrefix(r, moved)
 		from.cache.release(r)
 	})
 	return took
@@ -145,7 +145,7 @@
 }
 
 // importPrefix puts a moved prefix into the cache where there is room for it.
-func (e *engine) importPrefix(moved []segment) {
+func (e *engine) importPrefix(holder *run, moved []segment) {
 	matched, length := e.cache.match(moved)
 	var total int64
 	for _, piece := range moved {
@@ -153,7 +153,7 @@
 	}
 	pin(matched, 1)
 	if !e.down && e.cache.makeRoom(e.clock.now, total-length) {
-		e.cache.insert(e.clock.now, moved, 0)
+		e.cache.insert(e.clock.now, holder, moved, 0)
 	}
 	pin(matched, -1)
 }
