--- a/internal/proof/cluster.go
+++ b/internal/proof/cluster.go
@@ -36,6 +36,9 @@
 	MixHistories Breakage = "mix histories"
 	// RefuseStarted calls a started attempt not run when its answer is late.
 	RefuseStarted Breakage = "refuse a started call"
+	// RefuseTakenOver sends a repeatable call of an earlier leader again, and
+	// takes a refusal of that for proof that the call did not run.
+	RefuseTakenOver Breakage = "take over a call and call it not run"
 	// ReuseIncarnation lets a node that lost its memory return as itself.
 	ReuseIncarnation Breakage = "return from amnesia as before"
 	// LeaveDomain places replicas in every zone.
--- a/internal/proof/dispatch.go
+++ b/internal/proof/dispatch.go
@@ -195,6 +195,8 @@
 		d.send(call)
 	case d.node.cluster.options.Breakage == RefuseStarted:
 		d.settleTool(call, toolResult{refused: true})
+	case call.Repeatable && d.node.cluster.options.Breakage == RefuseTakenOver:
+		d.send(call)
 	case call.Repeatable:
 		d.giveUp(call)
 	default:
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -51,7 +51,7 @@
 	const seeds = 1000
 	breakages := []Breakage{
 		SendBeforeRecord, SendAgain, TrustProposal, KeepHolds, KeepOrphans,
-		MixHistories, RefuseStarted, ReuseIncarnation, LeaveDomain, CutAnswers,
+		MixHistories, RefuseStarted, RefuseTakenOver, ReuseIncarnation, LeaveDomain, CutAnswers,
 	}
 	for _, broken := range breakages {
 		t.Run(string(broken), func(t *testing.T) {
