membership: only would-be watchers greet a removed daemon

Change: only the daemons that would watch it greet it, none greets one that left by itself, and a daemon that has not joined answers no comparison. The report tells by kind what the largest daemon's bytes are.

--- a/internal/hollow/report.go
+++ b/internal/hollow/report.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"runtime"
@@ -76,8 +77,10 @@
 	SimulatedSecond float64             `json:"simulated_seconds"`
 	Control         Control             `json:"control"`
 	ByKind          map[string]KindRate `json:"by_kind"`
-	Readers         PlatformReaders     `json:"platform_readers"`
-	ConfigInForce   Percentiles         `json:"config_in_force_ms"`
+	// LargestByKind is of the one daemon with the most bytes.
+	LargestByKind map[string]KindRate `json:"largest_by_kind"`
+	Readers       PlatformReaders     `json:"platform_readers"`
+	ConfigInForce Percentiles         `json:"config_in_force_ms"`
 	// Changes is the number of versions made; Unfinished of them were not in
 	// force everywhere when the run ended.
 	Changes    int `json:"config_changes"`
@@ -108,7 +111,8 @@
 		Scenario:        r.options.Scenario,
 		Loss:            r.options.Loss,
 		SimulatedSecond: r.options.Duration.Seconds(),
-		ByKind:          r.kinds(),
+		ByKind:          r.kinds(r.daemons),
+		LargestByKind:   r.kinds([]*daemon{r.largest()}),
 		Readers:         r.readers(),
 		ConfigInForce:   percentiles(o.inForceAll),
 		Changes:         len(o.inForceAll) + len(o.changes),
@@ -155,12 +159,18 @@
 	}
 }
 
-func (r *run) kinds() map[string]KindRate {
+// largest returns the daemon with the most bytes.
+func (r *run) largest() *daemon {
+	return slices.MaxFunc(r.daemons, func(a, b *daemon) int { return cmp.Compare(a.measured.bytes(), b.measured.bytes()) })
+}
+
+// kinds returns the mean rates of the daemons.
+func (r *run) kinds(daemons []*daemon) map[string]KindRate {
 	rates := map[string]KindRate{}
-	share := 1 / r.options.Duration.Seconds() / float64(len(r.daemons))
+	share := 1 / r.options.Duration.Seconds() / float64(len(daemons))
 	for kind := range kindCount {
 		var rate KindRate
-		for _, d := range r.daemons {
+		for _, d := range daemons {
 			rate.MessagesPerSecond += float64(d.measured.sent[kind].messages+d.measured.received[kind].messages) * share
 			rate.BytesPerSecond += float64(d.measured.sent[kind].bytes+d.measured.received[kind].bytes) * share
 		}
--- a/internal/hollow/write.go
+++ b/internal/hollow/write.go
@@ -128,7 +128,9 @@
 		c.BytesPerSecond.Median, c.BytesPerSecond.Max, c.OverByteBudget, byteBudget, c.MessagesPerSecond.Median, c.MessagesPerSecond.Max)
 	for kind := range kindCount {
 		rate := r.ByKind[kind.String()]
-		fmt.Fprintf(&b, "    %-10s %8.1f bytes/s %7.3f messages/s (mean)\n", kind, rate.BytesPerSecond, rate.MessagesPerSecond)
+		largest := r.LargestByKind[kind.String()]
+		fmt.Fprintf(&b, "    %-10s %8.1f bytes/s %7.3f messages/s (mean); largest daemon %8.1f bytes/s\n",
+			kind, rate.BytesPerSecond, rate.MessagesPerSecond, largest.BytesPerSecond)
 	}
 	fmt.Fprintf(&b, "  platform    %d readers, object of %d bytes, %.0f bytes/s each (max), %.2f%% of a core to decode\n",
 		r.Readers.Readers, r.Readers.ObjectBytes, r.Readers.BytesPerSecond.Max, 100*r.Readers.CPUFraction)
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
@@ -129,13 +130,14 @@
 	}
 }
 
-// reunite greets a removed or suspected member, so that parts that lost each
-// other find together again.
+// reunite greets a daemon that was removed and that this one would watch, so
+// that parts that lost each other find together again. A handful greet each, and
+// none that left by itself.
 func (s *State) reunite() {
 	s.nextReunion = s.now.Add(reunionPeriod)
+	self := s.members[s.options.Self.ID]
 	missing := s.randomMember(func(m *member) bool {
-		state := s.present(m).State
-		return m.node.ID != s.options.Self.ID && (state == structs.NodeDead || state == structs.NodeSuspect)
+		return m != self && m.node.State == structs.NodeDead && !m.left && slices.Contains(s.watchersOf(m, s.byZone), self)
 	})
 	if missing != nil {
 		s.greet(missing.node)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -183,6 +184,7 @@
 	case f.minor == minorRemoved:
 		m.node.State = structs.NodeDead
 		m.removed = s.now
+		m.left = slices.Contains(value.Witnesses, string(id))
 		f.retired = true
 		m.revision = 0
 	case f.minor&1 == rankLeaving:
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -23,6 +23,8 @@
 	revision uint64
 	ring     [watcherCount]uint64
 	removed  time.Time
+	// left is set if the daemon went by itself.
+	left bool
 	// reported is the state that was last told by an event.
 	reported structs.NodeState
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -15,10 +15,10 @@
 
 // receiveSync handles the anti-entropy parts of a message.
 func (s *State) receiveSync(from *member, m *gossipv1.Message) {
-	if m.Heartbeat > 0 && m.Digest != s.facts.root() {
+	if s.joined && m.Heartbeat > 0 && m.Digest != s.facts.root() {
 		s.compareWith(from)
 	}
-	if m.Sync == nil {
+	if m.Sync == nil || !s.joined {
 		return
 	}
 	if len(m.Sync.Buckets) == bucketCount {
