Ask another daemon where one does not acknowledge a forwarded request

Cause: a request that was forwarded to a frozen daemon waited for the failure detector, which takes 1.5 s. Change: a daemon acknowledges a forwarded request at once, and one that does not within 400 ms is left; refusals are confirmed within the leadership that they were made in.

--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -59,7 +59,7 @@
 }
 
 // Forwarded runs a request that another daemon forwarded, here or one hop on,
-// and sends its events back.
+// and sends its events back. The first event is empty and acknowledges it.
 func (e *Executor) Forwarded(ctx context.Context, request *peerv1.ForwardRequest, send func(*peerv1.ForwardEvent) error) error {
 	op := operation{
 		name:    operationName(request.GetOperation()),
@@ -71,6 +71,9 @@
 	if err != nil {
 		return &failure.UnknownProgram{Program: string(op.program)}
 	}
+	if err := send(&peerv1.ForwardEvent{}); err != nil {
+		return err
+	}
 	return e.attempt(ctx, shard, op, sendingSink(op, send), request.GetHops(), map[structs.NodeID]bool{})
 }
 
--- a/internal/executor/local.go
+++ b/internal/executor/local.go
@@ -18,9 +18,13 @@
 	if !known {
 		return &failure.NotLeader{Shard: uint32(id)}
 	}
-	err := held.serve(ctx, op, sink)
+	led, err := held.leadership()
+	if err != nil {
+		return err
+	}
+	err = held.serve(ctx, op, sink)
 	if refusedByState(err) {
-		return held.confirmRefusal(ctx, err)
+		return held.confirmRefusal(ctx, led, err)
 	}
 	return err
 }
@@ -33,11 +37,15 @@
 }
 
 // confirmRefusal makes sure that this daemon still led the shard when it
-// refused. A daemon that was paused may wake as a leader of the past.
-func (s *shard) confirmRefusal(ctx context.Context, refusal error) error {
+// refused, in the same leadership that it refused in: led ends with it. A daemon
+// that was paused may wake as a leader of the past, and lead again soon after.
+func (s *shard) confirmRefusal(ctx, led context.Context, refusal error) error {
 	if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
 		return err
 	}
+	if led.Err() != nil {
+		return s.notLeader()
+	}
 	return refusal
 }
 
@@ -54,10 +62,7 @@
 	case operationEnd:
 		return s.serveEnd(ctx, op, sink)
 	case operationStatus:
-		if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
-			return err
-		}
-		return s.serveStatus(op, sink)
+		return s.serveConfirmedStatus(ctx, op, sink)
 	case operationOrphans:
 		return s.serveOrphans(ctx, op, sink)
 	}
@@ -169,6 +174,14 @@
 	return s.serveStatus(op, sink)
 }
 
+// serveConfirmedStatus tells a status that no later leader has changed.
+func (s *shard) serveConfirmedStatus(ctx context.Context, op operation, sink replySink) error {
+	if err := s.executor.options.Replicator.ConfirmLeadership(ctx, s.id); err != nil {
+		return err
+	}
+	return s.serveStatus(op, sink)
+}
+
 func (s *shard) serveStatus(op operation, sink replySink) error {
 	status := caller.ProgramStatus{}
 	err := s.inspect(func(machine *program.Machine) error {
--- a/internal/executor/route.go
+++ b/internal/executor/route.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -17,7 +18,10 @@
 	// an answer that is being sent does not count.
 	routeTimeout = 8 * time.Second
 	routeDelay   = 20 * time.Millisecond
-	maxDelay     = 250 * time.Millisecond
+	// acknowledgeTimeout is how soon a daemon says that it has a forwarded
+	// request. One that does not may be frozen; the member asked next finds out.
+	acknowledgeTimeout = 400 * time.Millisecond
+	maxDelay           = 250 * time.Millisecond
 )
 
 // replySink takes what the leader sends back: a body, or parts of an answer.
@@ -54,15 +58,26 @@
 	if target == e.options.Self.ID {
 		return e.local(ctx, shard, op, sink)
 	}
-	ctx, done := e.forwards.begin(ctx, target)
-	defer done()
-	err = e.options.Forwarder.Forward(ctx, target, op.wire(hops+1, sink), sink.receive)
+	err = e.forward(ctx, target, op.wire(hops+1, sink), sink)
 	if err != nil && unreachable(err) {
 		avoid[target] = true
 	}
 	return err
 }
 
+// forward runs the request at target. It is given up when target does not
+// acknowledge it soon, or is suspected later.
+func (e *Executor) forward(ctx context.Context, target structs.NodeID, request *peerv1.ForwardRequest, sink replySink) error {
+	ctx, done := e.forwards.begin(ctx, target)
+	defer done()
+	unacknowledged := time.AfterFunc(acknowledgeTimeout, done)
+	defer unacknowledged.Stop()
+	return e.options.Forwarder.Forward(ctx, target, request, func(event *peerv1.ForwardEvent) error {
+		unacknowledged.Stop()
+		return sink.receive(event)
+	})
+}
+
 // locate returns the node to ask: the leader where this daemon holds a replica,
 // else a member of the group.
 func (e *Executor) locate(ctx context.Context, shard structs.ShardID, hops uint32, avoid map[structs.NodeID]bool) (structs.NodeID, error) {
--- a/internal/executor/route_test.go
+++ b/internal/executor/route_test.go
@@ -74,6 +74,17 @@
 	require.NoError(t, <-answered)
 }
 
+// A request that a daemon does not acknowledge is answered elsewhere, without a
+// suspicion.
+func TestUnacknowledgedRequestGoesElsewhere(t *testing.T) {
+	forwarder := fakeForwarder{answering: map[structs.NodeID]bool{"b": true}, asked: make(chan structs.NodeID, 2)}
+	e := testExecutor(fakeReplicator{}, forwarder, "frozen", "b")
+	status, err := e.Status(t.Context(), "tenant", testProgram)
+	require.NoError(t, err)
+	require.Equal(t, testProgram, status.ID)
+	require.Equal(t, structs.NodeID("frozen"), <-forwarder.asked)
+}
+
 // A daemon whose replica was removed asks the members, not its former replica.
 func TestDaemonWithoutItsFormerReplicaForwards(t *testing.T) {
 	forwarder := fakeForwarder{answering: map[structs.NodeID]bool{"b": true}, asked: make(chan structs.NodeID, 1)}
