Tell a sub-agent's caller that its parent has ended; settle what a former leader may have run

Causes: a call of a sub-agent whose parent's end was committed in between was told unknown_call, which callers take for lost history (found once with 1,600 programs); a repeatable tool call taken over from an earlier leader and refused was settled as not run though that leader's request may have run; a narrowed opening repeated after a larger domain was declared landed in another domain; a long history was unpacked under the shard's lock.

--- a/internal/daemon/operator_backend.go
+++ b/internal/daemon/operator_backend.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/operator"
+	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -84,7 +85,7 @@
 			led[shard.GetShard()] = led[shard.GetShard()] || shard.GetServing()
 		}
 		for _, count := range answer.GetPrograms() {
-			domain, _ := domainOf(configuration, structs.ShardID(count.GetShard()))
+			domain, _ := placement.DomainOf(configuration.Domains, structs.ShardID(count.GetShard()))
 			key := plan.ProgramCount{
 				Program: structs.ProgramName(count.GetProgram()),
 				Tenant:  structs.TenantID(count.GetTenant()),
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -61,7 +61,7 @@
 // daemon that is stopping knows which groups must first go on without it.
 // Nodes in a zone that drains are given as leaving.
 func (d *Daemon) reconcileShard(running *core, status replication.Status, configuration *structs.Configuration, nodes []structs.Node) {
-	domain, known := domainOf(configuration, status.Shard)
+	domain, known := placement.DomainOf(configuration.Domains, status.Shard)
 	if !known {
 		return
 	}
@@ -117,15 +117,6 @@
 	return members
 }
 
-func domainOf(configuration *structs.Configuration, shard structs.ShardID) (structs.Domain, bool) {
-	for _, domain := range configuration.Domains {
-		if shard >= domain.FirstShard && shard < domain.FirstShard+structs.ShardID(domain.ShardCount) {
-			return domain, true
-		}
-	}
-	return structs.Domain{}, false
-}
-
 // replaceLeader looks for a leader of a shard whose leader has died, so that
 // its duties are met though no caller asks. An idle shard with a live leader
 // costs nothing.
--- a/internal/executor/local.go
+++ b/internal/executor/local.go
@@ -78,10 +78,13 @@
 	if body.Request.Parent != "" {
 		ids = []structs.ProgramID{body.Request.Parent, op.program}
 	}
-	_, err := s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+	open := func(now time.Time, machine *program.Machine) (program.Decision, error) {
 		return machine.Open(now, body.openRequest(now, op.tenant, op.program))
-	}, ids...)
-	if err != nil {
+	}
+	if _, err := s.mutate(ctx, open, ids...); err != nil {
+		return err
+	}
+	if err := s.tookEffect(open); err != nil {
 		return err
 	}
 	return s.serveStatus(op, sink)
@@ -96,15 +99,31 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
+	accept := func(now time.Time, machine *program.Machine) (program.Decision, error) {
 		return machine.Accept(now, request)
-	}, op.program)
-	if err != nil {
+	}
+	if _, err := s.mutate(ctx, accept, op.program); err != nil {
+		return err
+	}
+	if err := s.tookEffect(accept); err != nil {
 		return err
 	}
 	return s.followAnswer(ctx, op, body.Request.Number, sink)
 }
 
+// tookEffect makes sure that a decision's records were not void when they were
+// applied: the end of a parent, decided on meanwhile, ends its sub-agents too.
+// It returns why the same request would be refused now.
+func (s *shard) tookEffect(decide decider) error {
+	return s.inspect(func(machine *program.Machine) error {
+		decision, err := decide(time.Now(), machine)
+		if err != nil || decision.Repeat {
+			return err
+		}
+		return &failure.ShardUnavailable{Shard: uint32(s.id)}
+	})
+}
+
 // admitCall checks a call against the declarations in force and gives it the
 // declared bounds. A call that the journal has already is not checked again.
 func (s *shard) admitCall(op operation, request caller.CallRequest) (program.CallRequest, error) {
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -57,7 +57,7 @@
 		}
 		excluded[structs.EngineID(attempt.call.TargetID)] = true
 		started = false
-		if call, err = w.callNow(call.Number); err != nil {
+		if call, err = w.callNow(call.Number); err != nil || call.State.Final() {
 			return err
 		}
 	}
@@ -66,15 +66,20 @@
 // prepare collects the prompt: the program's whole history and the call's input.
 func (w *worker) prepare(call *program.Call, started bool) (*modelAttempt, error) {
 	attempt := &modelAttempt{call: call, taken: started}
-	var turns []program.Turn
+	packed := program.PackedHistory{}
 	err := w.shard.inspect(func(machine *program.Machine) error {
-		history, err := machine.History(w.program)
-		turns = history
+		history, err := machine.PackedHistory(w.program)
+		packed = history
 		return err
 	})
 	if err != nil {
 		return nil, err
 	}
+	// A long history takes milliseconds to unpack, beside the shard's lock.
+	turns, err := packed.Turns()
+	if err != nil {
+		return nil, err
+	}
 	for _, turn := range turns {
 		attempt.segments = append(attempt.segments, turn.Input, turn.Answer)
 	}
--- a/internal/executor/opening.go
+++ b/internal/executor/opening.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,7 +33,7 @@
 		id, err := e.resolveChild(ctx, configuration, tenant, body)
 		return body, id, err
 	}
-	domain, err := domainWithin(configuration, body.HistoryZones)
+	domain, err := placement.DomainFor(configuration.Domains, body.HistoryZones)
 	if err != nil {
 		return openBody{}, "", err
 	}
@@ -102,39 +101,6 @@
 	return narrowed
 }
 
-// domainWithin returns the largest placement domain all of whose zones are
-// permitted; among equals, the oldest.
-func domainWithin(configuration *structs.Configuration, zones []structs.ZoneName) (structs.Domain, error) {
-	best := structs.Domain{}
-	for _, domain := range configuration.Domains {
-		if len(domain.Zones) > len(best.Zones) && historyPermitted(zones, domain) {
-			best = domain
-		}
-	}
-	if len(best.Zones) == 0 {
-		return structs.Domain{}, &failure.NoPermittedPlace{What: "replica", Zones: joinZones(zones)}
-	}
-	return best, nil
-}
-
-func historyPermitted(zones []structs.ZoneName, domain structs.Domain) bool {
-	policy := placement.Policy{HistoryZones: zones}
-	for _, zone := range domain.Zones {
-		if placement.Permit(policy, placement.History, zone) != nil {
-			return false
-		}
-	}
-	return true
-}
-
-func joinZones(zones []structs.ZoneName) string {
-	names := make([]string, len(zones))
-	for position, zone := range zones {
-		names[position] = string(zone)
-	}
-	return strings.Join(names, ",")
-}
-
 // resolveChild places a sub-agent in its parent's shard, where its history may
 // rest only if the whole of the parent's domain is permitted to it.
 func (e *Executor) resolveChild(_ context.Context, configuration *structs.Configuration, tenant structs.TenantID, body openBody) (structs.ProgramID, error) {
@@ -143,16 +109,14 @@
 	if err != nil {
 		return "", &failure.UnknownProgram{Program: string(parent)}
 	}
-	for _, domain := range configuration.Domains {
-		if shard < domain.FirstShard || shard >= domain.FirstShard+structs.ShardID(domain.ShardCount) {
-			continue
-		}
-		if !historyPermitted(body.HistoryZones, domain) {
-			return "", &failure.NoPermittedPlace{What: "replica", Zones: joinZones(body.HistoryZones)}
-		}
-		return structs.NewChildID(parent, string(tenant)+"\x00"+body.Request.Key)
+	domain, known := placement.DomainOf(configuration.Domains, shard)
+	if !known {
+		return "", &failure.UnknownProgram{Program: string(parent)}
+	}
+	if err := placement.Confined(placement.Policy{HistoryZones: body.HistoryZones}, domain); err != nil {
+		return "", err
 	}
-	return "", &failure.UnknownProgram{Program: string(parent)}
+	return structs.NewChildID(parent, string(tenant)+"\x00"+body.Request.Key)
 }
 
 // openRequest builds the state machine's request. Times count from now, by the
--- a/internal/executor/tool_call.go
+++ b/internal/executor/tool_call.go
@@ -40,11 +40,11 @@
 		if done || err != nil {
 			return err
 		}
-		again, err := w.sendTool(declared, begun)
+		again, err := w.sendTool(declared, begun, false)
 		if err != nil || !again {
 			return err
 		}
-		if call, err = w.callNow(call.Number); err != nil {
+		if call, err = w.callNow(call.Number); err != nil || call.State.Final() {
 			return err
 		}
 	}
@@ -95,7 +95,9 @@
 }
 
 // sendTool sends the call once. again says that it may be sent another time.
-func (w *worker) sendTool(declared structs.Tool, call *program.Call) (again bool, err error) {
+// taken says that an earlier leader may have sent the attempt already: a refusal
+// of this sending is then no proof that it did not run.
+func (w *worker) sendTool(declared structs.Tool, call *program.Call, taken bool) (again bool, err error) {
 	ctx, cancel := context.WithDeadline(w.shard.executor.context, attemptDeadline(call))
 	defer cancel()
 	leave := w.shard.executor.quiesced.enter()
@@ -107,7 +109,7 @@
 	switch {
 	case failure.IsType(err, (&failure.ToolFailed{}).Type()):
 		return false, w.settleTool(declared, call, tool.Result{}, err)
-	case failure.Classify(err).Outcome() == failure.NotRun:
+	case failure.Classify(err).Outcome() == failure.NotRun && !taken:
 		return w.settleToolRefused(declared, call, err)
 	case call.Repeatable:
 		return w.settleToolLost(declared, call, err)
@@ -187,7 +189,7 @@
 	if !call.Repeatable {
 		return w.learnOutcome(declared, call)
 	}
-	again, err := w.sendTool(declared, call)
+	again, err := w.sendTool(declared, call, true)
 	if err != nil || !again {
 		return err
 	}
