--- a/internal/lab/demo/options.go
+++ b/internal/lab/demo/options.go
@@ -36,7 +36,9 @@
 
 // Times of the run's phases and of the callers.
 const (
-	readyTimeout    = 30 * time.Second
+	readyTimeout = 30 * time.Second
+	// joinSpan is left for what daemons tell each other when they have joined.
+	joinSpan        = 2 * time.Second
 	idleSpan        = 2 * time.Second
 	callerPatience  = 30 * time.Second
 	callerStall     = 6 * time.Second
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -69,6 +69,7 @@
 		return report.Control{}, nil, err
 	}
 	b.progress("%d daemons ready after %s", len(b.cluster.Members), time.Since(began).Round(time.Millisecond))
+	wait(ctx, joinSpan)
 	return b.measureControl(ctx), probing, nil
 }
 
@@ -180,6 +181,7 @@
 		Daemons:        len(b.cluster.Members),
 		Callers:        b.measured.Callers(),
 		Release:        b.releases(),
+		ConfigInForce:  inForce(&b.evidence),
 		Cache:          b.outside.Cache(),
 		FaultsInjected: b.injected,
 		FaultsFailed:   b.failed,
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -25,7 +25,10 @@
 	Failover      *Percentiles `json:"failover_ms,omitempty"`
 	PauseFailover *Percentiles `json:"pause_failover_ms,omitempty"`
 	// Release is how long engines kept memory after the end of its program.
-	Release        Percentiles    `json:"release_ms"`
+	Release Percentiles `json:"release_ms"`
+	// ConfigInForce is the time from the acceptance of a change until a daemon
+	// was seen to act on it.
+	ConfigInForce  Percentiles    `json:"config_in_force_ms"`
 	Cache          Cache          `json:"cache"`
 	Control        Control        `json:"control"`
 	FaultsInjected map[string]int `json:"faults_injected"`
@@ -76,6 +79,7 @@
 		row("fail-over from a paused daemon", "%s", *r.PauseFailover)
 	}
 	row("engine memory kept after the end", "%s", r.Release)
+	row("configuration in force", "%s", r.ConfigInForce)
 	row("cache", "%d prompt tokens, %d reused, %d wasted (%.1f%%)",
 		r.Cache.PromptTokens, r.Cache.ReusedTokens, r.Cache.WastedTokens, 100*r.Cache.WastedRatio)
 	row("control a daemon", "%.2f%% of a core, %.0f B/s, %.1f MB heap",
