--- a/internal/declaration/check.go
+++ b/internal/declaration/check.go
@@ -162,7 +162,6 @@
 			holder[key] = tenant.Name
 		}
 		at.atLeast("spec.requestsPerSecond", tenant.RequestsPerSecond, 0)
-		at.atLeast("spec.concurrentPrograms", float64(tenant.ConcurrentPrograms), 0)
 		at.atLeast("spec.weight", tenant.Weight, 0)
 	}
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -12,12 +12,22 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
+	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 	"github.com/barleyshelf/barleyshelf/internal/tool"
 )
 
+const (
+	// retryRatio is how many attempts may be repeated for each one that
+	// succeeded, and retriesPerSecond how many may be without any: the streams
+	// of a full engine that is lost are repeated within two seconds, and engines
+	// that all fail get little more than their load once.
+	retryRatio       = 0.2
+	retriesPerSecond = 16
+)
+
 // Replicator is the replicated journal, as *replication.Host provides it.
 type Replicator interface {
 	// ProposeInTerm returns nil once data is committed and applied here. It
@@ -88,6 +98,8 @@
 	pauses *schedule.PauseEstimator
 	growth *schedule.GrowthEstimator
 
+	retries *limit.RetryBudget
+
 	quiesced quiescence
 	forwards forwards
 }
@@ -102,6 +114,7 @@
 		shards:  map[structs.ShardID]*shard{},
 		pauses:  schedule.NewPauseEstimator(),
 		growth:  schedule.NewGrowthEstimator(),
+		retries: limit.NewRetryBudget(time.Now(), retryRatio, retriesPerSecond),
 		random:  rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation))),
 	}
 }
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -57,12 +57,30 @@
 		}
 		excluded[structs.EngineID(attempt.call.TargetID)] = true
 		started = false
+		if refused, err := w.awaitRetry(call); refused || err != nil {
+			return err
+		}
 		if call, err = w.callNow(call.Number); err != nil || call.State.Final() {
 			return err
 		}
 	}
 }
 
+// awaitRetry waits until the daemon's retries leave room for one more. A call for
+// which there is none in time is refused.
+func (w *worker) awaitRetry(call *program.Call) (refused bool, err error) {
+	deadline := time.Now().Add(engineSearchTimeout)
+	for !w.shard.executor.retries.Allow(time.Now()) {
+		if time.Now().After(deadline) {
+			return true, w.refuse(call, &failure.EngineUnavailable{Wait: engineSearchTimeout})
+		}
+		if !sleep(w.context, engineSearchDelay) {
+			return false, w.shard.notLeader()
+		}
+	}
+	return false, nil
+}
+
 // prepare collects the prompt: the program's whole history and the call's input.
 func (w *worker) prepare(call *program.Call, started bool) (*modelAttempt, error) {
 	attempt := &modelAttempt{call: call, taken: started}
@@ -219,6 +237,7 @@
 	if err != nil {
 		return err
 	}
+	w.shard.executor.retries.Succeeded(time.Now())
 	w.shard.endLive(call)
 	w.shard.noteAnswered(call.Program, structs.EngineID(call.TargetID), tokens)
 	return nil
--- a/internal/structs/declarations.go
+++ b/internal/structs/declarations.go
@@ -48,8 +48,6 @@
 	TokenSHA256 []string `json:"tokenSHA256"`
 	// RequestsPerSecond bounds calls over all daemons; 0 means no bound.
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
-	// ConcurrentPrograms bounds programs under way; 0 means no bound.
-	ConcurrentPrograms int `json:"concurrentPrograms,omitempty"`
 	// Weight is the tenant's share under overload, relative to others.
 	Weight float64 `json:"weight,omitempty"`
 }
