Scheduling: leave the cache only for much; admit where any engine has room

Change: leaving the engine with the longest prefix must save LeaveMargin (in place of the margin of moves alone); a new program is held only where no candidate has room.

--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -14,26 +14,35 @@
 	admissionFill = 0.95
 )
 
-// deferral returns how long the first call of a program waits before it is
-// placed, or zero. A program that has cache nowhere yet is held back while the
-// engine has no room for it: admitted, it would push out the cache of programs
-// under way, which then compute it again.
-func deferral(now time.Time, engine *Engine, request *Request) time.Duration {
-	if request.underWay() || engine.CacheCapacityTokens == 0 {
-		return 0
-	}
-	held := now.Sub(request.Started)
+// admitting returns the candidates that a program may be placed on: all of them
+// for a program under way, and those with room for what it will grow to for a
+// new one. Admitted without room, it would push out the cache of programs under
+// way, which then compute it again. A program that was held for its share of the
+// time to its deadline is let in anywhere.
+func admitting(now time.Time, snapshot *Snapshot, request *Request, drawn []int) []int {
 	limit := time.Duration(admissionShare * float64(request.Deadline.Sub(request.Started)))
-	if request.Deadline.IsZero() || held >= limit {
-		return 0
+	if request.underWay() || request.Deadline.IsZero() || now.Sub(request.Started) >= limit {
+		return drawn
+	}
+	var found []int
+	for _, index := range drawn {
+		if hasRoom(&snapshot.Engines[index], request) {
+			found = append(found, index)
+		}
+	}
+	return found
+}
+
+// hasRoom reports whether the engine's memory holds a new program of the
+// request's name until its end. What an engine does not report is taken to do.
+func hasRoom(engine *Engine, request *Request) bool {
+	if engine.CacheCapacityTokens == 0 {
+		return true
 	}
 	growth := request.ExpectedGrowth
 	if growth == 0 {
 		growth = unknownGrowth
 	}
 	need := request.PromptTokens + request.MaxAnswerTokens + growth + engine.OwnQueuedTokens
-	if float64(engine.CacheUsedTokens+need) <= admissionFill*float64(engine.CacheCapacityTokens) {
-		return 0
-	}
-	return admissionInterval
+	return float64(engine.CacheUsedTokens+need) <= admissionFill*float64(engine.CacheCapacityTokens)
 }
--- a/internal/schedule/admission_test.go
+++ b/internal/schedule/admission_test.go
@@ -9,24 +9,44 @@
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-func TestNewProgramsAreHeldWhileMemoryIsFull(t *testing.T) {
+func TestNewProgramsNeedRoomToGrow(t *testing.T) {
 	engine, request := idleEngine("one"), testRequest()
-	require.Zero(t, deferral(testNow, &engine, request), "there is room")
-	engine.CacheUsedTokens = 90_000
-	require.Equal(t, admissionInterval, deferral(testNow, &engine, request))
 	engine.CacheUsedTokens = 80_000
-	require.Zero(t, deferral(testNow, &engine, request))
+	require.True(t, hasRoom(&engine, request))
 	request.ExpectedGrowth = 20_000
-	require.Equal(t, admissionInterval, deferral(testNow, &engine, request), "programs of its name grow long")
+	require.False(t, hasRoom(&engine, request), "programs of its name grow long")
+	request.ExpectedGrowth = 0
+	engine.CacheUsedTokens = 90_000
+	require.False(t, hasRoom(&engine, request))
 	engine.OwnQueuedTokens, engine.CacheUsedTokens = 90_000, 0
-	require.Equal(t, admissionInterval, deferral(testNow, &engine, request), "what was sent since the report counts")
+	require.False(t, hasRoom(&engine, request), "what was sent since the report counts")
 	engine.CacheCapacityTokens = 0
-	require.Zero(t, deferral(testNow, &engine, request), "nothing is known of the engine's memory")
+	require.True(t, hasRoom(&engine, request), "nothing is known of the engine's memory")
+}
+
+// fullEngines has no room for a new program anywhere.
+func fullEngines() *Snapshot {
+	snapshot := threeEngines()
+	for index := range snapshot.Engines {
+		snapshot.Engines[index].CacheUsedTokens = snapshot.Engines[index].CacheCapacityTokens
+	}
+	return snapshot
+}
+
+func TestNewProgramsAreHeldOnlyWhereNoEngineHasRoom(t *testing.T) {
+	snapshot := fullEngines()
+	require.Equal(t, admissionInterval, chosen(t, "program-aware", snapshot, testRequest()).Defer)
+	snapshot.Engines[1].CacheUsedTokens = 0
+	snapshot.Engines[1].Running = 15
+	choice := chosen(t, "program-aware", snapshot, testRequest())
+	require.Zero(t, choice.Defer)
+	require.Equal(t, structs.EngineID("two"), choice.Engine)
+	for _, baseline := range []string{"affinity", "least-loaded", "random-two", "round-robin"} {
+		require.Zero(t, chosen(t, baseline, fullEngines(), testRequest()).Defer, baseline)
+	}
 }
 
 func TestProgramsUnderWayAreNeverHeld(t *testing.T) {
-	engine := idleEngine("one")
-	engine.CacheUsedTokens = engine.CacheCapacityTokens
 	changes := map[string]func(*Request){
 		"served before":      func(r *Request) { r.Received = time.Second },
 		"sub-agent":          func(r *Request) { r.ParentEngine = "two" },
@@ -35,16 +55,17 @@
 	}
 	for name, change := range changes {
 		request := testRequest()
-		require.Positive(t, deferral(testNow, &engine, request))
 		change(request)
-		require.Zero(t, deferral(testNow, &engine, request), name)
+		require.Zero(t, chosen(t, "program-aware", fullEngines(), request).Defer, name)
 	}
 }
 
 func TestHoldingEndsBeforeTheDeadline(t *testing.T) {
-	engine, request := idleEngine("one"), testRequest()
-	engine.CacheUsedTokens = engine.CacheCapacityTokens
+	request := testRequest()
 	half := request.Started.Add(request.Deadline.Sub(request.Started) / 2)
-	require.Positive(t, deferral(half.Add(-time.Millisecond), &engine, request))
-	require.Zero(t, deferral(half, &engine, request))
+	for at, held := range map[time.Time]time.Duration{half.Add(-time.Millisecond): admissionInterval, half: 0} {
+		choice, err := policyOf(t, "program-aware").Choose(at, fullEngines(), request, testRandom())
+		require.NoError(t, err)
+		require.Equal(t, held, choice.Defer)
+	}
 }
--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -17,9 +17,10 @@
 	MovePerToken time.Duration
 	// MoveFixed is the time to set a copy up.
 	MoveFixed time.Duration
-	// MoveMargin is how much a move must save: the saving is a prediction from
-	// late reports, and a program that moves often has no home.
-	MoveMargin time.Duration
+	// LeaveMargin is how much leaving the engine with the longest prefix must
+	// save: the saving is a prediction from late reports that hold for one call,
+	// and a program that changes engines often has its cache nowhere.
+	LeaveMargin time.Duration
 	// AnswerTokens is the length of a usual answer.
 	AnswerTokens int64
 	// MaxBatch stands in for engines that report none.
@@ -35,7 +36,7 @@
 		PrefillPerToken:        50 * time.Microsecond,
 		MovePerToken:           5 * time.Microsecond,
 		MoveFixed:              20 * time.Millisecond,
-		MoveMargin:             2 * time.Second,
+		LeaveMargin:            4 * time.Second,
 		AnswerTokens:           100,
 		MaxBatch:               32,
 	}
--- a/internal/schedule/program_aware.go
+++ b/internal/schedule/program_aware.go
@@ -54,16 +54,29 @@
 	if err != nil {
 		return Choice{}, err
 	}
+	drawn := candidates(snapshot, request, passed, random)
+	withRoom := drawn
+	if p.options.admission {
+		withRoom = admitting(now, snapshot, request, drawn)
+	}
+	if len(withRoom) == 0 {
+		return p.choice(now, snapshot, p.cheapest(now, snapshot, request, drawn), request, admissionInterval)
+	}
+	return p.choice(now, snapshot, p.cheapest(now, snapshot, request, withRoom), request, 0)
+}
+
+// cheapest returns the candidate with the lowest predicted cost.
+func (p *programAware) cheapest(now time.Time, snapshot *Snapshot, request *Request, drawn []int) *Engine {
 	var best *Engine
 	var lowest time.Duration
-	for _, index := range candidates(snapshot, request, passed, random) {
+	for _, index := range drawn {
 		engine := &snapshot.Engines[index]
 		cost := p.cost(now, engine, request)
 		if best == nil || cost < lowest {
 			best, lowest = engine, cost
 		}
 	}
-	return p.choice(now, snapshot, best, request)
+	return best
 }
 
 func (p *programAware) cost(now time.Time, engine *Engine, request *Request) time.Duration {
@@ -89,10 +102,12 @@
 	return passed[:known+len(sampled)]
 }
 
-// choice fills in the hints for the chosen engine. The error is a
+// choice fills in the hints for the chosen engine; held is how long to hold the
+// call back first. The error is a
 // *failure.Overloaded where the call could not start before the deadline.
-func (p *programAware) choice(now time.Time, snapshot *Snapshot, engine *Engine, request *Request) (Choice, error) {
+func (p *programAware) choice(now time.Time, snapshot *Snapshot, engine *Engine, request *Request, held time.Duration) (Choice, error) {
 	made := plainChoice(engine)
+	made.Defer = held
 	tokens := missing(engine, request)
 	wait := predictedWait{&p.model}.Score(now, engine, request)
 	if source, held := p.moveSource(snapshot, engine, request); held > 0 {
@@ -104,9 +119,6 @@
 	if late := beyondDeadline(now, request, made.PredictedWait); late > 0 {
 		return Choice{}, &failure.Overloaded{Resource: "engines", Wait: late}
 	}
-	if p.options.admission {
-		made.Defer = deferral(now, engine, request)
-	}
 	if p.options.order {
 		made.Priority = enginePriority(request)
 	}
--- a/internal/schedule/score_test.go
+++ b/internal/schedule/score_test.go
@@ -53,8 +53,8 @@
 	engine.Running = 10
 	without := cacheAffinity{&model, false}.Score(testNow, &engine, request)
 	with := cacheAffinity{&model, true}.Score(testNow, &engine, request)
-	require.Less(t, with, without/2)
-	request.Cached["two"] = 200
+	require.Less(t, with-model.LeaveMargin, (without-model.LeaveMargin)/2)
+	request.Cached["two"] = 10
 	require.Equal(t, cacheAffinity{&model, false}.Score(testNow, &engine, request), cacheAffinity{&model, true}.Score(testNow, &engine, request), "too little to move")
 }
 
@@ -162,3 +162,13 @@
 	request.Cached = map[structs.EngineID]int64{"one": 9_000}
 	require.Equal(t, structs.EngineID("one"), chosen(t, "program-aware", snapshot, request).Engine, "its own cache counts more")
 }
+
+func TestProgramsLeaveTheirCacheOnlyForMuch(t *testing.T) {
+	snapshot, request := threeEngines(), testRequest()
+	request.Cached = map[structs.EngineID]int64{"one": 900}
+	snapshot.Engines[0].Running = 14
+	snapshot.Engines[1].Running = 1
+	require.Equal(t, structs.EngineID("one"), chosen(t, "program-aware", snapshot, request).Engine)
+	snapshot.Engines[0].Waiting = 200
+	require.Equal(t, structs.EngineID("two"), chosen(t, "program-aware", snapshot, request).Engine)
+}
