--- a/internal/emulator/batch_test.go
+++ b/internal/emulator/batch_test.go
@@ -1,30 +1,21 @@
 package emulator
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 const batchModel = structs.ModelName("swap-agent")
 
 // TestMain gives property tests a fixed seed, unless a flag says otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		if err := seed.Value.Set("20261202"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzseed.Main(m, fuzzseed.Seed("20261202")) }
 
 func testBatch(cacheTokens int64, maxBatch int) *batch {
 	config := EngineConfig{
--- a/internal/executor/live_test.go
+++ b/internal/executor/live_test.go
@@ -1,26 +1,17 @@
 package executor
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20260101"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzseed.Main(m, fuzzseed.Seed("20260101")) }
 
 // Whatever is written twice, restarted or read in between, a reader that
 // follows restarts holds the text of the current attempt, and in the end the
--- a/internal/journal/check_test.go
+++ b/internal/journal/check_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 )
 
 // histories is for each profile of TestSeededSchedules.
@@ -15,18 +16,7 @@
 // TestMain fixes rapid's seed, so that every run gives the same verdict.
 // -rapid.seed and -rapid.checks ask for other and longer runs.
 func TestMain(m *testing.M) {
-	const seed, checks = "20260101", "60"
-	given := map[string]bool{}
-	flag.Parse()
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	fuzzseed.Main(m, fuzzseed.Defaults{"rapid.seed": "20260101", "rapid.checks": "60", "rapid.nofailfile": "true"})
 }
 
 // Sizes of the checks.
--- a/internal/operator/race_test.go
+++ b/internal/operator/race_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,20 +12,13 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/declaration"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // TestMain fixes the seed of rapid; -rapid.seed and -rapid.checks take over.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20260101"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzseed.Main(m, fuzzseed.Seed("20260101")) }
 
 type seeded struct{ *rand.Rand }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,16 +10,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// init fixes the seed, so that each run gives the same verdict; the flag
+// TestMain fixes the seed, so that each run gives the same verdict; the flag
 // -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20260102"); err != nil {
-		panic(err)
-	}
-}
+func TestMain(m *testing.M) { fuzzseed.Main(m, fuzzseed.Seed("20260102")) }
 
 func TestPermitIsByKindOfData(t *testing.T) {
 	policy := Policy{HistoryZones: []structs.ZoneName{"a"}, CacheZones: []structs.ZoneName{"b"}}
--- a/internal/program/model_test.go
+++ b/internal/program/model_test.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,17 +12,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
-// init fixes the seed, so that each run gives the same verdict. The flags
+// TestMain fixes the seed, so that each run gives the same verdict. The flags
 // override it: -rapid.checks and -rapid.steps for long runs, -rapid.seed.
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20260102", "rapid.checks": "300", "rapid.steps": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+func TestMain(m *testing.M) {
+	fuzzseed.Main(m, fuzzseed.Defaults{"rapid.seed": "20260102", "rapid.checks": "300", "rapid.steps": "100"})
 }
 
 // command is one request, to the machine and to the oracle.
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -1,23 +1,20 @@
 package proof
 
 import (
-	"flag"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 )
 
 const hostileSteps = 12_000
 
-// init fixes the seed, so that each run gives the same verdict. The flags
+// TestMain fixes the seed, so that each run gives the same verdict. The flags
 // override it: -rapid.checks for long runs, -rapid.seed for other ones.
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20260102", "rapid.checks": "150", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+func TestMain(m *testing.M) {
+	fuzzseed.Main(m, fuzzseed.Defaults{"rapid.seed": "20260102", "rapid.checks": "150", "rapid.nofailfile": "true"})
 }
 
 func (r *Report) add(other Report) {
--- a/internal/schedule/main_test.go
+++ b/internal/schedule/main_test.go
@@ -1,16 +1,10 @@
 package schedule
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/barleyshelf/barleyshelf/internal/fuzzseed"
 )
 
 // TestMain fixes the seed of the property tests: the same verdict on every run.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzseed.Main(m, fuzzseed.Seed("1")) }
