membership: zones that no link path connects link directly

Change: a zone links directly with each zone that it has no path from, until the regular links give one. Tests with 4 to 9 zones.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -203,10 +204,25 @@
 
 func (w silentWatch) Close() error { return nil }
 
-type loneMember struct{ announced []uint64 }
+// loneMember is a daemon without others; it keeps what it would tell them.
+type loneMember struct {
+	mutex     sync.Mutex
+	announced []uint64
+}
+
+func (l *loneMember) Members() []structs.Node { return nil }
 
-func (l *loneMember) Members() []structs.Node       { return nil }
-func (l *loneMember) DocumentChanged(before uint64) { l.announced = append(l.announced, before) }
+func (l *loneMember) DocumentChanged(before uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.announced = append(l.announced, before)
+}
+
+func (l *loneMember) told() []uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.announced)
+}
 
 func TestFeedOutlastsAPlatformThatFailsLagsAndLosesChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -223,7 +239,7 @@
 		require.Equal(t, uint64(7), store.Version(), "the lagging answer was dropped")
 		time.Sleep(30 * time.Second)
 		require.Equal(t, uint64(8), store.Version())
-		require.Equal(t, []uint64{0, 7}, peers.announced)
+		require.Equal(t, []uint64{0, 7}, peers.told())
 		cancel()
 		<-done
 	})
--- a/internal/membership/links.go
+++ b/internal/membership/links.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// deriveDetours links this zone directly with each zone that no path of links
+// leads from: what cut the links may have left the zones themselves connected.
+func (s *State) deriveDetours(t *topology) {
+	self := s.members[s.options.Self.ID]
+	own := s.options.Self.Zone
+	for _, zone := range t.zones {
+		if _, linked := t.pairs[zonePair{zone, own}]; linked || zone == own || !s.pathless[zone] {
+			continue
+		}
+		t.detours[zone] = true
+		pair := zonePair{min(own, zone), max(own, zone)}
+		ends, others := s.endsOf(own, pair), s.endsOf(zone, pair)
+		for i := 0; i < max(len(ends), len(others)); i++ {
+			t.addLink(self, ends[i%len(ends)], others[i%len(others)])
+		}
+	}
+}
+
 func (t *topology) addLink(self, end, other *member) {
 	if end == self && !slices.Contains(t.links, other) {
 		t.links = append(t.links, other)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -57,7 +57,11 @@
 	heardElsewhere time.Time
 	cut            map[structs.ZoneName]bool
 	zonesStale     bool
-	names          map[string]string
+	// pathless are the zones that no path of regular links leads from; a change
+	// of them sets detoursStale.
+	pathless     map[structs.ZoneName]bool
+	detoursStale bool
+	names        map[string]string
 
 	pending     []pendingFact
 	nextFlush   time.Time
@@ -159,6 +163,11 @@
 	if s.zonesStale {
 		s.checkZones()
 	}
+	if s.detoursStale {
+		s.detoursStale = false
+		s.derived = nil
+		s.topology()
+	}
 	s.checkAccusations()
 	if len(s.pending) > 0 && !now.Before(s.nextFlush) {
 		s.flush()
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -155,6 +155,34 @@
 	}
 }
 
+func TestRegionsThatLoseEachOtherRemoveNobody(t *testing.T) {
+	for zones := 4; zones <= 9; zones++ {
+		s := newSimulation(uint64(zones), 4*zones, zones)
+		s.run(8 * time.Second)
+		far := func(p *peer) bool { return int(p.node.Zone[1]-'0') >= zones/2 }
+		for _, p := range s.peers {
+			s.rack[p] = far(p)
+		}
+		s.run(30 * time.Second)
+		for _, viewer := range s.peers {
+			for _, subject := range s.peers {
+				node, _ := viewer.state.Node(subject.node.ID)
+				want := structs.NodeAlive
+				if far(viewer) != far(subject) {
+					want = structs.NodeSuspect
+				}
+				require.Equal(t, want, node.State, "%d zones: %s at %s", zones, subject.node.ID, viewer.node.ID)
+			}
+		}
+		clear(s.rack)
+		s.run(10 * time.Second)
+		require.Empty(t, s.disagreement())
+		for _, p := range s.peers {
+			require.Zero(t, p.removed)
+		}
+	}
+}
+
 func TestRackThatWasCutOffRemovesNobody(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		s := newSimulation(seed, 24, 2)
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -38,6 +38,9 @@
 	// pairs maps each two neighbouring zones, in both directions, to the
 	// receiving ends of their links.
 	pairs map[zonePair][]*member
+	// detours are zones without a path of links from here, with which this
+	// zone tries to link directly.
+	detours map[structs.ZoneName]bool
 }
 
 // topology returns the topology of the present members.
@@ -51,7 +54,7 @@
 
 func (s *State) deriveTopology() *topology {
 	byZone := s.byZone
-	t := &topology{pairs: map[zonePair][]*member{}}
+	t := &topology{pairs: map[zonePair][]*member{}, detours: map[structs.ZoneName]bool{}}
 	for zone := range byZone {
 		t.zones = append(t.zones, zone)
 	}
@@ -60,6 +63,7 @@
 	t.watchers = s.watchersOf(own, byZone)
 	t.watched = s.watchedBy(own, byZone)
 	s.deriveLinks(t)
+	s.deriveDetours(t)
 	t.neighbours = slices.Clone(t.watchers)
 	for _, link := range t.links {
 		if !slices.Contains(t.neighbours, link) {
--- a/internal/membership/zone.go
+++ b/internal/membership/zone.go
@@ -34,7 +34,7 @@
 	for _, peer := range s.derived.links {
 		wanted[peer.node.ID] = true
 		if _, known := s.links[peer.node.ID]; !known {
-			s.links[peer.node.ID] = &link{heard: s.now}
+			s.links[peer.node.ID] = s.newLink(peer)
 		}
 	}
 	for id := range s.links {
@@ -45,6 +45,15 @@
 	s.checkZones()
 }
 
+// newLink takes a regular link for open until it is silent for long, and a
+// detour for cut until something comes.
+func (s *State) newLink(peer *member) *link {
+	if s.derived.detours[peer.node.Zone] {
+		return &link{}
+	}
+	return &link{heard: s.now}
+}
+
 func (s *State) linkAlive(from *member) {
 	if l, linked := s.links[from.node.ID]; linked {
 		l.heard = s.now
@@ -77,7 +86,8 @@
 	if cut {
 		value = linkCut
 	}
-	if held == nil && !cut || held != nil && string(held.value) == value {
+	unsaid := held == nil && !cut && !s.derived.detours[from]
+	if unsaid || held != nil && string(held.value) == value && held.major >= uint64(s.options.Self.Incarnation) {
 		return
 	}
 	next := version{major: uint64(s.options.Self.Incarnation), minor: 1}
@@ -100,37 +110,60 @@
 // a zone that was cut off comes back whole.
 func (s *State) checkZones() {
 	s.zonesStale = false
-	reached := s.reachedZones()
+	regular := s.reachedZones(nil)
+	s.updatePathless(regular)
+	reached := s.reachedZones(regular)
 	for _, zone := range s.derived.zones {
-		cut := !reached[zone]
-		if cut == s.cut[zone] {
-			continue
+		if cut := !reached[zone]; cut != s.cut[zone] {
+			s.setCut(zone, cut)
 		}
-		kind := ZoneReachable
-		delete(s.cut, zone)
-		if cut {
-			kind = ZoneUnreachable
-			s.cut[zone] = true
+	}
+}
+
+func (s *State) updatePathless(regular map[structs.ZoneName]bool) {
+	pathless := map[structs.ZoneName]bool{}
+	for _, zone := range s.derived.zones {
+		if !regular[zone] {
+			pathless[zone] = true
 		}
-		s.emit(Event{Kind: kind, Zone: zone})
-		for _, id := range sortedKeys(s.members) {
-			if m := s.members[id]; m.node.Zone == zone {
-				s.report(m, false)
-			}
+	}
+	if !maps.Equal(pathless, s.pathless) {
+		s.pathless = pathless
+		s.detoursStale = true
+	}
+}
+
+func (s *State) setCut(zone structs.ZoneName, cut bool) {
+	kind := ZoneReachable
+	delete(s.cut, zone)
+	if cut {
+		kind = ZoneUnreachable
+		s.cut[zone] = true
+	}
+	s.emit(Event{Kind: kind, Zone: zone})
+	for _, id := range sortedKeys(s.members) {
+		if m := s.members[id]; m.node.Zone == zone {
+			s.report(m, false)
 		}
 	}
 }
 
-// reachedZones walks the working links backwards from this daemon's zone.
-func (s *State) reachedZones() map[structs.ZoneName]bool {
+// reachedZones walks the working links backwards from this daemon's zone. With
+// the zones that regular links reach it takes detours from the others as well.
+func (s *State) reachedZones(regular map[structs.ZoneName]bool) map[structs.ZoneName]bool {
 	reached := map[structs.ZoneName]bool{s.options.Self.Zone: true}
 	frontier := []structs.ZoneName{s.options.Self.Zone}
 	for len(frontier) > 0 {
 		to := frontier[0]
 		frontier = frontier[1:]
 		for _, from := range s.derived.zones {
+			if reached[from] {
+				continue
+			}
 			pair := zonePair{from, to}
-			if _, linked := s.derived.pairs[pair]; linked && !reached[from] && !s.pairCut(pair) {
+			_, linked := s.derived.pairs[pair]
+			detour := regular != nil && !regular[from] && !linked && s.detourOpen(pair)
+			if linked && !s.pairCut(pair) || detour {
 				reached[from] = true
 				frontier = append(frontier, from)
 			}
@@ -139,6 +172,18 @@
 	return reached
 }
 
+// detourOpen reports whether a receiving end of a detour says that it hears.
+func (s *State) detourOpen(pair zonePair) bool {
+	named := zonePair{min(pair.from, pair.to), max(pair.from, pair.to)}
+	for _, witness := range s.endsOf(pair.to, named) {
+		held := s.facts.get(linkKey(pair, witness.node.ID))
+		if held != nil && string(held.value) == linkOpen && held.major >= uint64(witness.node.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // pairCut reports whether every receiving end reports the pair's links cut.
 func (s *State) pairCut(pair zonePair) bool {
 	for _, witness := range s.derived.pairs[pair] {
