--- a/internal/lab/demo/routine.go
+++ b/internal/lab/demo/routine.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -26,7 +27,8 @@
 	departureSpan = 6 * time.Second
 )
 
-// plannedStop stops a daemon in an orderly way and starts it again.
+// plannedStop stops a daemon in an orderly way and starts it again. The error
+// says that the stop did not end in time, or that the daemon did not start.
 func (b *bench) plannedStop(ctx context.Context, member *topology.Member) error {
 	b.awaitRequests(ctx, member)
 	stop := promise.PlannedStop{Daemon: member.Spec.Node, Begun: time.Now()}
@@ -38,11 +40,8 @@
 	b.evidence.Stops = append(b.evidence.Stops, stop)
 	b.mutex.Unlock()
 	b.progress("planned stop of %s took %s", member.Spec.Node, stop.Done.Sub(stop.Begun).Round(time.Millisecond))
-	if err != nil {
-		return err
-	}
 	b.impair(member.Spec.Node, stop.Begun, time.Now())
-	return member.Start(ctx)
+	return cmp.Or(err, member.Start(ctx))
 }
 
 // awaitRequests returns when the daemon has requests in progress, so that its
