Record a call and its first start in one entry

Cause: two commits, one after the other, stood before the first token of a model call. Change: a call that is the next one is started in the entry that accepts it, with the engine chosen before; where another record comes in between it is accepted alone, as before. Shares of rates are encoded once; connections to peers are pinged each 5 s instead of 2.

--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -36,25 +34,11 @@
 		if !known {
 			continue
 		}
-		encoded, err := each.Message.MarshalBinary()
-		if err != nil {
-			continue
-		}
-		message := &limitv1.Message{}
-		if proto.Unmarshal(encoded, message) == nil {
-			d.peers.SendLimit(address, message)
-		}
+		d.peers.SendLimit(address, each.Message.Proto())
 	}
 }
 
 // ReceiveLimit takes shares of tenants' rates.
 func (d *Daemon) ReceiveLimit(wire *limitv1.Message) {
-	encoded, err := proto.Marshal(wire)
-	if err != nil {
-		return
-	}
-	message := limit.Message{}
-	if message.UnmarshalBinary(encoded) == nil {
-		d.sendShares(d.shares.Receive(time.Now(), message))
-	}
+	d.sendShares(d.shares.Receive(time.Now(), limit.MessageOf(wire)))
 }
--- a/internal/executor/local.go
+++ b/internal/executor/local.go
@@ -95,19 +95,21 @@
 	if err := decodeBody(op.body, &body); err != nil {
 		return err
 	}
-	request, err := s.admitCall(op, body.Request)
+	admitted, err := s.admitCall(op, body.Request)
 	if err != nil {
 		return err
 	}
-	accept := func(now time.Time, machine *program.Machine) (program.Decision, error) {
-		return machine.Accept(now, request)
-	}
-	if _, err := s.mutate(ctx, accept, op.program); err != nil {
+	accept := acceptance(admitted.request, admitted.attempt, admitted.status)
+	decision, err := s.mutate(ctx, accept, op.program)
+	if err != nil {
 		return err
 	}
 	if err := s.tookEffect(accept); err != nil {
 		return err
 	}
+	if !decision.Repeat {
+		s.beginAttempt(op.tenant, admitted.attempt)
+	}
 	return s.followAnswer(ctx, op, body.Request.Number, sink)
 }
 
@@ -124,9 +126,17 @@
 	})
 }
 
+// admittedCall is a call that may be recorded.
+type admittedCall struct {
+	request program.CallRequest
+	status  program.Status
+	// attempt is the call's first one; nil where it cannot be started at once.
+	attempt *modelAttempt
+}
+
 // admitCall checks a call against the declarations in force and gives it the
 // declared bounds. A call that the journal has already is not checked again.
-func (s *shard) admitCall(op operation, request caller.CallRequest) (program.CallRequest, error) {
+func (s *shard) admitCall(op operation, request caller.CallRequest) (admittedCall, error) {
 	hash := xxhash.Sum64(encodeBody(request))
 	status, repeated := program.Status{}, false
 	err := s.inspect(func(machine *program.Machine) error {
@@ -138,10 +148,11 @@
 	if err == nil && !repeated {
 		err = permittedCall(s.executor.options.Configuration(), status, &request)
 	}
+	var attempt *modelAttempt
 	if err == nil && !repeated {
-		err = s.roomFor(status, request)
+		attempt, err = s.firstAttempt(op.tenant, status, request)
 	}
-	return callRequest(op, request, hash), err
+	return admittedCall{request: callRequest(op, request, hash), status: status, attempt: attempt}, err
 }
 
 func callRequest(op operation, request caller.CallRequest, hash uint64) program.CallRequest {
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -38,34 +38,56 @@
 	taken bool
 }
 
-// runModel runs a model call to its end, over as many attempts as it takes.
+// runModel runs a model call to its end.
 func (w *worker) runModel(call *program.Call, started bool) error {
-	excluded := map[structs.EngineID]bool{}
-	for {
-		attempt, err := w.prepare(call, started)
-		if err != nil {
+	attempt, err := w.prepare(call, started)
+	if err != nil {
+		return err
+	}
+	if !started {
+		if done, err := w.beginModel(attempt, nil); done || err != nil {
 			return err
 		}
-		if !started {
-			if done, err := w.beginModel(attempt, excluded); done || err != nil {
-				return err
-			}
-		}
+	}
+	return w.followModel(attempt)
+}
+
+// followModel follows a started attempt, and the attempts that take its place,
+// to the call's end.
+func (w *worker) followModel(attempt *modelAttempt) error {
+	excluded := map[structs.EngineID]bool{}
+	for {
 		again, err := w.streamModel(attempt)
 		if err != nil || !again {
 			return err
 		}
 		excluded[structs.EngineID(attempt.call.TargetID)] = true
-		started = false
-		if refused, err := w.awaitRetry(call); refused || err != nil {
-			return err
-		}
-		if call, err = w.callNow(call.Number); err != nil || call.State.Final() {
+		attempt, err = w.nextAttempt(attempt.call, excluded)
+		if err != nil || attempt == nil {
 			return err
 		}
 	}
 }
 
+// nextAttempt starts the call once more; nil says that the call has ended.
+func (w *worker) nextAttempt(lost *program.Call, excluded map[structs.EngineID]bool) (*modelAttempt, error) {
+	if refused, err := w.awaitRetry(lost); refused || err != nil {
+		return nil, err
+	}
+	call, err := w.callNow(lost.Number)
+	if err != nil || call.State.Final() {
+		return nil, err
+	}
+	attempt, err := w.prepare(call, false)
+	if err != nil {
+		return nil, err
+	}
+	if done, err := w.beginModel(attempt, excluded); done || err != nil {
+		return nil, err
+	}
+	return attempt, nil
+}
+
 // awaitRetry waits until the daemon's retries leave room for one more. A call for
 // which there is none in time is refused.
 func (w *worker) awaitRetry(call *program.Call) (refused bool, err error) {
@@ -121,17 +143,7 @@
 		return true, w.refuse(attempt.call, err)
 	}
 	attempt.choice = choice
-	w.shard.liveFor(attempt.call)
-	started, err := w.start(program.StartRequest{
-		Program:           attempt.call.Program,
-		Number:            attempt.call.Number,
-		TargetID:          string(choice.Engine),
-		TargetIncarnation: choice.Incarnation,
-		TargetAddress:     choice.Address,
-		DispatchKey:       dispatchKey(attempt.call),
-		Reserve:           attempt.reservation(status.Left),
-		Hold:              true,
-	})
+	started, err := w.start(attempt.startRequest(status.Left))
 	if refusable(err) {
 		return true, w.refuse(attempt.call, err)
 	}
@@ -142,6 +154,32 @@
 	return false, nil
 }
 
+// startRequest announces the attempt, with what is left of the budget given.
+func (a *modelAttempt) startRequest(left structs.Amount) program.StartRequest {
+	return program.StartRequest{
+		Program:           a.call.Program,
+		Number:            a.call.Number,
+		TargetID:          string(a.choice.Engine),
+		TargetIncarnation: a.choice.Incarnation,
+		TargetAddress:     a.choice.Address,
+		DispatchKey:       dispatchKey(a.call),
+		Reserve:           a.reservation(left),
+		Hold:              true,
+	}
+}
+
+// prospect describes the attempt to the scheduler.
+func (a *modelAttempt) prospect() prospect {
+	return prospect{
+		model:           structs.ModelName(a.call.Target),
+		adapter:         a.call.Adapter,
+		promptTokens:    a.prompt,
+		maxAnswerTokens: a.call.MaxAnswerTokens,
+		pauseHint:       a.call.ExpectedPause,
+		firstInput:      a.segments[0],
+	}
+}
+
 // reservation is the most that the attempt can cost. Its time is bounded by
 // what is left, and the attempt is stopped when that is over.
 func (a *modelAttempt) reservation(left structs.Amount) structs.Amount {
@@ -158,14 +196,7 @@
 // there; reports of engines are late.
 func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) (schedule.Choice, error) {
 	deadline := time.Now().Add(engineSearchTimeout)
-	request := w.shard.scheduleRequest(status, prospect{
-		model:           structs.ModelName(attempt.call.Target),
-		adapter:         attempt.call.Adapter,
-		promptTokens:    attempt.prompt,
-		maxAnswerTokens: attempt.call.MaxAnswerTokens,
-		pauseHint:       attempt.call.ExpectedPause,
-		firstInput:      attempt.segments[0],
-	})
+	request := w.shard.scheduleRequest(status, attempt.prospect())
 	request.Exclude = excluded
 	for {
 		choice, err := w.shard.executor.choose(request)
@@ -274,6 +305,9 @@
 	if err := w.notRunOrUnknown(call, request); err != nil {
 		return false, err
 	}
+	if request.Final {
+		w.shard.endLive(call)
+	}
 	eventAttemptLost.Log("program", call.Program, "call", call.Number, "attempt", call.Attempt,
 		"engine", call.TargetID, "failure", known.Type(), "final", request.Final)
 	return !request.Final, nil
--- a/internal/executor/read.go
+++ b/internal/executor/read.go
@@ -12,7 +12,7 @@
 // answerView is one look at a call's answer.
 type answerView struct {
 	answer program.Answer
-	// live is the text so far of a call under way; nil before its first byte.
+	// live is the text so far of a started model call; nil otherwise.
 	live *liveAnswer
 	// changed is closed at the program's next record.
 	changed <-chan struct{}
@@ -49,7 +49,9 @@
 			return err
 		}
 		view.answer = answer
-		view.live = s.live[callKey{op.program, number}]
+		if answer.State == program.Started && answer.Kind == program.ModelCall {
+			view.live = s.liveOf(callKey{op.program, number})
+		}
 		view.changed = s.watch(op.program)
 		view.over = s.context.Done()
 		return nil
--- a/internal/executor/scheduling.go
+++ b/internal/executor/scheduling.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"github.com/barleyshelf/barleyshelf/internal/caller"
-	"github.com/barleyshelf/barleyshelf/internal/engine"
-	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -76,22 +73,3 @@
 	}
 	return note.sharedPrefix
 }
-
-// roomFor refuses a model call that no engine has room for before its deadline,
-// while nothing is recorded of it yet and the same call may be sent again.
-func (s *shard) roomFor(status program.Status, request caller.CallRequest) error {
-	if request.Kind != caller.CallModel {
-		return nil
-	}
-	s.notePause(status)
-	_, err := s.executor.choose(s.scheduleRequest(status, prospect{
-		model:           structs.ModelName(request.Target),
-		adapter:         request.Adapter,
-		promptTokens:    status.HistoryTokens + engine.TokenCount(request.Input),
-		maxAnswerTokens: request.MaxAnswerTokens,
-	}))
-	if failure.IsType(err, (&failure.Overloaded{}).Type()) {
-		return err
-	}
-	return nil
-}
--- a/internal/executor/shard_live.go
+++ b/internal/executor/shard_live.go
@@ -6,7 +6,11 @@
 func (s *shard) liveFor(call *program.Call) *liveAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	key := callKey{call.Program, call.Number}
+	return s.liveOf(callKey{call.Program, call.Number})
+}
+
+// liveOf is liveFor with the mutex held.
+func (s *shard) liveOf(key callKey) *liveAnswer {
 	live, exists := s.live[key]
 	if !exists {
 		live = newLiveAnswer()
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -17,11 +17,12 @@
 	program structs.ProgramID
 	// context ends with the leadership.
 	context context.Context
-	// again is set when there may be new work; guarded by the shard's mutex.
-	again bool
 	// resume is a started call without an end, taken over from an earlier
 	// leader; guarded by the shard's mutex.
 	resume *program.Call
+	// begun is an attempt whose start is committed and that is to be sent;
+	// guarded by the shard's mutex.
+	begun *modelAttempt
 }
 
 // startWorker makes sure that the program's calls are being dispatched.
@@ -37,55 +38,77 @@
 	if s.term == 0 {
 		return
 	}
-	if running, exists := s.workers[id]; exists {
-		running.again = true
+	s.putToWork(&worker{shard: s, tenant: tenant, program: id, context: s.context, resume: started})
+}
+
+// putToWork starts the worker, or leaves what it was to begin with to the one
+// that the program has already. The mutex is held.
+func (s *shard) putToWork(created *worker) {
+	if running, exists := s.workers[created.program]; exists {
+		if created.begun != nil {
+			running.begun = created.begun
+		}
 		return
 	}
-	created := &worker{shard: s, tenant: tenant, program: id, context: s.context, resume: started}
-	s.workers[id] = created
+	s.workers[created.program] = created
 	s.executor.task(created.run)
 }
 
+// task is what a worker does next.
+type task struct {
+	call *program.Call
+	// started says that an earlier leader started the call.
+	started bool
+	// begun is the attempt to follow, where its start is committed already.
+	begun *modelAttempt
+}
+
 func (w *worker) run() {
 	for {
-		call, started := w.next()
-		if call == nil {
+		next, found := w.next()
+		if !found {
 			return
 		}
-		if err := w.dispatch(call, started); err != nil {
+		if err := w.perform(next); err != nil {
 			w.pauseAfter(err)
 		}
 	}
 }
 
-// next returns the call to work on, and whether an earlier leader started it.
-// It returns nil, and the worker is gone, when there is none.
-func (w *worker) next() (call *program.Call, started bool) {
+func (w *worker) perform(next task) error {
+	switch {
+	case next.begun != nil:
+		return w.followModel(next.begun)
+	case next.call.Kind == program.ToolCall:
+		return w.runTool(next.call, next.started)
+	}
+	return w.runModel(next.call, next.started)
+}
+
+// next returns what to do next. Where that is nothing it returns false, and the
+// worker is gone.
+func (w *worker) next() (task, bool) {
 	s := w.shard
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if w.context.Err() != nil {
-		return nil, false
+		return task{}, false
+	}
+	if attempt := w.begun; attempt != nil {
+		w.begun = nil
+		return task{begun: attempt}, true
 	}
-	if w.resume != nil {
-		call, w.resume = w.resume, nil
-		return call, true
+	if call := w.resume; call != nil {
+		w.resume = nil
+		return task{call: call, started: true}, true
 	}
-	w.again = false
 	if !s.executor.quiesced.active() {
 		if runnable, found := s.machine.Runnable(w.program); found {
-			return runnable, false
+			return task{call: runnable}, true
 		}
 	}
 	delete(s.workers, w.program)
-	return nil, false
-}
-
-func (w *worker) dispatch(call *program.Call, started bool) error {
-	if call.Kind == program.ToolCall {
-		return w.runTool(call, started)
-	}
-	return w.runModel(call, started)
+	return task{}, false
 }
 
 // pauseAfter logs an unexpected failure and keeps the worker from spinning.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,7 +23,8 @@
 	gossipTimeout = 2 * time.Second
 	dialTimeout   = 2 * time.Second
 	// pingInterval and pingTimeout find a connection that a cut link left open.
-	pingInterval = 2 * time.Second
+	// Requests do not wait for it: an unacknowledged one is asked elsewhere.
+	pingInterval = 5 * time.Second
 	pingTimeout  = 2 * time.Second
 )
 
--- a/internal/program/decide_call.go
+++ b/internal/program/decide_call.go
@@ -110,10 +110,14 @@
 	if err := found.checkStart(issued, r); err != nil {
 		return Decision{}, err
 	}
+	return Decision{Records: found.startRecords(now, r, issued.attempt+1)}, nil
+}
+
+// startRecords starts an attempt, and records the engine's hold where it is new.
+func (p *program) startRecords(now time.Time, r StartRequest, attempt uint32) []*programv1.Record {
 	started := record(now, r.Program)
-	started.Body = &programv1.Record_Started{Started: startedMessage(r, issued.attempt+1)}
-	records := []*programv1.Record{started}
-	return Decision{Records: append(records, found.holdRecords(now, r)...)}, nil
+	started.Body = &programv1.Record_Started{Started: startedMessage(r, attempt)}
+	return append([]*programv1.Record{started}, p.holdRecords(now, r)...)
 }
 
 func (p *program) checkStart(issued *call, r StartRequest) error {
@@ -126,7 +130,15 @@
 	if p.startable(r.Number) == nil {
 		return &failure.WrongOrder{Got: uint32(r.Number), Next: uint32(p.cursor + 1)}
 	}
-	if r.DispatchKey == "" || (r.DispatchKey == issued.dispatchKey && !issued.mayShareKey()) {
+	if r.DispatchKey == issued.dispatchKey && !issued.mayShareKey() {
+		return &failure.Malformed{Field: "dispatchKey", Reason: "a key of its own for each attempt"}
+	}
+	return p.checkAttempt(r)
+}
+
+// checkAttempt refuses an attempt that is malformed or does not fit the budget.
+func (p *program) checkAttempt(r StartRequest) error {
+	if r.DispatchKey == "" {
 		return &failure.Malformed{Field: "dispatchKey", Reason: "a key of its own for each attempt"}
 	}
 	if r.Reserve.Negative() {
