--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // leaveNotice is how long peers have to see that the daemon is leaving, and
@@ -53,6 +57,18 @@
 	}
 }
 
+// logHandOver tells which shard was not handed over, and how it stands.
+func (c *core) logHandOver(cause error) {
+	var unavailable *failure.ShardUnavailable
+	if !errors.As(cause, &unavailable) {
+		eventHandOverFailed.Log("cause", cause)
+		return
+	}
+	status, _ := c.host.Status(structs.ShardID(unavailable.Shard))
+	eventHandOverFailed.Log("shard", unavailable.Shard, "role", status.Role, "leader", status.Leader,
+		"term", status.Term, "members", status.Members, "leaving", status.Leaving)
+}
+
 // Stop is the planned stop. The daemon says that it is leaving, soon refuses new
 // programs and calls, lets tool calls end, hands its shards over, finishes the answers that callers
 // are reading here, and leaves the cluster. Streams of models go on under the
@@ -71,7 +87,7 @@
 	running := d.core.Load()
 	err := running.executor.Quiesce(ctx)
 	if handed := running.host.HandOver(ctx); handed != nil {
-		eventHandOverFailed.Log("cause", handed)
+		running.logHandOver(handed)
 		err = handed
 	}
 	if waited := d.active.waitIdle(ctx); waited != nil {
--- a/internal/structs/declarations.go
+++ b/internal/structs/declarations.go
@@ -98,7 +98,8 @@
 	CacheZones []ZoneName `json:"cacheZones"`
 	// Budget is the most that one program may spend.
 	Budget Amount `json:"budget"`
-	// DeadlineMilliseconds is the wanted latency of the whole program.
+	// DeadlineMilliseconds is the wanted latency of the whole program. One that
+	// is still open then is ended: its answer is of use no more.
 	DeadlineMilliseconds int64 `json:"deadlineMilliseconds"`
 	// IdleMilliseconds ends a program that issued no call for so long.
 	IdleMilliseconds int64 `json:"idleMilliseconds"`
