--- a/internal/executor/first_attempt.go
+++ b/internal/executor/first_attempt.go
@@ -36,7 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	choice, err := s.executor.choose(s.scheduleRequest(status, attempt.prospect()))
+	asked := s.scheduleRequest(status, attempt.prospect())
+	choice, err := s.executor.choose(asked)
 	if failure.IsType(err, (&failure.Overloaded{}).Type()) {
 		return nil, err
 	}
@@ -44,6 +45,7 @@
 		return nil, nil
 	}
 	attempt.choice = choice
+	attempt.missing = max(attempt.prompt-asked.Cached[choice.Engine], 0)
 	attempt.moveFrom = worker.moveSource(choice, status)
 	return attempt, nil
 }
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -20,6 +20,10 @@
 	// it before it is refused.
 	engineSearchTimeout = 3 * time.Second
 	engineSearchDelay   = 100 * time.Millisecond
+	// holdTimeout is how long the first call of a program is held at the most
+	// while no engine has memory for it; the policy ends the hold sooner where
+	// the program's deadline is near.
+	holdTimeout = 30 * time.Second
 	// maxModelAttempts bounds the attempts of one call.
 	maxModelAttempts = 4
 	// moveTimeout bounds a transfer of cache; the call prefills without it.
@@ -31,6 +35,8 @@
 	call     *program.Call
 	segments [][]byte
 	prompt   int64
+	// missing are the prompt's tokens that the engine is not believed to have.
+	missing  int64
 	price    int64
 	choice   schedule.Choice
 	moveFrom string
@@ -127,6 +133,7 @@
 	for _, segment := range attempt.segments {
 		attempt.prompt += engine.TokenCount(segment)
 	}
+	attempt.missing = attempt.prompt
 	attempt.price = modelPrice(w.shard.executor.options.Configuration(), structs.ModelName(call.Target))
 	return attempt, nil
 }
@@ -195,13 +202,13 @@
 // findEngine asks the policy, and again for a bounded time while no engine is
 // there; reports of engines are late.
 func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) (schedule.Choice, error) {
-	deadline := time.Now().Add(engineSearchTimeout)
+	began := time.Now()
+	deadline := began.Add(engineSearchTimeout)
 	request := w.shard.scheduleRequest(status, attempt.prospect())
 	request.Exclude = excluded
 	for {
 		choice, err := w.shard.executor.choose(request)
-		if err == nil && choice.Defer > 0 && time.Now().Before(deadline) {
-			// The program's first call is held while no engine has memory for it.
+		if err == nil && choice.Defer > 0 && time.Since(began) < holdTimeout {
 			if !sleep(w.context, choice.Defer) {
 				return schedule.Choice{}, w.shard.notLeader()
 			}
@@ -212,6 +219,7 @@
 		}
 		if err == nil {
 			attempt.moveFrom = w.moveSource(choice, status)
+			attempt.missing = max(attempt.prompt-request.Cached[choice.Engine], 0)
 			return choice, nil
 		}
 		w.shard.executor.options.Engines.Want(status.CacheZones, request.Model)
@@ -233,7 +241,7 @@
 	defer cancel()
 	stopWatching := w.watchAbandon(ctx, cancel, call.Number)
 	defer stopWatching()
-	end := w.shard.executor.options.Engines.Dispatched(structs.EngineID(call.TargetID), attempt.prompt)
+	end := w.shard.executor.options.Engines.Dispatched(structs.EngineID(call.TargetID), attempt.missing)
 	defer end()
 
 	w.moveCache(ctx, attempt)
