--- a/internal/config/feed.go
+++ b/internal/config/feed.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -97,12 +98,12 @@
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.Reading() {
-			pause(ctx, roleCheck)
+			pause.For(ctx, roleCheck)
 			continue
 		}
 		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
 			eventPlatform.Log("error", err)
-			pause(ctx, f.nextBackoff())
+			pause.For(ctx, f.nextBackoff())
 		}
 	}
 }
@@ -202,12 +203,3 @@
 	f.backoff = min(max(f.backoff*2, firstBackoff), longestBackoff)
 	return f.backoff/2 + time.Duration(rand.Int64N(int64(f.backoff/2)))
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -82,7 +83,7 @@
 	}
 	eventDraining.Log("node", d.self.ID)
 	d.cluster.Announce()
-	wait(ctx, leaveNotice)
+	pause.For(ctx, leaveNotice)
 	d.draining.Store(true)
 	running := d.core.Load()
 	err := running.executor.Quiesce(ctx)
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/cluster"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
@@ -43,7 +44,7 @@
 func (d *Daemon) runGroups() {
 	settled := map[structs.ShardID]*settling{}
 	spread := map[structs.ShardID]bool{}
-	for wait(d.context, groupsInterval) {
+	for pause.For(d.context, groupsInterval) {
 		configuration := d.store.InForce()
 		if configuration == nil || !d.feed.Reading() {
 			continue
@@ -196,15 +197,3 @@
 	}
 	return members
 }
-
-// wait sleeps, and reports false when ctx ended first.
-func wait(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/daemon/reconcile.go
+++ b/internal/daemon/reconcile.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/replication"
@@ -25,7 +26,7 @@
 // tells where they are, and looks for a leader where one has died.
 func (d *Daemon) runReconcile() {
 	published := map[structs.ShardID]uint64{}
-	for wait(d.context, reconcileInterval) {
+	for pause.For(d.context, reconcileInterval) {
 		running := d.core.Load()
 		if running == nil {
 			continue
@@ -125,7 +126,7 @@
 		return
 	}
 	d.task(func() {
-		if !wait(d.context, campaignStep*time.Duration(rankOf(running.node.ID, status.Members))) {
+		if !pause.For(d.context, campaignStep*time.Duration(rankOf(running.node.ID, status.Members))) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(d.context, campaignTimeout)
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -5,12 +5,13 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
 // runShares carries the messages of tenants' shares.
 func (d *Daemon) runShares() {
-	for wait(d.context, limit.TickInterval) {
+	for pause.For(d.context, limit.TickInterval) {
 		d.shares.SetView(time.Now(), d.shareView())
 		d.sendShares(d.shares.Tick(time.Now()))
 	}
--- a/internal/executor/duties.go
+++ b/internal/executor/duties.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -26,7 +27,7 @@
 }
 
 func (e *Executor) runDuties() {
-	for sleep(e.context, dutyInterval) {
+	for pause.For(e.context, dutyInterval) {
 		for _, held := range e.heldShards() {
 			held.meetDuties()
 		}
@@ -104,7 +105,7 @@
 	err := s.executor.options.EngineClient.Release(attempt, hold.Address, hold.Incarnation, hold.Program)
 	if err != nil && !failure.IsType(err, (&failure.EngineGone{}).Type()) {
 		eventReleaseFailed.Log("program", hold.Program, "engine", hold.Engine, "cause", err)
-		sleep(ctx, releaseDelay)
+		pause.For(ctx, releaseDelay)
 		return
 	}
 	_, err = s.mutate(ctx, func(now time.Time, machine *program.Machine) (program.Decision, error) {
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -6,6 +6,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
@@ -102,7 +103,7 @@
 		if time.Now().After(deadline) {
 			return true, w.refuse(call, &failure.EngineUnavailable{Wait: engineSearchTimeout})
 		}
-		if !sleep(w.context, engineSearchDelay) {
+		if !pause.For(w.context, engineSearchDelay) {
 			return false, w.shard.notLeader()
 		}
 	}
@@ -209,7 +210,7 @@
 	for {
 		choice, err := w.shard.executor.choose(request)
 		if err == nil && choice.Defer > 0 && time.Since(began) < holdTimeout {
-			if !sleep(w.context, choice.Defer) {
+			if !pause.For(w.context, choice.Defer) {
 				return schedule.Choice{}, w.shard.notLeader()
 			}
 			continue
@@ -225,7 +226,7 @@
 		w.shard.executor.options.Engines.Want(status.CacheZones, request.Model)
 		known, isFailure := failure.As(err)
 		searching := isFailure && known.Retry().Allowed
-		if !searching || time.Now().After(deadline) || !sleep(w.context, engineSearchDelay) {
+		if !searching || time.Now().After(deadline) || !pause.For(w.context, engineSearchDelay) {
 			return schedule.Choice{}, err
 		}
 		clear(excluded)
--- a/internal/executor/model_stream.go
+++ b/internal/executor/model_stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
@@ -30,7 +31,7 @@
 	live.begin(attempt.call.Attempt)
 	var lost error
 	for try := 0; try <= maxResumes; try++ {
-		if try > 0 && !sleep(ctx, resumeDelay<<try) {
+		if try > 0 && !pause.For(ctx, resumeDelay<<try) {
 			return engine.Usage{}, lost
 		}
 		usage, err := w.receiveOnce(ctx, attempt, live)
--- a/internal/executor/tool_call.go
+++ b/internal/executor/tool_call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -181,7 +182,7 @@
 	if err != nil || !again {
 		return false, err
 	}
-	return sleep(w.context, toolRetryDelay<<min(call.Attempt, 6)), nil
+	return pause.For(w.context, toolRetryDelay<<min(call.Attempt, 6)), nil
 }
 
 // takeOverTool ends a call that an earlier leader started.
@@ -215,7 +216,7 @@
 		if err == nil && outcome.Known && outcome.Ran {
 			return w.settleTool(declared, call, tool.Result{Body: outcome.Body}, nil)
 		}
-		if !sleep(ctx, outcomeDelay) {
+		if !pause.For(ctx, outcomeDelay) {
 			break
 		}
 	}
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -113,24 +114,12 @@
 
 // pauseAfter logs an unexpected failure and keeps the worker from spinning.
 func (w *worker) pauseAfter(err error) {
-	const pause = 100 * time.Millisecond
+	const delay = 100 * time.Millisecond
 	if w.context.Err() != nil {
 		return
 	}
 	eventWorkerFailed.Log("program", w.program, "failure", failure.Classify(err).Type(), "detail", err)
-	sleep(w.context, pause)
-}
-
-// sleep waits, and reports false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	pause.For(w.context, delay)
 }
 
 // mutate makes a decision on the worker's program.
--- a/internal/fleet/cache_events.go
+++ b/internal/fleet/cache_events.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -19,11 +20,11 @@
 	for {
 		used := f.usedEngines()
 		wait := cacheInterval / time.Duration(max(len(used), 1))
-		if len(used) == 0 && !pause(ctx, cacheInterval) {
+		if len(used) == 0 && !pause.For(ctx, cacheInterval) {
 			return
 		}
 		for _, engine := range used {
-			if !pause(ctx, wait) {
+			if !pause.For(ctx, wait) {
 				return
 			}
 			read[engine.endpoint.ID] = f.readEngineEvents(ctx, engine, read[engine.endpoint.ID])
--- a/internal/fleet/fake_test.go
+++ b/internal/fleet/fake_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/platform"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -140,7 +141,7 @@
 			found.status.ReportedAt = time.Now()
 			return found.status, nil
 		}
-		pause(r.ctx, fakeStep)
+		pause.For(r.ctx, fakeStep)
 		waited += fakeStep
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -115,7 +116,7 @@
 	f.start(ctx, f.options.Platform != nil, f.reconcile)
 	for {
 		f.refresh(ctx)
-		if !pause(ctx, tickInterval) {
+		if !pause.For(ctx, tickInterval) {
 			return
 		}
 	}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -39,7 +40,7 @@
 		if f.watch(ctx, engines) {
 			wait = firstReconnect
 		}
-		if !pause(ctx, jittered(wait)) {
+		if !pause.For(ctx, jittered(wait)) {
 			return
 		}
 		wait = min(2*wait, lastReconnect)
@@ -97,18 +98,6 @@
 	return f.failures.Load() >= lostAfterFailures || now.Sub(report.ReportedAt) > f.interval+silenceGrace
 }
 
-// pause waits; it reports false when the context ended first.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // jittered returns a span from three to five quarters of the given one, so that
 // daemons do not come back at the same moment.
 func jittered(span time.Duration) time.Duration {
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -71,7 +72,7 @@
 func (f *Fleet) readMachines(ctx context.Context) {
 	missing := map[structs.EngineID]time.Time{}
 	failing := false
-	for pause(ctx, jittered(machineInterval)) {
+	for pause.For(ctx, jittered(machineInterval)) {
 		if !f.readsMachines() {
 			continue
 		}
--- a/internal/fleet/reconciler.go
+++ b/internal/fleet/reconciler.go
@@ -7,6 +7,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -67,7 +68,7 @@
 // the context ends.
 func (f *Fleet) reconcile(ctx context.Context) {
 	running := map[group]*reconciler{}
-	for pause(ctx, jittered(f.options.ReconcileInterval)) {
+	for pause.For(ctx, jittered(f.options.ReconcileInterval)) {
 		configuration := f.options.Configuration()
 		if configuration == nil {
 			continue
--- a/internal/fleet/sweep.go
+++ b/internal/fleet/sweep.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -64,7 +65,7 @@
 		seen:     map[sweptEngine]map[structs.ProgramID]*sweptHolder{},
 		releases: rate.NewLimiter(releasesPerSecond, releasesPerSecond),
 	}
-	for pause(ctx, jittered(s.interval())) {
+	for pause.For(ctx, jittered(s.interval())) {
 		s.run(ctx)
 	}
 }
--- a/internal/lab/demo/bench.go
+++ b/internal/lab/demo/bench.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -184,14 +183,3 @@
 	forFaults
 	forProbes
 )
-
-func wait(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/demo/control.go
+++ b/internal/lab/demo/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/lab/report"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
 // measureControl measures the idle deployment. Processor time and heap are
@@ -15,7 +16,7 @@
 func (b *bench) measureControl(ctx context.Context) report.Control {
 	daemons := float64(len(b.cluster.Members))
 	bytesBefore, cpuBefore, began := b.peerBytes(), processorTime(), time.Now()
-	wait(ctx, idleSpan)
+	pause.For(ctx, idleSpan)
 	elapsed := time.Since(began).Seconds()
 	cpu := processorTime() - cpuBefore
 	sent := b.peerBytes() - bytesBefore
--- a/internal/lab/demo/failover.go
+++ b/internal/lab/demo/failover.go
@@ -12,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/caller/client"
 	"github.com/barleyshelf/barleyshelf/internal/lab/report"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -122,7 +123,7 @@
 			into.Record(w.longestGap(watched, number, w.programs[number], &until))
 		}()
 	}
-	wait(ctx, failoverWarmUp)
+	pause.For(ctx, failoverWarmUp)
 	until.Store(time.Now().Add(failoverSpan).UnixNano())
 	err := fault()
 	group.Wait()
@@ -151,7 +152,7 @@
 		if answered && end > 0 && last.UnixNano() > end {
 			return longest
 		}
-		wait(ctx, failoverPeriod)
+		pause.For(ctx, failoverPeriod)
 	}
 	return max(longest, time.Since(last))
 }
--- a/internal/lab/demo/fault.go
+++ b/internal/lab/demo/fault.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
 // lane groups faults that never overlap each other. Faults of different lanes
@@ -84,12 +86,12 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if !wait(ctx, stopLead) {
+			if !pause.For(ctx, stopLead) {
 				return
 			}
 			b.routine(ctx, each, random)
 			for _, next := range order(chosen, each, random) {
-				if !wait(ctx, settleSpan) {
+				if !pause.For(ctx, settleSpan) {
 					return
 				}
 				b.inject(ctx, next, random)
--- a/internal/lab/demo/fault_backend.go
+++ b/internal/lab/demo/fault_backend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/emulator"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
 // Spans and shares of the back ends' faults.
@@ -33,7 +34,7 @@
 func crashEngine(ctx context.Context, b *bench, _ *rand.Rand) error {
 	engine := b.busiestEngine()
 	engine.Crash()
-	wait(ctx, engineDownSpan)
+	pause.For(ctx, engineDownSpan)
 	return engine.Restart()
 }
 
@@ -41,7 +42,7 @@
 	engine := b.busiestEngine()
 	engine.Faults.Stall.Store(true)
 	defer engine.Faults.Stall.Store(false)
-	wait(ctx, engineStallSpan)
+	pause.For(ctx, engineStallSpan)
 	return nil
 }
 
@@ -50,7 +51,7 @@
 		engine.Faults.BreakStream.Set(breakShare)
 		defer engine.Faults.BreakStream.Set(0)
 	}
-	wait(ctx, toolFaultSpan)
+	pause.For(ctx, toolFaultSpan)
 	return nil
 }
 
@@ -59,7 +60,7 @@
 		engine.Faults.LoseAnswer.Set(toolFaultShare)
 		defer engine.Faults.LoseAnswer.Set(0)
 	}
-	wait(ctx, toolFaultSpan)
+	pause.For(ctx, toolFaultSpan)
 	return nil
 }
 
@@ -70,7 +71,7 @@
 			set(&tool.Faults, toolFaultShare)
 			defer set(&tool.Faults, 0)
 		}
-		wait(ctx, toolFaultSpan)
+		pause.For(ctx, toolFaultSpan)
 		return nil
 	}
 }
--- a/internal/lab/demo/fault_daemon.go
+++ b/internal/lab/demo/fault_daemon.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -54,7 +55,7 @@
 	began := time.Now()
 	err = watch.measure(ctx, b.failover, func() error {
 		member.Kill()
-		wait(ctx, daemonDownSpan)
+		pause.For(ctx, daemonDownSpan)
 		if !erase {
 			return nil
 		}
@@ -67,7 +68,7 @@
 		return err
 	}
 	b.impair(member.Spec.Node, began, time.Now())
-	wait(ctx, repairSpan)
+	pause.For(ctx, repairSpan)
 	return nil
 }
 
@@ -96,14 +97,14 @@
 	alone := zones[random.IntN(len(zones))].Name
 	began := time.Now()
 	b.setCut(alone, b.network.Cut)
-	wait(ctx, zoneCutSpan)
+	pause.For(ctx, zoneCutSpan)
 	b.setCut(alone, b.network.Heal)
 	for _, member := range b.cluster.Members {
 		if member.Spec.Zone == alone {
 			b.impair(member.Spec.Node, began, time.Now())
 		}
 	}
-	wait(ctx, settleSpan)
+	pause.For(ctx, settleSpan)
 	return nil
 }
 
@@ -132,7 +133,7 @@
 			member.Kill()
 		}
 	}
-	wait(ctx, zoneLostSpan)
+	pause.For(ctx, zoneLostSpan)
 	if err := b.restoreZone(ctx, lost); err != nil {
 		return err
 	}
@@ -141,7 +142,7 @@
 			b.impair(member.Spec.Node, began, time.Now())
 		}
 	}
-	wait(ctx, repairSpan)
+	pause.For(ctx, repairSpan)
 	return nil
 }
 
--- a/internal/lab/demo/fault_platform.go
+++ b/internal/lab/demo/fault_platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
 // Spans and shares of the platform's faults.
@@ -31,14 +32,14 @@
 func platformDown(ctx context.Context, b *bench, _ *rand.Rand) error {
 	b.outside.Platform.Faults.Down.Store(true)
 	defer b.outside.Platform.Faults.Down.Store(false)
-	wait(ctx, platformFaultSpan)
+	pause.For(ctx, platformFaultSpan)
 	return nil
 }
 
 func platformSlow(ctx context.Context, b *bench, _ *rand.Rand) error {
 	b.outside.Platform.Faults.Slow.Set(platformSlowness)
 	defer b.outside.Platform.Faults.Slow.Set(0)
-	wait(ctx, platformFaultSpan)
+	pause.For(ctx, platformFaultSpan)
 	return nil
 }
 
--- a/internal/lab/demo/holds.go
+++ b/internal/lab/demo/holds.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/lab/report"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -14,7 +15,7 @@
 
 // watchHolds notes when each program was last seen to hold engine memory.
 func (b *bench) watchHolds(ctx context.Context) {
-	for wait(ctx, holdPeriod) {
+	for pause.For(ctx, holdPeriod) {
 		b.noteHolds()
 	}
 }
--- a/internal/lab/demo/operator.go
+++ b/internal/lab/demo/operator.go
@@ -14,6 +14,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/operatorapi"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -85,7 +86,7 @@
 		if last == nil || (refused && !known.Retry().Allowed) {
 			return last
 		}
-		if !wait(ctx, probePeriod) {
+		if !pause.For(ctx, probePeriod) {
 			break
 		}
 	}
@@ -278,7 +279,7 @@
 
 // runChanges makes a change now and then until ctx ends.
 func (o *operator) runChanges(ctx context.Context) {
-	for wait(ctx, changePeriod) {
+	for pause.For(ctx, changePeriod) {
 		err := o.update(ctx)
 		if err != nil && !errors.Is(err, context.Canceled) {
 			o.bench.progress("configuration change not accepted: %v", err)
--- a/internal/lab/demo/probe.go
+++ b/internal/lab/demo/probe.go
@@ -10,6 +10,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -39,7 +40,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for wait(ctx, probePeriod) {
+			for pause.For(ctx, probePeriod) {
 				p.sample(ctx, member)
 			}
 		}()
@@ -131,7 +132,7 @@
 		if limited.Err() == nil {
 			last = err
 		}
-		if !wait(limited, releasePoll) {
+		if !pause.For(limited, releasePoll) {
 			return &NotReady{Daemon: waiting[0].Spec.Node, Cause: last}
 		}
 	}
--- a/internal/lab/demo/routine.go
+++ b/internal/lab/demo/routine.go
@@ -9,6 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/emulator"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -49,7 +50,7 @@
 func (b *bench) awaitRequests(ctx context.Context, member *topology.Member) {
 	limited, cancel := context.WithTimeout(ctx, stopWait)
 	defer cancel()
-	for b.requests.at(member.Spec.Node) == 0 && wait(limited, busyPoll) {
+	for b.requests.at(member.Spec.Node) == 0 && pause.For(limited, busyPoll) {
 	}
 }
 
@@ -59,7 +60,7 @@
 	b.outside.Platform.SetEngineLeaving(engine.ID(), true)
 	left := promise.Departure{Engine: engine.ID(), Since: time.Now().Add(machineListLag)}
 	b.progress("engine %s is leaving", engine.ID())
-	wait(ctx, departureSpan)
+	pause.For(ctx, departureSpan)
 	left.Until = time.Now()
 	b.outside.Platform.SetEngineLeaving(engine.ID(), false)
 	b.mutex.Lock()
@@ -91,7 +92,7 @@
 				}
 			}
 		}
-		if !wait(limited, busyPoll) {
+		if !pause.For(limited, busyPoll) {
 			return b.anyMember(random)
 		}
 	}
--- a/internal/lab/demo/run.go
+++ b/internal/lab/demo/run.go
@@ -12,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/lab/report"
 	"github.com/barleyshelf/barleyshelf/internal/lab/session"
 	"github.com/barleyshelf/barleyshelf/internal/lab/topology"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/workload"
 )
 
@@ -69,7 +70,7 @@
 		return report.Control{}, nil, err
 	}
 	b.progress("%d daemons ready after %s", len(b.cluster.Members), time.Since(began).Round(time.Millisecond))
-	wait(ctx, joinSpan)
+	pause.For(ctx, joinSpan)
 	return b.measureControl(ctx), probing, nil
 }
 
@@ -112,7 +113,7 @@
 		planned := began.Add(offset)
 		program, behavior := generator.Next(), session.DrawBehavior(behaviors)
 		random := rand.New(rand.NewPCG(behaviors.Uint64(), behaviors.Uint64()))
-		if !wait(limited, time.Until(planned)) {
+		if !pause.For(limited, time.Until(planned)) {
 			break
 		}
 		group.Add(1)
@@ -154,7 +155,7 @@
 		for _, engine := range b.outside.Engines {
 			held += len(engine.Ledger().Holds)
 		}
-		if held == 0 || !wait(ctx, releasePoll) {
+		if held == 0 || !pause.For(ctx, releasePoll) {
 			return
 		}
 	}
@@ -203,7 +204,7 @@
 
 func (b *bench) runProgress(ctx context.Context) {
 	began := time.Now()
-	for wait(ctx, progressPeriod) {
+	for pause.For(ctx, progressPeriod) {
 		started, completed, ended := b.measured.Programs()
 		b.progress("%3.0fs  programs: %d started, %d under way, %d completed, %d not completed",
 			time.Since(began).Seconds(), started, started-ended, completed, ended-completed)
--- a/internal/lab/session/assembly.go
+++ b/internal/lab/session/assembly.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/caller"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
 const bytesPerToken = 4
@@ -106,7 +107,7 @@
 	defer cancel()
 	a.touch()
 	go func() {
-		for sleep(guarded, stall/stallChecks) {
+		for pause.For(guarded, stall/stallChecks) {
 			if a.stalledFor() > stall {
 				cancel()
 			}
--- a/internal/lab/session/program.go
+++ b/internal/lab/session/program.go
@@ -9,6 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/caller"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 	"github.com/barleyshelf/barleyshelf/internal/workload"
 )
@@ -159,7 +160,7 @@
 			held = r.take(ctx, held, r.plan(step))
 		case workload.KindPause:
 			held = r.flush(ctx, held)
-			sleep(ctx, r.scaled(step.Duration))
+			pause.For(ctx, r.scaled(step.Duration))
 		case workload.KindSpawn:
 			held = r.flush(ctx, held)
 			r.spawn(ctx, step.Children)
@@ -211,7 +212,7 @@
 		defer close(done)
 		laterRecord = r.session.runCall(ctx, r.record.ID, later, random)
 	}()
-	sleep(ctx, overtakeLead)
+	pause.For(ctx, overtakeLead)
 	earlierRecord := r.session.runCall(ctx, r.record.ID, earlier, r.random)
 	<-done
 	r.settle(earlierRecord)
--- a/internal/lab/session/requester.go
+++ b/internal/lab/session/requester.go
@@ -11,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/caller/client"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/lab/promise"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
 
@@ -151,16 +152,5 @@
 // wait sleeps between half and all of the span; it reports whether ctx goes on.
 func (r *requester) wait(ctx context.Context, span time.Duration) bool {
 	jittered := span/2 + time.Duration(r.random.Int64N(int64(span/2)+1))
-	return sleep(ctx, jittered)
-}
-
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, jittered)
 }
