lab: a test that failed now and then allows for the repeat of an answered call

TestRefusalsThatAllowARepeatAreRepeatedElsewhere failed once in some forty runs. Cause: calls that overtake each other draw the stand-in's refusals in either order, and the one deliberate repeat of a call that has its answer, which is sent once, could be the one refused; the test wanted another attempt after it. Ruled out: a fault of the session, whose own requests were all repeated. Change: a refusal after the answer needs no successor; every other one still does.

--- a/internal/lab/session/session_test.go
+++ b/internal/lab/session/session_test.go
@@ -169,12 +169,18 @@
 	refused := 0
 	for _, record := range outcome.Records {
 		for _, call := range record.Calls {
+			answered := false
 			for i, attempt := range call.Attempts {
+				answered = answered || attempt.Result == promise.Answered
 				if attempt.Result != promise.Refused {
 					continue
 				}
 				refused++
 				require.Equal(t, failure.NotRun, attempt.Outcome)
+				if answered {
+					// The repeat of a call that has its answer is sent once.
+					continue
+				}
 				require.Less(t, i+1, len(call.Attempts))
 				require.NotEqual(t, attempt.Daemon, call.Attempts[i+1].Daemon)
 			}
