Carry a reader's place beside a forwarded request, not inside its body

Read once more, the path of a request did three things twice or in the wrong place: a forwarded call's body, input included, was decoded and encoded again on each forward to set the reader's place in it; the choice of an engine was checked and noted in two copies; callers' requests went through a wrapper for a core that is no longer replaced.

--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -114,7 +114,7 @@
 
 func (d *Daemon) handlers() (map[string]http.Handler, error) {
 	callers, err := caller.NewHandler(caller.Options{
-		Backend:       currentBackend{daemon: d},
+		Backend:       d.core.Load().executor,
 		Authenticator: d.tenants,
 		Admission:     d.admission,
 		Ready:         d.refusal,
--- a/internal/executor/backend.go
+++ b/internal/executor/backend.go
@@ -31,7 +31,7 @@
 // Read sends the answer of an earlier call from offset on.
 func (e *Executor) Read(ctx context.Context, tenant structs.TenantID, id structs.ProgramID, number structs.CallNumber, offset uint64, sink caller.AnswerSink) error {
 	reader := &cursorSink{next: sink, cursor: cursor{Offset: offset}}
-	body := encodeBody(readBody{Number: number, Cursor: reader.cursor})
+	body := encodeBody(readBody{Number: number})
 	op := operation{name: operationRead, tenant: tenant, program: id, body: body}
 	return e.runForAnswer(ctx, op, reader)
 }
--- a/internal/executor/cursor.go
+++ b/internal/executor/cursor.go
@@ -6,9 +6,9 @@
 // the shard's leader: the reader goes on at the new leader from here.
 type cursor struct {
 	// Attempt is the attempt whose text was read; 0 before the first part.
-	Attempt uint32 `json:"attempt"`
+	Attempt uint32
 	// Offset is the position of the next byte wanted.
-	Offset uint64 `json:"offset"`
+	Offset uint64
 }
 
 // cursorSink passes parts on and keeps the cursor up to date.
--- a/internal/executor/first_attempt.go
+++ b/internal/executor/first_attempt.go
@@ -41,19 +41,25 @@
 	if failure.IsType(err, (&failure.Overloaded{}).Type()) {
 		return nil, err
 	}
-	if err != nil || choice.Defer > 0 || s.executor.quiesced.active() || !s.mayRest(choice, status) {
+	if err != nil || choice.Defer > 0 || s.executor.quiesced.active() || s.mayRest(choice, status) != nil {
 		return nil, nil
 	}
-	attempt.choice = choice
-	attempt.missing = max(attempt.prompt-asked.Cached[choice.Engine], 0)
-	attempt.moveFrom = worker.moveSource(choice, status)
+	worker.assign(attempt, choice, asked, status)
 	return attempt, nil
 }
 
-// mayRest reports whether the program's cache may rest in the engine's zone.
-func (s *shard) mayRest(choice schedule.Choice, status program.Status) bool {
+// mayRest returns nil where the program's cache may rest in the engine's zone,
+// and else a *failure.NoPermittedPlace.
+func (s *shard) mayRest(choice schedule.Choice, status program.Status) error {
 	policy := placement.Policy{CacheZones: status.CacheZones}
-	return placement.Permit(policy, placement.Cache, s.executor.engineZone(choice.Engine)) == nil
+	return placement.Permit(policy, placement.Cache, s.executor.engineZone(choice.Engine))
+}
+
+// assign gives the attempt the engine that was chosen for what was asked.
+func (w *worker) assign(attempt *modelAttempt, choice schedule.Choice, asked *schedule.Request, status program.Status) {
+	attempt.choice = choice
+	attempt.missing = max(attempt.prompt-asked.Cached[choice.Engine], 0)
+	attempt.moveFrom = w.moveSource(choice, status)
 }
 
 // acceptance returns the decision that takes a call, with its first attempt
--- a/internal/executor/forward.go
+++ b/internal/executor/forward.go
@@ -13,38 +13,21 @@
 // package peer defines.
 const peerUnreachableType failure.Type = "peer_unreachable"
 
-// wire encodes the operation for another daemon. The body of a call or a read
-// tells where the reader stands now.
+// wire encodes the operation for another daemon, with where the reader stands
+// now.
 func (op operation) wire(hops uint32, sink replySink) *peerv1.ForwardRequest {
-	return &peerv1.ForwardRequest{
+	request := &peerv1.ForwardRequest{
 		Operation: string(op.name),
 		Tenant:    string(op.tenant),
 		ProgramId: string(op.program),
-		Body:      op.bodyAt(sink),
+		Body:      op.body,
 		Hops:      hops,
 	}
-}
-
-// bodyAt returns the operation's body with the reader's present cursor.
-func (op operation) bodyAt(sink replySink) []byte {
-	if sink.parts == nil {
-		return op.body
-	}
-	switch op.name {
-	case operationCall:
-		body := callBody{}
-		if decodeBody(op.body, &body) == nil {
-			body.Cursor = sink.parts.cursor
-			return encodeBody(body)
-		}
-	case operationRead:
-		body := readBody{}
-		if decodeBody(op.body, &body) == nil {
-			body.Cursor = sink.parts.cursor
-			return encodeBody(body)
-		}
+	if sink.parts != nil {
+		request.Attempt = sink.parts.cursor.Attempt
+		request.Offset = sink.parts.cursor.Offset
 	}
-	return op.body
+	return request
 }
 
 // receive passes an event from another daemon on to the request's own sink.
@@ -74,32 +57,25 @@
 	if err := send(&peerv1.ForwardEvent{}); err != nil {
 		return err
 	}
-	return e.attempt(ctx, shard, op, sendingSink(op, send), request.GetHops(), map[structs.NodeID]bool{})
+	standing := cursor{Attempt: request.GetAttempt(), Offset: request.GetOffset()}
+	return e.attempt(ctx, shard, op, sendingSink(op, standing, send), request.GetHops(), map[structs.NodeID]bool{})
 }
 
-// sendingSink encodes what the operation answers and sends it back.
-func sendingSink(op operation, send func(*peerv1.ForwardEvent) error) replySink {
+// sendingSink encodes what the operation answers and sends it back, to a reader
+// that stands there.
+func sendingSink(op operation, standing cursor, send func(*peerv1.ForwardEvent) error) replySink {
 	sink := replySink{body: func(body []byte) error {
 		return send(&peerv1.ForwardEvent{Event: &peerv1.ForwardEvent_Body{Body: body}})
 	}}
 	switch op.name {
 	case operationCall, operationRead:
-		sink.parts = &cursorSink{cursor: op.cursor(), next: caller.AnswerSinkFunc(func(part caller.AnswerPart) error {
+		sink.parts = &cursorSink{cursor: standing, next: caller.AnswerSinkFunc(func(part caller.AnswerPart) error {
 			return send(&peerv1.ForwardEvent{Event: &peerv1.ForwardEvent_Part{Part: encodePart(part)}})
 		})}
 	}
 	return sink
 }
 
-// cursor returns where the operation's reader stands, by its body.
-func (op operation) cursor() cursor {
-	standing := struct {
-		Cursor cursor `json:"cursor"`
-	}{}
-	_ = decodeBody(op.body, &standing)
-	return standing.Cursor
-}
-
 func encodePart(part caller.AnswerPart) *peerv1.AnswerPart {
 	return &peerv1.AnswerPart{
 		Attempt:      part.Attempt,
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -7,7 +7,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/engine"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
-	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/program"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
@@ -146,11 +145,9 @@
 	if err != nil {
 		return false, err
 	}
-	choice, err := w.findEngine(attempt, status, excluded)
-	if err != nil {
+	if err := w.findEngine(attempt, status, excluded); err != nil {
 		return true, w.refuse(attempt.call, err)
 	}
-	attempt.choice = choice
 	started, err := w.start(attempt.startRequest(status.Left))
 	if refusable(err) {
 		return true, w.refuse(attempt.call, err)
@@ -202,7 +199,7 @@
 
 // findEngine asks the policy, and again for a bounded time while no engine is
 // there; reports of engines are late.
-func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) (schedule.Choice, error) {
+func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) error {
 	began := time.Now()
 	deadline := began.Add(engineSearchTimeout)
 	request := w.shard.scheduleRequest(status, attempt.prospect())
@@ -211,23 +208,22 @@
 		choice, err := w.shard.executor.choose(request)
 		if err == nil && choice.Defer > 0 && time.Since(began) < holdTimeout {
 			if !pause.For(w.context, choice.Defer) {
-				return schedule.Choice{}, w.shard.notLeader()
+				return w.shard.notLeader()
 			}
 			continue
 		}
 		if err == nil {
-			err = placement.Permit(placement.Policy{CacheZones: status.CacheZones}, placement.Cache, w.shard.executor.engineZone(choice.Engine))
+			err = w.shard.mayRest(choice, status)
 		}
 		if err == nil {
-			attempt.moveFrom = w.moveSource(choice, status)
-			attempt.missing = max(attempt.prompt-request.Cached[choice.Engine], 0)
-			return choice, nil
+			w.assign(attempt, choice, request, status)
+			return nil
 		}
 		w.shard.executor.options.Engines.Want(status.CacheZones, request.Model)
 		known, isFailure := failure.As(err)
 		searching := isFailure && known.Retry().Allowed
 		if !searching || time.Now().After(deadline) || !pause.For(w.context, engineSearchDelay) {
-			return schedule.Choice{}, err
+			return err
 		}
 		clear(excluded)
 	}
--- a/internal/executor/operation.go
+++ b/internal/executor/operation.go
@@ -43,16 +43,14 @@
 	CacheZones   []structs.ZoneName `json:"cacheZones"`
 }
 
-// callBody is a call; Cursor is where its reader stands.
+// callBody is a call.
 type callBody struct {
 	Request caller.CallRequest `json:"request"`
-	Cursor  cursor             `json:"cursor"`
 }
 
-// readBody asks for the answer of a call from a cursor on.
+// readBody asks for the answer of a call.
 type readBody struct {
 	Number structs.CallNumber `json:"number"`
-	Cursor cursor             `json:"cursor"`
 }
 
 type cancelBody struct {
