--- a/cmd/barleyshelf/cluster_test.go
+++ b/cmd/barleyshelf/cluster_test.go
@@ -70,7 +70,7 @@
 	require.Equal(t, exitDone, b.command(&applied, "apply", b.plan(unchanged).ID, "--wait"))
 	require.True(t, applied.Everywhere)
 	for _, each := range daemons {
-		require.EqualValues(t, applied.Version, each.ConfigurationVersion())
+		require.EqualValues(t, applied.Version, each.ConfigInForce())
 	}
 	b.eventually("get shards", func(shown string) bool {
 		return strings.Count(shown, `"leader"`) == 32 && strings.Count(shown, `"members": []`) == 0
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,15 +167,6 @@
 // OperatorAddress returns IP:port of the operators' listener.
 func (d *Daemon) OperatorAddress() string { return d.settings.Advertised().Operator }
 
-// Node returns the daemon as it presents itself to its peers.
-func (d *Daemon) Node() structs.Node { return d.cluster.Self() }
-
-// ConfigurationVersion returns the version in force here; 0 means none.
-func (d *Daemon) ConfigurationVersion() uint64 { return d.store.Version() }
-
-// Ready reports whether the daemon serves callers.
-func (d *Daemon) Ready() bool { return d.refusal() == nil }
-
 // Pause freezes the daemon as seen from outside: nothing it would send or
 // answer leaves it, until Resume. Its clocks go on. It is a bench's fault.
 func (d *Daemon) Pause() { d.gate.close() }
