--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -61,7 +61,6 @@
 type candidate struct {
 	worker  directory.Listed
 	load    int
-	ejected bool
 	rank    uint64
 }
 
