--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -59,9 +59,9 @@
 }
 
 type candidate struct {
-	worker  directory.Listed
-	load    int
-	rank    uint64
+	worker directory.Listed
+	load   int
+	rank   uint64
 }
 
 // Choose returns a worker and counts the request as under way there, or false
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
@@ -21,6 +23,9 @@
 	request *request
 	// reserved is set if the turn counts against a budget.
 	reserved bool
+	// reservation names the reservation; it differs for each attempt, also where
+	// a client uses a request id twice.
+	reservation string
 	// input is the turn's own input.
 	input []byte
 }
@@ -28,7 +33,10 @@
 // beginTurn reserves the turn's most tokens and puts the turns before it in
 // front of its input. Nothing is sent to a worker before both are done.
 func (r *request) beginTurn(ctx context.Context) (*turnState, error) {
-	state := &turnState{request: r, input: r.body}
+	state := &turnState{
+		request: r, input: r.body,
+		reservation: r.envelope.RequestID + "/" + strconv.FormatUint(rand.Uint64(), 36),
+	}
 	budgeted := r.envelope.Budget >= 0 && r.envelope.Program != ""
 	if !budgeted && !r.route.Stateful {
 		return state, nil
@@ -56,7 +64,7 @@
 func (t *turnState) reserve(ctx context.Context) error {
 	envelope := &t.request.envelope
 	t.reserved = true
-	reservation := &replicav1.Reservation{Id: envelope.RequestID, Program: envelope.Program, Most: envelope.MostTokens}
+	reservation := &replicav1.Reservation{Id: t.reservation, Program: envelope.Program, Most: envelope.MostTokens}
 	record := &replicav1.Record{
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
 		RetentionMs: t.request.retention().Milliseconds(),
@@ -65,9 +73,9 @@
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
-	if !ledger.Fits(envelope.RequestID, envelope.MostTokens, envelope.Budget) {
+	if !ledger.Fits(t.reservation, envelope.MostTokens, envelope.Budget) {
 		return &BudgetSpent{
-			Program: envelope.Program, Committed: ledger.Committed(envelope.RequestID), Budget: envelope.Budget,
+			Program: envelope.Program, Committed: ledger.Committed(t.reservation), Budget: envelope.Budget,
 		}
 	}
 	return nil
@@ -142,7 +150,7 @@
 		stride = r.service.Engine.Stride
 	}
 	settlement := &replicav1.Settlement{
-		Id: r.envelope.RequestID, Program: r.envelope.Program, Used: out.events * stride,
+		Id: t.reservation, Program: r.envelope.Program, Used: out.events * stride,
 	}
 	return &replicav1.Record{
 		Kind:        &replicav1.Record_Settlement{Settlement: settlement},
