Replicas keep the list of workers; logs off the request's path; metrics

Replicas write the list to their disks now.

Log lines go through a bounded queue with one writer; each decision of a request is one numbered line, written at its end, and lines of requests that ended well give way. Metrics of gateways and replicas.

--- a/cmd/barleyshelf-lab/events_test.go
+++ b/cmd/barleyshelf-lab/events_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
 
-	// The product's own commands define events too.
+	// The product's own commands and roles define events too.
+	_ "github.com/barleyshelf/barleyshelf/internal/gateway"
 	_ "github.com/barleyshelf/barleyshelf/internal/operator"
+	_ "github.com/barleyshelf/barleyshelf/internal/replica"
 	_ "github.com/barleyshelf/barleyshelf/internal/settings"
 )
 
--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"os"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gateway"
+	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/replica"
 	"github.com/barleyshelf/barleyshelf/internal/settings"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -13,6 +15,8 @@
 const (
 	storeDialTimeout = 600 * time.Millisecond
 	storeUserTimeout = 1200 * time.Millisecond
+	// logCloseTimeout bounds the writing of the last log lines.
+	logCloseTimeout = 200 * time.Millisecond
 )
 
 // roleFile is what both roles take on the command line.
@@ -38,9 +42,13 @@
 		return err
 	}
 	ignoreReload()
+	log := logsink.New(os.Stdout)
+	log.Install()
+	defer log.Close(logCloseTimeout)
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
 		Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
+		Metrics: loaded.Metrics, Log: log,
 	}, newStore(loaded))
 	return running.Run(c.app.context)
 }
@@ -63,9 +71,12 @@
 		return err
 	}
 	ignoreReload()
+	log := logsink.New(os.Stdout)
+	log.Install()
+	defer log.Close(logCloseTimeout)
 	running, err := replica.New(replica.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Address: loaded.Replica, Folder: loaded.DataFolder,
-		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds,
+		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, Metrics: loaded.Metrics,
 	}, newStore(loaded))
 	if err != nil {
 		return err
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -176,6 +176,11 @@
 	Abandoned
 )
 
+var verdictNames = [...]string{"served", "turned_away", "failed", "unreachable", "abandoned"}
+
+// String returns the verdict's name in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Done ends an attempt that Choose began, and reports whether the worker was
 // ejected by it.
 func (b *Balancer) Done(worker string, verdict Verdict) bool {
--- /dev/null
+++ b/internal/gateway/decisions.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/event"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+)
+
+// Every decision that touches a request is a numbered event with the request's
+// id. The lines of a request are written when it has ended: those of requests
+// that ended well give way when the log is busy.
+var (
+	eventStarted  = event.Define(2801, event.Info, "gateway started", "")
+	eventStopping = event.Define(2802, event.Info, "planned stop of the gateway begun", "")
+	eventStopped  = event.Define(2803, event.Info, "gateway stopped", "")
+	eventRefused  = event.Define(2804, event.Info, "request refused", "Look at the type: docs/operations/refusals.md.")
+	eventAborted  = event.Define(2805, event.Info, "answer broken off", "Look at the worker named; a turn is sent again by its program.")
+	eventEjected  = event.Define(2806, event.Warning, "worker ejected after failures", "Look at the worker; it gets work again after a while.")
+	eventRouted   = event.Define(2810, event.Info, "route chosen", "")
+	eventChosen   = event.Define(2811, event.Info, "worker chosen", "")
+	eventNotRun   = event.Define(2812, event.Info, "attempt did not run", "")
+	eventLost     = event.Define(2813, event.Info, "attempt lost its answer", "")
+	eventResumed  = event.Define(2814, event.Info, "stream goes on after a break", "")
+	eventReserved = event.Define(2815, event.Info, "budget reserved", "")
+	eventKept     = event.Define(2816, event.Info, "turn kept", "")
+	eventAnswered = event.Define(2817, event.Info, "request answered", "")
+	eventBegun    = event.Define(2818, event.Info, "worker began to answer", "")
+)
+
+// decision is one line about a request, written when the request has ended.
+type decision struct {
+	event event.Event
+	// after is the time since the request came in.
+	after  time.Duration
+	values []any
+}
+
+// note adds a decision to the request's story.
+func (r *request) note(what event.Event, keysAndValues ...any) {
+	r.decisions = append(r.decisions, decision{event: what, after: time.Since(r.received), values: keysAndValues})
+}
+
+// tell writes the request's story. ended is its last line.
+func (r *request) tell(well bool) {
+	log := r.gateway.options.Log
+	if well && log != nil && log.Busy() {
+		log.Drop(len(r.decisions))
+		return
+	}
+	for _, each := range r.decisions {
+		pairs := append([]any{"request", r.envelope.RequestID, "program", r.envelope.Program, "after_us", each.after.Microseconds()}, each.values...)
+		each.event.Log(pairs...)
+	}
+}
+
+// endRefused ends the story of a request that got an answer of the gateway's own.
+func (r *request) endRefused(err error) {
+	kind := failure.Classify(err).Type()
+	r.note(eventRefused, "status", statusOf(err), "type", string(kind), "cause", err.Error(), "worker", r.workerID,
+		"ran", len(r.ran), "turned_away", r.turnedAway)
+	r.gateway.metrics.refused(kind)
+	r.tell(false)
+}
+
+// endBroken ends the story of a request whose answer was broken off.
+func (r *request) endBroken(cause error) {
+	r.note(eventAborted, "cause", cause.Error(), "worker", r.workerID, "events", r.events)
+	r.gateway.metrics.broken()
+	r.tell(false)
+}
+
+// endAnswered ends the story of a request that got a worker's answer.
+func (r *request) endAnswered(status int) {
+	r.note(eventAnswered, "status", status, "worker", r.workerID, "events", r.events)
+	r.gateway.metrics.answered(r.kind(), time.Since(r.received), r.firstEvent.Sub(r.received))
+	r.tell(status < 500)
+}
+
+func (r *request) kind() string {
+	if r.route == nil {
+		return ""
+	}
+	return string(r.route.Kind)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,9 +13,11 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -64,6 +66,11 @@
 	// Grace is how long a planned stop may take.
 	Grace   time.Duration
 	Dialect Dialect
+	// Metrics is the IP:port for metrics; empty serves none.
+	Metrics string
+	// Log is asked whether lines of requests that ended well should give way;
+	// nil never does.
+	Log *logsink.Sink
 }
 
 // Gateway takes requests of clients.
@@ -77,6 +84,8 @@
 	pool      *worker.Pool
 	balancer  *balance.Balancer
 	splitter  *route.Splitter
+	registry  *telemetry.Registry
+	metrics   *metrics
 
 	underWay atomic.Int64
 	stopping atomic.Bool
@@ -88,6 +97,9 @@
 		options: options, balancer: balance.New(time.Now), splitter: route.NewSplitter(),
 		directory: directory.NewState(time.Now, directory.LogChanges()),
 	}
+	g.registry = telemetry.NewRegistry()
+	g.metrics = newMetrics(g.registry)
+	g.defineGauges(g.registry)
 	g.feed = directory.NewFeed(objects, g.directory, directory.LongWait)
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
@@ -114,6 +126,9 @@
 	readinessServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discard}
 	go readinessServer.Serve(readiness)
 	defer readinessServer.Close()
+	if err := telemetry.Serve(working, g.options.Metrics, g.registry, g.readiness); err != nil {
+		return err
+	}
 	g.awaitConfiguration(ctx)
 	ingress, err := transport.Listen(working, g.options.Ingress, clientUserTimeout)
 	if err != nil {
@@ -155,7 +170,17 @@
 }
 
 // Ready reports whether new clients are welcome.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.directory.View().Table != nil }
+func (g *Gateway) Ready() bool { return g.readiness().Ready }
+
+func (g *Gateway) readiness() telemetry.Readiness {
+	switch {
+	case g.stopping.Load():
+		return telemetry.Readiness{Reason: "stopping"}
+	case g.directory.View().Table == nil:
+		return telemetry.Readiness{Reason: "no configuration is known yet"}
+	}
+	return telemetry.Readiness{Ready: true}
+}
 
 // sweep closes idle connections and forgets workers that are gone.
 func (g *Gateway) sweep(ctx context.Context) {
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+)
+
+// latencyBuckets are in seconds, from a tool's call to a long stream.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}
+
+var (
+	metricAnswered = telemetry.Define(telemetry.Definition{
+		Name: "gateway_answer_seconds", Kind: telemetry.KindHistogram, Unit: "seconds", Labels: []string{"kind"},
+		Help: "Time from a request's head to the end of a worker's answer.", Buckets: latencyBuckets,
+	})
+	metricFirstEvent = telemetry.Define(telemetry.Definition{
+		Name: "gateway_first_event_seconds", Kind: telemetry.KindHistogram, Unit: "seconds",
+		Help: "Time from a streaming request's head to its first event.", Buckets: latencyBuckets,
+	})
+	metricRefused = telemetry.Define(telemetry.Definition{
+		Name: "gateway_refused_total", Kind: telemetry.KindCounter, Unit: "requests", Labels: []string{"type"},
+		Help: "Requests that got an answer of the gateway's own.",
+	})
+	metricBroken = telemetry.Define(telemetry.Definition{
+		Name: "gateway_broken_total", Kind: telemetry.KindCounter, Unit: "requests",
+		Help: "Answers that were begun and broken off.",
+	})
+	metricAttempts = telemetry.Define(telemetry.Definition{
+		Name: "gateway_attempts_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"verdict"},
+		Help: "Attempts at workers, by how they ended.",
+	})
+	metricUnderWay = telemetry.Define(telemetry.Definition{
+		Name: "gateway_requests_under_way", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Requests that this gateway works on.",
+	})
+	metricVersion = telemetry.Define(telemetry.Definition{
+		Name: "gateway_configuration_version", Kind: telemetry.KindGauge, Unit: "version",
+		Help: "Version of the configuration in force; 0 is none.",
+	})
+	metricDropped = telemetry.Define(telemetry.Definition{
+		Name: "gateway_log_lines_dropped", Kind: telemetry.KindGauge, Unit: "lines",
+		Help: "Log lines that were dropped since the start.",
+	})
+)
+
+type metrics struct {
+	latency    *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+	refusals   *prometheus.CounterVec
+	breaks     *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+}
+
+func newMetrics(registry *telemetry.Registry) *metrics {
+	return &metrics{
+		latency: registry.Histogram(metricAnswered), firstEvent: registry.Histogram(metricFirstEvent),
+		refusals: registry.Counter(metricRefused), breaks: registry.Counter(metricBroken),
+		attempts: registry.Counter(metricAttempts),
+	}
+}
+
+// defineGauges makes the gauges that are read at each scrape.
+func (g *Gateway) defineGauges(registry *telemetry.Registry) {
+	registry.GaugeFunc(metricUnderWay, func() float64 { return float64(g.underWay.Load()) })
+	registry.GaugeFunc(metricVersion, func() float64 {
+		if table := g.directory.View().Table; table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	registry.GaugeFunc(metricDropped, func() float64 {
+		if g.options.Log == nil {
+			return 0
+		}
+		return float64(g.options.Log.Dropped())
+	})
+}
+
+func (m *metrics) refused(kind failure.Type) { m.refusals.WithLabelValues(string(kind)).Inc() }
+
+func (m *metrics) broken() { m.breaks.WithLabelValues().Inc() }
+
+func (m *metrics) answered(kind string, whole, first time.Duration) {
+	m.latency.WithLabelValues(kind).Observe(whole.Seconds())
+	if first > 0 {
+		m.firstEvent.WithLabelValues().Observe(first.Seconds())
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -44,7 +44,7 @@
 	body, err := io.ReadAll(io.LimitReader(one.answer.Body, wholeAnswerBytes))
 	if err != nil {
 		r.gateway.done(r, one.worker, verdictOfBreak(r.incoming.Context()))
-		r.lastError = err
+		r.note(eventLost, "worker", one.worker.ID, "cause", err.Error())
 		return &worker.Lost{Cause: err}
 	}
 	if len(body) == wholeAnswerBytes {
@@ -59,7 +59,7 @@
 	r.writer.WriteHeader(one.answer.Status)
 	// A failed write means that the client has gone.
 	_, _ = r.writer.Write(body)
-	r.gateway.logAnswer(r, one.answer.Status)
+	r.endAnswered(one.answer.Status)
 	return nil
 }
 
@@ -74,11 +74,11 @@
 		r.abort(err)
 	}
 	r.gateway.done(r, one.worker, balance.Served)
-	r.gateway.logAnswer(r, one.answer.Status)
+	r.endAnswered(one.answer.Status)
 }
 
 // abort ends a begun answer so that it cannot look complete.
 func (r *request) abort(cause error) {
-	r.gateway.logAbort(r, cause)
+	r.endBroken(cause)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,8 +40,12 @@
 	// workers that were found to have ended.
 	resumes int
 	gone    map[string]bool
-	// firstEvent is when the first event went to the client.
+	// firstEvent is when the first event went to the client; events counts
+	// those passed on.
 	firstEvent time.Time
+	events     int64
+	// decisions are the lines that tell the request's story.
+	decisions []decision
 }
 
 // ServeHTTP serves one client attempt.
@@ -92,6 +96,7 @@
 		held = defaultTimeout
 	}
 	r.deadline = r.received.Add(held)
+	r.note(eventRouted, "route", r.route.Name, "service", r.service.Name, "version", table.Version(), "held_ms", held.Milliseconds())
 	return nil
 }
 
@@ -125,8 +130,8 @@
 // refuse gives the final answer for a failure of the gateway's own, unless the
 // client has gone.
 func (r *request) refuse(err error) {
-	r.gateway.logRefusal(r, err)
 	refuse(r.writer, err)
+	r.endRefused(err)
 }
 
 // attempt is one try at a worker.
@@ -170,7 +175,12 @@
 func (r *request) choose() (directory.Worker, bool) {
 	view := r.gateway.directory.View()
 	wanted := r.gateway.balanceRequest(r)
-	return r.gateway.balancer.Choose(view.Workers[r.service.Name], wanted)
+	listed := view.Workers[r.service.Name]
+	chosen, found := r.gateway.balancer.Choose(listed, wanted)
+	if found {
+		r.note(eventChosen, "worker", chosen.ID, "affinity", wanted.Affinity, "listed", len(listed), "tried", len(r.tried))
+	}
+	return chosen, found
 }
 
 // sendTo sends the request to one worker, whose Done is owed by the caller if
@@ -188,6 +198,7 @@
 		return nil, r.failed(ctx, chosen, err)
 	}
 	r.ran[chosen.ID] = true
+	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status)
 	return &attempt{worker: chosen, answer: answer}, nil
 }
 
@@ -195,6 +206,8 @@
 func (r *request) pass(chosen directory.Worker, verdict balance.Verdict) {
 	r.tried[chosen.ID] = true
 	r.turnedAway++
+	r.note(eventNotRun, "worker", chosen.ID, "verdict", verdict.String(), "cause", errorText(r.lastError))
+	r.lastError = nil
 	r.gateway.done(r, chosen, verdict)
 }
 
@@ -213,6 +226,7 @@
 	}
 	r.ran[chosen.ID] = true
 	r.tried[chosen.ID] = true
+	r.note(eventLost, "worker", chosen.ID, "cause", err.Error())
 	if ctx.Err() != nil {
 		r.gateway.done(r, chosen, balance.Abandoned)
 		return &worker.Lost{Cause: ctx.Err()}
@@ -277,3 +291,10 @@
 		to.Set("Connection", closing)
 	}
 }
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,8 @@
 		err = turn.keep(ctx, out)
 	}
 	switch {
+	case err == nil && out.begun:
+		r.endAnswered(http.StatusOK)
 	case err == nil:
 	case out.begun:
 		r.abort(err)
@@ -79,10 +81,11 @@
 // that one is not reached, at another.
 func (s *stream) resume(ctx context.Context, broken error) (*attempt, error) {
 	r := s.request
-	if s.events+int64(len(r.ran)) > 0 && r.resumes >= maxResumes {
+	if r.resumes >= maxResumes {
 		return nil, broken
 	}
 	r.resumes++
+	r.note(eventResumed, "worker", r.workerID, "after_event", s.resumeAt(), "cause", broken.Error())
 	if same, listed := r.listed(r.workerID); listed && !r.gone[same.ID] {
 		r.gateway.balancer.Begin(same.ID)
 		one, err := r.sendTo(ctx, same, s.resumeAt())
@@ -129,7 +132,7 @@
 		}
 		if err != nil {
 			r.gateway.done(r, one.worker, verdictOfBreak(ctx))
-			r.lastError = err
+			r.note(eventLost, "worker", one.worker.ID, "cause", err.Error(), "events", s.events)
 			return &worker.Lost{Cause: err}
 		}
 		if err := s.forward(one, event); err != nil {
@@ -154,6 +157,7 @@
 	}
 	if event.hasData {
 		s.events++
+		r.events++
 		if r.route.Stateful {
 			s.output = append(append(s.output, event.data...), '\n')
 		}
@@ -175,6 +179,5 @@
 // finish ends a stream that is complete.
 func (s *stream) finish(one *attempt) error {
 	s.begin(one)
-	s.request.gateway.logAnswer(s.request, one.answer.Status)
 	return nil
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -78,6 +78,8 @@
 			Program: envelope.Program, Committed: ledger.Committed(t.reservation), Budget: envelope.Budget,
 		}
 	}
+	t.request.note(eventReserved, "reservation", t.reservation, "most", envelope.MostTokens,
+		"committed", ledger.Committed(t.reservation), "budget", envelope.Budget)
 	return nil
 }
 
@@ -124,6 +126,7 @@
 	if err := r.gateway.quorum.Append(ctx, records...); err != nil {
 		return err
 	}
+	r.note(eventKept, "turn", turn.Id, "previous", turn.Previous, "tokens", t.used(out))
 	r.gateway.chains.add(turn)
 	return nil
 }
@@ -143,14 +146,18 @@
 	}()
 }
 
+// used returns the tokens that were handed out.
+func (t *turnState) used(out *stream) int64 {
+	if engine := t.request.service.Engine; engine != nil && engine.Stride > 0 {
+		return out.events * engine.Stride
+	}
+	return out.events
+}
+
 func (t *turnState) settlement(out *stream) *replicav1.Record {
 	r := t.request
-	var stride int64 = 1
-	if r.service.Engine != nil && r.service.Engine.Stride > 0 {
-		stride = r.service.Engine.Stride
-	}
 	settlement := &replicav1.Settlement{
-		Id: t.reservation, Program: r.envelope.Program, Used: out.events * stride,
+		Id: t.reservation, Program: r.envelope.Program, Used: t.used(out),
 	}
 	return &replicav1.Record{
 		Kind:        &replicav1.Record_Settlement{Settlement: settlement},
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,15 +15,19 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
 	dialTimeout = 400 * time.Millisecond
 	userTimeout = 900 * time.Millisecond
+	// keepWorkersEvery is how often the list of workers is written at most.
+	keepWorkersEvery = 500 * time.Millisecond
 	// maxMessageBytes bounds one message of the group.
 	maxMessageBytes = 64 << 20
 )
@@ -40,6 +44,8 @@
 	Bootstrap bool
 	// Seeds are addresses of replicas that may be stale.
 	Seeds []string
+	// Metrics is the IP:port for metrics; empty serves none.
+	Metrics string
 }
 
 // Replica is a running replica.
@@ -111,10 +117,11 @@
 	return nil
 }
 
-// offerKept puts the kept configuration and group in force until the platform
-// tells newer ones.
+// offerKept puts the kept configuration, workers and group in force until the
+// platform tells newer ones.
 func (r *Replica) offerKept() {
 	r.directory.OfferGroup(r.state.currentGroup())
+	r.directory.OfferWorkerList(r.state.workers)
 	kept := r.state.configuration
 	if kept == nil {
 		return
@@ -150,12 +157,35 @@
 	}()
 }
 
+// keepWorkers writes the list of workers to the disk when it has changed: after
+// a loss of power on all machines it is the only one while the platform's store
+// is down.
+func (r *Replica) keepWorkers(ctx context.Context) {
+	for pause.For(ctx, keepWorkersEvery) {
+		r.state.mutex.Lock()
+		kept := r.state.workers.GetRevision()
+		r.state.mutex.Unlock()
+		if r.directory.WorkersRevision() <= kept {
+			continue
+		}
+		record := &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: r.directory.WorkerList()}}
+		if err := r.state.write(record); err != nil {
+			eventWriteFailed.Log("cause", err.Error())
+		}
+	}
+}
+
 // Run serves until ctx ends.
 func (r *Replica) Run(ctx context.Context) error {
 	listener, err := transport.Listen(ctx, r.options.Address, userTimeout)
 	if err != nil {
 		return &failure.Internal{Cause: err}
 	}
+	registry := telemetry.NewRegistry()
+	r.defineGauges(registry)
+	if err := telemetry.Serve(ctx, r.options.Metrics, registry, r.readiness); err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	handler := &service{state: r.state, directory: r.directory, heard: r.heard}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, connect.WithReadMaxBytes(maxMessageBytes)))
@@ -168,6 +198,7 @@
 	go r.feed.Follow(ctx, directory.KindReplica, "replicas", directory.LongWait, r.followers.takeReplicas)
 	go r.feed.Follow(ctx, directory.KindRetirement, "retirements", directory.LongWait, r.followers.takeRetirements)
 	go quorum.NewRelay(r.quorum, r.directory, r.feed.Failing, r.options.Seeds).Run(ctx)
+	go r.keepWorkers(ctx)
 	go r.register(ctx)
 	go r.announce(ctx)
 	go r.takeSeat(ctx)
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -27,6 +27,7 @@
 	identity      *replicav1.Identity
 	seen          map[uint32]uint64
 	configuration *replicav1.Configuration
+	workers       *replicav1.WorkerList
 }
 
 // openState reads the log. A folder that is empty or damaged gives a state
@@ -70,6 +71,11 @@
 			return false
 		}
 		s.configuration = kind.Configuration
+	case *replicav1.Record_Workers:
+		if s.workers != nil && s.workers.Revision >= kind.Workers.Revision {
+			return false
+		}
+		s.workers = kind.Workers
 	default:
 		return s.store.Apply(record)
 	}
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -84,6 +84,9 @@
 	return entries
 }
 
+// Len returns how many records there are.
+func (s *Store) Len() int { return len(s.records) }
+
 // Chain returns a turn and the turns before it, the newest first, as far as
 // they are known.
 func (s *Store) Chain(id string) []*replicav1.Turn {
