Outlier detection by a share of failures, silence and errors; safe requests move on

Now: failures count as a moving share, silence past a multiple of the target counts at once, a worker's own 5xx counts; a safe request leaves a silent or erring worker while the retry budget lasts; a gateway that reaches no replica is not ready, asks clients to come back elsewhere and holds turns for 250 ms instead of 700.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,12 +16,20 @@
 )
 
 const (
-	// ejectAfter is how many failures in a row eject a worker.
-	ejectAfter = 2
+	// failureWeight is how much the last attempt counts in a worker's share of
+	// failures; from ejectShare on the worker is ejected: after two failures in a
+	// row, or when about half of the attempts fail.
+	failureWeight = 0.3
+	ejectShare    = 0.5
+	// returnShare is the share of failures that a worker comes back with: one
+	// more failure ejects it again.
+	returnShare = 0.35
+	// goodShare is the share below which a worker's ejections are forgotten.
+	goodShare  = 0.05
 	firstEject = 800 * time.Millisecond
 	lastEject  = 5 * time.Second
-	// maxEjected is the share of a service's workers that may be ejected; the
-	// others take work whatever their record.
+	// maxEjected is the share of a service's workers that may be ejected; beyond
+	// it all take work, whatever their record: then it is load, not the workers.
 	maxEjected = 0.5
 	// affinitySlack is how many more requests than the least loaded worker the
 	// preferred worker may have under way here.
@@ -47,8 +55,9 @@
 
 type record struct {
 	underWay int
-	failures int
-	ejects   int
+	// failing is the share of failures of the last attempts, the newest first.
+	failing float64
+	ejects  int
 	// ejectedUntil is zero for workers in good standing.
 	ejectedUntil time.Time
 }
@@ -172,11 +181,13 @@
 	Failed
 	// Unreachable attempts never reached the worker.
 	Unreachable
+	// Erring attempts got an answer that tells of a failure of the worker's own.
+	Erring
 	// Abandoned attempts were cancelled from here.
 	Abandoned
 )
 
-var verdictNames = [...]string{"served", "turned_away", "failed", "unreachable", "abandoned"}
+var verdictNames = [...]string{"served", "turned_away", "failed", "unreachable", "erring", "abandoned"}
 
 // String returns the verdict's name in logs and metrics.
 func (v Verdict) String() string { return verdictNames[v] }
@@ -190,21 +201,37 @@
 	known.underWay--
 	switch verdict {
 	case Served, TurnedAway:
-		known.failures, known.ejects = 0, 0
-		known.ejectedUntil = time.Time{}
-	case Failed:
-		known.failures++
+		known.failing *= 1 - failureWeight
+		if known.failing < goodShare {
+			known.ejects = 0
+		}
+	case Failed, Erring:
+		return b.failed(known)
 	case Unreachable:
-		known.failures += ejectAfter
+		known.failing = max(known.failing, returnShare)
+		return b.failed(known)
 	case Abandoned:
 	}
-	if known.failures < ejectAfter || verdict == Abandoned {
+	return false
+}
+
+// Silent notes that an attempt has waited for longer than it should, and reports
+// whether the worker was ejected by it. The attempt goes on.
+func (b *Balancer) Silent(worker string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.failed(b.of(worker))
+}
+
+// failed counts a failure and ejects a worker that has too many.
+func (b *Balancer) failed(known *record) bool {
+	known.failing += failureWeight * (1 - known.failing)
+	if known.failing < ejectShare || b.now().Before(known.ejectedUntil) {
 		return false
 	}
-	duration := min(lastEject, firstEject<<min(known.ejects, 8))
+	known.ejectedUntil = b.now().Add(min(lastEject, firstEject<<min(known.ejects, 8)))
 	known.ejects++
-	known.failures = ejectAfter - 1
-	known.ejectedUntil = b.now().Add(duration)
+	known.failing = returnShare
 	return true
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -104,20 +104,63 @@
 	now, clock := fixed()
 	b := New(clock)
 	ejectedAt := func(id string) time.Duration { return b.of(id).ejectedUntil.Sub(*now) }
-	b.Begin("w0")
-	b.Done("w0", Unreachable)
+	fail := func() {
+		*now = now.Add(lastEject)
+		b.Begin("w0")
+		b.Done("w0", Unreachable)
+	}
+	fail()
 	require.Equal(t, firstEject, ejectedAt("w0"))
-	b.Begin("w0")
-	b.Done("w0", Unreachable)
+	fail()
 	require.Equal(t, 2*firstEject, ejectedAt("w0"))
 	for range 20 {
-		b.Begin("w0")
-		b.Done("w0", Unreachable)
+		fail()
 	}
 	require.Equal(t, lastEject, ejectedAt("w0"))
+	for range 10 {
+		b.Begin("w0")
+		b.Done("w0", Served)
+	}
+	fail()
+	require.Equal(t, firstEject, ejectedAt("w0"), "a good record starts anew")
+}
+
+func TestAWorkerThatFailsHalfOfTheTimeIsEjected(t *testing.T) {
+	_, clock := fixed()
+	b := New(clock)
+	ejected := false
+	for n := 0; n < 40 && !ejected; n++ {
+		b.Begin("w0")
+		verdict := Served
+		if n%3 != 0 {
+			verdict = Erring
+		}
+		ejected = b.Done("w0", verdict)
+	}
+	require.True(t, ejected, "answers in between do not wipe its record out")
+}
+
+func TestARareFailureEjectsNobody(t *testing.T) {
+	_, clock := fixed()
+	b := New(clock)
+	for n := range 400 {
+		b.Begin("w0")
+		verdict := Served
+		if n%10 == 0 {
+			verdict = Erring
+		}
+		require.False(t, b.Done("w0", verdict))
+	}
+}
+
+func TestSilenceCountsBeforeTheAttemptEnds(t *testing.T) {
+	_, clock := fixed()
+	b := New(clock)
+	b.Begin("w0")
 	b.Begin("w0")
-	b.Done("w0", Served)
-	require.False(t, clock().Before(b.of("w0").ejectedUntil), "a served request ends it")
+	require.False(t, b.Silent("w0"))
+	require.True(t, b.Silent("w0"))
+	require.Equal(t, 2, b.record["w0"].underWay)
 }
 
 func TestAServiceIsNeverEmptiedByEjections(t *testing.T) {
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -36,10 +36,25 @@
 func (g *Gateway) done(r *request, chosen directory.Worker, verdict balance.Verdict) {
 	g.metrics.attempts.WithLabelValues(verdict.String()).Inc()
 	if g.balancer.Done(chosen.ID, verdict) {
-		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", r.envelope.RequestID)
+		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", r.envelope.RequestID, "why", verdict.String())
 	}
 }
 
+// silent notes that a worker has kept a request waiting.
+func (g *Gateway) silent(request string, chosen directory.Worker) {
+	if g.balancer.Silent(chosen.ID) {
+		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", request, "why", "silence")
+	}
+}
+
+// verdictOfAnswer tells a worker's own failures from its other answers.
+func verdictOfAnswer(status int) balance.Verdict {
+	if status >= http.StatusInternalServerError {
+		return balance.Erring
+	}
+	return balance.Served
+}
+
 func verdictOfRejection(status int) balance.Verdict {
 	if status == http.StatusMisdirectedRequest {
 		return balance.Unreachable
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
@@ -43,8 +44,21 @@
 	wholeAnswerBytes = 128 << 10
 	smallAnswerBytes = 16 << 10
 
-	workerDialTimeout = 300 * time.Millisecond
-	workerUserTimeout = 700 * time.Millisecond
+	// defaultSilence is how long a worker may take to begin its answer where the
+	// route has no target; else it is these multiples of the target.
+	defaultSilence = 2 * time.Second
+	plainSilence   = 2
+	streamSilence  = 5
+	// silenceMargin is how much later a request is taken back from a silent
+	// worker, so that the silence counts first.
+	silenceMargin = 20 * time.Millisecond
+	// retryRatio is the retries that each success allows; retrySteady those that
+	// are allowed a second without any.
+	retryRatio  = 0.1
+	retrySteady = limit.Rate(1)
+
+	workerDialTimeout = 150 * time.Millisecond
+	workerUserTimeout = 500 * time.Millisecond
 	clientUserTimeout = 5 * time.Second
 	stateDialTimeout  = 300 * time.Millisecond
 	stateUserTimeout  = 700 * time.Millisecond
@@ -84,6 +98,8 @@
 	pool      *worker.Pool
 	balancer  *balance.Balancer
 	splitter  *route.Splitter
+	retries   *limit.RetryBudget
+	state     *stateHealth
 	registry  *telemetry.Registry
 	metrics   *metrics
 
@@ -95,6 +111,7 @@
 func New(options Options, objects directory.Objects) *Gateway {
 	g := &Gateway{
 		options: options, balancer: balance.New(time.Now), splitter: route.NewSplitter(),
+		retries:   limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
 		directory: directory.NewState(time.Now, directory.LogChanges()),
 	}
 	g.registry = telemetry.NewRegistry()
@@ -103,6 +120,7 @@
 	g.feed = directory.NewFeed(objects, g.directory, directory.LongWait)
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
+	g.state = newStateHealth(g.quorum, time.Now)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, g.feed.Failing, options.Seeds)
 	g.chains = newChainCache(g.quorum)
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
@@ -118,6 +136,7 @@
 	go g.feed.Run(working)
 	go g.relay.Run(working)
 	go g.sweep(working)
+	go g.state.run(working)
 	readiness, err := transport.Listen(working, g.options.Readiness, clientUserTimeout)
 	if err != nil {
 		return &failure.Internal{Cause: err}
@@ -178,6 +197,8 @@
 		return telemetry.Readiness{Reason: "stopping"}
 	case g.directory.View().Table == nil:
 		return telemetry.Readiness{Reason: "no configuration is known yet"}
+	case g.state.isolated():
+		return telemetry.Readiness{Reason: "no replica answers"}
 	}
 	return telemetry.Readiness{Ready: true}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/route"
@@ -16,11 +17,9 @@
 // servePlain serves a request that has one answer.
 func (r *request) servePlain(ctx context.Context) {
 	for {
-		one, err := r.send(ctx, "")
-		if err == nil {
-			err = r.relay(one)
-		}
+		err := r.tryPlain(ctx)
 		if err == nil {
+			r.gateway.retries.Succeeded(time.Now())
 			return
 		}
 		if !r.mayRepeat(ctx, err) {
@@ -30,11 +29,35 @@
 	}
 }
 
+// tryPlain sends the request and passes its answer on. A request that may run
+// once more is taken back from a worker that is silent for too long.
+func (r *request) tryPlain(ctx context.Context) error {
+	if r.attemptsLeft() > 1 && r.gateway.retries.Left(time.Now()) {
+		limited, cancel := context.WithTimeout(ctx, r.silence()+silenceMargin)
+		defer cancel()
+		ctx = limited
+	}
+	one, err := r.send(ctx, "")
+	if err != nil {
+		return err
+	}
+	return r.relay(one)
+}
+
+// attemptsLeft is on how many more workers the request may run.
+func (r *request) attemptsLeft() int {
+	if r.route.Kind != route.Safe {
+		return 1 - len(r.ran)
+	}
+	return r.route.MaxAttempts - len(r.ran)
+}
+
 // mayRepeat reports whether a request whose last attempt failed may go to one
 // more worker.
 func (r *request) mayRepeat(ctx context.Context, err error) bool {
 	var lost *worker.Lost
-	return errors.As(err, &lost) && ctx.Err() == nil && r.route.Kind == route.Safe && len(r.ran) < r.route.MaxAttempts
+	return errors.As(err, &lost) && ctx.Err() == nil && r.route.Kind == route.Safe && r.attemptsLeft() > 0 &&
+		r.gateway.retries.Allow(time.Now())
 }
 
 // relay passes a plain answer on. A short one is read whole first, so that one
@@ -51,7 +74,13 @@
 		r.relayLong(one, body)
 		return nil
 	}
-	r.gateway.done(r, one.worker, balance.Served)
+	r.gateway.done(r, one.worker, verdictOfAnswer(one.answer.Status))
+	if one.answer.Status >= http.StatusInternalServerError && r.route.Kind == route.Safe && r.attemptsLeft() > 0 &&
+		r.gateway.retries.Left(time.Now()) {
+		r.note(eventLost, "worker", one.worker.ID, "cause", one.answer.Status)
+		r.tried[one.worker.ID] = true
+		return &worker.Lost{Cause: &UnexpectedStatus{Status: one.answer.Status}}
+	}
 	copyHead(r.writer.Header(), one.answer.Header)
 	if r.incoming.Method != http.MethodHead && one.answer.Status != http.StatusNoContent && one.answer.Status != http.StatusNotModified {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -16,6 +16,9 @@
 	// comeBackAfter is the time after which a request that no worker could take
 	// may come back.
 	comeBackAfter = 150 * time.Millisecond
+	// stateBackAfter is the time after which a turn that found too few replicas
+	// may come back: a replica that was killed takes longer than a busy worker.
+	stateBackAfter = 400 * time.Millisecond
 )
 
 // UnknownRoute reports that the configuration in force has no route for a
@@ -147,7 +150,7 @@
 
 // Retry says when to come back.
 func (e *StateUnavailable) Retry() failure.Retry {
-	return failure.Retry{Allowed: true, After: comeBackAfter}
+	return failure.Retry{Allowed: true, After: stateBackAfter}
 }
 
 // Unwrap returns the cause.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,7 +52,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	g.underWay.Add(1)
 	defer g.underWay.Add(-1)
-	if g.stopping.Load() {
+	if g.stopping.Load() || g.state.isolated() {
+		// The client is to open its next connection elsewhere.
 		w.Header().Set("Connection", "close")
 	}
 	r := &request{
@@ -187,6 +188,8 @@
 // there is no error.
 func (r *request) sendTo(ctx context.Context, chosen directory.Worker, lastEvent string) (*attempt, error) {
 	r.workerID = chosen.ID
+	silence := time.AfterFunc(r.silence(), func() { r.gateway.silent(r.envelope.RequestID, chosen) })
+	defer silence.Stop()
 	answer, err := r.gateway.pool.Send(ctx, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
 	if err == nil && answer.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, smallAnswerBytes))
@@ -235,6 +238,18 @@
 	return err
 }
 
+// silence is how long a worker may take to begin its answer before that counts
+// against it.
+func (r *request) silence() time.Duration {
+	if r.route.TargetLatency <= 0 {
+		return defaultSilence
+	}
+	if r.route.Kind == route.Streaming {
+		return streamSilence * r.route.TargetLatency
+	}
+	return plainSilence * r.route.TargetLatency
+}
+
 func (r *request) connectionLimit() int {
 	if r.service.MaxConnections <= 0 {
 		return 0
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -14,6 +14,9 @@
 const (
 	// stateWait bounds how long a turn waits for replicas before it is refused.
 	stateWait = 700 * time.Millisecond
+	// isolatedWait is the same where no replica answered last: another gateway
+	// may reach them.
+	isolatedWait = 250 * time.Millisecond
 	// settleTimeout bounds the writing of what a turn has used.
 	settleTimeout = 3 * time.Second
 )
@@ -41,7 +44,11 @@
 	if !budgeted && !r.route.Stateful {
 		return state, nil
 	}
-	wait, cancel := context.WithTimeout(ctx, stateWait)
+	patience := stateWait
+	if r.gateway.state.isolated() {
+		patience = isolatedWait
+	}
+	wait, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	assembled := make(chan error, 1)
 	go func() { assembled <- r.assemble(wait) }()
@@ -70,6 +77,7 @@
 		RetentionMs: t.request.retention().Milliseconds(),
 	}
 	ledger, err := t.request.gateway.quorum.Reserve(ctx, record)
+	t.request.gateway.state.note(err)
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -37,6 +37,14 @@
 	r.bucket.refill(now, r.steady, retryBurst)
 }
 
+// Left reports whether a retry would be allowed, without taking it.
+func (r *RetryBudget) Left(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.bucket.refill(now, r.steady, retryBurst)
+	return r.bucket.tokens >= 1
+}
+
 // Allow takes one retry out of the budget, if there is one.
 func (r *RetryBudget) Allow(now time.Time) bool {
 	r.mutex.Lock()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -77,6 +77,12 @@
 	return c.append(ctx, &replicav1.AppendRequest{Programs: []string{record.GetReservation().Program}})
 }
 
+// Probe returns nil if a majority answers.
+func (c *Client) Probe(ctx context.Context) error {
+	_, err := c.append(ctx, &replicav1.AppendRequest{})
+	return err
+}
+
 // append sends a request to the group in force until enough members answer.
 func (c *Client) append(ctx context.Context, request *replicav1.AppendRequest) (turn.Ledger, error) {
 	answered, needed := 0, 1
@@ -87,7 +93,7 @@
 			if done {
 				return ledger, nil
 			}
-			answered = count
+			answered = max(answered, count)
 		}
 		if !pause.For(ctx, retryPause) {
 			return nil, &Unavailable{Needed: needed, Answered: answered}
