Slow workers are passed over; space is given back after the retention

Replicas drop turns and programs after their retention and rewrite a log that holds three times what is live.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,6 +60,7 @@
 	ejects  int
 	// ejectedUntil is zero for workers in good standing.
 	ejectedUntil time.Time
+	pace         pace
 }
 
 // New returns a balancer.
@@ -102,10 +103,11 @@
 	return best.worker.Worker, true
 }
 
-// candidates returns the workers that may be chosen, by rank. Ejected workers
-// are left out, the worst first, until maxEjected of the service is.
+// candidates returns the workers that may be chosen, by rank. Ejected and slow
+// workers are left out, unless they are more than maxEjected of the service.
 func (b *Balancer) candidates(workers []directory.Listed, request Request) []candidate {
 	now := b.now()
+	typical := b.typicalPace(now, workers)
 	var usable, lapsed, ejected []candidate
 	for _, worker := range workers {
 		if request.Tried[worker.ID] {
@@ -116,7 +118,7 @@
 		switch {
 		case worker.Lapsed:
 			lapsed = append(lapsed, each)
-		case now.Before(known.ejectedUntil):
+		case now.Before(known.ejectedUntil), known.pace.slow(now, typical):
 			ejected = append(ejected, each)
 		default:
 			usable = append(usable, each)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -153,6 +153,49 @@
 	}
 }
 
+func TestASlowWorkerGetsNoWorkUntilItIsTriedAgain(t *testing.T) {
+	now, clock := fixed()
+	b := New(clock)
+	for range paceSamples {
+		for _, each := range workers(5) {
+			took := 0.2
+			if each.ID == "w0" {
+				took = 0.8
+			}
+			b.Answered(each.ID, took)
+		}
+	}
+	counts := func() map[string]int {
+		seen := map[string]int{}
+		for range 50 {
+			id := choose(t, b, workers(5), Request{})
+			seen[id]++
+			b.Done(id, Abandoned)
+		}
+		return seen
+	}
+	require.Zero(t, counts()["w0"])
+	*now = now.Add(paceMemory + time.Millisecond)
+	require.NotZero(t, counts()["w0"], "its pace is forgotten")
+}
+
+func TestWorkersThatAreAllSlowAreNotSlow(t *testing.T) {
+	_, clock := fixed()
+	b := New(clock)
+	for range 10 {
+		for i, each := range workers(5) {
+			b.Answered(each.ID, 3+float64(i)/10)
+		}
+	}
+	used := map[string]bool{}
+	for range 50 {
+		id := choose(t, b, workers(5), Request{})
+		used[id] = true
+		b.Done(id, Abandoned)
+	}
+	require.Len(t, used, 5, "an overload is no outlier")
+}
+
 func TestSilenceCountsBeforeTheAttemptEnds(t *testing.T) {
 	_, clock := fixed()
 	b := New(clock)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -75,6 +75,9 @@
 		return nil
 	}
 	r.gateway.done(r, one.worker, verdictOfAnswer(one.answer.Status))
+	if one.answer.Status < http.StatusInternalServerError && r.route.TargetLatency > 0 {
+		r.gateway.balancer.Answered(one.worker.ID, time.Since(one.sent).Seconds()/r.route.TargetLatency.Seconds())
+	}
 	if one.answer.Status >= http.StatusInternalServerError && r.route.Kind == route.Safe && r.attemptsLeft() > 0 &&
 		r.gateway.retries.Left(time.Now()) {
 		r.note(eventLost, "worker", one.worker.ID, "cause", one.answer.Status)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -139,6 +139,8 @@
 type attempt struct {
 	worker directory.Worker
 	answer *worker.Answer
+	// sent is when the attempt began.
+	sent time.Time
 }
 
 // send tries workers until one takes the request and begins to answer. Workers
@@ -188,6 +190,7 @@
 // there is no error.
 func (r *request) sendTo(ctx context.Context, chosen directory.Worker, lastEvent string) (*attempt, error) {
 	r.workerID = chosen.ID
+	sent := time.Now()
 	silence := time.AfterFunc(r.silence(), func() { r.gateway.silent(r.envelope.RequestID, chosen) })
 	defer silence.Stop()
 	answer, err := r.gateway.pool.Send(ctx, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
@@ -202,7 +205,7 @@
 	}
 	r.ran[chosen.ID] = true
 	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status)
-	return &attempt{worker: chosen, answer: answer}, nil
+	return &attempt{worker: chosen, answer: answer, sent: sent}, nil
 }
 
 // pass ends an attempt that did not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,9 @@
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
+// minPaceEvents is how many events tell a worker's pace.
+const minPaceEvents = 3
+
 // stream is the answer of a streaming request as it comes.
 type stream struct {
 	request *request
@@ -124,10 +127,12 @@
 	}
 	defer one.answer.Close()
 	reader := newEventReader(one.answer.Body)
+	begun, before := time.Now(), s.events
 	for {
 		event, err := reader.next()
 		if err == io.EOF {
 			r.gateway.done(r, one.worker, balance.Served)
+			s.pace(one, time.Since(begun), s.events-before-1)
 			return s.finish(one)
 		}
 		if err != nil {
@@ -139,7 +144,24 @@
 			r.gateway.done(r, one.worker, balance.Abandoned)
 			return &worker.Lost{Cause: err}
 		}
+		if s.events-before == 1 {
+			begun = time.Now()
+		}
+		if s.events-before == minPaceEvents+1 {
+			// A slow worker shows before the stream has ended.
+			s.pace(one, time.Since(begun), minPaceEvents)
+		}
+	}
+}
+
+// pace tells the balancer how fast the worker's events came, against the gap
+// that the route aims at.
+func (s *stream) pace(one *attempt, took time.Duration, events int64) {
+	gap := s.request.route.TargetGap
+	if gap <= 0 || events < minPaceEvents {
+		return
 	}
+	s.request.gateway.balancer.Answered(one.worker.ID, took.Seconds()/float64(events)/gap.Seconds())
 }
 
 // forward passes one event on.
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -12,6 +12,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 )
@@ -60,6 +61,7 @@
 	wake    *sync.Cond
 	closed  bool
 	done    chan struct{}
+	size    atomic.Int64
 
 	// The fields below belong to the writing goroutine.
 	file     File
@@ -71,7 +73,9 @@
 
 type request struct {
 	frames []byte
-	done   chan error
+	// rewrite is set if the frames replace all that came before.
+	rewrite bool
+	done    chan error
 }
 
 // Open reads the log and returns its records, oldest first.
@@ -93,6 +97,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	for _, record := range records {
+		log.size.Add(int64(len(record) + headerBytes))
+	}
 	if err := log.openLast(end); err != nil {
 		return nil, nil, &failure.DiskFailed{Cause: err}
 	}
@@ -191,8 +198,17 @@
 
 // Enqueue hands over records in the order of the calls. The function that it
 // returns waits until they, and all earlier ones, are on the disk.
-func (l *Log) Enqueue(records ...[]byte) func() error {
-	one := &request{done: make(chan error, 1)}
+func (l *Log) Enqueue(records ...[]byte) func() error { return l.enqueue(records, false) }
+
+// Rewrite replaces all records that were handed over before by these. The
+// function that it returns waits until that is done.
+func (l *Log) Rewrite(records [][]byte) func() error { return l.enqueue(records, true) }
+
+// Size returns the bytes that the log takes on the disk.
+func (l *Log) Size() int64 { return l.size.Load() }
+
+func (l *Log) enqueue(records [][]byte, rewrite bool) func() error {
+	one := &request{done: make(chan error, 1), rewrite: rewrite}
 	for _, record := range records {
 		one.frames = frame(one.frames, record)
 	}
@@ -240,8 +256,14 @@
 	}
 	size, count := 0, 0
 	for count < len(l.pending) && (count == 0 || size+len(l.pending[count].frames) <= maxBatchBytes) {
+		if l.pending[count].rewrite && count > 0 {
+			break
+		}
 		size += len(l.pending[count].frames)
 		count++
+		if l.pending[count-1].rewrite {
+			break
+		}
 	}
 	batch := l.pending[:count:count]
 	l.pending = l.pending[count:]
@@ -255,6 +277,9 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	if batch[0].rewrite {
+		return l.replace(batch[0].frames)
+	}
 	var data []byte
 	for _, one := range batch {
 		data = append(data, one.frames...)
@@ -267,6 +292,32 @@
 			return &failure.DiskFailed{Cause: err}
 		}
 	}
+	return l.append(data)
+}
+
+// replace writes frames to a segment of their own and removes those before it.
+// A loss of power in between leaves the old ones, whose records are read again
+// without harm.
+func (l *Log) replace(frames []byte) error {
+	old := l.segments
+	if err := l.rotate(); err != nil {
+		return &failure.DiskFailed{Cause: err}
+	}
+	if err := l.append(frames); err != nil {
+		return err
+	}
+	l.segments = l.segments[len(old):]
+	l.size.Store(l.offset)
+	for _, name := range old {
+		if err := l.files.Remove(name); err != nil {
+			return &failure.DiskFailed{Cause: err}
+		}
+	}
+	return nil
+}
+
+// append writes frames at the end and syncs them.
+func (l *Log) append(data []byte) error {
 	if _, err := l.file.Write(data); err != nil {
 		l.cut()
 		return &failure.DiskFailed{Cause: err}
@@ -277,6 +328,7 @@
 		return l.failed
 	}
 	l.offset += int64(len(data))
+	l.size.Add(int64(len(data)))
 	return nil
 }
 
--- a/internal/recordlog/log_test.go
+++ b/internal/recordlog/log_test.go
@@ -136,6 +136,50 @@
 	}
 }
 
+func TestARewriteReplacesWhatCameBeforeAndGivesSpaceBack(t *testing.T) {
+	store := recordlogtest.NewDisk()
+	log, _, err := recordlog.Open(store)
+	require.NoError(t, err)
+	for n := range 20 {
+		require.NoError(t, log.Append(record(n)))
+	}
+	before := log.Size()
+	rewritten := log.Rewrite([][]byte{record(3)})
+	after := log.Enqueue(record(30))
+	require.NoError(t, rewritten())
+	require.NoError(t, after())
+	require.Less(t, log.Size(), before)
+	log.Close()
+	names, err := store.List()
+	require.NoError(t, err)
+	require.Len(t, names, 1)
+	_, records, err := recordlog.Open(store)
+	require.NoError(t, err)
+	require.Equal(t, [][]byte{record(3), record(30)}, records)
+}
+
+// TestALossOfPowerDuringARewriteLosesNothing cuts a rewrite at every write.
+func TestALossOfPowerDuringARewriteLosesNothing(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		store := recordlogtest.NewDisk()
+		log, _, err := recordlog.Open(store)
+		require.NoError(t, err)
+		require.NoError(t, log.Append(record(1), record(2)))
+		wait := log.Rewrite([][]byte{record(1), record(2)})
+		after := store.LosePower(random)
+		require.NoError(t, wait())
+		log.Close()
+		_, records, err := recordlog.Open(after)
+		require.NoError(t, err)
+		found := map[string]bool{}
+		for _, each := range records {
+			found[string(each)] = true
+		}
+		require.True(t, found[string(record(1))] && found[string(record(2))])
+	}
+}
+
 func TestAppendAfterCloseFails(t *testing.T) {
 	log, _, err := recordlog.Open(recordlogtest.NewDisk())
 	require.NoError(t, err)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,6 +28,7 @@
 	userTimeout = 900 * time.Millisecond
 	// keepWorkersEvery is how often the list of workers is written at most.
 	keepWorkersEvery = 500 * time.Millisecond
+	compactEvery     = 5 * time.Second
 	// maxMessageBytes bounds one message of the group.
 	maxMessageBytes = 64 << 20
 )
@@ -175,6 +176,15 @@
 	}
 }
 
+// compact gives space back, again and again.
+func (r *Replica) compact(ctx context.Context) {
+	for pause.For(ctx, compactEvery) {
+		if err := r.state.compact(time.Now()); err != nil {
+			eventWriteFailed.Log("cause", err.Error())
+		}
+	}
+}
+
 // Run serves until ctx ends.
 func (r *Replica) Run(ctx context.Context) error {
 	listener, err := transport.Listen(ctx, r.options.Address, userTimeout)
@@ -199,6 +209,7 @@
 	go r.feed.Follow(ctx, directory.KindRetirement, "retirements", directory.LongWait, r.followers.takeRetirements)
 	go quorum.NewRelay(r.quorum, r.directory, r.feed.Failing, r.options.Seeds).Run(ctx)
 	go r.keepWorkers(ctx)
+	go r.compact(ctx)
 	go r.register(ctx)
 	go r.announce(ctx)
 	go r.takeSeat(ctx)
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -3,8 +3,10 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,12 +16,21 @@
 	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
+const (
+	// minCompactBytes is the size below which a log is left as it is, and
+	// compactFactor how many times its live records it may grow to.
+	minCompactBytes = 32 << 20
+	compactFactor   = 3
+)
+
 // state is what the log says, and the log. Its methods are safe for concurrent
 // use; those that say so return only once the change is on the disk.
 type state struct {
 	log *recordlog.Log
 	// life tells this process from an earlier one of the same folder.
 	life uint64
+	// compactFrom is the size below which the log is left as it is.
+	compactFrom int64
 
 	mutex         sync.Mutex
 	store         *turn.Store
@@ -38,7 +49,7 @@
 		return nil, err
 	}
 	opened := &state{
-		log: log, life: rand.Uint64() | 1, store: turn.NewStore(), seen: make(map[uint32]uint64),
+		log: log, life: rand.Uint64() | 1, compactFrom: minCompactBytes, store: turn.NewStore(), seen: make(map[uint32]uint64),
 	}
 	for _, data := range encoded {
 		record := &replicav1.Record{}
@@ -77,7 +88,7 @@
 		}
 		s.workers = kind.Workers
 	default:
-		return s.store.Apply(record)
+		return s.store.Apply(time.Now(), record)
 	}
 	return true
 }
@@ -140,6 +151,49 @@
 	return standing
 }
 
+// compact drops what has expired and, when the log holds much more than what is
+// live, writes the live records anew.
+func (s *state) compact(now time.Time) error {
+	s.mutex.Lock()
+	s.store.Expire(now)
+	size := s.log.Size()
+	if size < s.compactFrom || size < compactFactor*s.store.Bytes() {
+		s.mutex.Unlock()
+		return nil
+	}
+	wait := s.log.Rewrite(s.live())
+	s.mutex.Unlock()
+	return wait()
+}
+
+// live returns all records that count, encoded.
+func (s *state) live() (encoded [][]byte) {
+	records, _, _ := s.store.After(0, math.MaxInt)
+	if s.identity != nil {
+		records = append(records, identityRecord(s.identity))
+	}
+	if s.group != nil {
+		records = append(records, groupRecord(s.group))
+	}
+	for seat, incarnation := range s.seen {
+		records = append(records, incarnationRecord(seat, incarnation))
+	}
+	if s.configuration != nil {
+		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Configuration{Configuration: s.configuration}})
+	}
+	if s.workers != nil {
+		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: s.workers}})
+	}
+	for _, record := range records {
+		data, err := proto.Marshal(record)
+		if err != nil {
+			continue
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded
+}
+
 func (s *state) currentGroup() *replicav1.Group {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -5,6 +5,9 @@
 package turn
 
 import (
+	"sort"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
@@ -12,53 +15,144 @@
 
 // Store is what a replica's records say.
 type Store struct {
-	turns    map[string]*replicav1.Turn
-	programs map[string]map[string]*replicav1.Entry
+	turns    map[string]*keptTurn
+	programs map[string]*program
 	// records are all records that Pull passes on, oldest first.
-	records []*replicav1.Record
+	records []stored
+	// next is the position of the next record; positions are never used twice.
+	next uint64
+	// bytes is the size of all records.
+	bytes int64
+}
+
+// stored is a record at its position.
+type stored struct {
+	position uint64
+	record   *replicav1.Record
+	// retention is how long the record is kept after its last use.
+	retention time.Duration
+	// size is the record's encoded size in bytes.
+	size int
+}
+
+type keptTurn struct {
+	*replicav1.Turn
+	// used is when the turn, or one that goes on from it, came in last.
+	used time.Time
+}
+
+type program struct {
+	entries map[string]*replicav1.Entry
+	// used is when a record of the program came in last.
+	used time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{turns: make(map[string]*replicav1.Turn), programs: make(map[string]map[string]*replicav1.Entry)}
+	return &Store{turns: make(map[string]*keptTurn), programs: make(map[string]*program)}
 }
 
-// Apply takes a record and reports whether it was new.
-func (s *Store) Apply(record *replicav1.Record) bool {
+// Apply takes a record that came in at a time of the steady clock, and reports
+// whether it was new.
+func (s *Store) Apply(now time.Time, record *replicav1.Record) bool {
 	added := false
 	switch kind := record.Kind.(type) {
 	case *replicav1.Record_Turn:
 		if _, found := s.turns[kind.Turn.Id]; !found {
-			s.turns[kind.Turn.Id] = kind.Turn
+			s.turns[kind.Turn.Id] = &keptTurn{Turn: kind.Turn}
+			s.touch(now, kind.Turn.Id)
 			added = true
 		}
 	case *replicav1.Record_Reservation:
-		added = s.reserve(kind.Reservation)
+		added = s.reserve(now, kind.Reservation)
 	case *replicav1.Record_Settlement:
-		added = s.settle(kind.Settlement)
+		added = s.settle(now, kind.Settlement)
 	}
 	if added {
-		s.records = append(s.records, record)
+		retention := time.Duration(record.RetentionMs) * time.Millisecond
+		size := proto.Size(record)
+		s.records = append(s.records, stored{position: s.next, record: record, retention: retention, size: size})
+		s.bytes += int64(size)
+		s.next++
 	}
 	return added
 }
 
-func (s *Store) entry(program, id string) *replicav1.Entry {
-	entries := s.programs[program]
-	if entries == nil {
-		entries = make(map[string]*replicav1.Entry)
-		s.programs[program] = entries
+// touch marks a turn and those before it as used: a turn is kept with its chain.
+func (s *Store) touch(now time.Time, id string) {
+	for found := s.turns[id]; found != nil && found.used.Before(now); found = s.turns[found.Previous] {
+		found.used = now
 	}
-	entry := entries[id]
+}
+
+func (s *Store) entry(now time.Time, name, id string) *replicav1.Entry {
+	known := s.programs[name]
+	if known == nil {
+		known = &program{entries: make(map[string]*replicav1.Entry)}
+		s.programs[name] = known
+	}
+	known.used = now
+	entry := known.entries[id]
 	if entry == nil {
-		entry = &replicav1.Entry{Id: id, Program: program, Most: -1}
-		entries[id] = entry
+		entry = &replicav1.Entry{Id: id, Program: name, Most: -1}
+		known.entries[id] = entry
 	}
 	return entry
 }
 
-func (s *Store) reserve(reservation *replicav1.Reservation) bool {
-	entry := s.entry(reservation.Program, reservation.Id)
+// expiryMargin is how much longer than its retention a record is kept.
+const expiryMargin = 5 * time.Second
+
+// Expire drops turns that no line has gone on from, and the reservations of
+// programs that nothing was heard of, for longer than their retention.
+func (s *Store) Expire(now time.Time) {
+	kept := s.records[:0]
+	for _, each := range s.records {
+		if s.usedAt(each.record).Add(each.retention + expiryMargin).Before(now) {
+			s.drop(each.record)
+			s.bytes -= int64(each.size)
+			continue
+		}
+		kept = append(kept, each)
+	}
+	clear(s.records[len(kept):])
+	s.records = kept
+}
+
+// usedAt returns when what a record belongs to was used last. Records of a
+// program that is dropped already were used as long ago as that.
+func (s *Store) usedAt(record *replicav1.Record) time.Time {
+	switch kind := record.Kind.(type) {
+	case *replicav1.Record_Turn:
+		return s.turns[kind.Turn.Id].used
+	case *replicav1.Record_Reservation:
+		return s.programUsed(kind.Reservation.Program)
+	case *replicav1.Record_Settlement:
+		return s.programUsed(kind.Settlement.Program)
+	}
+	return time.Time{}
+}
+
+func (s *Store) programUsed(name string) time.Time {
+	if known := s.programs[name]; known != nil {
+		return known.used
+	}
+	return time.Time{}
+}
+
+func (s *Store) drop(record *replicav1.Record) {
+	switch kind := record.Kind.(type) {
+	case *replicav1.Record_Turn:
+		delete(s.turns, kind.Turn.Id)
+	case *replicav1.Record_Reservation:
+		delete(s.programs, kind.Reservation.Program)
+	case *replicav1.Record_Settlement:
+		delete(s.programs, kind.Settlement.Program)
+	}
+}
+
+func (s *Store) reserve(now time.Time, reservation *replicav1.Reservation) bool {
+	entry := s.entry(now, reservation.Program, reservation.Id)
 	if entry.Most >= 0 {
 		return false
 	}
@@ -66,8 +160,8 @@
 	return true
 }
 
-func (s *Store) settle(settlement *replicav1.Settlement) bool {
-	entry := s.entry(settlement.Program, settlement.Id)
+func (s *Store) settle(now time.Time, settlement *replicav1.Settlement) bool {
+	entry := s.entry(now, settlement.Program, settlement.Id)
 	if entry.Settled {
 		return false
 	}
@@ -77,8 +171,12 @@
 
 // Entries returns the reservations of a program.
 func (s *Store) Entries(program string) []*replicav1.Entry {
-	entries := make([]*replicav1.Entry, 0, len(s.programs[program]))
-	for _, entry := range s.programs[program] {
+	known := s.programs[program]
+	if known == nil {
+		return nil
+	}
+	entries := make([]*replicav1.Entry, 0, len(known.entries))
+	for _, entry := range known.entries {
 		entries = append(entries, proto.CloneOf(entry))
 	}
 	return entries
@@ -87,6 +185,9 @@
 // Len returns how many records there are.
 func (s *Store) Len() int { return len(s.records) }
 
+// Bytes returns the encoded size of all records.
+func (s *Store) Bytes() int64 { return s.bytes }
+
 // Chain returns a turn and the turns before it, the newest first, as far as
 // they are known.
 func (s *Store) Chain(id string) []*replicav1.Turn {
@@ -96,7 +197,7 @@
 		if found == nil {
 			break
 		}
-		chain = append(chain, found)
+		chain = append(chain, found.Turn)
 		id = found.Previous
 	}
 	return chain
@@ -105,13 +206,15 @@
 // After returns records from a position on, up to about limit bytes, with the
 // position after them and whether there are more.
 func (s *Store) After(position uint64, limit int) (records []*replicav1.Record, next uint64, more bool) {
+	from := sort.Search(len(s.records), func(i int) bool { return s.records[i].position >= position })
 	size := 0
-	next = min(position, uint64(len(s.records)))
-	for next < uint64(len(s.records)) && size < limit {
-		record := s.records[next]
-		records = append(records, record)
-		size += proto.Size(record)
-		next++
+	next = position
+	for from < len(s.records) && size < limit {
+		each := s.records[from]
+		records = append(records, each.record)
+		size += each.size
+		next = each.position + 1
+		from++
 	}
-	return records, next, next < uint64(len(s.records))
+	return records, next, from < len(s.records)
 }
--- a/internal/turn/store_test.go
+++ b/internal/turn/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -9,6 +10,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
 
+var start = time.Unix(5000, 0)
+
 func turnRecord(id, previous string) *replicav1.Record {
 	return &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: &replicav1.Turn{Id: id, Previous: previous}}}
 }
@@ -23,27 +26,27 @@
 
 func TestAChainEndsWhereALinkIsMissing(t *testing.T) {
 	store := NewStore()
-	store.Apply(turnRecord("c", "b"))
-	store.Apply(turnRecord("a", ""))
+	store.Apply(start, turnRecord("c", "b"))
+	store.Apply(start, turnRecord("a", ""))
 	require.Len(t, store.Chain("c"), 1)
 	require.Empty(t, store.Chain("b"))
-	store.Apply(turnRecord("b", "a"))
+	store.Apply(start, turnRecord("b", "a"))
 	require.Len(t, store.Chain("c"), 3)
 }
 
 func TestARecordIsTakenOnce(t *testing.T) {
 	store := NewStore()
-	require.True(t, store.Apply(turnRecord("a", "")))
-	require.False(t, store.Apply(turnRecord("a", "other")), "turns never change")
+	require.True(t, store.Apply(start, turnRecord("a", "")))
+	require.False(t, store.Apply(start, turnRecord("a", "other")), "turns never change")
 	require.Empty(t, store.Chain("a")[0].Previous)
-	require.True(t, store.Apply(reservation("r", "p", 5)))
-	require.False(t, store.Apply(reservation("r", "p", 9)))
+	require.True(t, store.Apply(start, reservation("r", "p", 5)))
+	require.False(t, store.Apply(start, reservation("r", "p", 9)))
 }
 
 func TestAfterPassesEveryRecordOnInParts(t *testing.T) {
 	store := NewStore()
 	for _, id := range []string{"a", "b", "c", "d"} {
-		store.Apply(turnRecord(id, ""))
+		store.Apply(start, turnRecord(id, ""))
 	}
 	var position uint64
 	var seen []string
@@ -79,13 +82,13 @@
 		one, other := NewStore(), NewStore()
 		ledger := make(Ledger)
 		for i, record := range order {
-			one.Apply(record)
+			one.Apply(start, record)
 			if i%2 == 0 {
-				other.Apply(record)
+				other.Apply(start, record)
 			}
 		}
 		for _, record := range order {
-			other.Apply(record)
+			other.Apply(start, record)
 		}
 		ledger.Merge(one.Entries("p"))
 		ledger.Merge(other.Entries("p"))
@@ -100,12 +103,61 @@
 func TestASettlementKnownToOneReplicaHolds(t *testing.T) {
 	with, without := NewStore(), NewStore()
 	for _, store := range []*Store{with, without} {
-		store.Apply(reservation("r", "p", 40))
+		store.Apply(start, reservation("r", "p", 40))
 	}
-	with.Apply(settlement("r", "p", 7))
+	with.Apply(start, settlement("r", "p", 7))
 	ledger := make(Ledger)
 	ledger.Merge(without.Entries("p"))
 	ledger.Merge(with.Entries("p"))
 	ledger.Merge(without.Entries("p"))
 	require.Equal(t, int64(7), ledger.Committed(""))
 }
+
+func kept(record *replicav1.Record, retention time.Duration) *replicav1.Record {
+	record.RetentionMs = retention.Milliseconds()
+	return record
+}
+
+func TestSpaceIsGivenBackAfterTheRetention(t *testing.T) {
+	store := NewStore()
+	store.Apply(start, kept(turnRecord("a", ""), time.Minute))
+	store.Apply(start, kept(reservation("r", "p", 5), time.Minute))
+	store.Apply(start, kept(settlement("r", "p", 5), time.Minute))
+	store.Expire(start.Add(time.Minute))
+	require.Equal(t, 3, store.Len())
+	store.Expire(start.Add(time.Minute + expiryMargin + time.Second))
+	require.Zero(t, store.Len())
+	require.Zero(t, store.Bytes())
+	require.Empty(t, store.Chain("a"))
+	require.Empty(t, store.Entries("p"))
+}
+
+func TestATurnIsKeptWithItsChain(t *testing.T) {
+	store := NewStore()
+	store.Apply(start, kept(turnRecord("a", ""), time.Minute))
+	store.Apply(start, kept(turnRecord("other", ""), time.Minute))
+	later := start.Add(50 * time.Second)
+	store.Apply(later, kept(turnRecord("b", "a"), time.Minute))
+	store.Expire(start.Add(80 * time.Second))
+	require.Len(t, store.Chain("b"), 2)
+	require.Empty(t, store.Chain("other"))
+}
+
+func TestABudgetIsKeptWhileItsProgramGoesOn(t *testing.T) {
+	store := NewStore()
+	store.Apply(start, kept(reservation("old", "p", 5), time.Minute))
+	store.Apply(start.Add(50*time.Second), kept(reservation("new", "p", 5), time.Minute))
+	store.Expire(start.Add(80 * time.Second))
+	require.Len(t, store.Entries("p"), 2, "the sum of a live program loses nothing")
+}
+
+func TestPositionsHoldWhileRecordsAreDropped(t *testing.T) {
+	store := NewStore()
+	store.Apply(start, kept(turnRecord("a", ""), time.Second))
+	store.Apply(start, kept(turnRecord("b", ""), time.Hour))
+	_, next, _ := store.After(0, 1)
+	store.Expire(start.Add(time.Minute))
+	records, _, more := store.After(next, 1)
+	require.Equal(t, "b", records[0].GetTurn().Id)
+	require.False(t, more)
+}
