--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -23,7 +23,7 @@
 	// those that pass them on: a store that has fallen silent in the middle of
 	// a watch shows only when the watch is over.
 	LongWait  = 12 * time.Second
-	ShortWait = 1200 * time.Millisecond
+	ShortWait = 2 * time.Second
 	// probeWait is the wait of a watch after a failed call.
 	probeWait = 200 * time.Millisecond
 	// gather is the time for which changes of the workers are gathered before
