--- a/internal/gateway/statehealth.go
+++ b/internal/gateway/statehealth.go
@@ -15,6 +15,8 @@
 	// probeEvery is how often replicas are asked again after none answered.
 	probeEvery   = 200 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
+	// silentCall is how long replicas must have had before their silence counts.
+	silentCall = 200 * time.Millisecond
 )
 
 var (
@@ -38,10 +40,11 @@
 	return &stateHealth{quorum: client, now: now, wake: make(chan struct{}, 1)}
 }
 
-// note takes the outcome of a call to the replicas.
-func (h *stateHealth) note(err error) {
+// note takes the outcome of a call to the replicas and how long they had. A call
+// that ended early, because its client left or ran out of time, says nothing.
+func (h *stateHealth) note(err error, waited time.Duration) {
 	var unavailable *quorum.Unavailable
-	alone := errors.As(err, &unavailable) && unavailable.Answered == 0
+	alone := errors.As(err, &unavailable) && unavailable.Answered == 0 && waited >= silentCall
 	if err != nil && !alone {
 		return
 	}
@@ -80,7 +83,7 @@
 		}
 		for h.isolated() && pause.For(ctx, probeEvery) {
 			call, cancel := context.WithTimeout(ctx, probeTimeout)
-			h.note(h.quorum.Probe(call))
+			h.note(h.quorum.Probe(call), probeTimeout)
 			cancel()
 		}
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -76,8 +76,9 @@
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
 		RetentionMs: t.request.retention().Milliseconds(),
 	}
+	began := time.Now()
 	ledger, err := t.request.gateway.quorum.Reserve(ctx, record)
-	t.request.gateway.state.note(err)
+	t.request.gateway.state.note(err, time.Since(began))
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
