--- /dev/null
+++ b/internal/replica/bench_test.go
@@ -0,0 +1,65 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/recordlog"
+)
+
+// turnBytes is about what one turn of the users' programs keeps.
+const turnBytes = 6 << 10
+
+func benchService(b *testing.B) *service {
+	opened, err := openState(recordlog.Folder(b.TempDir()))
+	require.NoError(b, err)
+	b.Cleanup(opened.log.Close)
+	group := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Node: "a", Claim: 1}}}
+	require.NoError(b, opened.write(groupRecord(group), identityRecord(&replicav1.Identity{Claim: 1, Incarnation: 3, Recovered: true})))
+	return &service{state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now)}
+}
+
+func keptTurn(n int) *replicav1.Record {
+	turn := &replicav1.Turn{Id: fmt.Sprintf("t%d", n), Input: make([]byte, turnBytes)}
+	return &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: 60_000}
+}
+
+// BenchmarkCommit stores one turn with a sync of its own.
+func BenchmarkCommit(b *testing.B) {
+	replica := benchService(b)
+	n := 0
+	for b.Loop() {
+		n++
+		request := &replicav1.AppendRequest{Epoch: 1, Records: []*replicav1.Record{keptTurn(n)}}
+		if _, err := replica.Append(context.Background(), connect.NewRequest(request)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRecovery copies a minute of turns at 65 a second from one replica to
+// an empty one, without the network.
+func BenchmarkRecovery(b *testing.B) {
+	const turns = 60 * 65
+	from := benchService(b)
+	for n := range turns {
+		require.NoError(b, from.state.write(keptTurn(n)))
+	}
+	for b.Loop() {
+		to := benchService(b)
+		request := &replicav1.PullRequest{Epoch: 1, Seat: 1, Incarnation: 5}
+		for more := true; more; {
+			response, err := from.Pull(context.Background(), connect.NewRequest(request))
+			require.NoError(b, err)
+			require.NoError(b, to.state.write(response.Msg.Records...))
+			request.After, more = response.Msg.Next, response.Msg.More
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/role_test.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
+)
+
+func loadRole(t *testing.T, text string) (Role, error) {
+	path := filepath.Join(t.TempDir(), "role.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return LoadRole(path)
+}
+
+const wholeRole = `
+node: store-1
+zone: wien-a
+ingress: 10.1.0.1:80
+readiness: 10.1.0.1:81
+replica: 10.1.0.1:82
+store: 10.1.0.9:83
+seeds: ["10.1.0.2:82"]
+dataFolder: /data
+bootstrap: true
+`
+
+func TestAWholeRoleIsValidForBothRoles(t *testing.T) {
+	loaded, err := loadRole(t, wholeRole)
+	require.NoError(t, err)
+	require.NoError(t, loaded.ValidateGateway())
+	require.NoError(t, loaded.ValidateReplica())
+	require.True(t, loaded.Bootstrap)
+	require.Equal(t, int64(defaultGraceMilliseconds), loaded.Grace().Milliseconds())
+}
+
+func TestAllProblemsOfARoleAreToldAtOnce(t *testing.T) {
+	loaded, err := loadRole(t, "node: Store_1\nstore: nowhere\nseeds: [x]\ngraceMilliseconds: 0\n")
+	require.NoError(t, err)
+	var invalid *strictyaml.Invalid
+	require.ErrorAs(t, loaded.ValidateGateway(), &invalid)
+	for _, field := range []string{"node", "zone", "store", "seeds", "ingress", "readiness", "graceMilliseconds"} {
+		require.Contains(t, invalid.Error(), field)
+	}
+	require.ErrorAs(t, loaded.ValidateReplica(), &invalid)
+	for _, field := range []string{"replica", "dataFolder"} {
+		require.Contains(t, invalid.Error(), field)
+	}
+}
+
+func TestAnUnknownKeyOfARoleIsRefusedWithItsLine(t *testing.T) {
+	_, err := loadRole(t, wholeRole+"surprise: 1\n")
+	require.ErrorContains(t, err, "surprise")
+	require.ErrorContains(t, err, "11")
+}
+
+// TestTheRolesPageListsEveryKey compares docs/operations/roles.md with the
+// struct.
+func TestTheRolesPageListsEveryKey(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operations/roles.md")
+	require.NoError(t, err)
+	var keys []string
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			keys = append(keys, strings.Split(line, "`")[1])
+		}
+	}
+	require.ElementsMatch(t, keysOf(reflect.TypeFor[Role](), ""), keys)
+}
--- /dev/null
+++ b/internal/worker/pool_test.go
@@ -0,0 +1,209 @@
+package worker
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serve starts a listener whose connections are handled by a function.
+func serve(t testing.TB, handle func(net.Conn, *bufio.Reader)) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				handle(connection, bufio.NewReader(connection))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+const echoedHeader = "Echo-Id"
+
+func readHead(_ int, header http.Header) Head {
+	return Head{RequestID: header.Get(echoedHeader), NotExecuted: header.Get("Not-Run") != ""}
+}
+
+func send(pool *Pool, address, id string, body string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	_ = cancel
+	request := &Request{ID: id, Method: http.MethodPost, Target: "/path?q=1", Host: "h", Header: http.Header{}, Body: []byte(body)}
+	return pool.Send(ctx, address, 0, request, readHead)
+}
+
+func newPool() *Pool { return NewPool(&net.Dialer{Timeout: time.Second}) }
+
+func answer(id, body, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", echoedHeader, id, more, len(body), body)
+}
+
+func readRequest(reader *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(request.Body)
+	return string(body), err
+}
+
+func TestAConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
+	var opened atomic.Int32
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		opened.Add(1)
+		for {
+			body, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, answer(body, "ok", ""))
+		}
+	})
+	pool := newPool()
+	for i := range 5 {
+		id := fmt.Sprintf("r%d", i)
+		got, err := send(pool, address, id, id)
+		require.NoError(t, err)
+		body, err := io.ReadAll(got.Body)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+		got.Close()
+	}
+	require.Equal(t, int32(1), opened.Load())
+}
+
+func TestAConnectionWithSurplusBytesIsNotUsedAgain(t *testing.T) {
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			body, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, answer(body, "ok", "")+answer("late", "surplus", ""))
+		}
+	})
+	pool := newPool()
+	for i := range 5 {
+		id := fmt.Sprintf("r%d", i)
+		got, err := send(pool, address, id, id)
+		require.NoError(t, err)
+		body, err := io.ReadAll(got.Body)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+		got.Close()
+	}
+}
+
+func TestAnAnswerThatEndsEarlyIsNoWholeOne(t *testing.T) {
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		body, _ := readRequest(reader)
+		whole := answer(body, "a whole answer", "")
+		io.WriteString(connection, whole[:len(whole)-3])
+	})
+	got, err := send(newPool(), address, "r", "r")
+	require.NoError(t, err)
+	_, err = io.ReadAll(got.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	got.Close()
+}
+
+func TestAnAnswerBeforeALongBodyIsReadEndsTheConnection(t *testing.T) {
+	var opened atomic.Int32
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		opened.Add(1)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		io.WriteString(connection, answer("r", "early", "Not-Run: 1\r\n"))
+		time.Sleep(200 * time.Millisecond)
+	})
+	pool := newPool()
+	for range 2 {
+		got, err := send(pool, address, "r", strings.Repeat("x", 8<<20))
+		require.NoError(t, err)
+		require.True(t, got.NotExecuted)
+		_, err = io.ReadAll(got.Body)
+		require.NoError(t, err)
+		got.Close()
+	}
+	require.Equal(t, int32(2), opened.Load(), "the rest of the body must not meet another request")
+}
+
+func TestARefusedConnectionWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = send(newPool(), address, "r", "r")
+	var notSent *NotSent
+	require.ErrorAs(t, err, &notSent)
+}
+
+func TestAConnectionThatDiesAfterTheRequestIsLostAndNotRepeated(t *testing.T) {
+	var requests atomic.Int32
+	address := serve(t, func(_ net.Conn, reader *bufio.Reader) {
+		if _, err := readRequest(reader); err == nil {
+			requests.Add(1)
+		}
+	})
+	_, err := send(newPool(), address, "r", "r")
+	var lost *Lost
+	require.ErrorAs(t, err, &lost)
+	require.Equal(t, int32(1), requests.Load())
+}
+
+func TestNoMoreConnectionsThanAllowed(t *testing.T) {
+	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte(); time.Sleep(time.Second) })
+	pool := newPool()
+	first, err := pool.get(context.Background(), address, 1)
+	require.NoError(t, err)
+	_, err = pool.get(context.Background(), address, 1)
+	var full *TooManyConnections
+	require.ErrorAs(t, err, &full)
+	pool.discard(first)
+	_, err = pool.get(context.Background(), address, 1)
+	require.NoError(t, err)
+}
+
+func TestAnIdleConnectionIsDroppedBeforeTheWorkerCloses(t *testing.T) {
+	require.Equal(t, 5*time.Second-idleMargin, keepFor(http.Header{"Keep-Alive": {"max=9, timeout=5"}}))
+	require.Equal(t, idleLimit, keepFor(http.Header{}))
+	require.Zero(t, keepFor(http.Header{"Keep-Alive": {"timeout=0"}}))
+}
+
+func BenchmarkSend(b *testing.B) {
+	address := serve(b, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			body, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, answer(body, "ok", ""))
+		}
+	})
+	pool := newPool()
+	for b.Loop() {
+		got, err := send(pool, address, "r", "r")
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, got.Body)
+		got.Close()
+	}
+}
