A refusal promises nothing once an attempt may have run

Cause: a stream that had lost an answer and was then turned away ended with 503, which promises that it has not run; the same for a safe request. It is 502 now. Log writes stay within what a pipe takes whole: lines of a machine that woke from a freeze were joined.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -131,6 +132,10 @@
 // refuse gives the final answer for a failure of the gateway's own, unless the
 // client has gone.
 func (r *request) refuse(err error) {
+	if len(r.ran) > 0 && failure.Classify(err).Outcome() == failure.NotRun {
+		// An earlier attempt may have run: no promise holds any more.
+		err = &worker.Lost{Cause: err}
+	}
 	refuse(r.writer, err)
 	r.endRefused(err)
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -18,8 +18,9 @@
 	queueLines = 8192
 	// maxLineBytes bounds a line; a longer one is cut.
 	maxLineBytes = 4 << 10
-	// batchBytes bounds what is written at once.
-	batchBytes  = 32 << 10
+	// batchBytes is the size from which no further line joins a write: a pipe takes
+	// 4 KB whole.
+	batchBytes  = 3 << 10
 	reportEvery = time.Second
 )
 
