Replicas: a seat moves with its records; turns lie on the disk; owed writes are made up for

Now any member proposes the move, the seat's new holder copies it from the node before it or from the others, and counts only after the group says so (one more compare-and-swap).

Now a turn's text is read from its place in the log, segments are read and given back one at a time, and the heap is bounded by the machine's memory (memoryMegabytes).

Failed appends are now made up for before any later one succeeds.

A watch that waits is cut short when another kind's call fails: only the configuration's watch is short now.

--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gateway"
@@ -15,6 +16,9 @@
 const (
 	storeDialTimeout = 600 * time.Millisecond
 	storeUserTimeout = 1200 * time.Millisecond
+	// heapShare is the part of the memory that the heap is kept under, if it can
+	// be: stacks, buffers of the system and the program itself take the rest.
+	heapShare = 0.65
 	// logCloseTimeout bounds the writing of the last log lines.
 	logCloseTimeout = 200 * time.Millisecond
 )
@@ -42,13 +46,14 @@
 		return err
 	}
 	ignoreReload()
+	limitHeap(loaded.MemoryBytes())
 	log := logsink.New(os.Stdout)
 	log.Install()
 	defer log.Close(logCloseTimeout)
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
 		Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
-		Metrics: loaded.Metrics, Log: log,
+		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(),
 	}, newStore(loaded))
 	return running.Run(c.app.context)
 }
@@ -71,6 +76,7 @@
 		return err
 	}
 	ignoreReload()
+	limitHeap(loaded.MemoryBytes())
 	log := logsink.New(os.Stdout)
 	log.Install()
 	defer log.Close(logCloseTimeout)
@@ -84,6 +90,14 @@
 	return running.Run(c.app.context)
 }
 
+// limitHeap makes the collector work harder before the process runs out of
+// memory. 0 is unknown.
+func limitHeap(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memoryBytes)))
+	}
+}
+
 func newStore(loaded settings.Role) *platform.Store {
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: storeDialTimeout, UserTimeout: storeUserTimeout})
 	return platform.NewStore(loaded.Store, client)
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +20,10 @@
 const (
 	firstRetry = 80 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
-	// LongWait is for processes that hear news from others too, ShortWait for
-	// those that pass them on: a store that has fallen silent in the middle of
-	// a watch shows only when the watch is over.
+	// LongWait is for processes that hear news from others too, ShortWait for one
+	// kind of those that pass them on: a store that has fallen silent in the middle
+	// of a watch shows only when the watch is over, and then the watches of the
+	// other kinds are cut short.
 	LongWait  = 12 * time.Second
 	ShortWait = 2 * time.Second
 	// probeWait is the wait of a watch after a failed call.
@@ -99,11 +101,15 @@
 	wait    time.Duration
 	// failing counts the kinds whose last call failed.
 	failing atomic.Int32
+
+	mutex sync.Mutex
+	// suspicion is closed, and replaced, when a kind begins to fail.
+	suspicion chan struct{}
 }
 
 // NewFeed returns a feed whose watches last wait; Run starts it.
 func NewFeed(objects Objects, state *State, wait time.Duration) *Feed {
-	return &Feed{objects: objects, state: state, wait: wait}
+	return &Feed{objects: objects, state: state, wait: wait, suspicion: make(chan struct{})}
 }
 
 // Failing reports whether the store did not answer last.
@@ -113,7 +119,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	go f.Follow(ctx, KindConfiguration, "configuration", f.wait, f.takeConfiguration)
 	go f.Follow(ctx, KindGroup, "group", LongWait, f.takeGroup)
-	f.Follow(ctx, KindWorker, "workers", f.wait, f.takeWorkers)
+	f.Follow(ctx, KindWorker, "workers", LongWait, f.takeWorkers)
 }
 
 func (f *Feed) takeConfiguration(listing Listing, changes []Change, _ int64) {
@@ -147,16 +153,19 @@
 }
 
 // Follow lists a kind once and then watches it; after lost history it lists
-// again. A failed call is repeated after a growing pause.
+// again. A failed call is repeated after a growing pause. When a call of another
+// kind has failed, a watch that waits is cut short: it may wait on a connection
+// that will say nothing more.
 func (f *Feed) Follow(ctx context.Context, kind Kind, name string, wait time.Duration, take func(Listing, []Change, int64)) {
 	var revision int64
-	retry, failed := firstRetry, false
+	retry, failed, short := firstRetry, false, false
 	for ctx.Err() == nil {
 		thisWait := wait
-		if failed {
+		if failed || short {
 			thisWait = probeWait
 		}
-		next, err := f.step(ctx, kind, revision, thisWait, take)
+		suspected := f.suspected()
+		next, err := f.step(ctx, suspected, kind, revision, thisWait, take)
 		var lost *HistoryLost
 		if err == nil || errors.As(err, &lost) {
 			if failed {
@@ -167,12 +176,17 @@
 			if kind == KindWorker && next != revision {
 				pause.For(ctx, gather)
 			}
-			revision, retry = next, firstRetry
+			revision, retry, short = next, firstRetry, false
+			continue
+		}
+		if !failed && !short && isClosed(suspected) {
+			short = true
 			continue
 		}
 		if !failed && ctx.Err() == nil {
 			failed = true
 			f.failing.Add(1)
+			f.suspect()
 			eventStoreLost.Log("kind", name, "cause", err.Error())
 		}
 		pause.For(ctx, retry)
@@ -180,7 +194,44 @@
 	}
 }
 
-func (f *Feed) step(ctx context.Context, kind Kind, revision int64, wait time.Duration, take func(Listing, []Change, int64)) (int64, error) {
+// suspected returns a channel that is closed when the next call fails.
+func (f *Feed) suspected() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.suspicion
+}
+
+// suspect cuts all watches short that wait.
+func (f *Feed) suspect() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	close(f.suspicion)
+	f.suspicion = make(chan struct{})
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// until returns a context that also ends when the channel is closed.
+func until(ctx context.Context, channel <-chan struct{}) (context.Context, context.CancelFunc) {
+	ended, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-channel:
+			cancel()
+		case <-ended.Done():
+		}
+	}()
+	return ended, cancel
+}
+
+func (f *Feed) step(ctx context.Context, suspected <-chan struct{}, kind Kind, revision int64, wait time.Duration, take func(Listing, []Change, int64)) (int64, error) {
 	if revision == 0 {
 		listing, err := f.objects.List(ctx, kind)
 		if err != nil {
@@ -189,7 +240,9 @@
 		take(listing, nil, listing.Revision)
 		return listing.Revision, nil
 	}
-	changes, next, err := f.objects.Watch(ctx, kind, revision, wait)
+	waiting, cancel := until(ctx, suspected)
+	defer cancel()
+	changes, next, err := f.objects.Watch(waiting, kind, revision, wait)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/directory/feed_test.go
@@ -0,0 +1,63 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// hangingObjects is a store that has fallen silent: watches of workers say
+// nothing for as long as they may wait, and those of the configuration fail when
+// the test says so.
+type hangingObjects struct {
+	Objects
+	fail chan struct{}
+
+	mutex   sync.Mutex
+	watches map[Kind]int
+}
+
+func (o *hangingObjects) List(context.Context, Kind) (Listing, error) {
+	return Listing{Revision: 1}, nil
+}
+
+func (o *hangingObjects) Watch(ctx context.Context, kind Kind, _ int64, _ time.Duration) ([]Change, int64, error) {
+	o.mutex.Lock()
+	o.watches[kind]++
+	o.mutex.Unlock()
+	if kind == KindConfiguration {
+		select {
+		case <-o.fail:
+		case <-ctx.Done():
+		}
+		return nil, 0, &StoreUnreachable{Cause: context.DeadlineExceeded}
+	}
+	<-ctx.Done()
+	return nil, 0, &StoreUnreachable{Cause: ctx.Err()}
+}
+
+func (o *hangingObjects) count(kind Kind) int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.watches[kind]
+}
+
+// TestAWatchIsCutShortWhenAnotherKindFails holds that a watch on a connection
+// that says nothing more does not keep news back for its whole wait.
+func TestAWatchIsCutShortWhenAnotherKindFails(t *testing.T) {
+	const patient, poll = time.Minute, 5 * time.Millisecond
+	objects := &hangingObjects{fail: make(chan struct{}), watches: make(map[Kind]int)}
+	feed := NewFeed(objects, NewState(time.Now, nil), ShortWait)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go feed.Run(ctx)
+	waiting := func() bool { return objects.count(KindWorker) == 1 && objects.count(KindGroup) == 1 }
+	require.Eventually(t, waiting, patient, poll)
+	require.False(t, feed.Failing())
+	close(objects.fail)
+	again := func() bool { return objects.count(KindWorker) > 1 && objects.count(KindGroup) > 1 }
+	require.Eventually(t, again, patient, poll)
+}
--- a/internal/gateway/chains.go
+++ b/internal/gateway/chains.go
@@ -9,13 +9,26 @@
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
-// chainCacheBytes bounds the turns that a gateway remembers. They are copies:
-// a turn never changes.
-const chainCacheBytes = 24 << 20
+const (
+	// maxChainBytes bounds the turns that a gateway remembers, and chainShare the
+	// part of its memory that they may take. They are copies: a turn never changes.
+	maxChainBytes = 24 << 20
+	chainShare    = 8
+)
+
+// chainBytes returns how much a gateway remembers that may use so much memory;
+// 0 is unknown.
+func chainBytes(memoryBytes int64) int {
+	if memoryBytes <= 0 {
+		return maxChainBytes
+	}
+	return int(min(maxChainBytes, memoryBytes/chainShare))
+}
 
 // chainCache remembers kept turns, the least recently used go first.
 type chainCache struct {
 	quorum *quorum.Client
+	limit  int
 
 	mutex sync.Mutex
 	turns map[string]*list.Element
@@ -23,8 +36,9 @@
 	bytes int
 }
 
-func newChainCache(client *quorum.Client) *chainCache {
-	return &chainCache{quorum: client, turns: make(map[string]*list.Element), order: list.New()}
+// newChainCache returns a cache of up to limit bytes.
+func newChainCache(client *quorum.Client, limit int) *chainCache {
+	return &chainCache{quorum: client, limit: limit, turns: make(map[string]*list.Element), order: list.New()}
 }
 
 // get returns a turn and all before it, the newest first.
@@ -71,7 +85,7 @@
 	}
 	c.turns[turn.Id] = c.order.PushFront(turn)
 	c.bytes += size(turn)
-	for c.bytes > chainCacheBytes {
+	for c.bytes > c.limit {
 		oldest := c.order.Back()
 		c.order.Remove(oldest)
 		dropped := oldest.Value.(*replicav1.Turn)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,8 @@
 	// Log is asked whether lines of requests that ended well should give way;
 	// nil never does.
 	Log *logsink.Sink
+	// MemoryBytes is what the process may use; 0 is unknown.
+	MemoryBytes int64
 }
 
 // Gateway takes requests of clients.
@@ -119,7 +121,7 @@
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, g.feed.Failing, options.Seeds)
-	g.chains = newChainCache(g.quorum)
+	g.chains = newChainCache(g.quorum, chainBytes(options.MemoryBytes))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
 	}))
--- a/internal/recordlog/files.go
+++ b/internal/recordlog/files.go
@@ -6,10 +6,16 @@
 	"path/filepath"
 )
 
-// File is an open segment.
+// Reader is a segment that is open for reading.
+type Reader interface {
+	io.ReaderAt
+	io.Closer
+}
+
+// File is a segment that is open for appending.
 type File interface {
+	Reader
 	io.Writer
-	io.Closer
 	Sync() error
 	Truncate(size int64) error
 	Seek(offset int64, whence int) (int64, error)
@@ -21,6 +27,8 @@
 	List() ([]string, error)
 	// Read returns a whole file.
 	Read(name string) ([]byte, error)
+	// OpenReader opens a file for reading.
+	OpenReader(name string) (Reader, error)
 	// Create makes a new file and makes its name last.
 	Create(name string) (File, error)
 	// Open opens a file for appending at an offset, and cuts it there.
@@ -50,6 +58,11 @@
 // Read returns a whole file.
 func (f Folder) Read(name string) ([]byte, error) { return os.ReadFile(filepath.Join(string(f), name)) }
 
+// OpenReader opens a file for reading.
+func (f Folder) OpenReader(name string) (Reader, error) {
+	return os.Open(filepath.Join(string(f), name))
+}
+
 // Create makes a new file and syncs the folder.
 func (f Folder) Create(name string) (File, error) {
 	file, err := os.OpenFile(filepath.Join(string(f), name), os.O_CREATE|os.O_EXCL|os.O_RDWR, filePermission)
--- a/internal/recordlog/recordlogtest/disk.go
+++ b/internal/recordlog/recordlogtest/disk.go
@@ -4,7 +4,9 @@
 
 import (
 	"errors"
+	"io"
 	"math/rand/v2"
+	"os"
 	"sort"
 	"sync"
 
@@ -56,6 +58,17 @@
 	return append([]byte(nil), d.files[name].data...), nil
 }
 
+// OpenReader opens a file for reading.
+func (d *Disk) OpenReader(name string) (recordlog.Reader, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	file := d.files[name]
+	if file == nil {
+		return nil, os.ErrNotExist
+	}
+	return file, nil
+}
+
 // Create makes a new file.
 func (d *Disk) Create(name string) (recordlog.File, error) {
 	d.mutex.Lock()
@@ -101,6 +114,19 @@
 
 func (f *diskFile) Close() error { return nil }
 
+func (f *diskFile) ReadAt(data []byte, offset int64) (int, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	if offset >= int64(len(f.data)) {
+		return 0, io.EOF
+	}
+	n := copy(data, f.data[offset:])
+	if n < len(data) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, nil
+}
+
 func (f *diskFile) Sync() error {
 	f.disk.mutex.Lock()
 	defer f.disk.mutex.Unlock()
--- /dev/null
+++ b/internal/recordlog/segments.go
@@ -0,0 +1,200 @@
+package recordlog
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+)
+
+const (
+	segmentSuffix = ".log"
+	// headerBytes is a frame's length and checksum.
+	headerBytes = 8
+	// maxFrameBytes bounds a record; a longer length is damage.
+	maxFrameBytes = 64 << 20
+	// segmentBytes is the size after which a new segment begins. One segment is
+	// read into memory at a time when the log is opened.
+	segmentBytes = 4 << 20
+)
+
+var checksums = crc32.MakeTable(crc32.Castagnoli)
+
+// Place is where a record lies in the log. The zero value is no place.
+type Place struct {
+	// Segment is the number of the segment, from 1.
+	Segment uint64
+	// Offset is that of the record's frame, in bytes.
+	Offset int64
+	// Length is that of the record without its frame's header, in bytes.
+	Length int
+}
+
+// IsZero reports whether p is no place.
+func (p Place) IsZero() bool { return p.Segment == 0 }
+
+// frame appends a record with its header.
+func frame(to, record []byte) []byte {
+	to = binary.LittleEndian.AppendUint32(to, uint32(len(record)))
+	to = binary.LittleEndian.AppendUint32(to, crc32.Checksum(record, checksums))
+	return append(to, record...)
+}
+
+// unframe returns the record of the frame at the start of data, if it is whole.
+func unframe(data []byte) (record []byte, whole bool) {
+	if len(data) < headerBytes {
+		return nil, false
+	}
+	length := int(binary.LittleEndian.Uint32(data))
+	sum := binary.LittleEndian.Uint32(data[4:])
+	if length == 0 || length > maxFrameBytes || len(data)-headerBytes < length {
+		return nil, false
+	}
+	record = data[headerBytes : headerBytes+length]
+	return record, crc32.Checksum(record, checksums) == sum
+}
+
+// Frames passes the records at the start of data on, with their offsets, and
+// returns the length of that good part.
+func Frames(data []byte, take func(record []byte, offset int64) error) (int64, error) {
+	var good int64
+	for {
+		record, whole := unframe(data[good:])
+		if !whole {
+			return good, nil
+		}
+		if err := take(record, good); err != nil {
+			return good, err
+		}
+		good += int64(headerBytes + len(record))
+	}
+}
+
+func segmentName(number uint64) string { return fmt.Sprintf("%016d%s", number, segmentSuffix) }
+
+func segmentNumber(name string) (uint64, error) {
+	var number uint64
+	_, err := fmt.Sscanf(name, "%d"+segmentSuffix, &number)
+	return number, err
+}
+
+// segmentNumbers returns the numbers of the segments in a folder, oldest first.
+func segmentNumbers(files Files) ([]uint64, error) {
+	names, err := files.List()
+	if err != nil {
+		return nil, &failure.DiskFailed{Cause: err}
+	}
+	var numbers []uint64
+	for _, name := range names {
+		if !strings.HasSuffix(name, segmentSuffix) {
+			continue
+		}
+		number, err := segmentNumber(name)
+		if err != nil {
+			return nil, &failure.DiskFailed{Cause: err}
+		}
+		numbers = append(numbers, number)
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	return numbers, nil
+}
+
+// readSegment passes the records of one segment on and returns the length of its
+// good part. Only the last segment may end torn: each other one was synced whole
+// before the next began.
+func readSegment(files Files, number uint64, last bool, take func([]byte, Place) error) (int64, error) {
+	name := segmentName(number)
+	data, err := files.Read(name)
+	if err != nil {
+		return 0, &failure.DiskFailed{Cause: err}
+	}
+	good, err := Frames(data, func(record []byte, offset int64) error {
+		return take(record, Place{Segment: number, Offset: offset, Length: len(record)})
+	})
+	if err != nil {
+		return 0, err
+	}
+	if good < int64(len(data)) && !last {
+		return 0, &Damaged{Segment: name, Offset: good}
+	}
+	return good, nil
+}
+
+// readers are the segments that are open for reading, by number.
+type readers struct {
+	mutex sync.RWMutex
+	open  map[uint64]Reader
+}
+
+func (r *readers) add(number uint64, reader Reader) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.open[number] = reader
+}
+
+// remove closes a segment. A read that is under way fails.
+func (r *readers) remove(number uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if found := r.open[number]; found != nil {
+		found.Close()
+		delete(r.open, number)
+	}
+}
+
+func (r *readers) closeAll() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, reader := range r.open {
+		reader.Close()
+	}
+	clear(r.open)
+}
+
+// Moved reports a place whose segment is gone: the record lies elsewhere now, or
+// has expired.
+type Moved struct {
+	Place Place
+}
+
+func (e *Moved) Error() string {
+	return fmt.Sprintf("segment %d, which held the record, is gone", e.Place.Segment)
+}
+
+// Type returns "record_moved".
+func (e *Moved) Type() failure.Type { return "record_moved" }
+
+// Outcome returns NotRun.
+func (e *Moved) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry allows another try at the record's present place.
+func (e *Moved) Retry() failure.Retry { return failure.Retry{Allowed: true} }
+
+// read returns the record at a place.
+func (r *readers) read(at Place) ([]byte, error) {
+	r.mutex.RLock()
+	reader := r.open[at.Segment]
+	r.mutex.RUnlock()
+	if reader == nil {
+		return nil, &Moved{Place: at}
+	}
+	data := make([]byte, headerBytes+at.Length)
+	if _, err := reader.ReadAt(data, at.Offset); err != nil {
+		r.mutex.RLock()
+		gone := r.open[at.Segment] == nil
+		r.mutex.RUnlock()
+		if gone {
+			return nil, &Moved{Place: at}
+		}
+		return nil, &failure.DiskFailed{Cause: err}
+	}
+	record, whole := unframe(data)
+	if !whole || len(record) != at.Length {
+		return nil, &Damaged{Segment: segmentName(at.Segment), Offset: at.Offset}
+	}
+	return record, nil
+}
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -10,5 +10,7 @@
 	eventWriteFailed = event.Define(2705, event.Error, "the data folder takes no write", "Free or replace the disk; the other replicas go on.")
 	eventProposed    = event.Define(2706, event.Info, "new group proposed", "")
 	eventRetired     = event.Define(2707, event.Info, "a node holds nothing that is needed and may go", "")
+	eventCopied      = event.Define(2709, event.Info, "replica has copied what its seat held", "")
+	eventUnreadable  = event.Define(2710, event.Error, "a kept turn cannot be read here", "Check the disk; the other replicas are asked.")
 	eventFolder      = event.Define(2708, event.Warning, "data folder damaged; the replica starts empty", "Check the disk if this repeats; the replica recovers from the others.")
 )
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -82,12 +82,13 @@
 	case leaving != nil && standby != nil:
 		for _, member := range next.Members {
 			if member.Seat == leaving.Seat {
-				member.Node, member.Address, member.Zone = standby.Node, standby.Address, standby.Zone
-				member.Claim = next.Epoch
+				passSeat(member, *standby, next.Epoch)
 			}
 		}
 		return next
-	case leaving != nil && seen.retiring[leaving.Node] && len(next.Members) > 1:
+	case leaving != nil && seen.retiring[leaving.Node] && seen.settled(leaving.Node) && len(next.Members) > 1:
+		// A smaller group reads from fewer members: what the seat held must be
+		// there to be handed over to all of them.
 		removeSeat(next, leaving.Seat)
 		return next
 	case leaving == nil && standby != nil && len(next.Members) < int(next.Target):
@@ -127,6 +128,17 @@
 	return settled >= quorum.WriteSize(len(seen.group.Members))
 }
 
+// allSettled reports whether every member shows the present epoch and holds
+// everything that its seat held.
+func allSettled(seen observation) bool {
+	for _, member := range seen.group.Members {
+		if !seen.settled(member.Node) {
+			return false
+		}
+	}
+	return true
+}
+
 // standbyNode returns a node that can take a seat.
 func standbyNode(seen observation) *directory.Replica {
 	holding := make(map[string]bool)
@@ -141,6 +153,48 @@
 	return nil
 }
 
+// passSeat gives a seat to another node, which starts as an empty replica. The
+// node before it is named, because it still has what the seat held. A holder that
+// has not received that itself has nothing to pass on: then the one before it
+// stays named.
+func passSeat(member *replicav1.Member, to directory.Replica, epoch uint64) {
+	if !inTransfer(member) {
+		member.Predecessor = &replicav1.Predecessor{Node: member.Node, Address: member.Address, Claim: member.Claim}
+	}
+	member.Node, member.Address, member.Zone = to.Node, to.Address, to.Zone
+	member.Claim = epoch
+}
+
+// inTransfer reports whether a seat's holder has not received yet what the seat
+// held before.
+func inTransfer(member *replicav1.Member) bool {
+	return member.Predecessor != nil && member.Predecessor.ReceivedBy == 0
+}
+
+// receivedGroup returns the group in which a seat's transfer to an incarnation of
+// its holder is complete.
+func receivedGroup(group *replicav1.Group, seat uint32, incarnation uint64) *replicav1.Group {
+	next := proto.CloneOf(group)
+	next.Epoch++
+	for _, member := range next.Members {
+		if member.Seat == seat {
+			member.Predecessor.ReceivedBy = incarnation
+		}
+	}
+	return next
+}
+
+// passedSeatOf returns the member that holds the seat which a node has passed
+// on, or nil.
+func passedSeatOf(group *replicav1.Group, node string) *replicav1.Member {
+	for _, member := range group.Members {
+		if member.Predecessor.GetNode() == node {
+			return member
+		}
+	}
+	return nil
+}
+
 func removeSeat(group *replicav1.Group, seat uint32) {
 	kept := group.Members[:0]
 	for _, member := range group.Members {
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -67,6 +67,10 @@
 	require.Equal(t, group.Members[1].Seat, next.Members[1].Seat)
 	require.Equal(t, next.Epoch, next.Members[1].Claim, "the new holder starts anew")
 	require.Equal(t, []string{"a", "b", "c"}, memberNames(group), "the present group is not touched")
+	before := next.Members[1].Predecessor
+	require.Equal(t, &replicav1.Predecessor{Node: "b", Address: "b:1", Claim: firstEpoch}, before)
+	require.Equal(t, next.Members[1], passedSeatOf(next, "b"))
+	require.Nil(t, passedSeatOf(next, "a"))
 	seen.nodes = nodes("a", "b", "c")
 	require.Nil(t, nextGroup(seen), "a silent member keeps its seat where none stands by")
 }
@@ -87,6 +91,8 @@
 	next := nextGroup(seen)
 	require.Equal(t, []string{"b", "c"}, memberNames(next))
 	require.Equal(t, uint32(3), next.Target)
+	seen.settled = except("a")
+	require.Nil(t, nextGroup(seen), "one that has lost what its seat held cannot hand it over")
 	alone := firstGroup(nodes("a"))
 	last := seenAll(alone, nodes("a"))
 	last.retiring["a"] = true
@@ -100,3 +106,21 @@
 	require.Equal(t, []string{"b", "c", "d"}, memberNames(next))
 	require.NotEqual(t, next.Members[2].Seat, next.Members[1].Seat)
 }
+
+func TestASeatInTransferKeepsTheHolderThatHasItsRecords(t *testing.T) {
+	group := firstGroup(nodes("a", "b", "c"))
+	seen := seenAll(group, nodes("a", "b", "c", "d", "e"))
+	seen.retiring["a"] = true
+	moved := nextGroup(seen)
+	require.Equal(t, "d", moved.Members[0].Node)
+	require.True(t, inTransfer(moved.Members[0]))
+	again := seenAll(moved, nodes("b", "c", "d", "e"))
+	again.alive, again.settled = except("d"), except("d")
+	next := nextGroup(again)
+	require.Equal(t, "e", next.Members[0].Node)
+	require.Equal(t, "a", next.Members[0].Predecessor.Node, "d had received nothing")
+	received := receivedGroup(next, next.Members[0].Seat, 77)
+	require.False(t, inTransfer(received.Members[0]))
+	require.True(t, inTransfer(next.Members[0]), "the present group is not touched")
+	require.Equal(t, next.Epoch+1, received.Epoch)
+}
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -113,17 +113,17 @@
 	}
 }
 
-// improve proposes the next group, if there is a better one. A node that
-// retires leaves by itself, after it has handed over what it holds; the others
-// remove it only when it is silent.
+// improve proposes the next group, if there is a better one. A group that
+// shrinks reads from fewer members: the node that leaves it does so by itself,
+// after it has handed over what it holds. A seat that moves takes with it what
+// it held, and any member may propose that.
 func (r *Replica) improve(ctx context.Context, group *replicav1.Group) {
-	seen := r.observe(group)
-	next := nextGroup(seen)
+	next := nextGroup(r.observe(group))
 	if next == nil {
 		return
 	}
-	if leaving := leavingMember(seen); leaving != nil && seen.alive(leaving.Node) {
-		if leaving.Node != r.options.Node || !r.handOver(ctx, group) {
+	if len(next.Members) < len(group.Members) {
+		if seatOf(next, r.options.Node) != nil || !r.handOver(ctx, group) {
 			return
 		}
 	}
@@ -181,7 +181,7 @@
 }
 
 // retire empties this node when that is asked. The node may go once it holds no
-// seat and every member has everything that it holds.
+// seat and what it holds is not needed any more.
 func (r *Replica) retire(ctx context.Context, group *replicav1.Group) {
 	retirement, asked := r.followers.retirement(r.options.Node)
 	if !asked || retirement.Completed || r.retired {
@@ -190,7 +190,7 @@
 	if !r.retiring {
 		r.retiring = r.objects.SetRetirement(ctx, r.options.Node, false) == nil
 	}
-	if seatOf(group, r.options.Node) != nil || !r.handOver(ctx, group) {
+	if seatOf(group, r.options.Node) != nil || !r.emptied(ctx, group) {
 		return
 	}
 	if err := r.objects.SetRetirement(ctx, r.options.Node, true); err == nil {
@@ -199,6 +199,16 @@
 	}
 }
 
+// emptied reports whether this node, which holds no seat, may go: the node that
+// took its seat holds everything that the seat held, or else every member has
+// all records of this one.
+func (r *Replica) emptied(ctx context.Context, group *replicav1.Group) bool {
+	if passedSeatOf(group, r.options.Node) != nil {
+		return allSettled(r.observe(group))
+	}
+	return r.handOver(ctx, group)
+}
+
 // handOver writes all records of this node to every member.
 func (r *Replica) handOver(ctx context.Context, group *replicav1.Group) bool {
 	if err := r.state.write(groupRecord(group)); err != nil {
@@ -215,9 +225,10 @@
 func (r *Replica) handOverTo(ctx context.Context, group *replicav1.Group, member *replicav1.Member) bool {
 	var position uint64
 	for {
-		r.state.mutex.Lock()
-		records, next, more := r.state.store.After(position, pullBytes)
-		r.state.mutex.Unlock()
+		records, next, more, err := r.state.after(position, pullBytes)
+		if err != nil {
+			return false
+		}
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		request := &replicav1.AppendRequest{Epoch: group.Epoch, Records: records}
 		response, err := r.quorum.At(member.Address).Append(call, connect.NewRequest(request))
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -19,8 +19,8 @@
 )
 
 // takeSeat brings this node's identity in line with the group, again and again:
-// a seat that the folder was not begun for starts a new incarnation, which is
-// recovered from the other members.
+// a seat that the folder was not begun for starts a new incarnation, which
+// receives what the seat held.
 func (r *Replica) takeSeat(ctx context.Context) {
 	for pause.For(ctx, settlePause) {
 		group := r.directory.Group()
@@ -34,22 +34,50 @@
 		if member == nil {
 			continue
 		}
-		identity := r.state.currentIdentity()
-		if identity != nil && identity.Seat == member.Seat && identity.Claim == member.Claim && identity.Recovered {
-			continue
-		}
-		if r.beginsWithGroup(group, member, identity) {
-			r.startIdentity(member, true)
-			continue
-		}
-		if identity == nil || identity.Seat != member.Seat || identity.Claim != member.Claim || !r.pulling {
-			r.startIdentity(member, false)
-		}
-		r.pulling = true
-		if r.recover(ctx, group, member) {
-			r.pulling = false
-		}
+		r.fillSeat(ctx, group, member)
+	}
+}
+
+// fillSeat takes one step towards holding everything that the seat held.
+func (r *Replica) fillSeat(ctx context.Context, group *replicav1.Group, member *replicav1.Member) {
+	identity := r.state.currentIdentity()
+	begun := identity != nil && identity.Seat == member.Seat && identity.Claim == member.Claim
+	switch {
+	case begun && identity.Recovered:
+		return
+	case begun && identity.Incarnation == member.Predecessor.GetReceivedBy():
+		r.markRecovered(group, identity)
+		return
+	case r.beginsWithGroup(group, member, identity):
+		r.startIdentity(member, true)
+		return
+	case !begun || !r.pulling:
+		r.startIdentity(member, false)
+		r.copied = 0
+	}
+	r.pulling = true
+	identity = r.state.currentIdentity()
+	if identity.Incarnation != r.copied && !r.copySeat(ctx, group, member, identity) {
+		return
+	}
+	r.copied = identity.Incarnation
+	if inTransfer(member) {
+		r.propose(ctx, group, receivedGroup(group, member.Seat, identity.Incarnation))
+		return
+	}
+	r.markRecovered(group, identity)
+}
+
+// markRecovered notes that this node holds everything that its seat held.
+func (r *Replica) markRecovered(group *replicav1.Group, identity *replicav1.Identity) {
+	recovered := proto.CloneOf(identity)
+	recovered.Recovered = true
+	if err := r.state.write(identityRecord(recovered)); err != nil {
+		eventWriteFailed.Log("cause", err.Error())
+		return
 	}
+	r.pulling, r.copied = false, 0
+	eventRecovered.Log("seat", identity.Seat, "epoch", group.Epoch)
 }
 
 func seatOf(group *replicav1.Group, node string) *replicav1.Member {
@@ -80,40 +108,83 @@
 	eventSeatTaken.Log("seat", member.Seat, "claim", member.Claim, "recovered", recovered)
 }
 
-// recover pulls all records from enough other recovered members that no
-// acknowledged one can be missing, and then marks the identity recovered.
-func (r *Replica) recover(ctx context.Context, group *replicav1.Group, member *replicav1.Member) bool {
+// copySeat pulls all records from enough other recovered members that no
+// acknowledged one can be missing, or, while the seat is in transfer, from the
+// node that held it before.
+func (r *Replica) copySeat(ctx context.Context, group *replicav1.Group, member *replicav1.Member, identity *replicav1.Identity) bool {
 	began := time.Now()
-	identity := r.state.currentIdentity()
-	results := make(chan *replicav1.Standing, len(group.Members))
-	asked := 0
-	for _, other := range group.Members {
-		if other.Seat == member.Seat {
-			continue
-		}
-		asked++
-		go func() { results <- r.pullAll(ctx, group, other, identity) }()
+	sources := recoverySources(group, member)
+	results := make(chan *replicav1.Standing, len(sources))
+	for _, source := range sources {
+		go func() { results <- r.pullAll(ctx, group, source, identity) }()
 	}
 	var standings []*replicav1.Standing
-	for range asked {
+	for range sources {
 		if standing := <-results; standing != nil {
 			standings = append(standings, standing)
 		}
-		if quorum.Choose(group.Epoch, standings, quorum.RecoverSize(len(group.Members))) == nil {
+		enough := enoughToRecover(group, member, standings)
+		if enough == nil {
 			continue
 		}
-		recovered := proto.CloneOf(identity)
-		recovered.Recovered = true
-		if err := r.state.write(append(seenBy(standings, member.Seat), identityRecord(recovered))...); err != nil {
+		if err := r.state.write(seenBy(enough, member.Seat)...); err != nil {
 			eventWriteFailed.Log("cause", err.Error())
 			return false
 		}
-		eventRecovered.Log("seat", member.Seat, "epoch", group.Epoch, "milliseconds", time.Since(began).Milliseconds())
+		eventCopied.Log("seat", member.Seat, "epoch", group.Epoch, "sources", len(enough), "milliseconds", time.Since(began).Milliseconds())
 		return true
 	}
 	return false
 }
 
+// recoverySources returns the other members and, while the seat is in transfer,
+// the node that held it before.
+func recoverySources(group *replicav1.Group, member *replicav1.Member) []*replicav1.Member {
+	var sources []*replicav1.Member
+	for _, other := range group.Members {
+		if other.Seat != member.Seat {
+			sources = append(sources, other)
+		}
+	}
+	if before := member.Predecessor; inTransfer(member) {
+		sources = append(sources, &replicav1.Member{Seat: member.Seat, Node: before.Node, Address: before.Address, Claim: before.Claim})
+	}
+	return sources
+}
+
+// enoughToRecover returns those standings of nodes that were copied whole after
+// which no acknowledged record of the seat can be missing, or nil.
+func enoughToRecover(group *replicav1.Group, member *replicav1.Member, standings []*replicav1.Standing) []*replicav1.Standing {
+	var others []*replicav1.Standing
+	for _, standing := range standings {
+		if passesSeatOn(group, member, standing) {
+			return []*replicav1.Standing{standing}
+		}
+		if standing.Member {
+			others = append(others, standing)
+		}
+	}
+	chosen := quorum.Choose(group.Epoch, others, quorum.RecoverSize(len(group.Members)))
+	if chosen == nil {
+		return nil
+	}
+	enough := make([]*replicav1.Standing, 0, len(chosen))
+	for _, i := range chosen {
+		enough = append(enough, others[i])
+	}
+	return enough
+}
+
+// passesSeatOn reports whether a standing is that of the seat's holder before,
+// with everything that the seat held. Since it knows the group in which it has
+// lost the seat, it acknowledges nothing under an earlier one any more; and while
+// the seat is in transfer, no later holder has acknowledged anything.
+func passesSeatOn(group *replicav1.Group, member *replicav1.Member, standing *replicav1.Standing) bool {
+	before := member.Predecessor
+	return inTransfer(member) && !standing.Member && standing.Recovered && standing.Epoch >= group.Epoch &&
+		standing.Seat == member.Seat && standing.Claim == before.Claim
+}
+
 // seenBy returns what the members that were copied know of the other seats'
 // incarnations. A replica that forgot it would count answers of former lives.
 func seenBy(standings []*replicav1.Standing, own uint32) []*replicav1.Record {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -61,7 +61,11 @@
 	state     *state
 
 	// The fields below belong to one loop each.
-	pulling  bool
+	// pulling is set while the present incarnation receives what its seat held, and
+	// copied is the incarnation that has it.
+	pulling bool
+	copied  uint64
+
 	retiring bool
 	retired  bool
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -44,11 +44,11 @@
 
 // ReadChain returns a turn and those before it.
 func (s *service) ReadChain(_ context.Context, request *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
-	response := &replicav1.ReadChainResponse{}
-	s.state.mutex.Lock()
-	response.Turns = s.state.store.Chain(request.Msg.Id)
-	s.state.mutex.Unlock()
-	response.Standing = s.state.standing(request.Msg.Epoch)
+	turns, err := s.state.chain(request.Msg.Id)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeDataLoss, err)
+	}
+	response := &replicav1.ReadChainResponse{Turns: turns, Standing: s.state.standing(request.Msg.Epoch)}
 	return connect.NewResponse(response), nil
 }
 
@@ -59,9 +59,11 @@
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
 	response := &replicav1.PullResponse{Life: s.state.life, Standing: s.state.standing(request.Msg.Epoch)}
-	s.state.mutex.Lock()
-	response.Records, response.Next, response.More = s.state.store.After(request.Msg.After, pullBytes)
-	s.state.mutex.Unlock()
+	var err error
+	response.Records, response.Next, response.More, err = s.state.after(request.Msg.After, pullBytes)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeDataLoss, err)
+	}
 	return connect.NewResponse(response), nil
 }
 
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -21,6 +22,15 @@
 	// compactFactor how many times its live records it may grow to.
 	minCompactBytes = 32 << 20
 	compactFactor   = 3
+	// noPosition stands for records that are not the store's.
+	noPosition = math.MaxUint64
+	// maxReads is how often a record that has moved is looked for.
+	maxReads = 3
+	// maxOwedBytes is how much of what the disk did not take may be waiting before
+	// new records are refused.
+	maxOwedBytes = 256 << 10
+	// maxCompacted bounds the segments that one compaction gives back.
+	maxCompacted = 4
 )
 
 // state is what the log says, and the log. Its methods are safe for concurrent
@@ -44,22 +54,21 @@
 // openState reads the log. A folder that is empty or damaged gives a state
 // without an identity.
 func openState(files recordlog.Files) (*state, error) {
-	log, encoded, err := recordlog.Open(files)
-	if err != nil {
-		return nil, err
-	}
 	opened := &state{
-		log: log, life: rand.Uint64() | 1, compactFrom: minCompactBytes, store: turn.NewStore(), seen: make(map[uint32]uint64),
+		life: rand.Uint64() | 1, compactFrom: minCompactBytes, store: turn.NewStore(), seen: make(map[uint32]uint64),
 	}
-	for _, data := range encoded {
+	log, err := recordlog.Open(files, func(data []byte, at recordlog.Place) error {
 		record := &replicav1.Record{}
 		if err := proto.Unmarshal(data, record); err != nil {
-			log.Close()
-			return nil, &recordlog.Damaged{}
+			return &recordlog.Damaged{}
 		}
+		position := opened.store.Next()
 		opened.apply(record)
-	}
-	return opened, nil
+		opened.store.Placed(position, at)
+		return nil
+	})
+	opened.log = log
+	return opened, err
 }
 
 // apply takes a record into memory and reports whether it changed anything.
@@ -94,24 +103,60 @@
 }
 
 // write applies records and returns once they, and all equal ones from before,
-// are on the disk.
+// are on the disk. While the disk takes nothing, new records are refused before
+// they are applied.
 func (s *state) write(records ...*replicav1.Record) error {
+	owed := s.log.Owed()
+	if owed > maxOwedBytes {
+		records = nil
+	}
+	wait, err := s.enqueue(records)
+	if err != nil {
+		return err
+	}
+	if err := wait(); err != nil {
+		return err
+	}
+	if owed > maxOwedBytes {
+		return &recordlog.Behind{Bytes: owed}
+	}
+	return nil
+}
+
+// enqueue applies records and hands those that are new to the log, in one step.
+func (s *state) enqueue(records []*replicav1.Record) (wait func() error, err error) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	encoded := make([][]byte, 0, len(records))
+	positions := make([]uint64, 0, len(records))
 	for _, record := range records {
+		position := s.store.Next()
 		if !s.apply(record) {
 			continue
 		}
 		data, err := proto.Marshal(record)
 		if err != nil {
-			s.mutex.Unlock()
-			return &failure.Internal{Cause: err}
+			return nil, &failure.Internal{Cause: err}
+		}
+		if s.store.Next() == position {
+			position = noPosition
+		}
+		encoded, positions = append(encoded, data), append(positions, position)
+	}
+	return s.log.Enqueue(s.placed(positions), encoded...), nil
+}
+
+// placed returns a function that notes where records were written.
+func (s *state) placed(positions []uint64) func([]recordlog.Place) {
+	return func(places []recordlog.Place) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		for i, position := range positions {
+			if position != noPosition {
+				s.store.Placed(position, places[i])
+			}
 		}
-		encoded = append(encoded, data)
 	}
-	wait := s.log.Enqueue(encoded...)
-	s.mutex.Unlock()
-	return wait()
 }
 
 // member returns this node's seat in the group, if it has one that its folder
@@ -141,7 +186,7 @@
 	}
 	if s.identity != nil {
 		_, standing.Member = s.member()
-		standing.Seat = s.identity.Seat
+		standing.Seat, standing.Claim = s.identity.Seat, s.identity.Claim
 		standing.Incarnation = s.identity.Incarnation
 		standing.Recovered = s.identity.Recovered
 	}
@@ -151,24 +196,58 @@
 	return standing
 }
 
-// compact drops what has expired and, when the log holds much more than what is
-// live, writes the live records anew.
+// compact drops what has expired. While the log holds much more than what is
+// live, it writes what is live in its oldest segment anew.
 func (s *state) compact(now time.Time) error {
 	s.mutex.Lock()
 	s.store.Expire(now)
-	size := s.log.Size()
-	if size < s.compactFrom || size < compactFactor*s.store.Bytes() {
+	s.mutex.Unlock()
+	for range maxCompacted {
+		s.mutex.Lock()
+		size, live := s.log.Size(), s.store.Bytes()
 		s.mutex.Unlock()
-		return nil
+		if size < s.compactFrom || size < compactFactor*live {
+			return nil
+		}
+		if err := s.compactSegment(s.log.Oldest()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compactSegment writes what is live in a segment, and everything that is not
+// the store's, to the end of the log, and gives the segment's space back.
+func (s *state) compactSegment(segment uint64) error {
+	s.mutex.Lock()
+	live := s.store.In(segment)
+	s.mutex.Unlock()
+	var encoded [][]byte
+	var positions []uint64
+	for _, each := range live {
+		data, err := s.log.Read(each.Place)
+		if err != nil {
+			return err
+		}
+		encoded, positions = append(encoded, data), append(positions, each.Position())
 	}
-	wait := s.log.Rewrite(s.live())
+	s.mutex.Lock()
+	for _, record := range s.ownRecords() {
+		data, err := proto.Marshal(record)
+		if err != nil {
+			s.mutex.Unlock()
+			return &failure.Internal{Cause: err}
+		}
+		encoded, positions = append(encoded, data), append(positions, noPosition)
+	}
+	wait := s.log.Replace(segment, s.placed(positions), encoded...)
 	s.mutex.Unlock()
 	return wait()
 }
 
-// live returns all records that count, encoded.
-func (s *state) live() (encoded [][]byte) {
-	records, _, _ := s.store.After(0, math.MaxInt)
+// ownRecords returns what this replica knows of itself, the group, the
+// configuration and the workers.
+func (s *state) ownRecords() (records []*replicav1.Record) {
 	if s.identity != nil {
 		records = append(records, identityRecord(s.identity))
 	}
@@ -184,14 +263,75 @@
 	if s.workers != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: s.workers}})
 	}
-	for _, record := range records {
-		data, err := proto.Marshal(record)
+	return records
+}
+
+// chain returns a turn and those before it, whole, the newest first, as far as
+// they are here. It fails where the turn is here and cannot be read: that is no
+// proof that it does not exist. A turn before it that cannot be read ends the
+// chain.
+func (s *state) chain(id string) ([]*replicav1.Turn, error) {
+	s.mutex.Lock()
+	kept := s.store.Chain(id)
+	s.mutex.Unlock()
+	turns := make([]*replicav1.Turn, 0, len(kept))
+	for _, each := range kept {
+		whole, err := s.load(each)
 		if err != nil {
-			continue
+			eventUnreadable.Log("turn", each.Id, "cause", err.Error())
+			if len(turns) == 0 {
+				return nil, err
+			}
+			break
+		}
+		turns = append(turns, whole)
+	}
+	return turns, nil
+}
+
+// load reads what a turn says. One whose segment was given back lies elsewhere.
+func (s *state) load(kept turn.Kept) (*replicav1.Turn, error) {
+	for try := 1; ; try++ {
+		if kept.Place.IsZero() {
+			return kept.Turn, nil
+		}
+		data, err := s.log.Read(kept.Place)
+		if err == nil {
+			record := &replicav1.Record{}
+			if err := proto.Unmarshal(data, record); err != nil || record.GetTurn() == nil {
+				return nil, &recordlog.Damaged{Offset: kept.Place.Offset}
+			}
+			return record.GetTurn(), nil
+		}
+		var moved *recordlog.Moved
+		if !errors.As(err, &moved) || try == maxReads {
+			return nil, err
+		}
+		s.mutex.Lock()
+		if found := s.store.Chain(kept.Id); len(found) > 0 {
+			kept = found[0]
+		}
+		s.mutex.Unlock()
+	}
+}
+
+// after returns whole records from a position on, up to about limit bytes.
+func (s *state) after(position uint64, limit int) (records []*replicav1.Record, next uint64, more bool, err error) {
+	s.mutex.Lock()
+	found, next, more := s.store.After(position, limit)
+	s.mutex.Unlock()
+	for _, each := range found {
+		record := each.Record
+		if stub := record.GetTurn(); stub != nil {
+			whole, err := s.load(turn.Kept{Turn: stub, Place: each.Place})
+			if err != nil {
+				return nil, position, true, err
+			}
+			record = &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: whole}, RetentionMs: record.RetentionMs}
 		}
-		encoded = append(encoded, data)
+		records = append(records, record)
 	}
-	return encoded
+	return records, next, more, nil
 }
 
 func (s *state) currentGroup() *replicav1.Group {
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -31,6 +31,8 @@
 	Bootstrap bool `yaml:"bootstrap"`
 	// GraceMilliseconds is how long a planned stop may take.
 	GraceMilliseconds int64 `yaml:"graceMilliseconds"`
+	// MemoryMegabytes is what the process may use; 0 is unknown.
+	MemoryMegabytes int64 `yaml:"memoryMegabytes"`
 }
 
 // defaultGraceMilliseconds bounds a planned stop where the file names no time.
@@ -39,6 +41,9 @@
 // Grace returns how long a planned stop may take.
 func (r Role) Grace() time.Duration { return time.Duration(r.GraceMilliseconds) * time.Millisecond }
 
+// MemoryBytes returns what the process may use; 0 is unknown.
+func (r Role) MemoryBytes() int64 { return r.MemoryMegabytes << 20 }
+
 // LoadRole reads a role's settings file. Its errors are a *strictyaml.Invalid
 // with file, line and key, or a *Unreadable.
 func LoadRole(path string) (Role, error) {
@@ -73,6 +78,7 @@
 	found.name("node", r.Node)
 	found.name("zone", r.Zone)
 	found.address("store", r.Store, false)
+	found.notNegative("memoryMegabytes", r.MemoryMegabytes)
 	for _, seed := range r.Seeds {
 		found.address("seeds", seed, false)
 	}
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -1,7 +1,8 @@
 // Package turn holds the kept turns and the token budgets of programs as one
 // replica knows them. It is pure: records go in, answers come out. Records are
 // written once and never changed, so that the order in which they arrive does
-// not matter.
+// not matter. What a turn says leaves the memory once its place in the log is
+// known.
 package turn
 
 import (
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/recordlog"
 )
 
 // Store is what a replica's records say.
@@ -18,25 +20,36 @@
 	turns    map[string]*keptTurn
 	programs map[string]*program
 	// records are all records that Pull passes on, oldest first.
-	records []stored
+	records []Stored
 	// next is the position of the next record; positions are never used twice.
 	next uint64
 	// bytes is the size of all records.
 	bytes int64
 }
 
-// stored is a record at its position.
-type stored struct {
+// Stored is a record of the store.
+type Stored struct {
+	// Record lacks what a turn says where Place is known.
+	*replicav1.Record
+	// Place is where the whole record lies in the log; zero until that is known.
+	Place recordlog.Place
+
 	position uint64
-	record   *replicav1.Record
 	// retention is how long the record is kept after its last use.
 	retention time.Duration
 	// size is the record's encoded size in bytes.
 	size int
 }
 
-type keptTurn struct {
+// Kept is a turn of a chain.
+type Kept struct {
+	// Turn lacks input and output where Place is known.
 	*replicav1.Turn
+	Place recordlog.Place
+}
+
+type keptTurn struct {
+	Kept
 	// used is when the turn, or one that goes on from it, came in last.
 	used time.Time
 }
@@ -59,7 +72,7 @@
 	switch kind := record.Kind.(type) {
 	case *replicav1.Record_Turn:
 		if _, found := s.turns[kind.Turn.Id]; !found {
-			s.turns[kind.Turn.Id] = &keptTurn{Turn: kind.Turn}
+			s.turns[kind.Turn.Id] = &keptTurn{Kept: Kept{Turn: kind.Turn}}
 			s.touch(now, kind.Turn.Id)
 			added = true
 		}
@@ -71,13 +84,53 @@
 	if added {
 		retention := time.Duration(record.RetentionMs) * time.Millisecond
 		size := proto.Size(record)
-		s.records = append(s.records, stored{position: s.next, record: record, retention: retention, size: size})
+		s.records = append(s.records, Stored{position: s.next, Record: record, retention: retention, size: size})
 		s.bytes += int64(size)
 		s.next++
 	}
 	return added
 }
 
+// Next returns the position of the next record that is new.
+func (s *Store) Next() uint64 { return s.next }
+
+// Placed notes where the record at a position lies in the log. What a turn says
+// is read from there from now on.
+func (s *Store) Placed(position uint64, at recordlog.Place) {
+	i := s.search(position)
+	if i == len(s.records) || s.records[i].position != position {
+		return
+	}
+	s.records[i].Place = at
+	whole := s.records[i].GetTurn()
+	if whole == nil {
+		return
+	}
+	stub := &replicav1.Turn{Id: whole.Id, Previous: whole.Previous, Program: whole.Program}
+	s.records[i].Record = &replicav1.Record{
+		Kind: &replicav1.Record_Turn{Turn: stub}, RetentionMs: s.records[i].RetentionMs,
+	}
+	s.turns[whole.Id].Kept = Kept{Turn: stub, Place: at}
+}
+
+func (s *Store) search(position uint64) int {
+	return sort.Search(len(s.records), func(i int) bool { return s.records[i].position >= position })
+}
+
+// In returns the records that lie in a segment of the log.
+func (s *Store) In(segment uint64) []Stored {
+	var found []Stored
+	for _, each := range s.records {
+		if each.Place.Segment == segment {
+			found = append(found, each)
+		}
+	}
+	return found
+}
+
+// Position returns the record's position, which is never used for another.
+func (s Stored) Position() uint64 { return s.position }
+
 // touch marks a turn and those before it as used: a turn is kept with its chain.
 func (s *Store) touch(now time.Time, id string) {
 	for found := s.turns[id]; found != nil && found.used.Before(now); found = s.turns[found.Previous] {
@@ -108,8 +161,8 @@
 func (s *Store) Expire(now time.Time) {
 	kept := s.records[:0]
 	for _, each := range s.records {
-		if s.usedAt(each.record).Add(each.retention + expiryMargin).Before(now) {
-			s.drop(each.record)
+		if s.usedAt(each.Record).Add(each.retention + expiryMargin).Before(now) {
+			s.drop(each.Record)
 			s.bytes -= int64(each.size)
 			continue
 		}
@@ -190,14 +243,14 @@
 
 // Chain returns a turn and the turns before it, the newest first, as far as
 // they are known.
-func (s *Store) Chain(id string) []*replicav1.Turn {
-	var chain []*replicav1.Turn
+func (s *Store) Chain(id string) []Kept {
+	var chain []Kept
 	for id != "" {
 		found := s.turns[id]
 		if found == nil {
 			break
 		}
-		chain = append(chain, found.Turn)
+		chain = append(chain, found.Kept)
 		id = found.Previous
 	}
 	return chain
@@ -205,13 +258,13 @@
 
 // After returns records from a position on, up to about limit bytes, with the
 // position after them and whether there are more.
-func (s *Store) After(position uint64, limit int) (records []*replicav1.Record, next uint64, more bool) {
-	from := sort.Search(len(s.records), func(i int) bool { return s.records[i].position >= position })
+func (s *Store) After(position uint64, limit int) (records []Stored, next uint64, more bool) {
+	from := s.search(position)
 	size := 0
 	next = position
 	for from < len(s.records) && size < limit {
 		each := s.records[from]
-		records = append(records, each.record)
+		records = append(records, each)
 		size += each.size
 		next = each.position + 1
 		from++
