--- a/cmd/barleyshelf-lab/events_test.go
+++ b/cmd/barleyshelf-lab/events_test.go
@@ -14,6 +14,7 @@
 	// The product's own commands and roles define events too.
 	_ "github.com/barleyshelf/barleyshelf/internal/gateway"
 	_ "github.com/barleyshelf/barleyshelf/internal/operator"
+	_ "github.com/barleyshelf/barleyshelf/internal/reload"
 	_ "github.com/barleyshelf/barleyshelf/internal/replica"
 	_ "github.com/barleyshelf/barleyshelf/internal/settings"
 )
--- a/cmd/barleyshelf/main_test.go
+++ b/cmd/barleyshelf/main_test.go
@@ -233,7 +233,10 @@
 		"plan -f " + filepath.Dir(bad):     {exitRefused, "invalid_declarations"},
 		"validate --settings " + bad:       {exitRefused, "invalid_settings"},
 		"validate --settings /does-not-be": {exitFailed, "settings_unreadable"},
-		"get nodes --token-file " + bad:    {exitRefused, "unauthenticated"},
+
+		"validate --role gateway --settings " + bad:       {exitRefused, "invalid_settings"},
+		"validate --role replica --settings /does-not-be": {exitFailed, "settings_unreadable"},
+		"get nodes --token-file " + bad:                   {exitRefused, "unauthenticated"},
 	}
 	for line, wanted := range cases {
 		var failed failureReport
--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gateway"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
+	"github.com/barleyshelf/barleyshelf/internal/reload"
 	"github.com/barleyshelf/barleyshelf/internal/replica"
 	"github.com/barleyshelf/barleyshelf/internal/settings"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -45,7 +49,6 @@
 	if err := loaded.ValidateGateway(); err != nil {
 		return err
 	}
-	ignoreReload()
 	limitHeap(loaded.MemoryBytes())
 	log := logsink.New(os.Stdout)
 	log.Install()
@@ -55,6 +58,9 @@
 		Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
 		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(),
 	}, newStore(loaded))
+	c.follow(c.app.context, loaded, settings.Role.ValidateGateway, func(changed settings.Role) {
+		running.Reload(changed.Seeds, changed.Grace())
+	})
 	return running.Run(c.app.context)
 }
 
@@ -75,7 +81,6 @@
 	if err := loaded.ValidateReplica(); err != nil {
 		return err
 	}
-	ignoreReload()
 	limitHeap(loaded.MemoryBytes())
 	log := logsink.New(os.Stdout)
 	log.Install()
@@ -87,9 +92,23 @@
 	if err != nil {
 		return err
 	}
+	c.follow(c.app.context, loaded, settings.Role.ValidateReplica, func(changed settings.Role) {
+		running.Reload(changed.Seeds)
+	})
 	return running.Run(c.app.context)
 }
 
+// follow puts the settings file in force again when it changes, and at SIGHUP.
+func (f roleFile) follow(ctx context.Context, loaded settings.Role, validate func(settings.Role) error, apply func(settings.Role)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	watcher := &reload.Watcher{Path: f.File, Loaded: loaded, Validate: validate, Apply: func(changed settings.Role) {
+		limitHeap(changed.MemoryBytes())
+		apply(changed)
+	}}
+	go watcher.Run(ctx, signals)
+}
+
 // limitHeap makes the collector work harder before the process runs out of
 // memory. 0 is unknown.
 func limitHeap(memoryBytes int64) {
--- a/cmd/barleyshelf/validate.go
+++ b/cmd/barleyshelf/validate.go
@@ -12,6 +12,7 @@
 
 type validateCommand struct {
 	Settings  string `long:"settings" value-name:"FILE" description:"settings file to check"`
+	Role      string `long:"role" choice:"daemon" choice:"gateway" choice:"replica" default:"daemon" description:"what the settings file is for"`
 	Directory string `short:"f" long:"directory" value-name:"DIR" description:"directory of declarations to check"`
 
 	app *application
@@ -32,7 +33,7 @@
 	var settingsErr, declarationsErr error
 	if c.Settings != "" {
 		report.Settings = true
-		settingsErr = validateSettings(c.Settings)
+		settingsErr = validateSettings(c.Role, c.Settings)
 	}
 	if c.Directory != "" {
 		report.Declarations, declarationsErr = validateDeclarations(c.Directory)
@@ -43,7 +44,10 @@
 	return c.app.write(report, func(out io.Writer) { fmt.Fprintln(out, "valid") })
 }
 
-func validateSettings(path string) error {
+func validateSettings(role, path string) error {
+	if role != "daemon" {
+		return validateRole(role, path)
+	}
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -51,6 +55,17 @@
 	return loaded.ValidateFile(path)
 }
 
+func validateRole(role, path string) error {
+	loaded, err := settings.LoadRole(path)
+	if err != nil {
+		return err
+	}
+	if role == "gateway" {
+		return loaded.ValidateGateway()
+	}
+	return loaded.ValidateReplica()
+}
+
 func validateDeclarations(dir string) (map[string]int, error) {
 	loaded, err := declaration.Load(dir)
 	counts := map[string]int{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,8 +59,6 @@
 	clientUserTimeout = 5 * time.Second
 	stateDialTimeout  = 300 * time.Millisecond
 	stateUserTimeout  = 700 * time.Millisecond
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 40 * time.Second
 	sweepEvery        = time.Second
 	// firstConfigurationWait is how long the listener waits for a configuration.
 	firstConfigurationWait = 2 * time.Second
@@ -101,7 +99,11 @@
 	state     *stateHealth
 	registry  *telemetry.Registry
 	metrics   *metrics
+	// connections are those of clients.
+	connections *connections
 
+	// grace is how long a planned stop may take, in nanoseconds.
+	grace    atomic.Int64
 	underWay atomic.Int64
 	stopping atomic.Bool
 }
@@ -110,9 +112,11 @@
 func New(options Options, objects directory.Objects) *Gateway {
 	g := &Gateway{
 		options: options, balancer: balance.New(time.Now), splitter: route.NewSplitter(),
-		retries:   limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
-		directory: directory.NewState(time.Now, directory.LogChanges()),
+		retries:     limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
+		directory:   directory.NewState(time.Now, directory.LogChanges()),
+		connections: newConnections(time.Now),
 	}
+	g.grace.Store(int64(options.Grace))
 	g.registry = telemetry.NewRegistry()
 	g.metrics = newMetrics(g.registry)
 	g.defineGauges(g.registry)
@@ -128,6 +132,13 @@
 	return g
 }
 
+// Reload puts changed settings in force: the seeds, and how long a planned stop
+// may take.
+func (g *Gateway) Reload(seeds []string, grace time.Duration) {
+	g.relay.SetSeeds(seeds)
+	g.grace.Store(int64(grace))
+}
+
 // Run serves until ctx ends, and then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
 	working, stopWork := context.WithCancel(context.Background())
@@ -135,13 +146,18 @@
 	go g.feed.Run(working)
 	go g.relay.Run(working)
 	go g.sweep(working)
+	go func() {
+		for pause.For(working, sweepConnectionsEvery) {
+			g.sweepConnections()
+		}
+	}()
 	go g.state.run(working)
 	readiness, err := transport.Listen(working, g.options.Readiness, clientUserTimeout)
 	if err != nil {
 		return &failure.Internal{Cause: err}
 	}
 	discard := log.New(io.Discard, "", 0)
-	readinessServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discard}
+	readinessServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: discard}
 	go readinessServer.Serve(readiness)
 	defer readinessServer.Close()
 	if err := telemetry.Serve(working, g.options.Metrics, g.registry, g.readiness); err != nil {
@@ -153,7 +169,8 @@
 		return &failure.Internal{Cause: err}
 	}
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discard,
+		Handler: g, ReadHeaderTimeout: longestTimeout, IdleTimeout: longestTimeout, ErrorLog: discard,
+		ConnState: g.connections.changed, ConnContext: g.connections.remember,
 	}
 	eventStarted.Log("node", g.options.Node, "ingress", g.options.Ingress)
 	failed := make(chan error, 1)
@@ -237,7 +254,7 @@
 	time.Sleep(unreadyFor)
 	ingress.Close()
 	time.Sleep(lingerFor)
-	end := began.Add(g.options.Grace - stopMargin)
+	end := began.Add(time.Duration(g.grace.Load()) - stopMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -115,6 +115,23 @@
 // Retry forbids a repeat.
 func (e *BodyTooLong) Retry() failure.Retry { return failure.Retry{} }
 
+// HeadTooLong reports a request's head over the declared limit.
+type HeadTooLong struct {
+	// Limit is in bytes.
+	Limit int
+}
+
+func (e *HeadTooLong) Error() string { return fmt.Sprintf("the head is longer than %d bytes", e.Limit) }
+
+// Type returns "head_too_long".
+func (e *HeadTooLong) Type() failure.Type { return "head_too_long" }
+
+// Outcome returns NotRun.
+func (e *HeadTooLong) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry forbids a repeat.
+func (e *HeadTooLong) Retry() failure.Retry { return failure.Retry{} }
+
 // BodyBroken reports a body that did not arrive whole in time.
 type BodyBroken struct {
 	Cause error
@@ -181,6 +198,7 @@
 		route   *UnknownRoute
 		unknown *quorum.UnknownTurn
 		spent   *BudgetSpent
+		head    *HeadTooLong
 		long    *BodyTooLong
 		broken  *BodyBroken
 	)
@@ -189,6 +207,8 @@
 		return http.StatusNotFound
 	case errors.As(err, &spent):
 		return http.StatusPaymentRequired
+	case errors.As(err, &head):
+		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &long):
 		return http.StatusRequestEntityTooLarge
 	case errors.As(err, &broken):
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -28,6 +28,7 @@
 	&NoConfiguration{}:           http.StatusServiceUnavailable,
 	&UnknownRoute{}:              http.StatusNotFound,
 	&BodyTooLong{}:               http.StatusRequestEntityTooLarge,
+	&HeadTooLong{}:               http.StatusRequestHeaderFieldsTooLarge,
 	&BodyBroken{Cause: errCause}: http.StatusRequestTimeout,
 	&BudgetSpent{}:               http.StatusPaymentRequired,
 	&quorum.UnknownTurn{}:        http.StatusNotFound,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	g.underWay.Add(1)
 	defer g.underWay.Add(-1)
+	g.connections.served(incoming)
 	if g.stopping.Load() || g.state.isolated() {
 		// The client is to open its next connection elsewhere.
 		w.Header().Set("Connection", "close")
@@ -88,6 +89,9 @@
 	if r.route == nil {
 		return &UnknownRoute{Host: r.incoming.Host, Path: r.incoming.URL.Path, Version: table.Version()}
 	}
+	if limit := table.Limits().MaxHeaderBytes; limit > 0 && headBytes(r.incoming) > limit {
+		return &HeadTooLong{Limit: limit}
+	}
 	r.service = table.Service(r.gateway.splitter.Next(r.route))
 	held := r.route.Timeout
 	if r.envelope.Wait > 0 && (held == 0 || r.envelope.Wait < held) {
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,15 +29,20 @@
 	client  *Client
 	state   *directory.State
 	failing func() bool
-	seeds   []string
+	seeds   atomic.Pointer[[]string]
 }
 
 // NewRelay returns a relay into state. failing tells whether the store does not
 // answer this process.
 func NewRelay(client *Client, state *directory.State, failing func() bool, seeds []string) *Relay {
-	return &Relay{client: client, state: state, failing: failing, seeds: seeds}
+	relay := &Relay{client: client, state: state, failing: failing}
+	relay.SetSeeds(seeds)
+	return relay
 }
 
+// SetSeeds replaces the addresses that are asked while no group is known.
+func (r *Relay) SetSeeds(seeds []string) { r.seeds.Store(&seeds) }
+
 // Run asks one replica after another until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	for turn := rand.Int(); ctx.Err() == nil; turn++ {
@@ -57,7 +63,7 @@
 func (r *Relay) addresses() []string {
 	group := r.state.Group()
 	if group == nil {
-		return r.seeds
+		return *r.seeds.Load()
 	}
 	addresses := make([]string, 0, len(group.Members))
 	for _, member := range group.Members {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -58,6 +58,7 @@
 	followers *followed
 	heard     *heard
 	quorum    *quorum.Client
+	relay     *quorum.Relay
 	state     *state
 
 	// The fields below belong to one loop each.
@@ -87,10 +88,14 @@
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.ShortWait)
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout})
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
+	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, replica.feed.Failing, options.Seeds)
 	replica.offerKept()
 	return replica, nil
 }
 
+// Reload puts changed seeds in force.
+func (r *Replica) Reload(seeds []string) { r.relay.SetSeeds(seeds) }
+
 // openFolder opens the log. Of a damaged one nothing is used: the replica
 // starts empty and recovers from the others.
 func openFolder(folder string) (*state, error) {
@@ -211,7 +216,7 @@
 	go r.feed.Run(ctx)
 	go r.feed.Follow(ctx, directory.KindReplica, "replicas", directory.LongWait, r.followers.takeReplicas)
 	go r.feed.Follow(ctx, directory.KindRetirement, "retirements", directory.LongWait, r.followers.takeRetirements)
-	go quorum.NewRelay(r.quorum, r.directory, r.feed.Failing, r.options.Seeds).Run(ctx)
+	go r.relay.Run(ctx)
 	go r.keepWorkers(ctx)
 	go r.compact(ctx)
 	go r.register(ctx)
