Gateways hear of workers and the group from replicas, which answer as soon as there is news

Now replicas hold a gateway's question until something is newer (two at a time, 700 ms each), say whether the store answers them, and a gateway follows workers and group in the store itself only while no such replica is heard. The configuration's watch stays.

--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -117,7 +117,17 @@
 
 // Run follows the configuration, the workers and the group until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
-	go f.Follow(ctx, KindConfiguration, "configuration", f.wait, f.takeConfiguration)
+	go f.RunConfiguration(ctx)
+	f.RunRest(ctx)
+}
+
+// RunConfiguration follows the configuration alone until ctx ends.
+func (f *Feed) RunConfiguration(ctx context.Context) {
+	f.Follow(ctx, KindConfiguration, "configuration", f.wait, f.takeConfiguration)
+}
+
+// RunRest follows the workers and the group until ctx ends.
+func (f *Feed) RunRest(ctx context.Context) {
 	go f.Follow(ctx, KindGroup, "group", LongWait, f.takeGroup)
 	f.Follow(ctx, KindWorker, "workers", LongWait, f.takeWorkers)
 }
@@ -159,6 +169,11 @@
 func (f *Feed) Follow(ctx context.Context, kind Kind, name string, wait time.Duration, take func(Listing, []Change, int64)) {
 	var revision int64
 	retry, failed, short := firstRetry, false, false
+	defer func() {
+		if failed {
+			f.failing.Add(-1)
+		}
+	}()
 	for ctx.Err() == nil {
 		thisWait := wait
 		if failed || short {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -38,7 +38,9 @@
 	view atomic.Pointer[View]
 	now  func() time.Time
 
-	mutex           sync.Mutex
+	mutex sync.Mutex
+	// news is closed, and replaced, with each new view.
+	news            chan struct{}
 	workers         map[string]Worker
 	workersRevision int64
 	lapsed          map[string]lapsedWorker
@@ -54,7 +56,7 @@
 // each new view, one at a time.
 func NewState(now func() time.Time, changed func(*View)) *State {
 	state := &State{
-		now: now, changed: changed,
+		now: now, changed: changed, news: make(chan struct{}),
 		workers: make(map[string]Worker), lapsed: make(map[string]lapsedWorker),
 	}
 	state.view.Store(&View{})
@@ -64,6 +66,13 @@
 // View returns the newest view.
 func (s *State) View() *View { return s.view.Load() }
 
+// News returns a channel that is closed with the next view.
+func (s *State) News() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.news
+}
+
 // WorkersRevision returns the revision up to which workers are known.
 func (s *State) WorkersRevision() int64 {
 	s.mutex.Lock()
@@ -186,6 +195,8 @@
 
 func (s *State) publish(next *View) {
 	s.view.Store(next)
+	close(s.news)
+	s.news = make(chan struct{})
 	if s.changed != nil {
 		s.changed(next)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,7 +124,7 @@
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
-	g.relay = quorum.NewRelay(g.quorum, g.directory, g.feed.Failing, options.Seeds)
+	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds)
 	g.chains = newChainCache(g.quorum, chainBytes(options.MemoryBytes))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
@@ -143,7 +143,8 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	working, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	go g.feed.Run(working)
+	go g.feed.RunConfiguration(working)
+	go g.followStore(working)
 	go g.relay.Run(working)
 	go g.sweep(working)
 	go func() {
@@ -185,6 +186,34 @@
 	return nil
 }
 
+const (
+	// freshNews is how old the word of a replica that the store answers may be
+	// before the workers and the group are read from the store itself.
+	freshNews = 800 * time.Millisecond
+	// directFor is how long the store is followed at least.
+	directFor   = 3 * time.Second
+	newsChecked = 100 * time.Millisecond
+)
+
+// followStore follows the workers and the group in the platform's store while no
+// replica passes them on. Each call to the store has its price, and the store
+// bears only so many readers.
+func (g *Gateway) followStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		if g.relay.FreshWithin(freshNews) {
+			pause.For(ctx, newsChecked)
+			continue
+		}
+		eventDirect.Log()
+		following, stop := context.WithCancel(ctx)
+		go g.feed.RunRest(following)
+		pause.For(ctx, directFor)
+		for !g.relay.FreshWithin(freshNews) && pause.For(ctx, newsChecked) {
+		}
+		stop()
+	}
+}
+
 func (g *Gateway) awaitConfiguration(ctx context.Context) {
 	until := time.Now().Add(firstConfigurationWait)
 	for g.directory.View().Table == nil && time.Now().Before(until) {
--- a/internal/gateway/statehealth.go
+++ b/internal/gateway/statehealth.go
@@ -21,6 +21,7 @@
 
 var (
 	eventIsolated = event.Define(2807, event.Warning, "no replica answers this gateway; it is not ready", "Look at the links between this machine and the replicas.")
+	eventDirect   = event.Define(2809, event.Info, "no replica passes news on; the platform's store is followed itself", "")
 	eventReached  = event.Define(2808, event.Info, "replicas answer this gateway again", "")
 )
 
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -60,7 +60,8 @@
 	Pull(context.Context, *connect.Request[replicav1.PullRequest]) (*connect.Response[replicav1.PullResponse], error)
 	// Announce tells a replica the sender's group and incarnation.
 	Announce(context.Context, *connect.Request[replicav1.AnnounceRequest]) (*connect.Response[replicav1.AnnounceResponse], error)
-	// Directory returns the newest configuration, workers and group known here.
+	// Directory returns the newest configuration, workers and group known here, or
+	// waits for newer ones.
 	Directory(context.Context, *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error)
 }
 
@@ -152,7 +153,8 @@
 	Pull(context.Context, *connect.Request[replicav1.PullRequest]) (*connect.Response[replicav1.PullResponse], error)
 	// Announce tells a replica the sender's group and incarnation.
 	Announce(context.Context, *connect.Request[replicav1.AnnounceRequest]) (*connect.Response[replicav1.AnnounceResponse], error)
-	// Directory returns the newest configuration, workers and group known here.
+	// Directory returns the newest configuration, workers and group known here, or
+	// waits for newer ones.
 	Directory(context.Context, *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error)
 }
 
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -16,26 +16,36 @@
 )
 
 const (
-	// relayEvery is how often a replica is asked for news although the store
-	// answers, and relayFailing while it does not.
-	relayEvery   = 600 * time.Millisecond
-	relayFailing = 200 * time.Millisecond
-	relayTimeout = 500 * time.Millisecond
+	// relayWait is how long a replica may wait for news before it answers. It is
+	// short: a replica that the store does not answer keeps its callers back for
+	// this long.
+	relayWait = 700 * time.Millisecond
+	// relayMargin is how much later a call is given up.
+	relayMargin = 300 * time.Millisecond
+	// relayPause is the time after a call that failed or brought nothing to wait
+	// for.
+	relayPause = 60 * time.Millisecond
+	// relayAsked is how many replicas are asked at a time: each of them may be
+	// stale.
+	relayAsked = 2
 )
 
-// Relay asks replicas for what the platform's store told them: the store may
-// refuse this process while it serves others.
+// Relay asks replicas for what the platform's store told them: one after
+// another, a few at a time, each of which answers as soon as there is news.
 type Relay struct {
-	client  *Client
-	state   *directory.State
-	failing func() bool
-	seeds   atomic.Pointer[[]string]
+	client *Client
+	state  *directory.State
+	seeds  atomic.Pointer[[]string]
+	// fresh is when a replica that the store answers was heard last, in nanoseconds
+	// since began.
+	fresh atomic.Int64
+	began time.Time
 }
 
-// NewRelay returns a relay into state. failing tells whether the store does not
-// answer this process.
-func NewRelay(client *Client, state *directory.State, failing func() bool, seeds []string) *Relay {
-	relay := &Relay{client: client, state: state, failing: failing}
+// NewRelay returns a relay into state.
+func NewRelay(client *Client, state *directory.State, seeds []string) *Relay {
+	relay := &Relay{client: client, state: state, began: time.Now()}
+	relay.fresh.Store(-int64(time.Hour))
 	relay.SetSeeds(seeds)
 	return relay
 }
@@ -43,19 +53,33 @@
 // SetSeeds replaces the addresses that are asked while no group is known.
 func (r *Relay) SetSeeds(seeds []string) { r.seeds.Store(&seeds) }
 
-// Run asks one replica after another until ctx ends.
+// FreshWithin reports whether a replica that the platform's store answers was
+// heard within the given time.
+func (r *Relay) FreshWithin(limit time.Duration) bool {
+	return time.Since(r.began)-time.Duration(r.fresh.Load()) < limit
+}
+
+// Run asks replicas until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	for turn := rand.Int(); ctx.Err() == nil; turn++ {
-		every := relayEvery
-		if r.failing() || r.state.View().Table == nil {
-			every = relayFailing
-		}
-		if !pause.For(ctx, every) {
-			return
-		}
+	first := rand.IntN(1 << 16)
+	for lane := range relayAsked - 1 {
+		go r.runLane(ctx, first, lane+1)
+	}
+	r.runLane(ctx, first, 0)
+}
+
+// runLane asks one replica after another. Lanes are apart by their share of the
+// replicas, as long as calls take alike.
+func (r *Relay) runLane(ctx context.Context, first, lane int) {
+	for turn := 0; ctx.Err() == nil; turn++ {
 		addresses := r.addresses()
+		began := time.Now()
 		if len(addresses) > 0 {
-			go r.ask(ctx, addresses[turn%len(addresses)])
+			apart := lane * len(addresses) / relayAsked
+			r.ask(ctx, addresses[(first+apart+turn)%len(addresses)])
+		}
+		if time.Since(began) < relayPause {
+			pause.For(ctx, relayPause)
 		}
 	}
 }
@@ -73,10 +97,12 @@
 }
 
 func (r *Relay) ask(ctx context.Context, address string) {
-	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	call, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
 	defer cancel()
 	view := r.state.View()
-	request := &replicav1.DirectoryRequest{WorkersRevision: r.state.WorkersRevision()}
+	request := &replicav1.DirectoryRequest{
+		WorkersRevision: r.state.WorkersRevision(), PatienceMs: uint32(relayWait.Milliseconds()),
+	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
 	}
@@ -87,12 +113,19 @@
 	if err != nil {
 		return
 	}
-	if kept := response.Msg.Configuration; kept != nil {
+	r.take(response.Msg)
+}
+
+func (r *Relay) take(news *replicav1.DirectoryResponse) {
+	if kept := news.Configuration; kept != nil {
 		configuration := &route.Configuration{}
 		if json.Unmarshal(kept.Document, configuration) == nil {
 			r.state.OfferConfiguration(configuration)
 		}
 	}
-	r.state.OfferWorkerList(response.Msg.Workers)
-	r.state.OfferGroup(response.Msg.Group)
+	r.state.OfferWorkerList(news.Workers)
+	r.state.OfferGroup(news.Group)
+	if news.Fresh {
+		r.fresh.Store(int64(time.Since(r.began)))
+	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -88,7 +88,7 @@
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.ShortWait)
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout})
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
-	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, replica.feed.Failing, options.Seeds)
+	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds)
 	replica.offerKept()
 	return replica, nil
 }
@@ -206,7 +206,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	handler := &service{state: r.state, directory: r.directory, heard: r.heard}
+	handler := &service{state: r.state, directory: r.directory, heard: r.heard, failing: r.feed.Failing}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, connect.WithReadMaxBytes(maxMessageBytes)))
 	server := &http.Server{Handler: mux}
 	go func() {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
 
@@ -19,6 +21,8 @@
 	state     *state
 	directory *directory.State
 	heard     *heard
+	// failing reports whether the platform's store does not answer this replica.
+	failing func() bool
 }
 
 // Append stores records and lists reservations. A replica without a seat stores nothing.
@@ -92,22 +96,46 @@
 	return member != nil && member.Seat == message.Seat
 }
 
-// Directory passes on what is newer than what the caller has.
-func (s *service) Directory(_ context.Context, request *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
+// Directory passes on what is newer than what the caller has. Where nothing is,
+// it waits for as long as the caller allows.
+func (s *service) Directory(ctx context.Context, request *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
+	until := time.NewTimer(time.Duration(request.Msg.PatienceMs) * time.Millisecond)
+	defer until.Stop()
+	for {
+		news := s.directory.News()
+		response, err := s.newerThan(request.Msg)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		if response.Configuration != nil || response.Workers != nil || response.Group != nil {
+			return connect.NewResponse(response), nil
+		}
+		select {
+		case <-news:
+		case <-until.C:
+			return connect.NewResponse(response), nil
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		}
+	}
+}
+
+// newerThan returns what the caller does not have.
+func (s *service) newerThan(known *replicav1.DirectoryRequest) (*replicav1.DirectoryResponse, error) {
 	view := s.directory.View()
-	response := &replicav1.DirectoryResponse{}
-	if view.Table != nil && view.Table.Version() > request.Msg.Version {
+	response := &replicav1.DirectoryResponse{Fresh: !s.failing()}
+	if view.Table != nil && view.Table.Version() > known.Version {
 		document, err := json.Marshal(view.Table.Configuration())
 		if err != nil {
-			return nil, connect.NewError(connect.CodeInternal, err)
+			return nil, &failure.Internal{Cause: err}
 		}
 		response.Configuration = &replicav1.Configuration{Version: view.Table.Version(), Document: document}
 	}
-	if s.directory.WorkersRevision() > request.Msg.WorkersRevision {
+	if s.directory.WorkersRevision() > known.WorkersRevision {
 		response.Workers = s.directory.WorkerList()
 	}
-	if view.Group != nil && view.Group.Epoch > request.Msg.Epoch {
+	if view.Group != nil && view.Group.Epoch > known.Epoch {
 		response.Group = view.Group
 	}
-	return connect.NewResponse(response), nil
+	return response, nil
 }
