Calls to replicas no longer pile up; kept connections and fewer calls to the platform

Every write sent a new call to every member each 40 ms, though earlier ones waited up to 900 ms, each on a connection of its own. Change: a write has one call under way at each member, with a growing pause; calls between daemons share connections (HTTP/2 without TLS); gateways' retries of the store grow to 2 s, and they follow it themselves only 600 ms after the start; tool calls prefer workers with a kept connection among the least loaded.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -43,6 +43,10 @@
 	Affinity string
 	// Tried are workers that this request is not to go to again.
 	Tried map[string]bool
+	// Warm reports whether a connection to an address is kept; nil knows of none.
+	// Requests without an affinity prefer such workers among those with the least
+	// under way: a new connection has its price.
+	Warm func(address string) bool
 }
 
 // Balancer keeps the record of each worker. It is safe for concurrent use.
@@ -84,23 +88,37 @@
 	if len(candidates) == 0 {
 		return directory.Worker{}, false
 	}
-	best := candidates[0]
+	best := pick(candidates, request)
+	b.of(best.worker.ID).underWay++
+	return best.worker.Worker, true
+}
+
+// pick returns the first candidate by rank that has not clearly more under way
+// than the least loaded one, and for requests without an affinity a warm one
+// among the least loaded.
+func pick(candidates []candidate, request Request) candidate {
 	least := math.MaxInt
 	for _, each := range candidates {
 		least = min(least, each.load)
 	}
-	for _, each := range candidates {
-		if request.Affinity != "" && each.load <= least+affinitySlack {
-			best = each
-			break
+	slack := 0
+	if request.Affinity != "" {
+		slack = affinitySlack
+	}
+	var first *candidate
+	for i := range candidates {
+		each := &candidates[i]
+		if each.load > least+slack {
+			continue
+		}
+		if request.Affinity != "" || request.Warm == nil || request.Warm(each.worker.Address) {
+			return *each
 		}
-		if request.Affinity == "" && each.load == least {
-			best = each
-			break
+		if first == nil {
+			first = each
 		}
 	}
-	b.of(best.worker.ID).underWay++
-	return best.worker.Worker, true
+	return *first
 }
 
 // candidates returns the workers that may be chosen, by rank. Ejected and slow
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -19,7 +19,10 @@
 
 const (
 	firstRetry = 80 * time.Millisecond
-	lastRetry  = 400 * time.Millisecond
+	// lastRetry is for processes that pass news on, lastReaderRetry for those that
+	// hear them from others too.
+	lastRetry       = 400 * time.Millisecond
+	lastReaderRetry = 2 * time.Second
 	// LongWait is for processes that hear news from others too, ShortWait for one
 	// kind of those that pass them on: a store that has fallen silent in the middle
 	// of a watch shows only when the watch is over, and then the watches of the
@@ -205,10 +208,18 @@
 			eventStoreLost.Log("kind", name, "cause", err.Error())
 		}
 		pause.For(ctx, retry)
-		retry = min(2*retry, lastRetry)
+		retry = min(2*retry, f.lastRetry())
 	}
 }
 
+// lastRetry returns the longest time between failed calls.
+func (f *Feed) lastRetry() time.Duration {
+	if f.wait == LongWait {
+		return lastReaderRetry
+	}
+	return lastRetry
+}
+
 // suspected returns a channel that is closed when the next call fails.
 func (f *Feed) suspected() <-chan struct{} {
 	f.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 	g.metrics = newMetrics(g.registry)
 	g.defineGauges(g.registry)
 	g.feed = directory.NewFeed(objects, g.directory, directory.LongWait)
-	client := transport.NewHTTPClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
+	client := transport.NewMultiplexedClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds)
@@ -191,7 +191,9 @@
 	// before the workers and the group are read from the store itself.
 	freshNews = 800 * time.Millisecond
 	// directFor is how long the store is followed at least.
-	directFor   = 3 * time.Second
+	directFor = 3 * time.Second
+	// firstNews is how long replicas have to pass news on after the start.
+	firstNews   = 600 * time.Millisecond
 	newsChecked = 100 * time.Millisecond
 )
 
@@ -199,6 +201,7 @@
 // replica passes them on. Each call to the store has its price, and the store
 // bears only so many readers.
 func (g *Gateway) followStore(ctx context.Context) {
+	pause.For(ctx, firstNews)
 	for ctx.Err() == nil {
 		if g.relay.FreshWithin(freshNews) {
 			pause.For(ctx, newsChecked)
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -10,15 +10,16 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
-	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
 const (
 	// callTimeout bounds one call to one replica.
 	callTimeout = 900 * time.Millisecond
-	// retryPause is the time between two rounds over the group.
-	retryPause = 40 * time.Millisecond
+	// retryPause is the time between two rounds over the group, and between the
+	// first two calls of one member; that grows up to lastRetryPause.
+	retryPause     = 40 * time.Millisecond
+	lastRetryPause = 320 * time.Millisecond
 	// nearTimeout is how long the nearest replica is waited for before the
 	// others are asked too.
 	nearTimeout = 30 * time.Millisecond
@@ -83,69 +84,6 @@
 	return err
 }
 
-// append sends a request to the group in force until enough members answer.
-func (c *Client) append(ctx context.Context, request *replicav1.AppendRequest) (turn.Ledger, error) {
-	answered, needed := 0, 1
-	for {
-		if group := c.groups.Group(); group != nil {
-			needed = WriteSize(len(group.Members))
-			ledger, count, done := c.appendOnce(ctx, group, request)
-			if done {
-				return ledger, nil
-			}
-			answered = max(answered, count)
-		}
-		if !pause.For(ctx, retryPause) {
-			return nil, &Unavailable{Needed: needed, Answered: answered}
-		}
-	}
-}
-
-// appendOnce sends the request to every member and waits until enough have
-// answered, or until no more answers come.
-func (c *Client) appendOnce(ctx context.Context, group *replicav1.Group, request *replicav1.AppendRequest) (turn.Ledger, int, bool) {
-	answers := make(chan *replicav1.AppendResponse, len(group.Members))
-	request = &replicav1.AppendRequest{Epoch: group.Epoch, Records: request.Records, Programs: request.Programs}
-	for _, member := range group.Members {
-		go func() {
-			// The write goes on when the caller has its majority.
-			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			defer cancel()
-			response, err := c.At(member.Address).Append(call, connect.NewRequest(request))
-			if err != nil {
-				answers <- nil
-				return
-			}
-			c.learn(group, member, response.Msg.Standing)
-			answers <- response.Msg
-		}()
-	}
-	var standings []*replicav1.Standing
-	var counted []*replicav1.AppendResponse
-	for range group.Members {
-		select {
-		case <-ctx.Done():
-			return nil, len(counted), false
-		case answer := <-answers:
-			if answer == nil {
-				continue
-			}
-			standings = append(standings, answer.Standing)
-			counted = append(counted, answer)
-		}
-		chosen := Choose(group.Epoch, standings, WriteSize(len(group.Members)))
-		if chosen == nil {
-			continue
-		}
-		ledger := make(turn.Ledger)
-		for _, i := range chosen {
-			ledger.Merge(counted[i].Entries)
-		}
-		return ledger, len(counted), true
-	}
-	return nil, len(counted), false
-}
-
 // learn takes a newer group from a replica, or passes a newer one on to it.
 func (c *Client) learn(group *replicav1.Group, member *replicav1.Member, standing *replicav1.Standing) {
 	switch {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -86,7 +86,7 @@
 		replica.keep(view)
 	})
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.ShortWait)
-	client := transport.NewHTTPClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout})
+	client := transport.NewMultiplexedClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout})
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
 	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds)
 	replica.offerKept()
@@ -208,7 +208,7 @@
 	mux := http.NewServeMux()
 	handler := &service{state: r.state, directory: r.directory, heard: r.heard, failing: r.feed.Failing}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, connect.WithReadMaxBytes(maxMessageBytes)))
-	server := &http.Server{Handler: mux}
+	server := &http.Server{Handler: mux, Protocols: transport.MultiplexedAndPlain()}
 	go func() {
 		<-ctx.Done()
 		server.Close()
