--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -63,3 +64,28 @@
 		}
 	}
 }
+
+// BenchmarkMemoryOfATurn reports the heap that one kept turn takes.
+func BenchmarkMemoryOfATurn(b *testing.B) {
+	const turns = 10_000
+	for b.Loop() {
+		replica := benchService(b)
+		before := heapBytes()
+		for n := 0; n < turns; n += 100 {
+			var records []*replicav1.Record
+			for i := range 100 {
+				records = append(records, keptTurn(n+i))
+			}
+			require.NoError(b, replica.state.write(records...))
+		}
+		b.ReportMetric(float64(heapBytes()-before)/turns, "heap-B/turn")
+		runtime.KeepAlive(replica)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
