Bounded connections and admission at replicas; the preference for kept connections taken back

Every gateway ranks workers without an affinity alike, so all kept connections to the same few. HTTP/2's share was not told apart; both go.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -43,10 +43,6 @@
 	Affinity string
 	// Tried are workers that this request is not to go to again.
 	Tried map[string]bool
-	// Warm reports whether a connection to an address is kept; nil knows of none.
-	// Requests without an affinity prefer such workers among those with the least
-	// under way: a new connection has its price.
-	Warm func(address string) bool
 }
 
 // Balancer keeps the record of each worker. It is safe for concurrent use.
@@ -94,8 +90,7 @@
 }
 
 // pick returns the first candidate by rank that has not clearly more under way
-// than the least loaded one, and for requests without an affinity a warm one
-// among the least loaded.
+// than the least loaded one.
 func pick(candidates []candidate, request Request) candidate {
 	least := math.MaxInt
 	for _, each := range candidates {
@@ -105,20 +100,12 @@
 	if request.Affinity != "" {
 		slack = affinitySlack
 	}
-	var first *candidate
-	for i := range candidates {
-		each := &candidates[i]
-		if each.load > least+slack {
-			continue
-		}
-		if request.Affinity != "" || request.Warm == nil || request.Warm(each.worker.Address) {
-			return *each
-		}
-		if first == nil {
-			first = each
+	for _, each := range candidates {
+		if each.load <= least+slack {
+			return each
 		}
 	}
-	return *first
+	return candidates[0]
 }
 
 // candidates returns the workers that may be chosen, by rank. Ejected and slow
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -11,7 +11,7 @@
 // balanceRequest says what the choice of a worker depends on: model requests
 // of a program go where the program's prompts are in memory.
 func (g *Gateway) balanceRequest(r *request) balance.Request {
-	wanted := balance.Request{Tried: r.tried, Warm: g.pool.Warm}
+	wanted := balance.Request{Tried: r.tried}
 	if r.service.Engine == nil {
 		return wanted
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,7 +59,9 @@
 	clientUserTimeout = 5 * time.Second
 	stateDialTimeout  = 300 * time.Millisecond
 	stateUserTimeout  = 700 * time.Millisecond
-	sweepEvery        = time.Second
+	// stateConnections are kept to each replica at most.
+	stateConnections = 16
+	sweepEvery       = time.Second
 	// firstConfigurationWait is how long the listener waits for a configuration.
 	firstConfigurationWait = 2 * time.Second
 )
@@ -121,7 +123,7 @@
 	g.metrics = newMetrics(g.registry)
 	g.defineGauges(g.registry)
 	g.feed = directory.NewFeed(objects, g.directory, directory.LongWait)
-	client := transport.NewMultiplexedClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout})
+	client := transport.NewPeerClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout}, stateConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,6 +26,8 @@
 const (
 	dialTimeout = 400 * time.Millisecond
 	userTimeout = 900 * time.Millisecond
+	// peerConnections are kept to each other replica at most.
+	peerConnections = 16
 	// keepWorkersEvery is how often the list of workers is written at most.
 	keepWorkersEvery = 500 * time.Millisecond
 	compactEvery     = 5 * time.Second
@@ -86,7 +88,7 @@
 		replica.keep(view)
 	})
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.ShortWait)
-	client := transport.NewMultiplexedClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout})
+	client := transport.NewPeerClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout}, peerConnections)
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
 	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds)
 	replica.offerKept()
@@ -208,7 +210,7 @@
 	mux := http.NewServeMux()
 	handler := &service{state: r.state, directory: r.directory, heard: r.heard, failing: r.feed.Failing}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, connect.WithReadMaxBytes(maxMessageBytes)))
-	server := &http.Server{Handler: mux, Protocols: transport.MultiplexedAndPlain()}
+	server := &http.Server{Handler: newAdmission(mux)}
 	go func() {
 		<-ctx.Done()
 		server.Close()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -64,29 +64,16 @@
 	idleTimeout     = 30 * time.Second
 )
 
-// Multiplexed are the protocols of calls between daemons: HTTP/2 without TLS, so
-// that calls which pile up behind a slow peer share one connection.
-func Multiplexed() *http.Protocols {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return protocols
-}
-
-// MultiplexedAndPlain are Multiplexed and HTTP/1, for servers.
-func MultiplexedAndPlain() *http.Protocols {
-	protocols := Multiplexed()
-	protocols.SetHTTP1(true)
-	return protocols
-}
-
-// NewMultiplexedClient returns a client for calls between daemons that may be
-// repeated.
-func NewMultiplexedClient(options Options) *http.Client {
+// NewPeerClient returns a client for calls between daemons that may be repeated.
+// It keeps at most maxConnections to each peer; further calls wait: calls that
+// pile up behind a slow peer must not take its memory.
+func NewPeerClient(options Options, maxConnections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:        NewDialer(options).DialContext,
-		IdleConnTimeout:    idleTimeout,
-		DisableCompression: true,
-		Protocols:          Multiplexed(),
+		DialContext:         NewDialer(options).DialContext,
+		MaxIdleConnsPerHost: maxConnections,
+		MaxConnsPerHost:     maxConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}}
 }
 
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -73,14 +73,6 @@
 	return &connection{Conn: dialed, address: address, reader: bufio.NewReaderSize(dialed, readerBytes)}, nil
 }
 
-// Warm reports whether a connection to an address is kept that may be used.
-func (p *Pool) Warm(address string) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	at := p.hosts[address]
-	return at != nil && len(at.idle) > 0 && time.Now().Before(at.idle[len(at.idle)-1].usableUntil)
-}
-
 // take returns the connection that was used last, or counts a new one.
 func (p *Pool) take(address string, limit int) (kept *connection, open bool) {
 	p.mutex.Lock()
