--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -198,7 +198,18 @@
 
 // Read returns the record at a place. It fails with *Moved where the segment has
 // been replaced.
-func (l *Log) Read(at Place) ([]byte, error) { return l.readers.read(at) }
+func (l *Log) Read(at Place) ([]byte, error) {
+	records, err := l.readers.readSpan([]Place{at})
+	if err != nil {
+		return nil, err
+	}
+	return records[0], nil
+}
+
+// ReadAll returns the records at places, with few reads where they lie close to
+// each other in the order given. It fails with *Moved where one of their segments
+// has been replaced.
+func (l *Log) ReadAll(places []Place) ([][]byte, error) { return l.readers.readAll(places) }
 
 // Size returns the bytes that the log takes on the disk.
 func (l *Log) Size() int64 { return l.size.Load() }
--- a/internal/recordlog/log_test.go
+++ b/internal/recordlog/log_test.go
@@ -248,6 +248,39 @@
 	require.Equal(t, record(11), data[:len(record(11))])
 }
 
+// TestManyRecordsAreReadWithFewReads reads every second record, and records in
+// an order that is not theirs.
+func TestManyRecordsAreReadWithFewReads(t *testing.T) {
+	store := recordlogtest.NewDisk()
+	log, _, err := open(store)
+	require.NoError(t, err)
+	defer log.Close()
+	var places []recordlog.Place
+	for n := range 400 {
+		data := append(record(n), make([]byte, 20<<10)...)
+		require.NoError(t, log.Enqueue(func(at []recordlog.Place) { places = append(places, at...) }, data)())
+	}
+	var wanted []recordlog.Place
+	var numbers []int
+	for n := 0; n < len(places); n += 2 {
+		wanted, numbers = append(wanted, places[n]), append(numbers, n)
+	}
+	for _, n := range []int{399, 3, 200} {
+		wanted, numbers = append(wanted, places[n]), append(numbers, n)
+	}
+	before := store.Reads()
+	records, err := log.ReadAll(wanted)
+	require.NoError(t, err)
+	require.Less(t, store.Reads()-before, 20)
+	require.Len(t, records, len(numbers))
+	for i, n := range numbers {
+		require.Equal(t, record(n), records[i][:len(record(n))])
+	}
+	none, err := log.ReadAll(nil)
+	require.NoError(t, err)
+	require.Empty(t, none)
+}
+
 func TestADamagedRecordIsNotReturned(t *testing.T) {
 	store := recordlogtest.NewDisk()
 	log, _, err := open(store)
--- a/internal/recordlog/recordlogtest/disk.go
+++ b/internal/recordlog/recordlogtest/disk.go
@@ -21,6 +21,8 @@
 	files map[string]*diskFile
 	// room is the number of bytes that may still be written; -1 is no limit.
 	room int
+	// reads counts the reads of parts of files.
+	reads int
 	// SkipSync leaves out every sync: a deliberate breakage.
 	SkipSync bool
 }
@@ -117,6 +119,7 @@
 func (f *diskFile) ReadAt(data []byte, offset int64) (int, error) {
 	f.disk.mutex.Lock()
 	defer f.disk.mutex.Unlock()
+	f.disk.reads++
 	if offset >= int64(len(f.data)) {
 		return 0, io.EOF
 	}
@@ -157,6 +160,13 @@
 	d.room = bytes
 }
 
+// Reads returns how many reads of parts of files there were.
+func (d *Disk) Reads() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.reads
+}
+
 // Damage changes one byte of a file.
 func (d *Disk) Damage(name string, offset int) {
 	d.mutex.Lock()
--- a/internal/recordlog/segments.go
+++ b/internal/recordlog/segments.go
@@ -174,27 +174,80 @@
 // Retry allows another try at the record's present place.
 func (e *Moved) Retry() failure.Retry { return failure.Retry{Allowed: true} }
 
-// read returns the record at a place.
-func (r *readers) read(at Place) ([]byte, error) {
-	r.mutex.RLock()
-	reader := r.open[at.Segment]
-	r.mutex.RUnlock()
+// readBytes reads length bytes from the beginning of a place on.
+func (r *readers) readBytes(at Place, length int64) ([]byte, error) {
+	reader := r.of(at.Segment)
 	if reader == nil {
 		return nil, &Moved{Place: at}
 	}
-	data := make([]byte, headerBytes+at.Length)
+	data := make([]byte, length)
 	if _, err := reader.ReadAt(data, at.Offset); err != nil {
-		r.mutex.RLock()
-		gone := r.open[at.Segment] == nil
-		r.mutex.RUnlock()
-		if gone {
+		if r.of(at.Segment) == nil {
 			return nil, &Moved{Place: at}
 		}
 		return nil, &failure.DiskFailed{Cause: err}
 	}
-	record, whole := unframe(data)
-	if !whole || len(record) != at.Length {
-		return nil, &Damaged{Segment: segmentName(at.Segment), Offset: at.Offset}
+	return data, nil
+}
+
+func (r *readers) of(segment uint64) Reader {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.open[segment]
+}
+
+const (
+	// maxSpanBytes bounds one read, and maxGapBytes what is read between two
+	// records that nobody asked for.
+	maxSpanBytes = 1 << 20
+	maxGapBytes  = 32 << 10
+)
+
+// readAll returns the records at places. Those that lie close to each other, in
+// the order given, come with one read: each read has its price on a disk.
+func (r *readers) readAll(places []Place) ([][]byte, error) {
+	records := make([][]byte, 0, len(places))
+	for len(places) > 0 {
+		count := spanLength(places)
+		found, err := r.readSpan(places[:count])
+		if err != nil {
+			return nil, err
+		}
+		records, places = append(records, found...), places[count:]
+	}
+	return records, nil
+}
+
+// spanLength returns how many of the first places are read at once.
+func spanLength(places []Place) int {
+	first := places[0]
+	for i := 1; i < len(places); i++ {
+		before, next := places[i-1], places[i]
+		gap := next.Offset - before.end()
+		if next.Segment != first.Segment || gap < 0 || gap > maxGapBytes || next.end()-first.Offset > maxSpanBytes {
+			return i
+		}
+	}
+	return len(places)
+}
+
+// end returns the offset after the record.
+func (p Place) end() int64 { return p.Offset + int64(headerBytes+p.Length) }
+
+// readSpan reads records of one segment with one read.
+func (r *readers) readSpan(places []Place) ([][]byte, error) {
+	first, last := places[0], places[len(places)-1]
+	data, err := r.readBytes(first, last.end()-first.Offset)
+	if err != nil {
+		return nil, err
+	}
+	records := make([][]byte, 0, len(places))
+	for _, at := range places {
+		record, whole := unframe(data[at.Offset-first.Offset : at.end()-first.Offset])
+		if !whole || len(record) != at.Length {
+			return nil, &Damaged{Segment: segmentName(at.Segment), Offset: at.Offset}
+		}
+		records = append(records, record)
 	}
-	return record, nil
+	return records, nil
 }
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -222,14 +222,14 @@
 	s.mutex.Lock()
 	live := s.store.In(segment)
 	s.mutex.Unlock()
-	var encoded [][]byte
-	var positions []uint64
+	places := make([]recordlog.Place, 0, len(live))
+	positions := make([]uint64, 0, len(live))
 	for _, each := range live {
-		data, err := s.log.Read(each.Place)
-		if err != nil {
-			return err
-		}
-		encoded, positions = append(encoded, data), append(positions, each.Position())
+		places, positions = append(places, each.Place), append(positions, each.Position())
+	}
+	encoded, err := s.log.ReadAll(places)
+	if err != nil {
+		return err
 	}
 	s.mutex.Lock()
 	for _, record := range s.ownRecords() {
@@ -317,21 +317,46 @@
 
 // after returns whole records from a position on, up to about limit bytes.
 func (s *state) after(position uint64, limit int) (records []*replicav1.Record, next uint64, more bool, err error) {
-	s.mutex.Lock()
-	found, next, more := s.store.After(position, limit)
-	s.mutex.Unlock()
+	for try := 1; ; try++ {
+		s.mutex.Lock()
+		found, next, more := s.store.After(position, limit)
+		s.mutex.Unlock()
+		records, err := s.loadAll(found)
+		if err == nil {
+			return records, next, more, nil
+		}
+		var moved *recordlog.Moved
+		if !errors.As(err, &moved) || try == maxReads {
+			return nil, position, true, err
+		}
+	}
+}
+
+// loadAll returns records with what their turns say.
+func (s *state) loadAll(found []turn.Stored) ([]*replicav1.Record, error) {
+	var places []recordlog.Place
+	for _, each := range found {
+		if each.GetTurn() != nil && !each.Place.IsZero() {
+			places = append(places, each.Place)
+		}
+	}
+	encoded, err := s.log.ReadAll(places)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]*replicav1.Record, 0, len(found))
 	for _, each := range found {
 		record := each.Record
-		if stub := record.GetTurn(); stub != nil {
-			whole, err := s.load(turn.Kept{Turn: stub, Place: each.Place})
-			if err != nil {
-				return nil, position, true, err
+		if record.GetTurn() != nil && !each.Place.IsZero() {
+			record = &replicav1.Record{}
+			if err := proto.Unmarshal(encoded[0], record); err != nil {
+				return nil, &recordlog.Damaged{Offset: each.Place.Offset}
 			}
-			record = &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: whole}, RetentionMs: record.RetentionMs}
+			encoded = encoded[1:]
 		}
 		records = append(records, record)
 	}
-	return records, next, more, nil
+	return records, nil
 }
 
 func (s *state) currentGroup() *replicav1.Group {
