--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -14,11 +14,19 @@
 // stuckWriter does not return until it is released.
 type stuckWriter struct {
 	release chan struct{}
+	// begun is closed when the first write has begun.
+	begun   chan struct{}
+	entered sync.Once
 	mutex   sync.Mutex
 	written bytes.Buffer
 }
 
+func newStuckWriter() *stuckWriter {
+	return &stuckWriter{release: make(chan struct{}), begun: make(chan struct{})}
+}
+
 func (w *stuckWriter) Write(data []byte) (int, error) {
+	w.entered.Do(func() { close(w.begun) })
 	<-w.release
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -32,8 +40,11 @@
 }
 
 func TestAStuckOutputStallsNobodyAndDropsAreCounted(t *testing.T) {
-	stuck := &stuckWriter{release: make(chan struct{})}
+	stuck := newStuckWriter()
 	sink := newSink(stuck, 10)
+	fmt.Fprintln(sink, "first line")
+	// The output is stuck from here on, and nothing leaves the queue.
+	<-stuck.begun
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -87,7 +98,7 @@
 // BenchmarkLineWithAStuckOutput shows that a line costs no more when nobody
 // reads the output.
 func BenchmarkLineWithAStuckOutput(b *testing.B) {
-	stuck := &stuckWriter{release: make(chan struct{})}
+	stuck := newStuckWriter()
 	defer close(stuck.release)
 	sink := newSink(stuck, 100)
 	line := []byte(strings.Repeat("x", 200) + "\n")
