One piece where two stood: role files, followed objects, turns read from the log

LoadValidRole is what both roles, validate and reload call; begin is what both roles start with; take brings nodes and retirements up to date; decodeTurn reads a turn's record in both places; the keys that a reload puts in force stand once. A feed's pace is two named values instead of one derived from the other. frames is no longer exported. The count of refused calls, which nothing but a test read, is a metric now. Behaviour is otherwise unchanged; tests keep their assertions.

--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -39,19 +39,10 @@
 
 // Execute runs a gateway until SIGTERM asks for its planned stop.
 func (c *gatewayCommand) Execute(arguments []string) error {
-	if len(arguments) > 0 {
-		return &wrongUse{reason: "gateway takes flags alone"}
-	}
-	loaded, err := settings.LoadRole(c.File)
+	loaded, log, err := c.begin("gateway", arguments, settings.Role.ValidateGateway)
 	if err != nil {
 		return err
 	}
-	if err := loaded.ValidateGateway(); err != nil {
-		return err
-	}
-	limitHeap(loaded.MemoryBytes())
-	log := logsink.New(os.Stdout)
-	log.Install()
 	defer log.Close(logCloseTimeout)
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
@@ -71,19 +62,10 @@
 
 // Execute runs a replica until SIGTERM ends it.
 func (c *replicaCommand) Execute(arguments []string) error {
-	if len(arguments) > 0 {
-		return &wrongUse{reason: "replica takes flags alone"}
-	}
-	loaded, err := settings.LoadRole(c.File)
+	loaded, log, err := c.begin("replica", arguments, settings.Role.ValidateReplica)
 	if err != nil {
 		return err
 	}
-	if err := loaded.ValidateReplica(); err != nil {
-		return err
-	}
-	limitHeap(loaded.MemoryBytes())
-	log := logsink.New(os.Stdout)
-	log.Install()
 	defer log.Close(logCloseTimeout)
 	running, err := replica.New(replica.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Address: loaded.Replica, Folder: loaded.DataFolder,
@@ -98,6 +80,22 @@
 	return running.Run(c.app.context)
 }
 
+// begin reads and checks the settings file, and puts the bound of the heap and the
+// log in force. The log is to be closed by the caller.
+func (f roleFile) begin(role string, arguments []string, validate func(settings.Role) error) (settings.Role, *logsink.Sink, error) {
+	if len(arguments) > 0 {
+		return settings.Role{}, nil, &wrongUse{reason: role + " takes flags alone"}
+	}
+	loaded, err := settings.LoadValidRole(f.File, validate)
+	if err != nil {
+		return settings.Role{}, nil, err
+	}
+	limitHeap(loaded.MemoryBytes())
+	log := logsink.New(os.Stdout)
+	log.Install()
+	return loaded, log, nil
+}
+
 // follow puts the settings file in force again when it changes, and at SIGHUP.
 func (f roleFile) follow(ctx context.Context, loaded settings.Role, validate func(settings.Role) error, apply func(settings.Role)) {
 	signals := make(chan os.Signal, 1)
--- a/cmd/barleyshelf/validate.go
+++ b/cmd/barleyshelf/validate.go
@@ -56,14 +56,12 @@
 }
 
 func validateRole(role, path string) error {
-	loaded, err := settings.LoadRole(path)
-	if err != nil {
-		return err
-	}
+	validate := settings.Role.ValidateReplica
 	if role == "gateway" {
-		return loaded.ValidateGateway()
+		validate = settings.Role.ValidateGateway
 	}
-	return loaded.ValidateReplica()
+	_, err := settings.LoadValidRole(path, validate)
+	return err
 }
 
 func validateDeclarations(dir string) (map[string]int, error) {
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -19,16 +19,8 @@
 
 const (
 	firstRetry = 80 * time.Millisecond
-	// lastRetry is for processes that pass news on, lastReaderRetry for those that
-	// hear them from others too.
-	lastRetry       = 400 * time.Millisecond
-	lastReaderRetry = 2 * time.Second
-	// LongWait is for processes that hear news from others too, ShortWait for one
-	// kind of those that pass them on: a store that has fallen silent in the middle
-	// of a watch shows only when the watch is over, and then the watches of the
-	// other kinds are cut short.
-	LongWait  = 12 * time.Second
-	ShortWait = 2 * time.Second
+	// LongWait is how long a watch lasts.
+	LongWait = 12 * time.Second
 	// probeWait is the wait of a watch after a failed call.
 	probeWait = 200 * time.Millisecond
 	// gather is the time for which changes of the workers are gathered before
@@ -36,6 +28,23 @@
 	gather = 250 * time.Millisecond
 )
 
+// Pace is how closely a process follows the platform's store.
+type Pace struct {
+	// ConfigurationWait is how long a watch of the configuration lasts: a store that
+	// has fallen silent in the middle of a watch shows only when the watch is over,
+	// and then the watches of the other kinds are cut short.
+	ConfigurationWait time.Duration
+	// LastRetry is the longest time between failed calls.
+	LastRetry time.Duration
+}
+
+var (
+	// PassingOn is for processes that pass news on, Hearing for those that hear them
+	// from others too.
+	PassingOn = Pace{ConfigurationWait: 2 * time.Second, LastRetry: 400 * time.Millisecond}
+	Hearing   = Pace{ConfigurationWait: LongWait, LastRetry: 2 * time.Second}
+)
+
 var (
 	eventStoreLost     = event.Define(2601, event.Warning, "the platform's store does not answer", "Look at the store and the path to it; what is known stays in force, and replicas are asked for news.")
 	eventStoreBack     = event.Define(2602, event.Info, "the platform's store answers again", "")
@@ -101,7 +110,7 @@
 type Feed struct {
 	objects Objects
 	state   *State
-	wait    time.Duration
+	pace    Pace
 	// failing counts the kinds whose last call failed.
 	failing atomic.Int32
 
@@ -110,9 +119,9 @@
 	suspicion chan struct{}
 }
 
-// NewFeed returns a feed whose watches last wait; Run starts it.
-func NewFeed(objects Objects, state *State, wait time.Duration) *Feed {
-	return &Feed{objects: objects, state: state, wait: wait, suspicion: make(chan struct{})}
+// NewFeed returns a feed; Run starts it.
+func NewFeed(objects Objects, state *State, pace Pace) *Feed {
+	return &Feed{objects: objects, state: state, pace: pace, suspicion: make(chan struct{})}
 }
 
 // Failing reports whether the store did not answer last.
@@ -126,7 +135,7 @@
 
 // RunConfiguration follows the configuration alone until ctx ends.
 func (f *Feed) RunConfiguration(ctx context.Context) {
-	f.Follow(ctx, KindConfiguration, "configuration", f.wait, f.takeConfiguration)
+	f.Follow(ctx, KindConfiguration, "configuration", f.pace.ConfigurationWait, f.takeConfiguration)
 }
 
 // RunRest follows the workers and the group until ctx ends.
@@ -208,16 +217,8 @@
 			eventStoreLost.Log("kind", name, "cause", err.Error())
 		}
 		pause.For(ctx, retry)
-		retry = min(2*retry, f.lastRetry())
-	}
-}
-
-// lastRetry returns the longest time between failed calls.
-func (f *Feed) lastRetry() time.Duration {
-	if f.wait == LongWait {
-		return lastReaderRetry
+		retry = min(2*retry, f.pace.LastRetry)
 	}
-	return lastRetry
 }
 
 // suspected returns a channel that is closed when the next call fails.
--- a/internal/directory/feed_test.go
+++ b/internal/directory/feed_test.go
@@ -50,7 +50,7 @@
 func TestAWatchIsCutShortWhenAnotherKindFails(t *testing.T) {
 	const patient, poll = time.Minute, 5 * time.Millisecond
 	objects := &hangingObjects{fail: make(chan struct{}), watches: make(map[Kind]int)}
-	feed := NewFeed(objects, NewState(time.Now, nil), ShortWait)
+	feed := NewFeed(objects, NewState(time.Now, nil), PassingOn)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go feed.Run(ctx)
--- a/internal/directory/state_test.go
+++ b/internal/directory/state_test.go
@@ -110,7 +110,7 @@
 func follow(answers ...error) *scriptedObjects {
 	ctx, cancel := context.WithCancel(context.Background())
 	objects := &scriptedObjects{answers: answers, done: cancel}
-	feed := NewFeed(objects, NewState(time.Now, nil), LongWait)
+	feed := NewFeed(objects, NewState(time.Now, nil), Hearing)
 	feed.Follow(ctx, KindConfiguration, "configuration", LongWait, func(Listing, []Change, int64) {})
 	return objects
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,7 +122,7 @@
 	g.registry = telemetry.NewRegistry()
 	g.metrics = newMetrics(g.registry)
 	g.defineGauges(g.registry)
-	g.feed = directory.NewFeed(objects, g.directory, directory.LongWait)
+	g.feed = directory.NewFeed(objects, g.directory, directory.Hearing)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout}, stateConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
--- a/internal/recordlog/segments.go
+++ b/internal/recordlog/segments.go
@@ -58,9 +58,9 @@
 	return record, crc32.Checksum(record, checksums) == sum
 }
 
-// Frames passes the records at the start of data on, with their offsets, and
+// frames passes the records at the start of data on, with their offsets, and
 // returns the length of that good part.
-func Frames(data []byte, take func(record []byte, offset int64) error) (int64, error) {
+func frames(data []byte, take func(record []byte, offset int64) error) (int64, error) {
 	var good int64
 	for {
 		record, whole := unframe(data[good:])
@@ -112,7 +112,7 @@
 	if err != nil {
 		return 0, &failure.DiskFailed{Cause: err}
 	}
-	good, err := Frames(data, func(record []byte, offset int64) error {
+	good, err := frames(data, func(record []byte, offset int64) error {
 		return take(record, Place{Segment: number, Offset: offset, Length: len(record)})
 	})
 	if err != nil {
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -69,10 +69,7 @@
 // Reload reads the file once. A bad one changes nothing.
 func (w *Watcher) Reload() {
 	w.seen = versionOf(w.Path)
-	next, err := settings.LoadRole(w.Path)
-	if err == nil {
-		err = w.Validate(next)
-	}
+	next, err := settings.LoadValidRole(w.Path, w.Validate)
 	if err != nil {
 		eventRefused.Log("file", w.Path, "cause", err.Error())
 		return
--- a/internal/replica/followers.go
+++ b/internal/replica/followers.go
@@ -24,36 +24,30 @@
 func (f *followed) takeReplicas(listing directory.Listing, changes []directory.Change, _ int64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if listing.Revision != 0 {
-		clear(f.replicas)
-	}
-	for _, object := range listing.Objects {
-		f.replicas[object.Name] = *object.Replica
-	}
-	for _, change := range changes {
-		if change.Gone {
-			delete(f.replicas, change.Object.Name)
-			continue
-		}
-		f.replicas[change.Object.Name] = *change.Object.Replica
-	}
+	take(f.replicas, listing, changes, func(object directory.Object) directory.Replica { return *object.Replica })
 }
 
+// takeRetirements takes a listing, if it has a revision, or changes.
 func (f *followed) takeRetirements(listing directory.Listing, changes []directory.Change, _ int64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	take(f.retirements, listing, changes, func(object directory.Object) directory.Retirement { return *object.Retirement })
+}
+
+// take brings what is known of one kind of objects, by name, up to date.
+func take[T any](known map[string]T, listing directory.Listing, changes []directory.Change, of func(directory.Object) T) {
 	if listing.Revision != 0 {
-		clear(f.retirements)
+		clear(known)
 	}
 	for _, object := range listing.Objects {
-		f.retirements[object.Name] = *object.Retirement
+		known[object.Name] = of(object)
 	}
 	for _, change := range changes {
 		if change.Gone {
-			delete(f.retirements, change.Object.Name)
+			delete(known, change.Object.Name)
 			continue
 		}
-		f.retirements[change.Object.Name] = *change.Object.Retirement
+		known[change.Object.Name] = of(change.Object)
 	}
 }
 
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -15,9 +15,14 @@
 		Name: "replica_recovered", Kind: telemetry.KindGauge, Unit: "boolean",
 		Help: "1 while this replica holds a seat and everything that its seat held.",
 	})
+	metricCallsRefused = telemetry.Define(telemetry.Definition{
+		Name: "replica_calls_refused", Kind: telemetry.KindGauge, Unit: "calls",
+		Help: "Calls beyond the bound that were refused since the start.",
+	})
 )
 
-func (r *Replica) defineGauges(registry *telemetry.Registry) {
+func (r *Replica) defineGauges(registry *telemetry.Registry, bound *admission) {
+	registry.GaugeFunc(metricCallsRefused, func() float64 { return float64(bound.refused.Load()) })
 	registry.GaugeFunc(metricRecords, func() float64 {
 		r.state.mutex.Lock()
 		defer r.state.mutex.Unlock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,7 +87,7 @@
 		logChanges(view)
 		replica.keep(view)
 	})
-	replica.feed = directory.NewFeed(objects, replica.directory, directory.ShortWait)
+	replica.feed = directory.NewFeed(objects, replica.directory, directory.PassingOn)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout}, peerConnections)
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
 	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds)
@@ -202,15 +202,16 @@
 	if err != nil {
 		return &failure.Internal{Cause: err}
 	}
+	mux := http.NewServeMux()
+	bound := newAdmission(mux)
 	registry := telemetry.NewRegistry()
-	r.defineGauges(registry)
+	r.defineGauges(registry, bound)
 	if err := telemetry.Serve(ctx, r.options.Metrics, registry, r.readiness); err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
 	handler := &service{state: r.state, directory: r.directory, heard: r.heard, failing: r.feed.Failing}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, connect.WithReadMaxBytes(maxMessageBytes)))
-	server := &http.Server{Handler: newAdmission(mux)}
+	server := &http.Server{Handler: bound}
 	go func() {
 		<-ctx.Done()
 		server.Close()
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -297,11 +297,8 @@
 		}
 		data, err := s.log.Read(kept.Place)
 		if err == nil {
-			record := &replicav1.Record{}
-			if err := proto.Unmarshal(data, record); err != nil || record.GetTurn() == nil {
-				return nil, &recordlog.Damaged{Offset: kept.Place.Offset}
-			}
-			return record.GetTurn(), nil
+			record, err := decodeTurn(data, kept.Place)
+			return record.GetTurn(), err
 		}
 		var moved *recordlog.Moved
 		if !errors.As(err, &moved) || try == maxReads {
@@ -315,6 +312,15 @@
 	}
 }
 
+// decodeTurn reads a turn's record as the log has it.
+func decodeTurn(data []byte, at recordlog.Place) (*replicav1.Record, error) {
+	record := &replicav1.Record{}
+	if err := proto.Unmarshal(data, record); err != nil || record.GetTurn() == nil {
+		return nil, &recordlog.Damaged{Offset: at.Offset}
+	}
+	return record, nil
+}
+
 // after returns whole records from a position on, up to about limit bytes.
 func (s *state) after(position uint64, limit int) (records []*replicav1.Record, next uint64, more bool, err error) {
 	for try := 1; ; try++ {
@@ -348,9 +354,8 @@
 	for _, each := range found {
 		record := each.Record
 		if record.GetTurn() != nil && !each.Place.IsZero() {
-			record = &replicav1.Record{}
-			if err := proto.Unmarshal(encoded[0], record); err != nil {
-				return nil, &recordlog.Damaged{Offset: each.Place.Offset}
+			if record, err = decodeTurn(encoded[0], each.Place); err != nil {
+				return nil, err
 			}
 			encoded = encoded[1:]
 		}
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -52,6 +52,16 @@
 	return loaded, err
 }
 
+// LoadValidRole reads a role's settings file and checks it with one of the
+// Validate methods. Its errors are those of both.
+func LoadValidRole(path string, validate func(Role) error) (Role, error) {
+	loaded, err := LoadRole(path)
+	if err != nil {
+		return loaded, err
+	}
+	return loaded, validate(loaded)
+}
+
 // ValidateGateway returns nil, or a *strictyaml.Invalid with all problems of a
 // gateway's settings at once.
 func (r Role) ValidateGateway() error {
--- a/internal/settings/role_changes.go
+++ b/internal/settings/role_changes.go
@@ -15,7 +15,7 @@
 func (r Role) Changes(next Role) (now, afterRestart []string) {
 	before, after := reflect.ValueOf(r), reflect.ValueOf(next)
 	for i := range before.NumField() {
-		key, _, _ := strings.Cut(before.Type().Field(i).Tag.Get("yaml"), ",")
+		key := keyOf(before.Type().Field(i))
 		if key == "bootstrap" || reflect.DeepEqual(before.Field(i).Interface(), after.Field(i).Interface()) {
 			continue
 		}
@@ -30,6 +30,17 @@
 
 // With returns r with the keys of next that may change while the role runs.
 func (r Role) With(next Role) Role {
-	r.Seeds, r.GraceMilliseconds, r.MemoryMegabytes = next.Seeds, next.GraceMilliseconds, next.MemoryMegabytes
+	merged, from := reflect.ValueOf(&r).Elem(), reflect.ValueOf(next)
+	for i := range merged.NumField() {
+		if reloadable[keyOf(merged.Type().Field(i))] {
+			merged.Field(i).Set(from.Field(i))
+		}
+	}
 	return r
 }
+
+// keyOf returns the key of a field in the settings file.
+func keyOf(field reflect.StructField) string {
+	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return key
+}
