One round for a reservation, fewer members asked, members that come back found by one probe, calls through other gateways

Change: - a reservation is granted in one round where that was short and shows all others settled; what a turn has used is told 60 ms after its grant at the earliest.

--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -46,7 +46,7 @@
 	defer log.Close(logCloseTimeout)
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
-		Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
+		Forwarder: loaded.Forwarder, Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
 		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(),
 	}, newStore(loaded))
 	c.follow(c.app.context, loaded, settings.Role.ValidateGateway, func(changed settings.Role) {
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -144,6 +144,17 @@
 	f.Follow(ctx, KindWorker, "workers", LongWait, f.takeWorkers)
 }
 
+// ListRest lists the workers and the group once. A call that fails is not repeated.
+func (f *Feed) ListRest(ctx context.Context) {
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		_, _ = f.step(ctx, nil, KindGroup, 0, 0, f.takeGroup)
+	}()
+	_, _ = f.step(ctx, nil, KindWorker, 0, 0, f.takeWorkers)
+	<-listed
+}
+
 func (f *Feed) takeConfiguration(listing Listing, changes []Change, _ int64) {
 	for _, object := range listing.Objects {
 		f.state.OfferConfiguration(object.Configuration)
--- a/internal/directory/feed_test.go
+++ b/internal/directory/feed_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
 
 // hangingObjects is a store that has fallen silent: watches of workers say
@@ -61,3 +63,23 @@
 	again := func() bool { return objects.count(KindWorker) > 1 && objects.count(KindGroup) > 1 }
 	require.Eventually(t, again, patient, poll)
 }
+
+// listedObjects answers each list with one object.
+type listedObjects struct {
+	Objects
+}
+
+func (listedObjects) List(_ context.Context, kind Kind) (Listing, error) {
+	if kind == KindWorker {
+		return Listing{Revision: 5, Objects: []Object{{Name: "w", Worker: &Worker{ID: "w", Service: "s"}}}}, nil
+	}
+	return Listing{Revision: 5, Objects: []Object{{Name: GroupName, Group: &replicav1.Group{Epoch: 3}}}}, nil
+}
+
+func TestWorkersAndGroupAreListedOnce(t *testing.T) {
+	state := NewState(time.Now, nil)
+	NewFeed(listedObjects{}, state, Hearing).ListRest(t.Context())
+	require.Len(t, state.View().Workers["s"], 1)
+	require.EqualValues(t, 3, state.Group().Epoch)
+	require.EqualValues(t, 5, state.WorkersRevision())
+}
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -8,8 +8,9 @@
 )
 
 // Every decision that touches a request is a numbered event with the request's
-// id. The lines of a request are written when it has ended: those of requests
-// that ended well give way when the log is busy.
+// id. They are written when the request has ended: all of them where it failed or
+// took a second attempt, the last one where it went well. Lines of requests that
+// went well give way when the log is busy.
 var (
 	eventStarted  = event.Define(2801, event.Info, "gateway started", "")
 	eventStopping = event.Define(2802, event.Info, "planned stop of the gateway begun", "")
@@ -41,14 +42,18 @@
 	r.decisions = append(r.decisions, decision{event: what, after: time.Since(r.received), values: keysAndValues})
 }
 
-// tell writes the request's story. ended is its last line.
+// tell writes the request's story, or its last line where it went well.
 func (r *request) tell(well bool) {
 	log := r.gateway.options.Log
+	lines := r.decisions
+	if well && len(r.tried) == 0 && r.resumes == 0 {
+		lines = lines[len(lines)-1:]
+	}
 	if well && log != nil && log.Busy() {
-		log.Drop(len(r.decisions))
+		log.Drop(len(lines))
 		return
 	}
-	for _, each := range r.decisions {
+	for _, each := range lines {
 		pairs := append([]any{"request", r.envelope.RequestID, "program", r.envelope.Program, "after_us", each.after.Microseconds()}, each.values...)
 		each.event.Log(pairs...)
 	}
@@ -72,7 +77,8 @@
 
 // endAnswered ends the story of a request that got a worker's answer.
 func (r *request) endAnswered(status int) {
-	r.note(eventAnswered, "status", status, "worker", r.workerID, "events", r.events)
+	r.note(eventAnswered, "status", status, "worker", r.workerID, "events", r.events, "route", r.route.Name,
+		"sent_us", r.sentAfter.Microseconds(), "begun_us", r.begunAfter.Microseconds())
 	r.gateway.metrics.answered(r.kind(), time.Since(r.received), r.firstEvent.Sub(r.received))
 	r.tell(status < 500)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
@@ -61,7 +62,9 @@
 	stateUserTimeout  = 700 * time.Millisecond
 	// stateConnections are kept to each replica at most.
 	stateConnections = 16
-	sweepEvery       = time.Second
+	// maxForwardBytes bounds a call that is made for another gateway.
+	maxForwardBytes = 16 << 20
+	sweepEvery      = time.Second
 	// firstConfigurationWait is how long the listener waits for a configuration.
 	firstConfigurationWait = 2 * time.Second
 )
@@ -72,6 +75,9 @@
 	Node, Zone string
 	// Ingress and Readiness are IP:port addresses to listen on.
 	Ingress, Readiness string
+	// Forwarder is the IP:port at which calls to replicas are made for gateways that
+	// do not reach them; empty makes none.
+	Forwarder string
 	// Seeds are addresses of replicas that may be stale.
 	Seeds []string
 	// Grace is how long a planned stop may take.
@@ -94,6 +100,7 @@
 	relay     *quorum.Relay
 	quorum    *quorum.Client
 	chains    *chainCache
+	spent     *spentTokens
 	pool      *worker.Pool
 	balancer  *balance.Balancer
 	splitter  *route.Splitter
@@ -126,7 +133,8 @@
 	client := transport.NewPeerClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout}, stateConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.state = newStateHealth(g.quorum, time.Now)
-	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds)
+	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds, options.Forwarder)
+	g.spent = newSpentTokens(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options.MemoryBytes))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
@@ -166,6 +174,9 @@
 	if err := telemetry.Serve(working, g.options.Metrics, g.registry, g.readiness); err != nil {
 		return err
 	}
+	if err := g.serveForwarder(working); err != nil {
+		return err
+	}
 	g.awaitConfiguration(ctx)
 	ingress, err := transport.Listen(working, g.options.Ingress, clientUserTimeout)
 	if err != nil {
@@ -188,13 +199,34 @@
 	return nil
 }
 
+// serveForwarder makes calls to replicas for other gateways.
+func (g *Gateway) serveForwarder(ctx context.Context) error {
+	if g.options.Forwarder == "" {
+		return nil
+	}
+	listener, err := transport.Listen(ctx, g.options.Forwarder, stateUserTimeout)
+	if err != nil {
+		return &failure.Internal{Cause: err}
+	}
+	mux := http.NewServeMux()
+	mux.Handle(replicav1connect.NewForwardServiceHandler(quorum.NewForwarder(g.quorum), transport.HandlerOptions(maxForwardBytes)...))
+	server := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go server.Serve(listener)
+	return nil
+}
+
 const (
 	// freshNews is how old the word of a replica that the store answers may be
 	// before the workers and the group are read from the store itself.
 	freshNews = 800 * time.Millisecond
 	// directFor is how long the store is followed at least.
 	directFor = 3 * time.Second
-	// firstNews is how long replicas have to pass news on after the start.
+	// listAfter is how long replicas have to pass the workers on after the start
+	// before they are listed once at the store: after a loss of power on all machines
+	// replicas take longer to come back. firstNews is how long they have before the
+	// store is followed.
+	listAfter   = 40 * time.Millisecond
 	firstNews   = 600 * time.Millisecond
 	newsChecked = 100 * time.Millisecond
 )
@@ -203,7 +235,11 @@
 // replica passes them on. Each call to the store has its price, and the store
 // bears only so many readers.
 func (g *Gateway) followStore(ctx context.Context) {
-	pause.For(ctx, firstNews)
+	pause.For(ctx, listAfter)
+	if g.directory.WorkersRevision() == 0 {
+		g.feed.ListRest(ctx)
+	}
+	pause.For(ctx, firstNews-listAfter)
 	for ctx.Err() == nil {
 		if g.relay.FreshWithin(freshNews) {
 			pause.For(ctx, newsChecked)
@@ -262,6 +298,7 @@
 				addresses[each.Address], ids[each.ID] = true, true
 			}
 		}
+		g.spent.sweep()
 		g.pool.Sweep(func(address string) bool { return addresses[address] })
 		g.balancer.Forget(func(id string) bool { return ids[id] })
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -44,6 +44,9 @@
 	// those passed on.
 	firstEvent time.Time
 	events     int64
+	// sentAfter is when the last attempt was sent, begunAfter when its answer began,
+	// since the request came in.
+	sentAfter, begunAfter time.Duration
 	// decisions are the lines that tell the request's story.
 	decisions []decision
 }
@@ -72,6 +75,7 @@
 		r.refuse(err)
 		return
 	}
+	g.awaitWorkers(ctx)
 	if r.route.Kind == route.Streaming {
 		r.serveStream(ctx)
 		return
@@ -79,6 +83,33 @@
 	r.servePlain(ctx)
 }
 
+// workersWait bounds how long a request waits for the first list of workers.
+const workersWait = 700 * time.Millisecond
+
+// awaitWorkers holds a request while this process has not learned of any worker
+// yet, which takes some ten milliseconds after a start: refused, the request would
+// cost its client one of few tries.
+func (g *Gateway) awaitWorkers(ctx context.Context) {
+	if g.directory.WorkersRevision() != 0 {
+		return
+	}
+	limit := time.NewTimer(workersWait)
+	defer limit.Stop()
+	for {
+		news := g.directory.News()
+		if g.directory.WorkersRevision() != 0 {
+			return
+		}
+		select {
+		case <-news:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // match finds the route and the time that the request has.
 func (r *request) match() error {
 	table := r.view.Table
@@ -199,6 +230,7 @@
 func (r *request) sendTo(ctx context.Context, chosen directory.Worker, lastEvent string) (*attempt, error) {
 	r.workerID = chosen.ID
 	sent := time.Now()
+	r.sentAfter = sent.Sub(r.received)
 	silence := time.AfterFunc(r.silence(), func() { r.gateway.silent(r.envelope.RequestID, chosen) })
 	defer silence.Stop()
 	answer, err := r.gateway.pool.Send(ctx, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
@@ -212,6 +244,7 @@
 		return nil, r.failed(ctx, chosen, err)
 	}
 	r.ran[chosen.ID] = true
+	r.begunAfter = time.Since(r.received)
 	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status)
 	return &attempt{worker: chosen, answer: answer, sent: sent}, nil
 }
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -29,6 +29,8 @@
 	// reservation names the reservation; it differs for each attempt, also where
 	// a client uses a request id twice.
 	reservation string
+	// granted is when the reservation was granted; zero until then.
+	granted time.Time
 	// input is the turn's own input.
 	input []byte
 }
@@ -76,17 +78,24 @@
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
 		RetentionMs: t.request.retention().Milliseconds(),
 	}
+	gateway := t.request.gateway
+	if settled := gateway.spent.of(envelope.Program); settled+envelope.MostTokens > envelope.Budget {
+		t.reserved = false
+		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
+	}
 	began := time.Now()
-	ledger, err := t.request.gateway.quorum.Reserve(ctx, record)
-	t.request.gateway.state.note(err, time.Since(began))
+	ledger, err := gateway.quorum.Reserve(ctx, record)
+	gateway.state.note(err, time.Since(began))
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
+	gateway.spent.note(envelope.Program, ledger.Settled())
 	if !ledger.Fits(t.reservation, envelope.MostTokens, envelope.Budget) {
 		return &BudgetSpent{
 			Program: envelope.Program, Committed: ledger.Committed(t.reservation), Budget: envelope.Budget,
 		}
 	}
+	t.granted = time.Now()
 	t.request.note(eventReserved, "reservation", t.reservation, "most", envelope.MostTokens,
 		"committed", ledger.Committed(t.reservation), "budget", envelope.Budget)
 	return nil
@@ -128,7 +137,7 @@
 	records := []*replicav1.Record{{
 		Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: r.retention().Milliseconds(),
 	}}
-	if t.reserved {
+	if t.reserved && t.settleIn(out) <= 0 {
 		records = append(records, t.settlement(out))
 		t.reserved = false
 	}
@@ -146,8 +155,9 @@
 		return
 	}
 	t.reserved = false
-	record := t.settlement(out)
+	record, wait := t.settlement(out), t.settleIn(out)
 	go func() {
+		time.Sleep(wait)
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		// Without the settlement the reservation stands, which only costs budget.
@@ -155,6 +165,16 @@
 	}()
 }
 
+// settleIn returns how long the settlement must wait: what a turn has used may
+// not be told sooner than quorum.SettleDelay after the grant, which reservations
+// in one round rest on.
+func (t *turnState) settleIn(out *stream) time.Duration {
+	if t.granted.IsZero() || t.used(out) == 0 {
+		return 0
+	}
+	return max(0, quorum.SettleDelay-time.Since(t.granted))
+}
+
 // used returns the tokens that were handed out.
 func (t *turnState) used(out *stream) int64 {
 	if engine := t.request.service.Engine; engine != nil && engine.Stride > 0 {
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -26,6 +26,8 @@
 const (
 	// ReplicaServiceName is the fully-qualified name of the ReplicaService service.
 	ReplicaServiceName = "barleyshelf.replica.v1.ReplicaService"
+	// ForwardServiceName is the fully-qualified name of the ForwardService service.
+	ForwardServiceName = "barleyshelf.replica.v1.ForwardService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -48,6 +50,8 @@
 	// ReplicaServiceDirectoryProcedure is the fully-qualified name of the ReplicaService's Directory
 	// RPC.
 	ReplicaServiceDirectoryProcedure = "/barleyshelf.replica.v1.ReplicaService/Directory"
+	// ForwardServiceForwardProcedure is the fully-qualified name of the ForwardService's Forward RPC.
+	ForwardServiceForwardProcedure = "/barleyshelf.replica.v1.ForwardService/Forward"
 )
 
 // ReplicaServiceClient is a client for the barleyshelf.replica.v1.ReplicaService service.
@@ -235,3 +239,77 @@
 func (UnimplementedReplicaServiceHandler) Directory(context.Context, *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Directory is not implemented"))
 }
+
+// ForwardServiceClient is a client for the barleyshelf.replica.v1.ForwardService service.
+type ForwardServiceClient interface {
+	// Forward makes one call to a member of the group for the caller and returns its
+	// answer. It is never forwarded once more.
+	Forward(context.Context, *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error)
+}
+
+// NewForwardServiceClient constructs a client for the barleyshelf.replica.v1.ForwardService
+// service. By default, it uses the Connect protocol with the binary Protobuf Codec, asks for
+// gzipped responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply
+// the connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewForwardServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ForwardServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	forwardServiceMethods := replicav1.File_barleyshelf_replica_v1_replica_proto.Services().ByName("ForwardService").Methods()
+	return &forwardServiceClient{
+		forward: connect.NewClient[replicav1.ForwardRequest, replicav1.ForwardResponse](
+			httpClient,
+			baseURL+ForwardServiceForwardProcedure,
+			connect.WithSchema(forwardServiceMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// forwardServiceClient implements ForwardServiceClient.
+type forwardServiceClient struct {
+	forward *connect.Client[replicav1.ForwardRequest, replicav1.ForwardResponse]
+}
+
+// Forward calls barleyshelf.replica.v1.ForwardService.Forward.
+func (c *forwardServiceClient) Forward(ctx context.Context, req *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error) {
+	return c.forward.CallUnary(ctx, req)
+}
+
+// ForwardServiceHandler is an implementation of the barleyshelf.replica.v1.ForwardService service.
+type ForwardServiceHandler interface {
+	// Forward makes one call to a member of the group for the caller and returns its
+	// answer. It is never forwarded once more.
+	Forward(context.Context, *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error)
+}
+
+// NewForwardServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewForwardServiceHandler(svc ForwardServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	forwardServiceMethods := replicav1.File_barleyshelf_replica_v1_replica_proto.Services().ByName("ForwardService").Methods()
+	forwardServiceForwardHandler := connect.NewUnaryHandler(
+		ForwardServiceForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(forwardServiceMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/barleyshelf.replica.v1.ForwardService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ForwardServiceForwardProcedure:
+			forwardServiceForwardHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedForwardServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedForwardServiceHandler struct{}
+
+func (UnimplementedForwardServiceHandler) Forward(context.Context, *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ForwardService.Forward is not implemented"))
+}
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -59,14 +60,26 @@
 func (r *appendRound) run(ctx context.Context) (turn.Ledger, bool) {
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
-	for _, member := range r.group.Members {
-		go r.askUntil(asking, member)
+	waiting := r.client.preferred(r.group)
+	ask := func(count int) {
+		for _, member := range waiting[:count] {
+			go r.askUntil(asking, member)
+		}
+		waiting = waiting[count:]
 	}
-	for {
+	ask(r.firstAsked())
+	spare := time.NewTimer(r.client.spareAfter)
+	defer spare.Stop()
+	for answered := 0; ; {
+		late := false
 		select {
 		case <-ctx.Done():
 			return nil, false
+		case <-spare.C:
+			late = true
 		case answer := <-r.answers:
+			answered++
+			late = answer.response == nil || answered >= r.firstAsked()
 			if answer.response != nil {
 				r.latest[answer.seat] = answer.response
 			}
@@ -74,12 +87,27 @@
 		if ledger, enough := r.counted(); enough {
 			return ledger, true
 		}
+		if late {
+			ask(len(waiting))
+		}
 		if group := r.client.groups.Group(); group != nil && group.Epoch > r.group.Epoch {
 			return nil, false
 		}
 	}
 }
 
+// firstAsked is how many members are asked at first. A turn goes to all of them at
+// once, so that the nearest member of its next reader has it; of all else as many
+// as must have it are enough.
+func (r *appendRound) firstAsked() int {
+	for _, record := range r.request.Records {
+		if record.GetTurn() != nil {
+			return len(r.group.Members)
+		}
+	}
+	return WriteSize(len(r.group.Members))
+}
+
 // counted returns what the latest answers say together, if enough of them count.
 func (r *appendRound) counted() (turn.Ledger, bool) {
 	var standings []*replicav1.Standing
@@ -100,28 +128,75 @@
 
 // askUntil calls one member again and again until the round is over. A call that
 // is under way then still comes to its end: slower members get the records too.
+// A member that does not answer is called through another gateway too.
 func (r *appendRound) askUntil(asking context.Context, member *replicav1.Member) {
 	for wait := retryPause; ; wait = min(2*wait, lastRetryPause) {
-		response := r.call(asking, member)
-		select {
-		case r.answers <- memberAnswer{seat: member.Seat, response: response}:
-		case <-asking.Done():
+		var response *replicav1.AppendResponse
+		if r.client.reach.isDown(member.Address) {
+			response = r.forward(asking, member)
+		} else {
+			response = r.callDirectly(asking, member)
+		}
+		if !r.deliver(asking, member, response) {
 			return
 		}
-		if !pause.For(asking, wait) {
+		if !r.client.reach.pause(asking, member.Address, wait) {
 			return
 		}
 	}
 }
 
+// deliver hands an answer to the round and returns false once that is over.
+func (r *appendRound) deliver(asking context.Context, member *replicav1.Member, response *replicav1.AppendResponse) bool {
+	select {
+	case r.answers <- memberAnswer{seat: member.Seat, response: response}:
+		return true
+	case <-asking.Done():
+		return false
+	}
+}
+
+// callDirectly calls a member; if that takes long, through another gateway as well.
+func (r *appendRound) callDirectly(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
+	detour := time.AfterFunc(forwardAfter, func() {
+		if response := r.forward(asking, member); response != nil {
+			r.client.reach.silent(member.Address)
+			r.deliver(asking, member, response)
+		}
+	})
+	defer detour.Stop()
+	return r.call(asking, member)
+}
+
+// forward calls a member through another gateway; nil means that there was no
+// answer. A member that refuses connections is not reached from elsewhere either.
+func (r *appendRound) forward(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
+	if asking.Err() != nil || r.client.reach.refuses(member.Address) {
+		return nil
+	}
+	response := r.client.forwarders.call(asking, &replicav1.ForwardRequest{
+		Address: member.Address, Call: &replicav1.ForwardRequest_Append{Append: r.request},
+	})
+	answer := response.GetAppend()
+	if answer == nil {
+		return nil
+	}
+	if group := answer.Standing.GetGroup(); group != nil {
+		r.client.groups.OfferGroup(group)
+	}
+	return answer
+}
+
 // call makes one call to a member; nil means that there was no answer.
 func (r *appendRound) call(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
 	call, cancel := context.WithTimeout(context.WithoutCancel(asking), callTimeout)
 	defer cancel()
 	response, err := r.client.At(member.Address).Append(call, connect.NewRequest(r.request))
 	if err != nil {
+		r.client.reach.failed(member.Address, err)
 		return nil
 	}
+	r.client.reach.answered(member.Address)
 	r.client.learn(r.group, member, response.Msg.Standing)
 	return response.Msg
 }
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +13,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
-	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// first two calls of one member; that grows up to lastRetryPause.
 	retryPause     = 40 * time.Millisecond
 	lastRetryPause = 320 * time.Millisecond
+	// spareDelay is how long the members asked first have to answer before the
+	// others are asked too.
+	spareDelay = 25 * time.Millisecond
 	// nearTimeout is how long the nearest replica is waited for before the
 	// others are asked too.
 	nearTimeout = 30 * time.Millisecond
@@ -37,6 +41,12 @@
 	groups Groups
 	zone   string
 	http   *http.Client
+	now    func() time.Time
+	// spareAfter is spareDelay; tests take another.
+	spareAfter time.Duration
+	// reach knows which replicas answer.
+	reach      *reach
+	forwarders *forwarders
 
 	mutex sync.Mutex
 	calls map[string]replicav1connect.ReplicaServiceClient
@@ -44,10 +54,13 @@
 
 // NewClient returns a client of a process in a zone.
 func NewClient(groups Groups, zone string, client *http.Client) *Client {
-	return &Client{
-		groups: groups, zone: zone, http: client,
-		calls: make(map[string]replicav1connect.ReplicaServiceClient),
+	created := &Client{
+		groups: groups, zone: zone, http: client, now: time.Now, spareAfter: spareDelay,
+		calls:      make(map[string]replicav1connect.ReplicaServiceClient),
+		forwarders: &forwarders{http: client},
 	}
+	created.reach = newReach(created.now, created.probe)
+	return created
 }
 
 // At returns the client of the replica at an address.
@@ -69,22 +82,18 @@
 	return err
 }
 
-// Reserve writes a reservation to a majority and returns what a majority of
-// recovered replicas knows of its program afterwards. The sum must be read after
-// the write: each of several reservations at once may otherwise miss another.
-func (c *Client) Reserve(ctx context.Context, record *replicav1.Record) (turn.Ledger, error) {
-	if err := c.Append(ctx, record); err != nil {
-		return nil, err
-	}
-	return c.append(ctx, &replicav1.AppendRequest{Programs: []string{record.GetReservation().Program}})
-}
-
 // Probe returns nil if a majority answers.
 func (c *Client) Probe(ctx context.Context) error {
 	_, err := c.append(ctx, &replicav1.AppendRequest{})
 	return err
 }
 
+// probe asks one replica for anything at all.
+func (c *Client) probe(ctx context.Context, address string) error {
+	_, err := c.At(address).Append(ctx, connect.NewRequest(&replicav1.AppendRequest{}))
+	return err
+}
+
 // learn takes a newer group from a replica, or passes a newer one on to it.
 func (c *Client) learn(group *replicav1.Group, member *replicav1.Member, standing *replicav1.Standing) {
 	switch {
@@ -97,3 +106,22 @@
 		_, _ = c.At(member.Address).Announce(ctx, connect.NewRequest(&replicav1.AnnounceRequest{Group: group}))
 	}
 }
+
+// preferred returns the members of a group in the order in which they are asked:
+// those that answer before those that do not, and of those the near ones first.
+// The others come in random order, so that they share the work.
+func (c *Client) preferred(group *replicav1.Group) []*replicav1.Member {
+	members := slices.Clone(group.Members)
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	rank := func(member *replicav1.Member) int {
+		switch {
+		case c.reach.isDown(member.Address):
+			return 2
+		case member.Zone != c.zone:
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(members, func(a, b *replicav1.Member) int { return rank(a) - rank(b) })
+	return members
+}
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -45,3 +45,42 @@
 
 // Retry forbids a repeat.
 func (e *UnknownTurn) Retry() failure.Retry { return failure.Retry{} }
+
+// TooManyForwarded reports that this process makes enough calls for others.
+type TooManyForwarded struct {
+	// Limit is in calls.
+	Limit int
+}
+
+func (e *TooManyForwarded) Error() string {
+	return fmt.Sprintf("%d calls for others are under way", e.Limit)
+}
+
+// Type returns "too_many_forwarded".
+func (e *TooManyForwarded) Type() failure.Type { return "too_many_forwarded" }
+
+// Outcome returns NotRun.
+func (e *TooManyForwarded) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry says when to come back.
+func (e *TooManyForwarded) Retry() failure.Retry {
+	return failure.Retry{Allowed: true, After: retryAfter}
+}
+
+// NoMember reports a call for an address that no member of the group in force has.
+type NoMember struct {
+	Address string
+}
+
+func (e *NoMember) Error() string {
+	return fmt.Sprintf("no member of the group has address %s", e.Address)
+}
+
+// Type returns "no_member".
+func (e *NoMember) Type() failure.Type { return "no_member" }
+
+// Outcome returns NotRun.
+func (e *NoMember) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry forbids a repeat.
+func (e *NoMember) Retry() failure.Retry { return failure.Retry{} }
--- /dev/null
+++ b/internal/quorum/forward_test.go
@@ -0,0 +1,81 @@
+package quorum
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+)
+
+// cutFrom is a client whose connections to some addresses are never made, as behind
+// a silent partition.
+func cutFrom(addresses ...string) *http.Client {
+	dialer := &net.Dialer{}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			for _, cut := range addresses {
+				if address == cut {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+			}
+			return dialer.DialContext(ctx, network, address)
+		},
+	}}
+}
+
+// startForwarder serves calls for others and returns its address.
+func startForwarder(t *testing.T, client *Client) string {
+	mux := http.NewServeMux()
+	mux.Handle(replicav1connect.NewForwardServiceHandler(NewForwarder(client)))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestACutOffGatewayWritesThroughAnother(t *testing.T) {
+	members, group := startMembers(t, 3)
+	other := NewClient(group, "", http.DefaultClient)
+	cut := NewClient(group, "", cutFrom(members[0].address, members[1].address, members[2].address))
+	cut.forwarders.set([]string{"127.0.0.1:1", startForwarder(t, other)})
+	for range 3 {
+		ledger, err := cut.Reserve(t.Context(), reservation("r"))
+		require.NoError(t, err)
+		require.Zero(t, ledger.Committed("r"))
+	}
+	records, _ := total(members)
+	require.GreaterOrEqual(t, records, 2)
+}
+
+func TestAForwarderCallsMembersOnly(t *testing.T) {
+	members, group := startMembers(t, 1)
+	forwarder := NewForwarder(NewClient(group, "", http.DefaultClient))
+	call := &replicav1.ForwardRequest_Append{Append: &replicav1.AppendRequest{Epoch: 1}}
+	_, err := forwarder.Forward(t.Context(), connect.NewRequest(&replicav1.ForwardRequest{Address: "127.0.0.1:1", Call: call}))
+	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
+	answer, err := forwarder.Forward(t.Context(), connect.NewRequest(&replicav1.ForwardRequest{Address: members[0].address, Call: call}))
+	require.NoError(t, err)
+	require.True(t, answer.Msg.GetAppend().Standing.Member)
+}
+
+func TestAForwarderTakesNoMoreThanItsLimit(t *testing.T) {
+	members, group := startMembers(t, 1)
+	forwarder := NewForwarder(NewClient(group, "", http.DefaultClient))
+	forwarder.underWay.Store(maxForwarded)
+	_, err := forwarder.Forward(t.Context(), connect.NewRequest(&replicav1.ForwardRequest{Address: members[0].address}))
+	require.Equal(t, connect.CodeResourceExhausted, connect.CodeOf(err))
+}
+
+func TestTheDigestIsThatOfTheSetOfForwarders(t *testing.T) {
+	require.Zero(t, ForwardersDigest(nil))
+	require.Equal(t, ForwardersDigest([]string{"a", "b"}), ForwardersDigest([]string{"b", "a"}))
+	require.NotEqual(t, ForwardersDigest([]string{"a"}), ForwardersDigest([]string{"b"}))
+}
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -40,11 +40,14 @@
 	// since began.
 	fresh atomic.Int64
 	began time.Time
+	// forwarder is this process's own address for calls of others, or empty.
+	forwarder string
 }
 
-// NewRelay returns a relay into state.
-func NewRelay(client *Client, state *directory.State, seeds []string) *Relay {
-	relay := &Relay{client: client, state: state, began: time.Now()}
+// NewRelay returns a relay into state. forwarder is the address at which this
+// process makes calls for others; one that is empty makes none and hears of none.
+func NewRelay(client *Client, state *directory.State, seeds []string, forwarder string) *Relay {
+	relay := &Relay{client: client, state: state, began: time.Now(), forwarder: forwarder}
 	relay.fresh.Store(-int64(time.Hour))
 	relay.SetSeeds(seeds)
 	return relay
@@ -102,6 +105,7 @@
 	view := r.state.View()
 	request := &replicav1.DirectoryRequest{
 		WorkersRevision: r.state.WorkersRevision(), PatienceMs: uint32(relayWait.Milliseconds()),
+		Forwarder: r.forwarder, ForwardersDigest: r.client.forwarders.digest(),
 	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
@@ -125,6 +129,9 @@
 	}
 	r.state.OfferWorkerList(news.Workers)
 	r.state.OfferGroup(news.Group)
+	if len(news.Forwarders) > 0 {
+		r.client.forwarders.set(news.Forwarders)
+	}
 	if news.Fresh {
 		r.fresh.Store(int64(time.Since(r.began)))
 	}
--- /dev/null
+++ b/internal/quorum/reserve.go
@@ -0,0 +1,60 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/turn"
+)
+
+const (
+	// OneRoundLimit is how long a round that writes a reservation and reads its
+	// program's sum may take, by the caller's steady clock, for that sum to count.
+	OneRoundLimit = 30 * time.Millisecond
+	// SettleDelay is how long after its reservation was granted a turn that has
+	// used tokens may be settled at the earliest.
+	SettleDelay = 2 * OneRoundLimit
+)
+
+// OneRound reports whether the sum that came with the write of a reservation is
+// enough to grant it. Each of several reservations at once may miss another, in a
+// cycle, so a sum that shows another one under way must be read again after the
+// write. Where all others are settled and the round was short, none under way can
+// be missing:
+//
+//   - Of two reservations at least one sees the other: their majorities share a
+//     replica, which took one of them first.
+//   - A reservation that this one misses sees this one. It is under way at the same
+//     time, and does not count in one round itself unless it saw this one settled.
+//   - A settled reservation that this one sees was granted SettleDelay before its
+//     settlement at the earliest, so at least OneRoundLimit before this round began,
+//     and so were those that it was granted after: this round sees them all.
+//
+// limit and the delay of settlements are OneRoundLimit and SettleDelay, in any unit
+// of time.
+func OneRound[T ~int64](ledger turn.Ledger, id string, took, limit T) bool {
+	return took <= limit && ledger.OthersSettled(id)
+}
+
+// Reserve writes a reservation to a majority and returns what a majority of
+// recovered replicas knows of its program. Where the answers to the write do not
+// tell enough, the sum is read once more after the write.
+func (c *Client) Reserve(ctx context.Context, record *replicav1.Record) (turn.Ledger, error) {
+	reservation := record.GetReservation()
+	programs := []string{reservation.Program}
+	began := c.now()
+	ledger, err := c.append(ctx, &replicav1.AppendRequest{Records: []*replicav1.Record{record}, Programs: programs})
+	if err != nil {
+		return nil, err
+	}
+	if OneRound(ledger, reservation.Id, c.now().Sub(began), OneRoundLimit) {
+		return ledger, nil
+	}
+	later, err := c.append(ctx, &replicav1.AppendRequest{Programs: programs})
+	if err != nil {
+		return nil, err
+	}
+	ledger.MergeLedger(later)
+	return ledger, nil
+}
--- a/internal/replica/proof_test.go
+++ b/internal/replica/proof_test.go
@@ -38,10 +38,19 @@
 	anyPredecessor  breakage = "a seat is copied from a predecessor that had lost what it held"
 	earlyHolder     breakage = "a seat's holder counts before its transfer is complete"
 	shrinkUnsettled breakage = "a node that has lost what its seat held leaves a shrinking group"
+	longRound       breakage = "a sum counts in one round however long that took"
+	unsettledRound  breakage = "a sum counts in one round although others are under way"
+	earlySettlement breakage = "what a turn used is told right after its grant"
 	proofBudget              = 100
 	proofMost                = 30
 	proofReplicas            = 3
 	proofSteps               = 400
+	// proofRound and proofSettle stand for quorum.OneRoundLimit and
+	// quorum.SettleDelay; a step is the unit of time.
+	proofRound  = 20
+	proofSettle = 2 * proofRound
+	// proofRivals is how many reservations one program makes there.
+	proofRivals = 6
 )
 
 // proofNode is one machine with its disk.
@@ -69,6 +78,15 @@
 	written bool
 	asked   map[string]bool
 	done    bool
+	// began is the step at which the write began, first what the answers to it told.
+	began int64
+	first turn.Ledger
+}
+
+// proofGrant is a reservation that was granted and is not settled yet.
+type proofGrant struct {
+	reservation *replicav1.Reservation
+	at          int64
 }
 
 // proofRead asks members for one turn.
@@ -97,6 +115,13 @@
 	acked    []string
 	granted  map[string]int64
 	retiring string
+	// oneRound is set where reservations may count in one round and turns are
+	// settled; timing is then the source of what that adds. The schedules without
+	// it are those from before.
+	oneRound  bool
+	timing    *rand.Rand
+	steps     int64
+	unsettled []proofGrant
 	// violation is the first promise that was broken.
 	violation string
 }
@@ -138,6 +163,7 @@
 	p.must(err)
 	node.service = &service{
 		state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now),
+		roster: newRoster(time.Now),
 	}
 	node.pulled, node.pulledOf = nil, nil
 }
@@ -163,6 +189,11 @@
 
 // step does one thing.
 func (p *proof) step() {
+	p.steps++
+	if p.oneRound && p.timing.IntN(20) > 0 {
+		p.budgetStep()
+		return
+	}
 	switch chance := p.random.IntN(100); {
 	case chance < 8:
 		p.beginWrite()
@@ -196,7 +227,45 @@
 			Id: fmt.Sprintf("r%d", p.serial), Program: program, Most: proofMost,
 		}}
 	}
-	p.writes = append(p.writes, &proofWrite{record: record, group: p.group, delivered: map[string]bool{}})
+	p.begin(record)
+}
+
+func (p *proof) begin(record *replicav1.Record) {
+	p.writes = append(p.writes, &proofWrite{record: record, group: p.group, delivered: map[string]bool{}, began: p.steps})
+}
+
+// budgetStep does one thing that concerns budgets.
+func (p *proof) budgetStep() {
+	switch chance := p.timing.IntN(100); {
+	case chance < 12:
+		p.serial++
+		p.begin(&replicav1.Record{Kind: &replicav1.Record_Reservation{Reservation: &replicav1.Reservation{
+			Id: fmt.Sprintf("r%d", p.serial), Program: fmt.Sprintf("b%d", p.serial/proofRivals), Most: proofMost,
+		}}})
+	case chance < 37:
+		p.settle()
+	default:
+		p.deliver()
+	}
+}
+
+// settle ends a granted turn that used some of its tokens, not sooner than
+// proofSettle after its grant.
+func (p *proof) settle() {
+	if len(p.unsettled) == 0 {
+		return
+	}
+	i := p.timing.IntN(len(p.unsettled))
+	grant := p.unsettled[i]
+	if p.steps-grant.at < proofSettle && p.broken != earlySettlement {
+		return
+	}
+	p.unsettled = append(p.unsettled[:i], p.unsettled[i+1:]...)
+	used := int64(proofMost - p.timing.IntN(proofMost/3))
+	p.granted[grant.reservation.Program] -= grant.reservation.Most - used
+	p.begin(&replicav1.Record{Kind: &replicav1.Record_Settlement{Settlement: &replicav1.Settlement{
+		Id: grant.reservation.Id, Program: grant.reservation.Program, Used: used,
+	}}})
 }
 
 // deliver brings one write to one member.
@@ -204,8 +273,11 @@
 	if len(p.writes) == 0 {
 		return
 	}
-	write := p.writes[p.random.IntN(len(p.writes))]
-	node := p.anyMember(write.group)
+	write := p.anyWrite()
+	p.deliverTo(write, p.anyMember(write.group))
+}
+
+func (p *proof) deliverTo(write *proofWrite, node *proofNode) {
 	if node.gone {
 		return
 	}
@@ -241,13 +313,28 @@
 		p.acked = append(p.acked, kept.Id)
 		return
 	}
-	if p.broken == sumBeforeWrite {
-		p.grant(write, chosen)
+	if write.record.GetSettlement() != nil {
+		write.done = true
+		return
+	}
+	write.first = p.ledger(write, chosen)
+	if p.broken == sumBeforeWrite || p.oneRound && p.countsInOneRound(write) {
+		p.grant(write, write.first)
 		return
 	}
 	write.written, write.asked, write.standings, write.entries = true, map[string]bool{}, nil, nil
 }
 
+// anyWrite returns a write. Where reservations count in one round it is one of the
+// last, so that schedules are about those that meet.
+func (p *proof) anyWrite() *proofWrite {
+	if !p.oneRound {
+		return p.writes[p.random.IntN(len(p.writes))]
+	}
+	recent := p.writes[max(0, len(p.writes)-4*proofRivals):]
+	return recent[p.random.IntN(len(recent))]
+}
+
 // sum asks one member for the sum that a written reservation is part of.
 func (p *proof) sum(write *proofWrite, node *proofNode) {
 	if write.asked[node.name] {
@@ -262,8 +349,31 @@
 	write.standings = append(write.standings, standing)
 	write.entries = append(write.entries, response.Msg.Entries)
 	if chosen := quorum.Choose(p.epoch(write.group), write.standings, quorum.WriteSize(len(write.group.Members))); chosen != nil {
-		p.grant(write, chosen)
+		ledger := p.ledger(write, chosen)
+		ledger.MergeLedger(write.first)
+		p.grant(write, ledger)
+	}
+}
+
+// countsInOneRound applies the breakages that concern reservations in one round.
+func (p *proof) countsInOneRound(write *proofWrite) bool {
+	took := p.steps - write.began
+	switch p.broken {
+	case longRound:
+		took = 0
+	case unsettledRound:
+		return took <= proofRound
+	}
+	return quorum.OneRound(write.first, write.record.GetReservation().Id, took, proofRound)
+}
+
+// ledger puts together what the chosen answers tell.
+func (p *proof) ledger(write *proofWrite, chosen []int) turn.Ledger {
+	ledger := make(turn.Ledger)
+	for _, i := range chosen {
+		ledger.Merge(write.entries[i])
 	}
+	return ledger
 }
 
 // standing applies the breakages that concern what a replica says of itself.
@@ -285,17 +395,16 @@
 }
 
 // grant ends a reservation whose sum is known.
-func (p *proof) grant(write *proofWrite, chosen []int) {
+func (p *proof) grant(write *proofWrite, ledger turn.Ledger) {
 	write.done = true
 	reservation := write.record.GetReservation()
-	ledger := make(turn.Ledger)
-	for _, i := range chosen {
-		ledger.Merge(write.entries[i])
-	}
 	if !ledger.Fits(reservation.Id, reservation.Most, proofBudget) {
 		return
 	}
 	p.granted[reservation.Program] += reservation.Most
+	if p.oneRound {
+		p.unsettled = append(p.unsettled, proofGrant{reservation: reservation, at: p.steps})
+	}
 	if p.granted[reservation.Program] > proofBudget {
 		p.violation = "program " + reservation.Program + " was granted more than its budget"
 	}
@@ -582,7 +691,17 @@
 
 // runProof plays one schedule and returns the first broken promise.
 func runProof(t require.TestingT, seed uint64, broken breakage) string {
+	return runSchedule(newProof(t, seed, broken))
+}
+
+// runOneRoundProof plays one schedule in which reservations may count in one round.
+func runOneRoundProof(t require.TestingT, seed uint64, broken breakage) string {
 	p := newProof(t, seed, broken)
+	p.oneRound, p.timing = true, rand.New(rand.NewPCG(seed, 11))
+	return runSchedule(p)
+}
+
+func runSchedule(p *proof) string {
 	defer p.close()
 	for range proofSteps {
 		if p.step(); p.violation != "" {
@@ -616,7 +735,9 @@
 
 func TestNothingAcknowledgedIsLostAndNoBudgetOverdrawn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		require.Empty(t, runProof(t, rapid.Uint64().Draw(t, "seed"), noBreakage))
+		seed := rapid.Uint64().Draw(t, "seed")
+		require.Empty(t, runProof(t, seed, noBreakage))
+		require.Empty(t, runOneRoundProof(t, seed, noBreakage), "reservations in one round")
 	})
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -88,7 +88,7 @@
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.PassingOn)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout}, peerConnections)
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
-	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds)
+	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds, "")
 	replica.offerKept()
 	return replica, nil
 }
@@ -207,7 +207,7 @@
 	if err := telemetry.Serve(ctx, r.options.Metrics, registry, r.readiness); err != nil {
 		return err
 	}
-	handler := &service{state: r.state, directory: r.directory, heard: r.heard, failing: r.feed.Failing}
+	handler := &service{state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), failing: r.feed.Failing}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
 	server := &http.Server{Handler: bound}
 	go func() {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -10,6 +10,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 // pullBytes bounds one part of a recovery.
@@ -21,6 +22,7 @@
 	state     *state
 	directory *directory.State
 	heard     *heard
+	roster    *roster
 	// failing reports whether the platform's store does not answer this replica.
 	failing func() bool
 }
@@ -99,6 +101,7 @@
 // Directory passes on what is newer than what the caller has. Where nothing is,
 // it waits for as long as the caller allows.
 func (s *service) Directory(ctx context.Context, request *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
+	s.roster.note(request.Msg.Forwarder)
 	until := time.NewTimer(time.Duration(request.Msg.PatienceMs) * time.Millisecond)
 	defer until.Stop()
 	for {
@@ -107,12 +110,14 @@
 		if err != nil {
 			return nil, connect.NewError(connect.CodeInternal, err)
 		}
-		if response.Configuration != nil || response.Workers != nil || response.Group != nil {
+		firstForwarders := request.Msg.ForwardersDigest == 0 && len(response.Forwarders) > 0
+		if response.Configuration != nil || response.Workers != nil || response.Group != nil || firstForwarders {
 			return connect.NewResponse(response), nil
 		}
 		select {
 		case <-news:
 		case <-until.C:
+			response.Forwarders = s.newForwarders(request.Msg)
 			return connect.NewResponse(response), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
@@ -137,5 +142,18 @@
 	if view.Group != nil && view.Group.Epoch > known.Epoch {
 		response.Group = view.Group
 	}
+	response.Forwarders = s.newForwarders(known)
 	return response, nil
 }
+
+// newForwarders returns the gateways that the caller is told of, if it knows others.
+func (s *service) newForwarders(known *replicav1.DirectoryRequest) []string {
+	if known.Forwarder == "" {
+		return nil
+	}
+	near := s.roster.near(known.Forwarder)
+	if quorum.ForwardersDigest(near) == known.ForwardersDigest {
+		return nil
+	}
+	return near
+}
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -19,6 +19,9 @@
 	Readiness string `yaml:"readiness"`
 	// Replica is the IP:port for gateways and other replicas.
 	Replica string `yaml:"replica"`
+	// Forwarder is the IP:port at which a gateway calls replicas for gateways that do
+	// not reach them; empty calls for none.
+	Forwarder string `yaml:"forwarder"`
 	// Metrics is the IP:port for metrics; empty serves none.
 	Metrics string `yaml:"metrics"`
 	// Store is the IP:port of the platform's store.
@@ -68,6 +71,9 @@
 	found := r.common()
 	found.address("ingress", r.Ingress, true)
 	found.address("readiness", r.Readiness, true)
+	if r.Forwarder != "" {
+		found.address("forwarder", r.Forwarder, true)
+	}
 	found.positive("graceMilliseconds", r.GraceMilliseconds)
 	return strictyaml.NewInvalid(subject, found.problems)
 }
--- a/internal/turn/budget.go
+++ b/internal/turn/budget.go
@@ -21,6 +21,36 @@
 	}
 }
 
+// MergeLedger adds what another ledger of the program knows.
+func (l Ledger) MergeLedger(other Ledger) {
+	for _, entry := range other {
+		l.Merge([]*replicav1.Entry{entry})
+	}
+}
+
+// OthersSettled reports whether every reservation but the one that is named is
+// settled.
+func (l Ledger) OthersSettled(but string) bool {
+	for id, entry := range l {
+		if id != but && !entry.Settled {
+			return false
+		}
+	}
+	return true
+}
+
+// Settled returns the tokens that the program has used for good. They never
+// become fewer.
+func (l Ledger) Settled() int64 {
+	var sum int64
+	for _, entry := range l {
+		if entry.Settled {
+			sum += entry.Used
+		}
+	}
+	return sum
+}
+
 // Committed returns the tokens that the program has used or may still use
 // without the reservation that is named.
 func (l Ledger) Committed(without string) int64 {
