Kept connections of a worker that is gone are closed after two requests without an answer

Change: after two requests in a row without an answer the idle connections of that worker are closed, so the next attempt opens one and moves on where it is refused.

--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -75,11 +75,15 @@
 	if err != nil {
 		stop()
 		p.discard(used)
+		if ctx.Err() == nil {
+			p.lost(used)
+		}
 		if !sent() {
 			return nil, &NotSent{Cause: err}
 		}
 		return nil, &Lost{Cause: err}
 	}
+	p.answered(address)
 	answer.pool, answer.written, answer.stop = p, written, stop
 	return answer, nil
 }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -37,12 +37,17 @@
 type host struct {
 	idle []*connection
 	open int
+	// lostInRow counts the requests on kept connections that got no answer, since
+	// the last answer.
+	lostInRow int
 }
 
 type connection struct {
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// kept is set once the connection has been used before.
+	kept bool
 	// usableUntil ends the time in which an idle connection may be used.
 	usableUntil time.Time
 }
@@ -111,6 +116,39 @@
 	p.release(used.address)
 }
 
+// maxLostInRow is how many requests in a row may get no answer on kept connections
+// before all idle ones of that worker are closed: a worker that was replaced or lost
+// power resets each of them only when it is used.
+const maxLostInRow = 2
+
+// lost notes a request without an answer.
+func (p *Pool) lost(used *connection) {
+	if !used.kept {
+		return
+	}
+	p.mutex.Lock()
+	var closing []*connection
+	if at := p.hosts[used.address]; at != nil {
+		at.lostInRow++
+		if at.lostInRow >= maxLostInRow {
+			closing, at.idle = at.idle, nil
+		}
+	}
+	p.mutex.Unlock()
+	for _, each := range closing {
+		p.discard(each)
+	}
+}
+
+// answered notes an answer.
+func (p *Pool) answered(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if at := p.hosts[address]; at != nil {
+		at.lostInRow = 0
+	}
+}
+
 // put keeps a connection whose last answer was read whole.
 func (p *Pool) put(used *connection, header http.Header) {
 	if used.reader.Buffered() > 0 {
@@ -119,6 +157,7 @@
 		return
 	}
 	used.usableUntil = time.Now().Add(keepFor(header))
+	used.kept = true
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	at := p.hosts[used.address]
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -207,3 +207,56 @@
 		got.Close()
 	}
 }
+
+// TestKeptConnectionsOfAWorkerThatIsGoneAreClosed holds that after two requests
+// without an answer a new connection is opened, which shows whether the worker is
+// there, instead of trying one dead connection after another.
+func TestKeptConnectionsOfAWorkerThatIsGoneAreClosed(t *testing.T) {
+	const connections = 5
+	var opened atomic.Int32
+	var dead atomic.Bool
+	together := make(chan struct{}, connections)
+	release := make(chan struct{})
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		opened.Add(1)
+		for {
+			body, err := readRequest(reader)
+			if err != nil || dead.Load() {
+				return
+			}
+			together <- struct{}{}
+			<-release
+			io.WriteString(connection, answer(body, "ok", ""))
+		}
+	})
+	pool := newPool()
+	done := make(chan error, connections)
+	for i := range connections {
+		go func() {
+			got, err := send(pool, address, fmt.Sprint(i), fmt.Sprint(i))
+			if err == nil {
+				_, err = io.ReadAll(got.Body)
+				got.Close()
+			}
+			done <- err
+		}()
+	}
+	for range connections {
+		<-together
+	}
+	close(release)
+	for range connections {
+		require.NoError(t, <-done)
+	}
+	require.EqualValues(t, connections, opened.Load())
+	dead.Store(true)
+	for range maxLostInRow {
+		_, err := send(pool, address, "lost", "lost")
+		var lost *Lost
+		require.ErrorAs(t, err, &lost)
+	}
+	require.EqualValues(t, connections, opened.Load())
+	_, err := send(pool, address, "lost", "lost")
+	require.Error(t, err)
+	require.EqualValues(t, connections+1, opened.Load(), "the idle ones are not tried any more")
+}
