--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	spent     *spentTokens
 	pool      *worker.Pool
 	balancer  *balance.Balancer
+	waits     *balance.Waits
 	splitter  *route.Splitter
 	retries   *limit.RetryBudget
 	state     *stateHealth
@@ -120,7 +121,7 @@
 // New returns a gateway; Run starts it.
 func New(options Options, objects directory.Objects) *Gateway {
 	g := &Gateway{
-		options: options, balancer: balance.New(time.Now), splitter: route.NewSplitter(),
+		options: options, balancer: balance.New(time.Now), waits: balance.NewWaits(), splitter: route.NewSplitter(),
 		retries:     limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
 		directory:   directory.NewState(time.Now, directory.LogChanges()),
 		connections: newConnections(time.Now),
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -191,6 +191,23 @@
 // Retry forbids a repeat.
 func (e *UnexpectedStatus) Retry() failure.Retry { return failure.Retry{} }
 
+// SilentWorker reports a stream that was given up because its worker sent no event
+// for longer than is usual for its service.
+type SilentWorker struct {
+	Waited time.Duration
+}
+
+func (e *SilentWorker) Error() string { return fmt.Sprintf("no event from the worker in %v", e.Waited) }
+
+// Type returns "silent_worker".
+func (e *SilentWorker) Type() failure.Type { return "silent_worker" }
+
+// Outcome returns OutcomeUnknown: the worker may have run it.
+func (e *SilentWorker) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry forbids a repeat: the client knows what may run twice.
+func (e *SilentWorker) Retry() failure.Retry { return failure.Retry{} }
+
 // statusOf returns the HTTP status of a failure. 408 and 503 promise that the
 // request has not run and never will; 502 and 504 promise nothing.
 func statusOf(err error) int {
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -39,6 +39,8 @@
 	&quorum.Unavailable{}:                             http.StatusBadGateway,
 	&worker.NotSent{Cause: errCause}:                  http.StatusServiceUnavailable,
 	&worker.Lost{Cause: &UnexpectedStatus{Status: 1}}: http.StatusBadGateway,
+	&worker.Lost{Cause: &SilentWorker{}}:              http.StatusBadGateway,
+	&SilentWorker{}:                                   http.StatusBadGateway,
 }
 
 // TestAStatusPromisesNoMoreThanTheFailure holds that 402, 404, 408, 413 and 503
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -180,6 +180,8 @@
 	answer *worker.Answer
 	// sent is when the attempt began.
 	sent time.Time
+	// watch ends the attempt if it stays silent; nil where it may.
+	watch *silenceWatch
 }
 
 // send tries workers until one takes the request and begins to answer. Workers
@@ -233,7 +235,11 @@
 	r.sentAfter = sent.Sub(r.received)
 	silence := time.AfterFunc(r.silence(), func() { r.gateway.silent(r.envelope.RequestID, chosen) })
 	defer silence.Stop()
-	answer, err := r.gateway.pool.Send(ctx, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
+	attemptContext, watch := r.watchSilence(ctx)
+	answer, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
+	if err != nil || answer.NotExecuted {
+		defer watch.end()
+	}
 	if err == nil && answer.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, smallAnswerBytes))
 		answer.Close()
@@ -241,12 +247,12 @@
 		return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
 	}
 	if err != nil {
-		return nil, r.failed(ctx, chosen, err)
+		return nil, r.failed(ctx, chosen, watch.blame(err))
 	}
 	r.ran[chosen.ID] = true
 	r.begunAfter = time.Since(r.received)
 	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status)
-	return &attempt{worker: chosen, answer: answer, sent: sent}, nil
+	return &attempt{worker: chosen, answer: answer, sent: sent, watch: watch}, nil
 }
 
 // pass ends an attempt that did not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,8 @@
 			return err
 		}
 		var lost *worker.Lost
-		if !errors.As(err, &lost) {
+		var silent *SilentWorker
+		if !errors.As(err, &lost) || errors.As(err, &silent) {
 			return err
 		}
 		one, err = s.resume(ctx, err)
@@ -117,6 +118,7 @@
 // pass passes the events of one attempt on, each whole and at once.
 func (s *stream) pass(ctx context.Context, one *attempt) error {
 	r := s.request
+	defer one.watch.end()
 	if one.answer.Status != http.StatusOK {
 		if s.begun {
 			one.answer.Close()
@@ -136,10 +138,12 @@
 			return s.finish(one)
 		}
 		if err != nil {
+			err = one.watch.blame(err)
 			r.gateway.done(r, one.worker, verdictOfBreak(ctx))
 			r.note(eventLost, "worker", one.worker.ID, "cause", err.Error(), "events", s.events)
 			return &worker.Lost{Cause: err}
 		}
+		one.watch.heard()
 		if err := s.forward(one, event); err != nil {
 			r.gateway.done(r, one.worker, balance.Abandoned)
 			return &worker.Lost{Cause: err}
