--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -226,21 +226,27 @@
 	if s.nextHeartbeat.Before(s.now) {
 		s.nextHeartbeat = s.now.Add(s.timing.Heartbeat)
 	}
-	address := ""
-	if s.now.Sub(s.introduced) < introductionSpan {
-		address = s.options.Self.PeerAddress
-	}
 	for _, neighbour := range s.topology().neighbours {
 		s.send(neighbour.node, &gossipv1.Message{
 			Heartbeat:       s.heartbeat,
 			Digest:          s.facts.root(),
 			DocumentVersion: s.documentVersion(),
-			Address:         address,
+			Address:         s.introductionTo(neighbour),
 		})
 	}
 	s.repeatAccusations()
 }
 
+// introductionTo returns the address that a heartbeat carries, by which a peer that
+// does not know this daemon can answer it. One that is suspected may have come back
+// without its memory.
+func (s *State) introductionTo(neighbour *member) string {
+	if s.now.Sub(s.introduced) < introductionSpan || s.present(neighbour).State == structs.NodeSuspect {
+		return s.options.Self.PeerAddress
+	}
+	return ""
+}
+
 func (s *State) documentVersion() uint64 {
 	if s.options.Document == nil {
 		return 0
