A gateway asks for news where there are some: replicas that the store does not answer are passed over for 2 s

Cause: where a share of the replicas is turned away by the platform's store, or does not run, both of a gateway's questions can lie at such replicas for 0.7 to 1 s; the gateway then takes it that none hears news and follows the store itself, with three calls and watches. Change: such replicas are passed over while others answer. Test: TestReplicasThatHearNothingArePassedOver.

--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	// relayAsked is how many replicas are asked at a time: each of them may be
 	// stale.
 	relayAsked = 2
+	// passedOver is how long a replica that did not answer, or that the store does not
+	// answer, is not asked while there are others.
+	passedOver = 2 * time.Second
 )
 
 // Relay asks replicas for what the platform's store told them: one after
@@ -40,6 +44,9 @@
 	// since began.
 	fresh atomic.Int64
 	began time.Time
+	mutex sync.Mutex
+	// staleUntil are the replicas that are passed over, by address.
+	staleUntil map[string]time.Time
 	// forwarder is this process's own address for calls of others, or empty.
 	forwarder string
 }
@@ -47,7 +54,7 @@
 // NewRelay returns a relay into state. forwarder is the address at which this
 // process makes calls for others; one that is empty makes none and hears of none.
 func NewRelay(client *Client, state *directory.State, seeds []string, forwarder string) *Relay {
-	relay := &Relay{client: client, state: state, began: time.Now(), forwarder: forwarder}
+	relay := &Relay{client: client, state: state, began: time.Now(), forwarder: forwarder, staleUntil: make(map[string]time.Time)}
 	relay.fresh.Store(-int64(time.Hour))
 	relay.SetSeeds(seeds)
 	return relay
@@ -79,7 +86,7 @@
 		began := time.Now()
 		if len(addresses) > 0 {
 			apart := lane * len(addresses) / relayAsked
-			r.ask(ctx, addresses[(first+apart+turn)%len(addresses)])
+			r.ask(ctx, r.next(addresses, first+apart+turn))
 		}
 		if time.Since(began) < relayPause {
 			pause.For(ctx, relayPause)
@@ -87,6 +94,32 @@
 	}
 }
 
+// next returns the address at a place of the round, or the first one after it that
+// is not passed over, if there is one.
+func (r *Relay) next(addresses []string, place int) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	for i := range addresses {
+		address := addresses[(place+i)%len(addresses)]
+		if !now.Before(r.staleUntil[address]) {
+			return address
+		}
+	}
+	return addresses[place%len(addresses)]
+}
+
+// passOver notes whether a replica is worth asking.
+func (r *Relay) passOver(address string, stale bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !stale {
+		delete(r.staleUntil, address)
+		return
+	}
+	r.staleUntil[address] = time.Now().Add(passedOver)
+}
+
 func (r *Relay) addresses() []string {
 	group := r.state.Group()
 	if group == nil {
@@ -114,10 +147,13 @@
 		request.Epoch = view.Group.Epoch
 	}
 	response, err := r.client.At(address).Directory(call, connect.NewRequest(request))
-	if err != nil {
+	if ctx.Err() != nil {
 		return
 	}
-	r.take(response.Msg)
+	r.passOver(address, err != nil || !response.Msg.Fresh)
+	if err == nil {
+		r.take(response.Msg)
+	}
 }
 
 func (r *Relay) take(news *replicav1.DirectoryResponse) {
