Load at replicas no longer feeds itself; settlements go along with reservations; a turn waits for its program's settlements

Slow replicas were asked more: the spare members after 25 ms, the sum again after 30 ms, all of it through other gateways after 60 ms. Change: the spare members are asked, as elsewhere, beyond what is usual (mean and eight deviations of the calls, 25 ms at least); a member that has answered anything meanwhile is not called through others; one round may take 60 ms; a settlement waits up to 200 ms for a reservation of the same gateway that takes it along (three calls in place of six). A turn that only does not fit because of turns that are not settled yet waits for them, withdrawn, up to half a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	go g.feed.RunConfiguration(working)
 	go g.followStore(working)
 	go g.relay.Run(working)
+	go g.quorum.RunDeferred(working)
 	go g.sweep(working)
 	go func() {
 		for pause.For(working, sweepConnectionsEvery) {
@@ -335,4 +336,5 @@
 	for g.underWay.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPoll)
 	}
+	g.quorum.WriteDeferred()
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -83,6 +83,9 @@
 	Program string
 	// Committed is what the program has used or may still use, in tokens.
 	Committed, Budget int64
+	// Unsettled is set where the turn may fit once the program's other turns are
+	// settled.
+	Unsettled bool
 }
 
 func (e *BudgetSpent) Error() string {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -34,7 +34,7 @@
 	}
 	watch := &silenceWatch{
 		request: r, began: time.Now(),
-		limit: r.gateway.waits.Limit(r.service.Name, firstEventTargets*r.route.TargetLatency),
+		limit: r.gateway.waits.Of(r.service.Name).Limit(firstEventTargets * r.route.TargetLatency),
 	}
 	ctx, watch.cancel = context.WithCancel(ctx)
 	watch.timer = time.AfterFunc(watch.limit, watch.expire)
@@ -44,7 +44,7 @@
 func (w *silenceWatch) expire() {
 	if w.done.CompareAndSwap(false, true) {
 		w.expired.Store(true)
-		w.request.gateway.waits.Observe(w.request.service.Name, w.limit)
+		w.request.gateway.waits.Of(w.request.service.Name).Observe(w.limit)
 		w.cancel()
 	}
 }
@@ -55,7 +55,7 @@
 		return
 	}
 	w.timer.Stop()
-	w.request.gateway.waits.Observe(w.request.service.Name, time.Since(w.began))
+	w.request.gateway.waits.Of(w.request.service.Name).Observe(time.Since(w.began))
 }
 
 // end gives the watch's means back.
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -8,17 +8,20 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 const (
 	// stateWait bounds how long a turn waits for replicas before it is refused.
 	stateWait = 700 * time.Millisecond
+	// firstBudgetPause and lastBudgetPause bound the pauses, which double, of a turn
+	// that waits for its program's other turns to be settled.
+	firstBudgetPause = 60 * time.Millisecond
+	lastBudgetPause  = 480 * time.Millisecond
 	// isolatedWait is the same where no replica answered last: another gateway
 	// may reach them.
 	isolatedWait = 250 * time.Millisecond
-	// settleTimeout bounds the writing of what a turn has used.
-	settleTimeout = 3 * time.Second
 )
 
 // turnState is what a turn has reserved and is to keep.
@@ -31,6 +34,9 @@
 	reservation string
 	// granted is when the reservation was granted; zero until then.
 	granted time.Time
+	// tight is set where another turn of the program does not fit beside this one
+	// until this one is settled.
+	tight bool
 	// input is the turn's own input.
 	input []byte
 }
@@ -38,10 +44,7 @@
 // beginTurn reserves the turn's most tokens and puts the turns before it in
 // front of its input. Nothing is sent to a worker before both are done.
 func (r *request) beginTurn(ctx context.Context) (*turnState, error) {
-	state := &turnState{
-		request: r, input: r.body,
-		reservation: r.envelope.RequestID + "/" + strconv.FormatUint(rand.Uint64(), 36),
-	}
+	state := &turnState{request: r, input: r.body}
 	budgeted := r.envelope.Budget >= 0 && r.envelope.Program != ""
 	if !budgeted && !r.route.Stateful {
 		return state, nil
@@ -69,33 +72,52 @@
 }
 
 // reserve writes the reservation to a majority and checks the program's sum as
-// that majority knows it.
+// that majority knows it. Where the turn would fit if the program's other turns use
+// less than their most, it waits a little for their settlements.
 func (t *turnState) reserve(ctx context.Context) error {
-	envelope := &t.request.envelope
+	for wait := firstBudgetPause; ; wait *= 2 {
+		err := t.tryToReserve(ctx)
+		var spent *BudgetSpent
+		if !errors.As(err, &spent) || !spent.Unsettled || wait > lastBudgetPause {
+			return err
+		}
+		// Withdrawn meanwhile, so that two turns do not wait for each other.
+		t.settle(&stream{request: t.request})
+		if !pause.For(ctx, wait/2+rand.N(wait)) {
+			return err
+		}
+	}
+}
+
+// tryToReserve makes one reservation.
+func (t *turnState) tryToReserve(ctx context.Context) error {
+	envelope, gateway := &t.request.envelope, t.request.gateway
+	if settled := gateway.spent.of(envelope.Program); settled+envelope.MostTokens > envelope.Budget {
+		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
+	}
 	t.reserved = true
+	t.reservation = envelope.RequestID + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	reservation := &replicav1.Reservation{Id: t.reservation, Program: envelope.Program, Most: envelope.MostTokens}
 	record := &replicav1.Record{
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
 		RetentionMs: t.request.retention().Milliseconds(),
 	}
-	gateway := t.request.gateway
-	if settled := gateway.spent.of(envelope.Program); settled+envelope.MostTokens > envelope.Budget {
-		t.reserved = false
-		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
-	}
 	began := time.Now()
 	ledger, err := gateway.quorum.Reserve(ctx, record)
 	gateway.state.note(err, time.Since(began))
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
-	gateway.spent.note(envelope.Program, ledger.Settled())
+	settled := ledger.Settled()
+	gateway.spent.note(envelope.Program, settled)
 	if !ledger.Fits(t.reservation, envelope.MostTokens, envelope.Budget) {
 		return &BudgetSpent{
 			Program: envelope.Program, Committed: ledger.Committed(t.reservation), Budget: envelope.Budget,
+			Unsettled: settled+envelope.MostTokens <= envelope.Budget,
 		}
 	}
 	t.granted = time.Now()
+	t.tight = !ledger.Fits(t.reservation, 2*envelope.MostTokens, envelope.Budget)
 	t.request.note(eventReserved, "reservation", t.reservation, "most", envelope.MostTokens,
 		"committed", ledger.Committed(t.reservation), "budget", envelope.Budget)
 	return nil
@@ -149,20 +171,23 @@
 	return nil
 }
 
-// settle replaces the reservation by what was handed out, in the background.
+// settle replaces the reservation by what was handed out, a little later.
 func (t *turnState) settle(out *stream) {
 	if !t.reserved {
 		return
 	}
 	t.reserved = false
-	record, wait := t.settlement(out), t.settleIn(out)
-	go func() {
-		time.Sleep(wait)
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		// Without the settlement the reservation stands, which only costs budget.
-		_ = t.request.gateway.quorum.Append(ctx, record)
-	}()
+	record, wait, client := t.settlement(out), t.settleIn(out), t.request.gateway.quorum
+	// Without the settlement the reservation stands, which only costs budget.
+	write := client.AppendLater
+	if t.tight {
+		write = client.AppendNow
+	}
+	if wait == 0 {
+		write(record)
+		return
+	}
+	time.AfterFunc(wait, func() { write(record) })
 }
 
 // settleIn returns how long the settlement must wait: what a turn has used may
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -68,7 +68,7 @@
 		waiting = waiting[count:]
 	}
 	ask(r.firstAsked())
-	spare := time.NewTimer(r.client.spareAfter)
+	spare := time.NewTimer(r.client.latency.Limit(r.client.spareAfter))
 	defer spare.Stop()
 	for answered := 0; ; {
 		late := false
@@ -158,7 +158,12 @@
 
 // callDirectly calls a member; if that takes long, through another gateway as well.
 func (r *appendRound) callDirectly(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
+	began := r.client.now()
 	detour := time.AfterFunc(forwardAfter, func() {
+		if r.client.reach.answeredSince(member.Address, began) {
+			// It is reached, and slow: one more call would make it slower.
+			return
+		}
 		if response := r.forward(asking, member); response != nil {
 			r.client.reach.silent(member.Address)
 			r.deliver(asking, member, response)
@@ -191,11 +196,13 @@
 func (r *appendRound) call(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
 	call, cancel := context.WithTimeout(context.WithoutCancel(asking), callTimeout)
 	defer cancel()
+	began := r.client.now()
 	response, err := r.client.At(member.Address).Append(call, connect.NewRequest(r.request))
 	if err != nil {
 		r.client.reach.failed(member.Address, err)
 		return nil
 	}
+	r.client.latency.Observe(r.client.now().Sub(began))
 	r.client.reach.answered(member.Address)
 	r.client.learn(r.group, member, response.Msg.Standing)
 	return response.Msg
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -182,3 +182,46 @@
 	require.Equal(t, time.Second/probeShare, probePause(time.Second))
 	require.Equal(t, lastProbePause, probePause(time.Hour))
 }
+
+func TestADeferredRecordGoesAlongWithTheNextReservation(t *testing.T) {
+	members, group := startMembers(t, 3)
+	client := NewClient(group, "", http.DefaultClient)
+	stoppedClock(client)
+	client.AppendLater(reservation("later"))
+	_, err := client.Reserve(t.Context(), reservation("r"))
+	require.NoError(t, err)
+	records, _ := total(members)
+	require.Equal(t, 4, records, "two records at two members, in one call each")
+	require.Empty(t, client.deferred.take())
+}
+
+func TestADeferredRecordIsWrittenWithoutAReservationToo(t *testing.T) {
+	members, group := startMembers(t, 3)
+	client := NewClient(group, "", http.DefaultClient)
+	go client.RunDeferred(t.Context())
+	client.AppendLater(reservation("later"))
+	require.Eventually(t, func() bool {
+		records, _ := total(members)
+		return records >= 2
+	}, 10*time.Second, time.Millisecond)
+}
+
+func TestADeferredRecordSurvivesAReservationThatFailed(t *testing.T) {
+	client := NewClient(&fakeGroup{}, "", http.DefaultClient)
+	client.AppendLater(reservation("later"))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := client.Reserve(ctx, reservation("r"))
+	require.Error(t, err)
+	require.Len(t, client.deferred.take(), 1)
+}
+
+func TestAReplicaThatAnswersIsSlowAndNotCutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	known := newReach(func() time.Time { return now }, nil)
+	require.False(t, known.answeredSince("a", now))
+	now = now.Add(time.Millisecond)
+	known.answered("a")
+	require.True(t, known.answeredSince("a", now.Add(-1)))
+	require.False(t, known.answeredSince("a", now))
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/barleyshelf/barleyshelf/internal/estimate"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -23,7 +24,7 @@
 	retryPause     = 40 * time.Millisecond
 	lastRetryPause = 320 * time.Millisecond
 	// spareDelay is how long the members asked first have to answer before the
-	// others are asked too.
+	// others are asked too, where calls do not usually take longer.
 	spareDelay = 25 * time.Millisecond
 	// nearTimeout is how long the nearest replica is waited for before the
 	// others are asked too.
@@ -44,6 +45,9 @@
 	now    func() time.Time
 	// spareAfter is spareDelay; tests take another.
 	spareAfter time.Duration
+	// latency is that of calls to replicas.
+	latency  estimate.Latency
+	deferred *deferred
 	// reach knows which replicas answer.
 	reach      *reach
 	forwarders *forwarders
@@ -55,7 +59,7 @@
 // NewClient returns a client of a process in a zone.
 func NewClient(groups Groups, zone string, client *http.Client) *Client {
 	created := &Client{
-		groups: groups, zone: zone, http: client, now: time.Now, spareAfter: spareDelay,
+		groups: groups, zone: zone, http: client, now: time.Now, spareAfter: spareDelay, deferred: newDeferred(),
 		calls:      make(map[string]replicav1connect.ReplicaServiceClient),
 		forwarders: &forwarders{http: client},
 	}
--- a/internal/quorum/reach.go
+++ b/internal/quorum/reach.go
@@ -32,6 +32,8 @@
 
 	mutex sync.Mutex
 	down  map[string]*downMember
+	// heard is when each replica answered last.
+	heard map[string]time.Time
 }
 
 // downMember is a replica that does not answer.
@@ -47,7 +49,7 @@
 }
 
 func newReach(now func() time.Time, probe func(ctx context.Context, address string) error) *reach {
-	return &reach{now: now, probe: probe, down: make(map[string]*downMember)}
+	return &reach{now: now, probe: probe, down: make(map[string]*downMember), heard: make(map[string]time.Time)}
 }
 
 // failed notes a call without an answer. A refusal by the replica itself is an
@@ -98,9 +100,17 @@
 func (r *reach) answered(address string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.heard[address] = r.now()
 	r.clear(address)
 }
 
+// answeredSince reports whether a replica has answered any call since a moment.
+func (r *reach) answeredSince(address string, moment time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.heard[address].After(moment)
+}
+
 // clear ends the time in which a replica does not answer. The mutex is held.
 func (r *reach) clear(address string) {
 	if member := r.down[address]; member != nil {
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -11,7 +11,7 @@
 const (
 	// OneRoundLimit is how long a round that writes a reservation and reads its
 	// program's sum may take, by the caller's steady clock, for that sum to count.
-	OneRoundLimit = 30 * time.Millisecond
+	OneRoundLimit = 60 * time.Millisecond
 	// SettleDelay is how long after its reservation was granted a turn that has
 	// used tokens may be settled at the earliest.
 	SettleDelay = 2 * OneRoundLimit
@@ -38,14 +38,16 @@
 }
 
 // Reserve writes a reservation to a majority and returns what a majority of
-// recovered replicas knows of its program. Where the answers to the write do not
+// recovered replicas knows of its program. Deferred records go along. Where the answers to the write do not
 // tell enough, the sum is read once more after the write.
 func (c *Client) Reserve(ctx context.Context, record *replicav1.Record) (turn.Ledger, error) {
 	reservation := record.GetReservation()
 	programs := []string{reservation.Program}
+	along := c.deferred.take()
 	began := c.now()
-	ledger, err := c.append(ctx, &replicav1.AppendRequest{Records: []*replicav1.Record{record}, Programs: programs})
+	ledger, err := c.append(ctx, &replicav1.AppendRequest{Records: append(along, record), Programs: programs})
 	if err != nil {
+		c.deferred.add(along...)
 		return nil, err
 	}
 	if OneRound(ledger, reservation.Id, c.now().Sub(began), OneRoundLimit) {
