A request waits a little for room at full workers

Change: full workers are asked again after 10 to 80 ms, for a third of the request's time and 0.4 s at most, by 128 requests at most; then the client is told when to come back, as before. Tests: TestARequestWaitsForRoomAtAFullWorker (503 before); the one on shed requests now has a worker that never takes one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,9 @@
 	// grace is how long a planned stop may take, in nanoseconds.
 	grace    atomic.Int64
 	underWay atomic.Int64
-	stopping atomic.Bool
+	// awaitingRoom counts the requests that wait for full workers.
+	awaitingRoom atomic.Int64
+	stopping     atomic.Bool
 }
 
 // New returns a gateway; Run starts it.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,10 @@
 	// those on which it may have run.
 	tried map[string]bool
 	ran   map[string]bool
+	// full are those of the tried ones that turned the request away because they
+	// are full; roomWaits counts how often it has waited for them.
+	full      []string
+	roomWaits int
 	// turnedAway counts workers that are known not to have run it.
 	turnedAway int
 	// workerID is the worker of the last attempt.
@@ -194,7 +198,11 @@
 		}
 		chosen, found := r.choose()
 		if !found || try >= maxTries {
-			return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+			if !r.awaitRoom(ctx) {
+				return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+			}
+			try = 0
+			continue
 		}
 		one, err := r.sendTo(ctx, chosen, lastEvent)
 		if err == nil {
@@ -258,6 +266,9 @@
 // pass ends an attempt that did not run.
 func (r *request) pass(chosen directory.Worker, verdict balance.Verdict, cause error) {
 	r.tried[chosen.ID] = true
+	if verdict == balance.TurnedAway {
+		r.full = append(r.full, chosen.ID)
+	}
 	r.turnedAway++
 	r.note(eventNotRun, "worker", chosen.ID, "verdict", verdict.String(), "cause", errorText(cause))
 	r.gateway.done(r, chosen, verdict)
