A slow gateway no longer makes more work for itself

Their processor is used up, by what a late answer sets off: calls through other gateways (as small) after 60 ms, readiness that flaps because a turn with 0.2 s left heard no replica (event 2807, nine times in a second), and turns of programs that loop, which wait 0.7 s for settlements with five reservations each. Change: calls go through others only beyond what is usual; a gateway that heard any replica within 0.5 s is slow and not cut off; a turn waits for settlements twice, 0.12 to 0.36 s; bodies are read into one buffer, write buffers are used again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 	g.feed = directory.NewFeed(objects, g.directory, directory.Hearing)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout}, stateConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
-	g.state = newStateHealth(g.quorum, time.Now)
+	g.state = newStateHealth(g.quorum, g.quorum.AnsweredWithin)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, options.Seeds, options.Forwarder)
 	g.spent = newSpentTokens(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options.MemoryBytes))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -155,7 +155,7 @@
 	}
 	control := http.NewResponseController(r.writer)
 	_ = control.SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(io.LimitReader(r.incoming.Body, limit+1))
+	body, err := readWhole(r.incoming.Body, r.incoming.ContentLength, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		return &BodyBroken{Cause: err}
@@ -167,6 +167,17 @@
 	return nil
 }
 
+// readWhole reads a body of the declared length, or of up to limit bytes and one
+// more where none is declared. Reading into one buffer makes a third of the garbage.
+func readWhole(from io.Reader, length, limit int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(from, limit+1))
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
 // refuse gives the final answer for a failure of the gateway's own, unless the
 // client has gone.
 func (r *request) refuse(err error) {
--- a/internal/gateway/statehealth.go
+++ b/internal/gateway/statehealth.go
@@ -17,6 +17,9 @@
 	probeTimeout = 400 * time.Millisecond
 	// silentCall is how long replicas must have had before their silence counts.
 	silentCall = 200 * time.Millisecond
+	// heardLately is how long ago a replica's last answer, to any call, shows that
+	// this gateway is not cut off, only slow.
+	heardLately = 500 * time.Millisecond
 )
 
 var (
@@ -29,7 +32,8 @@
 // none cannot begin a turn, and its clients are better off at another gateway.
 type stateHealth struct {
 	quorum *quorum.Client
-	now    func() time.Time
+	// heard reports whether any replica has answered any call within a time.
+	heard func(limit time.Duration) bool
 
 	mutex sync.Mutex
 	// alone is set from a failure without any answer to the next success.
@@ -37,15 +41,15 @@
 	wake  chan struct{}
 }
 
-func newStateHealth(client *quorum.Client, now func() time.Time) *stateHealth {
-	return &stateHealth{quorum: client, now: now, wake: make(chan struct{}, 1)}
+func newStateHealth(client *quorum.Client, heard func(limit time.Duration) bool) *stateHealth {
+	return &stateHealth{quorum: client, heard: heard, wake: make(chan struct{}, 1)}
 }
 
 // note takes the outcome of a call to the replicas and how long they had. A call
 // that ended early, because its client left or ran out of time, says nothing.
 func (h *stateHealth) note(err error, waited time.Duration) {
 	var unavailable *quorum.Unavailable
-	alone := errors.As(err, &unavailable) && unavailable.Answered == 0 && waited >= silentCall
+	alone := errors.As(err, &unavailable) && unavailable.Answered == 0 && waited >= silentCall && !h.heard(heardLately)
 	if err != nil && !alone {
 		return
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -17,8 +17,8 @@
 	stateWait = 700 * time.Millisecond
 	// firstBudgetPause and lastBudgetPause bound the pauses, which double, of a turn
 	// that waits for its program's other turns to be settled.
-	firstBudgetPause = 60 * time.Millisecond
-	lastBudgetPause  = 480 * time.Millisecond
+	firstBudgetPause = 80 * time.Millisecond
+	lastBudgetPause  = 160 * time.Millisecond
 	// isolatedWait is the same where no replica answered last: another gateway
 	// may reach them.
 	isolatedWait = 250 * time.Millisecond
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -159,7 +159,7 @@
 // callDirectly calls a member; if that takes long, through another gateway as well.
 func (r *appendRound) callDirectly(asking context.Context, member *replicav1.Member) *replicav1.AppendResponse {
 	began := r.client.now()
-	detour := time.AfterFunc(forwardAfter, func() {
+	detour := time.AfterFunc(r.client.latency.Limit(forwardAfter), func() {
 		if r.client.reach.answeredSince(member.Address, began) {
 			// It is reached, and slow: one more call would make it slower.
 			return
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -92,6 +92,11 @@
 	return err
 }
 
+// AnsweredWithin reports whether any replica has answered any call lately.
+func (c *Client) AnsweredWithin(limit time.Duration) bool {
+	return c.reach.anyAnsweredSince(c.now().Add(-limit))
+}
+
 // probe asks one replica for anything at all.
 func (c *Client) probe(ctx context.Context, address string) error {
 	_, err := c.At(address).Append(ctx, connect.NewRequest(&replicav1.AppendRequest{}))
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -19,8 +19,8 @@
 
 const (
 	// forwardAfter is how long a member that is taken to answer has before the same
-	// call goes to it through another gateway too. Calls may be repeated: records are
-	// written once.
+	// call goes to it through another gateway too, where calls do not usually take
+	// longer. Calls may be repeated: records are written once.
 	forwardAfter = 60 * time.Millisecond
 	// forwardTimeout bounds the way through one gateway.
 	forwardTimeout = 250 * time.Millisecond
--- a/internal/quorum/reach.go
+++ b/internal/quorum/reach.go
@@ -104,6 +104,18 @@
 	r.clear(address)
 }
 
+// anyAnsweredSince reports whether any replica has answered since a moment.
+func (r *reach) anyAnsweredSince(moment time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, heard := range r.heard {
+		if heard.After(moment) {
+			return true
+		}
+	}
+	return false
+}
+
 // answeredSince reports whether a replica has answered any call since a moment.
 func (r *reach) answeredSince(address string, moment time.Time) bool {
 	r.mutex.Lock()
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 )
 
@@ -101,6 +102,9 @@
 	return outgoing
 }
 
+// writers are buffers to write requests with.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, inlineBodyBytes) }}
+
 // countingWriter counts what the kernel took.
 type countingWriter struct {
 	to    io.Writer
@@ -119,11 +123,14 @@
 	counting := &countingWriter{to: c.Conn}
 	result := make(chan error, 1)
 	send := func() {
-		buffered := bufio.NewWriterSize(counting, inlineBodyBytes)
+		buffered := writers.Get().(*bufio.Writer)
+		buffered.Reset(counting)
 		err := outgoing.Write(buffered)
 		if err == nil {
 			err = buffered.Flush()
 		}
+		buffered.Reset(nil)
+		writers.Put(buffered)
 		result <- err
 	}
 	if bodyBytes > inlineBodyBytes {
