--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/balance"
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
+)
+
+// attempt is one try at a worker.
+type attempt struct {
+	worker directory.Worker
+	answer *worker.Answer
+	// sent is when the attempt began.
+	sent time.Time
+	// watch ends the attempt if it stays silent; nil where it may.
+	watch *silenceWatch
+}
+
+// send tries workers until one takes the request and begins to answer. Workers
+// that did not run it are passed over; an attempt that may have run ends the
+// search with its error, a *worker.Lost.
+func (r *request) send(ctx context.Context, lastEvent string) (*attempt, error) {
+	for try := 0; ; try++ {
+		if ctx.Err() != nil {
+			return nil, r.outOfTime(ctx)
+		}
+		chosen, found := r.choose()
+		if !found || try >= maxTries {
+			if !r.awaitRoom(ctx) {
+				return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+			}
+			try = 0
+			continue
+		}
+		one, err := r.sendTo(ctx, chosen, lastEvent)
+		if err == nil {
+			return one, nil
+		}
+		var lost *worker.Lost
+		if errors.As(err, &lost) {
+			return nil, err
+		}
+	}
+}
+
+// outOfTime says why the context ended: the deadline, or the client left. A
+// request that ran on no worker has not run.
+func (r *request) outOfTime(ctx context.Context) error {
+	if len(r.ran) == 0 {
+		return &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+	}
+	return &worker.Lost{Cause: ctx.Err()}
+}
+
+func (r *request) choose() (directory.Worker, bool) {
+	view := r.gateway.directory.View()
+	wanted := r.gateway.balanceRequest(r)
+	listed := view.Workers[r.service.Name]
+	chosen, found := r.gateway.balancer.Choose(listed, wanted)
+	if found {
+		r.note(eventChosen, "worker", chosen.ID, "affinity", wanted.Affinity, "listed", len(listed), "tried", len(r.tried))
+	}
+	return chosen, found
+}
+
+// sendTo sends the request to one worker, whose Done is owed by the caller if
+// there is no error.
+func (r *request) sendTo(ctx context.Context, chosen directory.Worker, lastEvent string) (*attempt, error) {
+	r.workerID = chosen.ID
+	sent := time.Now()
+	r.sentAfter = sent.Sub(r.received)
+	silence := time.AfterFunc(r.silence(), func() { r.gateway.silent(r.envelope.RequestID, chosen) })
+	defer silence.Stop()
+	attemptContext, watch := r.watchSilence(ctx)
+	answer, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.connectionLimit(), r.outgoing(chosen, lastEvent), r.gateway.options.Dialect.Head)
+	if err != nil || answer.NotExecuted {
+		defer watch.end()
+	}
+	if err == nil && answer.NotExecuted {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, smallAnswerBytes))
+		answer.Close()
+		r.pass(chosen, verdictOfRejection(answer.Status), nil)
+		return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+	}
+	if err != nil {
+		return nil, r.failed(ctx, chosen, watch.blame(err))
+	}
+	r.ran[chosen.ID] = true
+	r.begunAfter = time.Since(r.received)
+	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status)
+	return &attempt{worker: chosen, answer: answer, sent: sent, watch: watch}, nil
+}
+
+// pass ends an attempt that did not run.
+func (r *request) pass(chosen directory.Worker, verdict balance.Verdict, cause error) {
+	r.tried[chosen.ID] = true
+	if verdict == balance.TurnedAway {
+		r.full = append(r.full, chosen.ID)
+	}
+	r.turnedAway++
+	r.note(eventNotRun, "worker", chosen.ID, "verdict", verdict.String(), "cause", errorText(cause))
+	r.gateway.done(r, chosen, verdict)
+}
+
+// failed ends an attempt without an answer.
+func (r *request) failed(ctx context.Context, chosen directory.Worker, err error) error {
+	var notSent *worker.NotSent
+	if errors.As(err, &notSent) {
+		verdict := balance.Unreachable
+		var full *worker.TooManyConnections
+		if ctx.Err() != nil || errors.As(err, &full) {
+			verdict = balance.Abandoned
+		}
+		r.pass(chosen, verdict, err)
+		return err
+	}
+	r.ran[chosen.ID] = true
+	r.tried[chosen.ID] = true
+	r.note(eventLost, "worker", chosen.ID, "cause", err.Error())
+	if ctx.Err() != nil {
+		r.gateway.done(r, chosen, balance.Abandoned)
+		return &worker.Lost{Cause: ctx.Err()}
+	}
+	r.gateway.done(r, chosen, balance.Failed)
+	return err
+}
+
+// silence is how long a worker may take to begin its answer before that counts
+// against it.
+func (r *request) silence() time.Duration {
+	if r.route.TargetLatency <= 0 {
+		return defaultSilence
+	}
+	if r.route.Kind == route.Streaming {
+		return streamSilence * r.route.TargetLatency
+	}
+	return plainSilence * r.route.TargetLatency
+}
+
+func (r *request) connectionLimit() int {
+	if r.service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(minConnections, r.service.MaxConnections/connectionShare)
+}
+
+// outgoing makes the request for one worker.
+func (r *request) outgoing(chosen directory.Worker, lastEvent string) *worker.Request {
+	header := make(http.Header, len(r.incoming.Header)+4)
+	for name, values := range r.incoming.Header {
+		header[name] = values
+	}
+	dropConnectionHeaders(header)
+	if _, named := header["User-Agent"]; !named {
+		// Keeps net/http from adding its own.
+		header["User-Agent"] = []string{""}
+	}
+	addressing := Addressing{Worker: chosen.ID, Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent}
+	if r.service.Engine != nil {
+		addressing.Priority = r.gateway.priority(r)
+	}
+	r.gateway.options.Dialect.Address(header, addressing)
+	return &worker.Request{
+		ID: r.envelope.RequestID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
+		Host: r.incoming.Host, Header: header, Body: r.body,
+	}
+}
+
+// dropConnectionHeaders removes what concerns one connection only.
+func dropConnectionHeaders(header http.Header) {
+	for _, name := range header.Values("Connection") {
+		header.Del(name)
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// copyHead copies the head of a worker's answer to the client's.
+func copyHead(to, from http.Header) {
+	closing := to.Get("Connection")
+	for name, values := range from {
+		to[name] = values
+	}
+	dropConnectionHeaders(to)
+	if closing != "" {
+		// The gateway's own wish, set before.
+		to.Set("Connection", closing)
+	}
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/hold.go
@@ -8,6 +8,33 @@
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
+// workersWait bounds how long a request waits for the first list of workers.
+const workersWait = 700 * time.Millisecond
+
+// awaitWorkers holds a request while this process has not learned of any worker
+// yet, which takes some ten milliseconds after a start: refused, the request would
+// cost its client one of few tries.
+func (g *Gateway) awaitWorkers(ctx context.Context) {
+	if g.directory.WorkersRevision() != 0 {
+		return
+	}
+	limit := time.NewTimer(workersWait)
+	defer limit.Stop()
+	for {
+		news := g.directory.News()
+		if g.directory.WorkersRevision() != 0 {
+			return
+		}
+		select {
+		case <-news:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 const (
 	// firstRoomPause and lastRoomPause bound the pauses, which double, before workers
 	// that were full are asked again: some places of a worker become free within that
