--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,22 @@
 		Name: "gateway_configuration_version", Kind: telemetry.KindGauge, Unit: "version",
 		Help: "Version of the configuration in force; 0 is none.",
 	})
+	metricReservations = telemetry.Define(telemetry.Definition{
+		Name: "gateway_reservations", Kind: telemetry.KindGauge, Unit: "reservations",
+		Help: "Budget reservations that were written since the start.",
+	})
+	metricSecondRounds = telemetry.Define(telemetry.Definition{
+		Name: "gateway_reservations_read_again", Kind: telemetry.KindGauge, Unit: "reservations",
+		Help: "Reservations since the start whose sum was read again, because the round was long or showed others under way.",
+	})
+	metricForwarded = telemetry.Define(telemetry.Definition{
+		Name: "gateway_calls_forwarded", Kind: telemetry.KindGauge, Unit: "calls",
+		Help: "Calls to replicas since the start that were answered through another gateway.",
+	})
+	metricAwaitingRoom = telemetry.Define(telemetry.Definition{
+		Name: "gateway_requests_awaiting_room", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Requests that wait for full workers.",
+	})
 	metricDropped = telemetry.Define(telemetry.Definition{
 		Name: "gateway_log_lines_dropped", Kind: telemetry.KindGauge, Unit: "lines",
 		Help: "Log lines that were dropped since the start.",
@@ -72,6 +88,16 @@
 		}
 		return 0
 	})
+	registry.GaugeFunc(metricReservations, func() float64 {
+		written, _ := g.quorum.Reservations()
+		return float64(written)
+	})
+	registry.GaugeFunc(metricSecondRounds, func() float64 {
+		_, readAgain := g.quorum.Reservations()
+		return float64(readAgain)
+	})
+	registry.GaugeFunc(metricForwarded, func() float64 { return float64(g.quorum.Forwarded()) })
+	registry.GaugeFunc(metricAwaitingRoom, func() float64 { return float64(g.awaitingRoom.Load()) })
 	registry.GaugeFunc(metricDropped, func() float64 {
 		if g.options.Log == nil {
 			return 0
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -186,6 +186,7 @@
 	if answer == nil {
 		return nil
 	}
+	r.client.counts.forwarded.Add(1)
 	if group := answer.Standing.GetGroup(); group != nil {
 		r.client.groups.OfferGroup(group)
 	}
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -117,6 +117,9 @@
 	records, sums := total(members)
 	require.Equal(t, 2, records)
 	require.Zero(t, sums)
+	written, readAgain := client.Reservations()
+	require.EqualValues(t, 1, written)
+	require.Zero(t, readAgain)
 }
 
 func TestASumThatShowsAnotherReservationUnderWayIsReadAgain(t *testing.T) {
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -48,6 +49,7 @@
 	// latency is that of calls to replicas.
 	latency  estimate.Latency
 	deferred *deferred
+	counts   counts
 	// reach knows which replicas answer.
 	reach      *reach
 	forwarders *forwarders
@@ -56,6 +58,20 @@
 	calls map[string]replicav1connect.ReplicaServiceClient
 }
 
+// counts are what the client has done since its start.
+type counts struct {
+	reservations, secondRounds, forwarded atomic.Int64
+}
+
+// Reservations returns how many reservations were written, and for how many of them
+// the sum was read again.
+func (c *Client) Reservations() (written, readAgain int64) {
+	return c.counts.reservations.Load(), c.counts.secondRounds.Load()
+}
+
+// Forwarded returns how many calls were answered through another gateway.
+func (c *Client) Forwarded() int64 { return c.counts.forwarded.Load() }
+
 // NewClient returns a client of a process in a zone.
 func NewClient(groups Groups, zone string, client *http.Client) *Client {
 	created := &Client{
--- a/internal/quorum/forward_test.go
+++ b/internal/quorum/forward_test.go
@@ -53,6 +53,7 @@
 	}
 	records, _ := total(members)
 	require.GreaterOrEqual(t, records, 2)
+	require.Positive(t, cut.Forwarded())
 }
 
 func TestAForwarderCallsMembersOnly(t *testing.T) {
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -50,9 +50,11 @@
 		c.deferred.add(along...)
 		return nil, err
 	}
+	c.counts.reservations.Add(1)
 	if OneRound(ledger, reservation.Id, c.now().Sub(began), OneRoundLimit) {
 		return ledger, nil
 	}
+	c.counts.secondRounds.Add(1)
 	later, err := c.append(ctx, &replicav1.AppendRequest{Programs: programs})
 	if err != nil {
 		return nil, err
