A gateway that is cut off reads kept turns through another one too

The forwarder served it and no gateway asked it: turns of stateful routes were refused with 503 where the turns before were not remembered. Test: TestACutOffGatewayReadsTurnsThroughAnother.

--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -187,9 +187,7 @@
 		return nil
 	}
 	r.client.counts.forwarded.Add(1)
-	if group := answer.Standing.GetGroup(); group != nil {
-		r.client.groups.OfferGroup(group)
-	}
+	r.client.groups.OfferGroup(answer.Standing.GetGroup())
 	return answer
 }
 
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -53,6 +53,13 @@
 	return connect.NewResponse(&replicav1.AppendResponse{Standing: standing, Entries: m.entries}), nil
 }
 
+func (m *fakeMember) ReadChain(_ context.Context, request *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
+	return connect.NewResponse(&replicav1.ReadChainResponse{
+		Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: true, Seat: m.seat, Incarnation: 1},
+		Turns:    []*replicav1.Turn{{Id: request.Msg.Id}},
+	}), nil
+}
+
 func (m *fakeMember) counts() (records, sums int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -72,18 +72,7 @@
 func (c *Client) findOnce(ctx context.Context, group *replicav1.Group, id string, known map[string]*replicav1.Turn) (found, absent bool, count int) {
 	answers := make(chan *replicav1.ReadChainResponse, len(group.Members))
 	members := c.nearestFirst(group)
-	ask := func(member *replicav1.Member) {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		request := &replicav1.ReadChainRequest{Epoch: group.Epoch, Id: id}
-		response, err := c.At(member.Address).ReadChain(call, connect.NewRequest(request))
-		if err != nil {
-			answers <- nil
-			return
-		}
-		c.learn(group, member, response.Msg.Standing)
-		answers <- response.Msg
-	}
+	ask := func(member *replicav1.Member) { answers <- c.readChain(ctx, group, member, id) }
 	go ask(members[0])
 	waiting, asked := 1, 1
 	slow := time.NewTimer(nearTimeout)
@@ -118,6 +107,38 @@
 	return false, false, len(standings)
 }
 
+// readChain asks one member, through another gateway where it does not answer; nil
+// means that there was no answer.
+func (c *Client) readChain(ctx context.Context, group *replicav1.Group, member *replicav1.Member, id string) *replicav1.ReadChainResponse {
+	request := &replicav1.ReadChainRequest{Epoch: group.Epoch, Id: id}
+	if !c.reach.isDown(member.Address) {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		response, err := c.At(member.Address).ReadChain(call, connect.NewRequest(request))
+		if err == nil {
+			c.reach.answered(member.Address)
+			c.learn(group, member, response.Msg.Standing)
+			return response.Msg
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.reach.failed(member.Address, err)
+	}
+	if c.reach.refuses(member.Address) {
+		return nil
+	}
+	forwarded := c.forwarders.call(ctx, &replicav1.ForwardRequest{
+		Address: member.Address, Call: &replicav1.ForwardRequest_ReadChain{ReadChain: request},
+	})
+	answer := forwarded.GetReadChain()
+	if answer != nil {
+		c.counts.forwarded.Add(1)
+		c.groups.OfferGroup(answer.Standing.GetGroup())
+	}
+	return answer
+}
+
 func (c *Client) nearestFirst(group *replicav1.Group) []*replicav1.Member {
 	members := make([]*replicav1.Member, 0, len(group.Members))
 	for _, member := range group.Members {
--- a/internal/quorum/forward_test.go
+++ b/internal/quorum/forward_test.go
@@ -56,6 +56,16 @@
 	require.Positive(t, cut.Forwarded())
 }
 
+func TestACutOffGatewayReadsTurnsThroughAnother(t *testing.T) {
+	members, group := startMembers(t, 2)
+	other := NewClient(group, "", http.DefaultClient)
+	cut := NewClient(group, "", cutFrom(members[0].address, members[1].address))
+	cut.forwarders.set([]string{startForwarder(t, other)})
+	turns, err := cut.Chain(t.Context(), "t")
+	require.NoError(t, err)
+	require.Equal(t, "t", turns[0].Id)
+}
+
 func TestAForwarderCallsMembersOnly(t *testing.T) {
 	members, group := startMembers(t, 1)
 	forwarder := NewForwarder(NewClient(group, "", http.DefaultClient))
