--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,7 +15,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
-	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -165,8 +164,7 @@
 }
 
 func (c *Client) service(address string) peerv1connect.PeerServiceClient {
-	return peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address,
-		append(transport.ClientOptions(), connect.WithReadMaxBytes(maxMessageBytes))...)
+	return peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 func (c *Client) link(to structs.NodeID) *journalLink {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,7 +16,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
-	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // maxMessageBytes bounds one message: a snapshot chunk or a call's input.
@@ -50,7 +49,7 @@
 func NewServer(node string, handler Handler) http.Handler {
 	mux := http.NewServeMux()
 	server := &Server{node: node, handler: handler}
-	path, service := peerv1connect.NewPeerServiceHandler(server, transport.HandlerOptions(maxMessageBytes)...)
+	path, service := peerv1connect.NewPeerServiceHandler(server, connect.WithReadMaxBytes(maxMessageBytes))
 	mux.Handle(path, service)
 	return mux
 }
