A request that is given up after six workers no longer counts at a seventh

Cause, found on reading: the worker was chosen, and so counted as busy, before it was known whether one more try was allowed. Each request that six workers turned away left one of them a request busier for as long as it was listed, at that gateway; requests that wait for room could do so several times. Test: TestARequestThatIsGivenUpCountsAtNoWorker (one left over before).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -175,6 +175,16 @@
 	b.of(worker).underWay++
 }
 
+// UnderWay returns how many requests of this process a worker has.
+func (b *Balancer) UnderWay(worker string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if known := b.record[worker]; known != nil {
+		return known.underWay
+	}
+	return 0
+}
+
 // Verdict is how an attempt at a worker ended.
 type Verdict int
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,11 +31,11 @@
 		if ctx.Err() != nil {
 			return nil, r.outOfTime(ctx)
 		}
-		chosen, found := r.choose()
-		if !found || try >= maxTries {
-			if !r.awaitRoom(ctx) {
-				return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
-			}
+		chosen, found := r.chooseTry(try)
+		if !found && !r.awaitRoom(ctx) {
+			return nil, &NoWorker{Service: r.service.Name, Tried: r.turnedAway}
+		}
+		if !found {
 			try = 0
 			continue
 		}
@@ -59,6 +59,15 @@
 	return &worker.Lost{Cause: ctx.Err()}
 }
 
+// chooseTry returns the worker of a try, if there is one and not too many were
+// asked.
+func (r *request) chooseTry(try int) (directory.Worker, bool) {
+	if try >= maxTries {
+		return directory.Worker{}, false
+	}
+	return r.choose()
+}
+
 func (r *request) choose() (directory.Worker, bool) {
 	view := r.gateway.directory.View()
 	wanted := r.gateway.balanceRequest(r)
--- /dev/null
+++ b/internal/gateway/attempt_test.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/balance"
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
+)
+
+// silentDialect says nothing in heads.
+type silentDialect struct{}
+
+func (silentDialect) ReadinessPath() string             { return "/" }
+func (silentDialect) Envelope(http.Header) Envelope     { return Envelope{} }
+func (silentDialect) Address(http.Header, Addressing)   {}
+func (silentDialect) Head(int, http.Header) worker.Head { return worker.Head{} }
+
+// TestARequestThatIsGivenUpCountsAtNoWorker holds that a worker which was chosen
+// once too often is not taken to be busy for ever.
+func TestARequestThatIsGivenUpCountsAtNoWorker(t *testing.T) {
+	g := &Gateway{
+		options: Options{Dialect: silentDialect{}}, balancer: balance.New(time.Now), waits: balance.NewWaits(),
+		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
+		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
+	}
+	var listed []directory.Worker
+	for i := range maxTries + 2 {
+		listed = append(listed, directory.Worker{ID: fmt.Sprint(i), Service: "s", Address: "127.0.0.1:1"})
+	}
+	g.directory.OfferWorkers(listed, 1)
+	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/p", nil)
+	require.NoError(t, err)
+	r := &request{
+		gateway: g, incoming: incoming, route: &route.Route{Kind: route.Unsafe}, service: route.Service{Name: "s"},
+		received: time.Now(), deadline: time.Now().Add(time.Minute),
+		tried: make(map[string]bool), ran: make(map[string]bool), gone: make(map[string]bool),
+	}
+	_, err = r.send(t.Context(), "")
+	var refused *NoWorker
+	require.ErrorAs(t, err, &refused)
+	for _, each := range listed {
+		require.Zero(t, g.balancer.UnderWay(each.ID), each.ID)
+	}
+}
