--- a/internal/emulator/standin.go
+++ b/internal/emulator/standin.go
@@ -42,6 +42,7 @@
 	mutex    sync.Mutex
 	port     string
 	server   *http.Server
+	listener net.Listener
 }
 
 // Address returns the base URL, the same one after a restart.
@@ -64,6 +65,7 @@
 	}
 	s.port = listener.Addr().String()
 	s.server = &http.Server{Handler: s.counted(handler), ReadHeaderTimeout: time.Minute}
+	s.listener = listener
 	go serve(s.server, listener)
 	return nil
 }
@@ -97,7 +99,9 @@
 	if s.server == nil {
 		return
 	}
-	// The error says only that the listener was closed before.
+	// The server closes only a listener that it has begun to serve. The errors say
+	// only that the listener was closed before.
+	_ = s.listener.Close()
 	_ = s.server.Close()
 	s.server = nil
 }
