A copy of a seat's records goes on where it stopped; the search for groups that do not come back

Cause: a member that could not finish its copy began it anew from the start, after 60 ms, from all other members at once.

Change: what was copied from each source is remembered by the life of its process and the position in it; parts shrink while they time out; attempts that bring nothing come less often (60 ms to 1 s); the first attempt asks as few sources as are enough, the holder before alone while a seat is in transfer. The records that a leaving node hands over go on alike.

Ruled out: that groups stay stuck by what their members know of each other's lives. The liveness search (liveness_test.go) plays 1,500 schedules of the proof, then rounds without a fault with the announcements that the product makes: none stays stuck after 8 rounds.

--- a/internal/replica/proof_test.go
+++ b/internal/replica/proof_test.go
@@ -41,10 +41,15 @@
 	longRound       breakage = "a sum counts in one round however long that took"
 	unsettledRound  breakage = "a sum counts in one round although others are under way"
 	earlySettlement breakage = "what a turn used is told right after its grant"
+	// The two that follow keep a group from coming back, which runLiveness sees.
+	askOnce         breakage = "a source that was copied is not asked again how it stands"
+	noAnnouncements breakage = "no member tells the others which incarnation it is"
 	proofBudget              = 100
 	proofMost                = 30
 	proofReplicas            = 3
 	proofSteps               = 400
+	// proofPartBytes makes a copy take several parts.
+	proofPartBytes = 200
 	// proofRound and proofSettle stand for quorum.OneRoundLimit and
 	// quorum.SettleDelay; a step is the unit of time.
 	proofRound  = 20
@@ -58,10 +63,11 @@
 	name    string
 	disk    *recordlogtest.Disk
 	service *service
-	// pulled are the standings of the recovery that is under way.
-	pulled   []*replicav1.Standing
-	pulledOf map[string]bool
-	gone     bool
+	// copy is the recovery that is under way, nil for none; pulled are the standings of
+	// the sources that were copied whole, by node.
+	copy   *seatCopy
+	pulled map[string]*replicav1.Standing
+	gone   bool
 }
 
 func (n *proofNode) state() *state { return n.service.state }
@@ -165,7 +171,7 @@
 		state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now),
 		roster: newRoster(time.Now),
 	}
-	node.pulled, node.pulledOf = nil, nil
+	node.copy, node.pulled = nil, nil
 }
 
 func (p *proof) close() {
@@ -453,17 +459,19 @@
 
 func (p *proof) unrecoveredBut(except *proofNode) *proofNode {
 	for _, member := range p.group.Members {
-		node := p.nodes[member.Node]
-		if node == except {
-			continue
-		}
-		if identity := node.state().currentIdentity(); identity == nil || !identity.Recovered || identity.Claim != member.Claim {
+		if node := p.nodes[member.Node]; node != except && p.lacks(node) {
 			return node
 		}
 	}
 	return nil
 }
 
+// lacks reports whether a member does not hold everything that its seat held.
+func (p *proof) lacks(node *proofNode) bool {
+	identity := node.state().currentIdentity()
+	return identity == nil || !identity.Recovered || identity.Claim != seatOf(p.group, node.name).Claim
+}
+
 // recoverStep takes one step of the recovery of a member that needs it.
 func (p *proof) recoverStep() {
 	node := p.unrecovered()
@@ -473,22 +481,27 @@
 	if other := p.unrecoveredBut(node); other != nil && p.random.IntN(2) == 0 {
 		node = other
 	}
+	p.recoverStepOf(node)
+}
+
+// recoverStepOf takes one step of one member's recovery.
+func (p *proof) recoverStepOf(node *proofNode) {
 	member := seatOf(p.group, node.name)
 	p.must(node.state().write(groupRecord(p.group)))
 	if begun := node.state().currentIdentity(); begun != nil && begun.Incarnation == member.Predecessor.GetReceivedBy() {
 		p.markRecovered(node)
 		return
 	}
-	if node.pulledOf == nil {
+	if node.copy == nil {
 		identity := &replicav1.Identity{
 			Seat: member.Seat, Claim: member.Claim, Incarnation: p.random.Uint64() | 1, Recovered: p.broken == countEmpty,
 		}
 		p.must(node.state().write(identityRecord(identity)))
-		node.pulled, node.pulledOf = nil, map[string]bool{}
+		node.copy, node.pulled = newSeatCopy(), make(map[string]*replicav1.Standing)
 		return
 	}
 	p.pull(node)
-	enough := p.enough(member, node.pulled)
+	enough := p.enough(member, p.wholeCopies(node))
 	if enough == nil {
 		return
 	}
@@ -501,11 +514,22 @@
 	p.markRecovered(node)
 }
 
+// wholeCopies returns the standings of the sources that a node has copied whole, in
+// the order of the nodes.
+func (p *proof) wholeCopies(node *proofNode) (standings []*replicav1.Standing) {
+	for _, name := range p.order {
+		if standing := node.pulled[name]; standing != nil {
+			standings = append(standings, standing)
+		}
+	}
+	return standings
+}
+
 func (p *proof) markRecovered(node *proofNode) {
 	recovered := proto.CloneOf(node.state().currentIdentity())
 	recovered.Recovered = true
 	p.must(node.state().write(identityRecord(recovered)))
-	node.pulledOf = nil
+	node.copy = nil
 }
 
 // enough applies the breakages that concern when a recovery is done.
@@ -536,21 +560,30 @@
 	return seenBy(pulled, seat)
 }
 
-// pull copies all records of another member.
+// pull copies one part of another member's records, from where the last one ended.
 func (p *proof) pull(node *proofNode) {
 	other := p.source(node)
-	if other == node || other.gone || node.pulledOf[other.name] {
+	if other == node || other.gone {
 		return
 	}
 	p.must(other.state().write(groupRecord(p.group)))
 	identity := node.state().currentIdentity()
-	request := &replicav1.PullRequest{Epoch: p.group.Epoch, Seat: identity.Seat, Incarnation: identity.Incarnation}
+	copied := node.copy.of(other.name)
+	request := &replicav1.PullRequest{
+		Epoch: p.group.Epoch, Seat: identity.Seat, Incarnation: identity.Incarnation, After: copied.after, MaxBytes: proofPartBytes,
+	}
 	response, err := other.service.Pull(context.Background(), connect.NewRequest(request))
 	p.must(err)
 	p.must(node.state().write(response.Msg.Records...))
+	if p.broken == askOnce && node.pulled[other.name] != nil {
+		return
+	}
+	delete(node.pulled, other.name)
+	if copied.take(response.Msg) {
+		return
+	}
 	if response.Msg.Standing.Recovered || p.broken == anyPredecessor {
-		node.pulledOf[other.name] = true
-		node.pulled = append(node.pulled, p.standing(response.Msg.Standing))
+		node.pulled[other.name] = p.standing(response.Msg.Standing)
 	}
 }
 
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -29,7 +29,7 @@
 		if group == nil {
 			continue
 		}
-		message := r.announcement(group)
+		message := announcementOf(r.state, group, r.options.Node)
 		for _, member := range group.Members {
 			if member.Node != r.options.Node {
 				go r.announceTo(ctx, member, message)
@@ -38,9 +38,10 @@
 	}
 }
 
-func (r *Replica) announcement(group *replicav1.Group) *replicav1.AnnounceRequest {
-	message := &replicav1.AnnounceRequest{Group: group, Node: r.options.Node}
-	if identity := r.state.currentIdentity(); identity != nil && seatOf(group, r.options.Node) != nil {
+// announcementOf returns what a node tells the members of a group.
+func announcementOf(state *state, group *replicav1.Group, node string) *replicav1.AnnounceRequest {
+	message := &replicav1.AnnounceRequest{Group: group, Node: node}
+	if identity := state.currentIdentity(); identity != nil && seatOf(group, node) != nil {
 		message.Seat, message.Incarnation = identity.Seat, identity.Incarnation
 	}
 	return message
@@ -209,7 +210,16 @@
 	return r.handOver(ctx, group)
 }
 
-// handOver writes all records of this node to every member.
+// handOver is how far a member has got this node's records.
+type handOver struct {
+	// incarnation is the life of the member's folder that got them.
+	incarnation uint64
+	// position is the one after the last of them.
+	position uint64
+}
+
+// handOver writes all records of this node to every member. An attempt goes on where
+// the one before it stopped.
 func (r *Replica) handOver(ctx context.Context, group *replicav1.Group) bool {
 	if err := r.state.write(groupRecord(group)); err != nil {
 		return false
@@ -223,9 +233,9 @@
 }
 
 func (r *Replica) handOverTo(ctx context.Context, group *replicav1.Group, member *replicav1.Member) bool {
-	var position uint64
+	done := r.handOvers[member.Node]
 	for {
-		records, next, more, err := r.state.after(position, pullBytes)
+		records, next, more, err := r.state.after(done.position, maxPullBytes)
 		if err != nil {
 			return false
 		}
@@ -241,9 +251,18 @@
 			r.directory.OfferGroup(standing.Group)
 			return false
 		}
+		if done.incarnation != standing.Incarnation {
+			restart := done.position != 0
+			done = handOver{incarnation: standing.Incarnation}
+			if restart {
+				// What went to a former life of the member's folder is lost.
+				continue
+			}
+		}
+		done.position = next
+		r.handOvers[member.Node] = done
 		if !more {
 			return true
 		}
-		position = next
 	}
 }
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -14,7 +14,11 @@
 )
 
 const (
+	// settlePause is how often a node looks whether its seat is its own: a share of
+	// the seconds that a copy takes.
 	settlePause = 60 * time.Millisecond
+	// pullTimeout bounds the copy of one part, which takes some ten milliseconds
+	// between machines that are well.
 	pullTimeout = 1500 * time.Millisecond
 )
 
@@ -51,16 +55,19 @@
 	case r.beginsWithGroup(group, member, identity):
 		r.startIdentity(member, true)
 		return
-	case !begun || !r.pulling:
-		r.startIdentity(member, false)
-		r.copied = 0
+	case !begun || r.copy == nil:
+		if !r.startIdentity(member, false) {
+			return
+		}
+		identity = r.state.currentIdentity()
+		r.copy = newSeatCopy()
 	}
-	r.pulling = true
-	identity = r.state.currentIdentity()
-	if identity.Incarnation != r.copied && !r.copySeat(ctx, group, member, identity) {
-		return
+	if !r.copy.done {
+		if !pause.For(ctx, r.copy.pause()) || !r.copySeat(ctx, group, member, identity) {
+			return
+		}
+		r.copy.done = true
 	}
-	r.copied = identity.Incarnation
 	if inTransfer(member) {
 		r.propose(ctx, group, receivedGroup(group, member.Seat, identity.Incarnation))
 		return
@@ -76,7 +83,7 @@
 		eventWriteFailed.Log("cause", err.Error())
 		return
 	}
-	r.pulling, r.copied = false, 0
+	r.copy = nil
 	eventRecovered.Log("seat", identity.Seat, "epoch", group.Epoch)
 }
 
@@ -96,45 +103,56 @@
 	return first || len(group.Members) == 1
 }
 
-// startIdentity writes a new incarnation.
-func (r *Replica) startIdentity(member *replicav1.Member, recovered bool) {
+// startIdentity writes a new incarnation and reports whether it is on the disk.
+func (r *Replica) startIdentity(member *replicav1.Member, recovered bool) bool {
 	identity := &replicav1.Identity{
 		Seat: member.Seat, Claim: member.Claim, Incarnation: rand.Uint64() | 1, Recovered: recovered,
 	}
 	if err := r.state.write(identityRecord(identity)); err != nil {
 		eventWriteFailed.Log("cause", err.Error())
-		return
+		return false
 	}
 	eventSeatTaken.Log("seat", member.Seat, "claim", member.Claim, "recovered", recovered)
+	return true
 }
 
-// copySeat pulls all records from enough other recovered members that no
-// acknowledged one can be missing, or, while the seat is in transfer, from the
-// node that held it before.
+// copySeat makes one attempt to pull all records from enough other recovered members
+// that no acknowledged one can be missing, or, while the seat is in transfer, from the
+// node that held it before. It returns false where more attempts are needed.
 func (r *Replica) copySeat(ctx context.Context, group *replicav1.Group, member *replicav1.Member, identity *replicav1.Identity) bool {
 	began := time.Now()
-	sources := recoverySources(group, member)
-	results := make(chan *replicav1.Standing, len(sources))
-	for _, source := range sources {
-		go func() { results <- r.pullAll(ctx, group, source, identity) }()
-	}
-	var standings []*replicav1.Standing
-	for range sources {
-		if standing := <-results; standing != nil {
-			standings = append(standings, standing)
-		}
-		enough := enoughToRecover(group, member, standings)
-		if enough == nil {
+	attempt, stop := context.WithCancel(ctx)
+	defer stop()
+	wanted := r.copy.wanted(group, member)
+	results := make(chan pulled, len(wanted))
+	for _, source := range wanted {
+		copied := r.copy.of(source.Node)
+		go func() { results <- r.pullAll(attempt, group, source, identity, copied) }()
+	}
+	var standings, enough []*replicav1.Standing
+	brought := false
+	// All results are awaited: the next attempt goes on where each has stopped.
+	for range wanted {
+		result := <-results
+		brought = brought || result.brought
+		if result.standing == nil || enough != nil {
 			continue
 		}
-		if err := r.state.write(seenBy(enough, member.Seat)...); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
-			return false
+		standings = append(standings, result.standing)
+		if enough = enoughToRecover(group, member, standings); enough != nil {
+			stop()
 		}
-		eventCopied.Log("seat", member.Seat, "epoch", group.Epoch, "sources", len(enough), "milliseconds", time.Since(began).Milliseconds())
-		return true
 	}
-	return false
+	if enough == nil {
+		r.copy.attemptFailed(brought)
+		return false
+	}
+	if err := r.state.write(seenBy(enough, member.Seat)...); err != nil {
+		eventWriteFailed.Log("cause", err.Error())
+		return false
+	}
+	eventCopied.Log("seat", member.Seat, "epoch", group.Epoch, "sources", len(enough), "milliseconds", time.Since(began).Milliseconds())
+	return true
 }
 
 // recoverySources returns the other members and, while the seat is in transfer,
@@ -205,36 +223,51 @@
 	return records
 }
 
-// pullAll copies all records of another member. It returns that member's
-// standing if the copy is whole and the member itself was recovered.
-func (r *Replica) pullAll(ctx context.Context, group *replicav1.Group, other *replicav1.Member, identity *replicav1.Identity) *replicav1.Standing {
-	request := &replicav1.PullRequest{
-		Epoch: group.Epoch, Seat: identity.Seat, Incarnation: identity.Incarnation, Claim: identity.Claim,
-	}
-	r.announceTo(ctx, other, r.announcement(group))
-	var life uint64
+// pulled is the outcome of an attempt to copy one source.
+type pulled struct {
+	// standing is what the source said of itself with its last record; nil if the
+	// copy is not whole or the source itself not recovered.
+	standing *replicav1.Standing
+	// brought is set if any record came.
+	brought bool
+}
+
+// pullAll copies the records of another member that are not here yet, part by part.
+func (r *Replica) pullAll(ctx context.Context, group *replicav1.Group, other *replicav1.Member, identity *replicav1.Identity, copied *sourceCopy) (result pulled) {
+	r.announceTo(ctx, other, announcementOf(r.state, group, r.options.Node))
 	for {
-		call, cancel := context.WithTimeout(ctx, pullTimeout)
-		response, err := r.quorum.At(other.Address).Pull(call, connect.NewRequest(request))
-		cancel()
+		part, err := r.pullPart(ctx, group, other, identity, copied)
 		if err != nil {
-			return nil
+			if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+				copied.timedOut()
+			}
+			if ctx.Err() == nil {
+				eventCopyBroken.Log("seat", identity.Seat, "source", other.Node, "position", copied.after, "cause", err.Error())
+			}
+			return result
 		}
-		part := response.Msg
-		r.directory.OfferGroup(part.Standing.Group)
-		if life != 0 && part.Life != life {
-			return nil
+		result.brought = result.brought || len(part.Records) > 0
+		if copied.take(part) {
+			continue
 		}
-		life = part.Life
-		if err := r.state.write(part.Records...); err != nil {
-			return nil
+		if part.Standing.Recovered {
+			result.standing = part.Standing
 		}
-		if !part.More {
-			if !part.Standing.Recovered {
-				return nil
-			}
-			return part.Standing
-		}
-		request.After = part.Next
+		return result
+	}
+}
+
+// pullPart copies one part and writes it to the disk.
+func (r *Replica) pullPart(ctx context.Context, group *replicav1.Group, other *replicav1.Member, identity *replicav1.Identity, copied *sourceCopy) (*replicav1.PullResponse, error) {
+	call, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	response, err := r.quorum.At(other.Address).Pull(call, connect.NewRequest(&replicav1.PullRequest{
+		Epoch: group.Epoch, Seat: identity.Seat, Incarnation: identity.Incarnation, Claim: identity.Claim,
+		After: copied.after, MaxBytes: uint32(copied.partBytes),
+	}))
+	if err != nil {
+		return nil, err
 	}
+	r.directory.OfferGroup(response.Msg.Standing.Group)
+	return response.Msg, r.state.write(response.Msg.Records...)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,13 +62,13 @@
 	state     *state
 
 	// The fields below belong to one loop each.
-	// pulling is set while the present incarnation receives what its seat held, and
-	// copied is the incarnation that has it.
-	pulling bool
-	copied  uint64
+	// copy is what the present incarnation has received of what its seat held; nil
+	// while nothing is to be received.
+	copy *seatCopy
 
-	retiring bool
-	retired  bool
+	handOvers map[string]handOver
+	retiring  bool
+	retired   bool
 }
 
 // New opens the data folder.
@@ -79,6 +79,7 @@
 	}
 	replica := &Replica{
 		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
+		handOvers: make(map[string]handOver),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View) {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -13,9 +13,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
-// pullBytes bounds one part of a recovery.
-const pullBytes = 512 << 10
-
 // service answers gateways and other replicas. It implements
 // replicav1connect.ReplicaServiceHandler.
 type service struct {
@@ -66,13 +63,21 @@
 	}
 	response := &replicav1.PullResponse{Life: s.state.life, Standing: s.state.standing(request.Msg.Epoch)}
 	var err error
-	response.Records, response.Next, response.More, err = s.state.after(request.Msg.After, pullBytes)
+	response.Records, response.Next, response.More, err = s.state.after(request.Msg.After, partBytes(request.Msg.MaxBytes))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeDataLoss, err)
 	}
 	return connect.NewResponse(response), nil
 }
 
+// partBytes returns the size of a part of a copy; 0 is a caller that names none.
+func partBytes(wanted uint32) int {
+	if wanted == 0 {
+		return maxPullBytes
+	}
+	return min(int(wanted), maxPullBytes)
+}
+
 // Announce takes another replica's group and incarnation.
 func (s *service) Announce(_ context.Context, request *connect.Request[replicav1.AnnounceRequest]) (*connect.Response[replicav1.AnnounceResponse], error) {
 	message := request.Msg
