Workers of the own zone first where there are many; mechanisms can be left out by a setting

Change: where a gateway's requests a second, times the 9 s that a connection is kept, are under two for each worker, workers of its own zone come first, up to two requests more than the least loaded of all; the others take over where the zone is full or more than half of its workers are out. Where a gateway has requests for every worker, as on all small sites, nothing changes.

disabledMechanisms, a checked setting for experiments, leaves out one of 16 mechanisms.

--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -52,7 +52,7 @@
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
 		Forwarder: loaded.Forwarder, Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
-		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(),
+		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(), Disabled: loaded.Disabled(),
 	}, newStore(loaded))
 	c.follow(c.app.context, loaded, settings.Role.ValidateGateway, func(changed settings.Role) {
 		running.Reload(changed.Seeds, changed.Grace())
@@ -74,7 +74,7 @@
 	defer log.Close(logCloseTimeout)
 	running, err := replica.New(replica.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Address: loaded.Replica, Folder: loaded.DataFolder,
-		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, Metrics: loaded.Metrics,
+		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, Metrics: loaded.Metrics, Disabled: loaded.Disabled(),
 	}, newStore(loaded))
 	if err != nil {
 		return err
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,7 +1,9 @@
 // Package balance chooses the worker of an attempt out of what one gateway
 // knows: the workers listed, its own requests under way and how its last ones
 // ended. No gateway asks another: requests of a program prefer the worker that
-// its hash ranks first, which is the same at every gateway.
+// its hash ranks first, which is the same at every gateway, or at every gateway of
+// a zone where there are so many workers that each gateway would have requests for
+// one of them only now and then.
 package balance
 
 import (
@@ -41,15 +43,20 @@
 	// Affinity is shared by requests that profit from the same worker; "" has
 	// no preference.
 	Affinity string
+	// Service is what the workers belong to.
+	Service string
 	// Tried are workers that this request is not to go to again.
 	Tried map[string]bool
 }
 
 // Balancer keeps the record of each worker. It is safe for concurrent use.
 type Balancer struct {
-	now    func() time.Time
+	now func() time.Time
+	// zone is this process's own; empty prefers no worker for its zone.
+	zone   string
 	mutex  sync.Mutex
 	record map[string]*record
+	rates  map[string]*requestRate
 	turn   uint64
 }
 
@@ -63,9 +70,9 @@
 	pace         pace
 }
 
-// New returns a balancer.
-func New(now func() time.Time) *Balancer {
-	return &Balancer{now: now, record: make(map[string]*record)}
+// New returns a balancer of a process in a zone.
+func New(now func() time.Time, zone string) *Balancer {
+	return &Balancer{now: now, zone: zone, record: make(map[string]*record), rates: make(map[string]*requestRate)}
 }
 
 type candidate struct {
@@ -80,15 +87,28 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.turn++
+	b.rateOf(request.Service).count(b.now())
 	candidates := b.candidates(workers, request)
 	if len(candidates) == 0 {
 		return directory.Worker{}, false
 	}
+	if near := b.nearFirst(candidates, request, zonesOf(workers)); len(near) > 0 {
+		candidates = near
+	}
 	best := pick(candidates, request)
 	b.of(best.worker.ID).underWay++
 	return best.worker.Worker, true
 }
 
+// zonesOf returns how many workers each zone has.
+func zonesOf(workers []directory.Listed) map[string]int {
+	zones := make(map[string]int)
+	for _, worker := range workers {
+		zones[worker.Zone]++
+	}
+	return zones
+}
+
 // pick returns the first candidate by rank that has not clearly more under way
 // than the least loaded one.
 func pick(candidates []candidate, request Request) candidate {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -31,7 +31,7 @@
 
 func TestEveryBalancerPrefersTheSameWorkerForAProgram(t *testing.T) {
 	_, now := fixed()
-	one, other := New(now), New(now)
+	one, other := New(now, ""), New(now, "")
 	used := map[string]bool{}
 	for program := range 40 {
 		request := Request{Affinity: fmt.Sprintf("p%d", program)}
@@ -46,7 +46,7 @@
 
 func TestAffinityGivesWayToLoad(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	counts := map[string]int{}
 	for range 30 {
 		counts[choose(t, b, workers(3), Request{Affinity: "p"})]++
@@ -59,7 +59,7 @@
 
 func TestRequestsWithoutAffinityGoToTheLeastLoaded(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	counts := map[string]int{}
 	for range 40 {
 		counts[choose(t, b, workers(4), Request{})]++
@@ -71,7 +71,7 @@
 
 func TestATriedWorkerIsNotChosenAgain(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	_, found := b.Choose(workers(2), Request{Tried: map[string]bool{"w0": true, "w1": true}})
 	require.False(t, found)
 	require.Equal(t, "w1", choose(t, b, workers(2), Request{Tried: map[string]bool{"w0": true}}))
@@ -79,7 +79,7 @@
 
 func TestAWorkerIsEjectedAfterFailuresInARowAndComesBack(t *testing.T) {
 	now, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	only := Request{Tried: map[string]bool{"w1": true, "w2": true}}
 	require.Equal(t, "w0", choose(t, b, workers(3), only))
 	require.False(t, b.Done("w0", Failed), "one broken answer is no reason")
@@ -102,7 +102,7 @@
 
 func TestAnEjectionGrowsWithEachRepeat(t *testing.T) {
 	now, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	ejectedAt := func(id string) time.Duration { return b.of(id).ejectedUntil.Sub(*now) }
 	fail := func() {
 		*now = now.Add(lastEject)
@@ -127,7 +127,7 @@
 
 func TestAWorkerThatFailsHalfOfTheTimeIsEjected(t *testing.T) {
 	_, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	ejected := false
 	for n := 0; n < 40 && !ejected; n++ {
 		b.Begin("w0")
@@ -142,7 +142,7 @@
 
 func TestARareFailureEjectsNobody(t *testing.T) {
 	_, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	for n := range 400 {
 		b.Begin("w0")
 		verdict := Served
@@ -155,7 +155,7 @@
 
 func TestASlowWorkerGetsNoWorkUntilItIsTriedAgain(t *testing.T) {
 	now, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	for range paceSamples {
 		for _, each := range workers(5) {
 			took := 0.2
@@ -181,7 +181,7 @@
 
 func TestWorkersThatAreAllSlowAreNotSlow(t *testing.T) {
 	_, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	for range 10 {
 		for i, each := range workers(5) {
 			b.Answered(each.ID, 3+float64(i)/10)
@@ -198,7 +198,7 @@
 
 func TestSilenceCountsBeforeTheAttemptEnds(t *testing.T) {
 	_, clock := fixed()
-	b := New(clock)
+	b := New(clock, "")
 	b.Begin("w0")
 	b.Begin("w0")
 	require.False(t, b.Silent("w0"))
@@ -208,7 +208,7 @@
 
 func TestAServiceIsNeverEmptiedByEjections(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	for _, each := range workers(3) {
 		b.Begin(each.ID)
 		b.Done(each.ID, Unreachable)
@@ -224,7 +224,7 @@
 
 func TestALapsedWorkerIsTheLastResort(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	listed := workers(2)
 	listed[0].Lapsed = true
 	for range 10 {
@@ -235,7 +235,7 @@
 
 func TestForgetKeepsWhatIsUnderWay(t *testing.T) {
 	_, now := fixed()
-	b := New(now)
+	b := New(now, "")
 	b.Begin("busy")
 	b.Begin("idle")
 	b.Done("idle", Served)
@@ -245,7 +245,7 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	balancer := New(time.Now)
+	balancer := New(time.Now, "")
 	listed := workers(40)
 	for b.Loop() {
 		chosen, _ := balancer.Choose(listed, Request{Affinity: "program"})
--- /dev/null
+++ b/internal/directory/workers_test.go
@@ -0,0 +1,80 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ready(id string) Worker { return Worker{ID: id, Service: "s", Address: id + ":1"} }
+
+// idsOf returns the ids that a state's service has, lapsed ones left out.
+func idsOf(state *State) (ids []string) {
+	for _, worker := range state.View().Workers["s"] {
+		if !worker.Lapsed {
+			ids = append(ids, worker.ID)
+		}
+	}
+	return ids
+}
+
+// TestOnlyWhatChangedIsPassedOn: whole lists to hundreds of gateways for each change
+// were megabytes a second.
+func TestOnlyWhatChangedIsPassedOn(t *testing.T) {
+	from, to := NewState(time.Now, nil), NewState(time.Now, nil)
+	var many []Worker
+	for i := range 150 {
+		many = append(many, ready(fmt.Sprintf("w%d", i)))
+	}
+	from.OfferWorkers(many, 5)
+	to.OfferWorkerList(from.WorkerChanges(to.WorkersRevision()))
+	require.Len(t, idsOf(to), 150, "who knows nothing gets the whole list")
+
+	draining := ready("w1")
+	draining.Draining = true
+	from.ChangeWorkers([]Change{{Object: Object{Name: "w0"}, Gone: true}, {Object: Object{Name: "w1", Worker: &draining}}}, 7)
+	added := ready("added")
+	from.ChangeWorkers([]Change{{Object: Object{Name: "added", Worker: &added}}}, 9)
+	changes := from.WorkerChanges(to.WorkersRevision())
+	require.Len(t, changes.Workers, 2)
+	require.Equal(t, []string{"w0"}, changes.Gone)
+	to.OfferWorkerList(changes)
+	require.ElementsMatch(t, idsOf(from), idsOf(to))
+	require.Equal(t, int64(9), to.WorkersRevision())
+}
+
+func TestChangesThatOverlapWhatIsKnownDoNoHarm(t *testing.T) {
+	from, to := NewState(time.Now, nil), NewState(time.Now, nil)
+	from.OfferWorkers([]Worker{ready("a"), ready("b")}, 5)
+	to.OfferWorkers([]Worker{ready("a"), ready("b")}, 5)
+	added := ready("c")
+	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}, {Object: Object{Name: "c", Worker: &added}}}, 9)
+	// This one heard of the first change from elsewhere.
+	to.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 7)
+	to.OfferWorkerList(from.WorkerChanges(7))
+	require.ElementsMatch(t, []string{"b", "c"}, idsOf(to))
+}
+
+func TestChangesThatFollowOnALaterRevisionAreLeft(t *testing.T) {
+	from, to := NewState(time.Now, nil), NewState(time.Now, nil)
+	from.OfferWorkers([]Worker{ready("a")}, 5)
+	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 8)
+	late := from.WorkerChanges(5)
+	to.OfferWorkers([]Worker{ready("a"), ready("b")}, 3)
+	to.OfferWorkerList(late)
+	require.Equal(t, int64(3), to.WorkersRevision(), "what happened between 3 and 5 is not known")
+}
+
+func TestAStepThatIsForgottenGivesTheWholeList(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferWorkers([]Worker{ready("a")}, 1)
+	for revision := range int64(maxHistory + 5) {
+		changed := ready("b")
+		changed.Slots = int(revision)
+		state.ChangeWorkers([]Change{{Object: Object{Name: "b", Worker: &changed}}}, revision+2)
+	}
+	require.Zero(t, state.WorkerChanges(2).Since)
+	require.NotZero(t, state.WorkerChanges(maxHistory).Since)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -72,6 +74,9 @@
 	view := r.gateway.directory.View()
 	wanted := r.gateway.balanceRequest(r)
 	listed := view.Workers[r.service.Name]
+	if r.gateway.disabled(mechanism.LapsedWorkers) {
+		listed = slices.DeleteFunc(slices.Clone(listed), func(each directory.Listed) bool { return each.Lapsed })
+	}
 	chosen, found := r.gateway.balancer.Choose(listed, wanted)
 	if found {
 		r.note(eventChosen, "worker", chosen.ID, "affinity", wanted.Affinity, "listed", len(listed), "tried", len(r.tried))
--- a/internal/gateway/chains.go
+++ b/internal/gateway/chains.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
@@ -16,13 +17,15 @@
 	chainShare    = 8
 )
 
-// chainBytes returns how much a gateway remembers that may use so much memory;
-// 0 is unknown.
-func chainBytes(memoryBytes int64) int {
-	if memoryBytes <= 0 {
+// chainBytes returns how much a gateway remembers.
+func chainBytes(options Options) int {
+	switch {
+	case options.Disabled.Has(mechanism.KeptChains):
+		return 0
+	case options.MemoryBytes <= 0:
 		return maxChainBytes
 	}
-	return int(min(maxChainBytes, memoryBytes/chainShare))
+	return int(min(maxChainBytes, options.MemoryBytes/chainShare))
 }
 
 // chainCache remembers kept turns, the least recently used go first.
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -6,13 +6,14 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 )
 
 // balanceRequest says what the choice of a worker depends on: model requests
 // of a program go where the program's prompts are in memory.
 func (g *Gateway) balanceRequest(r *request) balance.Request {
-	wanted := balance.Request{Tried: r.tried}
-	if r.service.Engine == nil {
+	wanted := balance.Request{Service: r.service.Name, Tried: r.tried}
+	if r.service.Engine == nil || g.disabled(mechanism.Affinity) {
 		return wanted
 	}
 	wanted.Affinity = r.envelope.Program
@@ -35,6 +36,9 @@
 // done ends an attempt.
 func (g *Gateway) done(r *request, chosen directory.Worker, verdict balance.Verdict) {
 	g.metrics.attempts.WithLabelValues(verdict.String()).Inc()
+	if g.disabled(mechanism.Ejection) && verdict != balance.TurnedAway {
+		verdict = balance.Served
+	}
 	if g.balancer.Done(chosen.ID, verdict) {
 		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", r.envelope.RequestID, "why", verdict.String())
 	}
@@ -42,11 +46,21 @@
 
 // silent notes that a worker has kept a request waiting.
 func (g *Gateway) silent(request string, chosen directory.Worker) {
-	if g.balancer.Silent(chosen.ID) {
+	if !g.disabled(mechanism.Ejection) && g.balancer.Silent(chosen.ID) {
 		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", request, "why", "silence")
 	}
 }
 
+// paced notes how long a worker took, as a multiple of what the route aims at.
+func (g *Gateway) paced(chosen directory.Worker, took float64) {
+	if !g.disabled(mechanism.Paces) {
+		g.balancer.Answered(chosen.ID, took)
+	}
+}
+
+// disabled reports whether an experiment leaves a mechanism out.
+func (g *Gateway) disabled(name mechanism.Name) bool { return g.options.Disabled.Has(name) }
+
 // verdictOfAnswer tells a worker's own failures from its other answers.
 func verdictOfAnswer(status int) balance.Verdict {
 	if status >= http.StatusInternalServerError {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
@@ -88,6 +89,8 @@
 	Log *logsink.Sink
 	// MemoryBytes is what the process may use; 0 is unknown.
 	MemoryBytes int64
+	// Disabled are mechanisms that an experiment leaves out.
+	Disabled mechanism.Disabled
 }
 
 // Gateway takes requests of clients.
@@ -120,8 +123,11 @@
 
 // New returns a gateway; Run starts it.
 func New(options Options, objects directory.Objects) *Gateway {
+	if options.Disabled.Has(mechanism.Forwarding) {
+		options.Forwarder = ""
+	}
 	g := &Gateway{
-		options: options, balancer: balance.New(time.Now), waits: balance.NewWaits(), splitter: route.NewSplitter(),
+		options: options, balancer: balance.New(time.Now, workersZone(options)), waits: balance.NewWaits(), splitter: route.NewSplitter(),
 		retries:     limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
 		directory:   directory.NewState(time.Now, directory.LogChanges()),
 		connections: newConnections(time.Now),
@@ -133,16 +139,25 @@
 	g.feed = directory.NewFeed(objects, g.directory, directory.Hearing)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: stateDialTimeout, UserTimeout: stateUserTimeout}, stateConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
+	g.quorum.Disable(options.Disabled)
 	g.state = newStateHealth(g.quorum, g.quorum.AnsweredWithin)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, quorum.RelayOptions{Seeds: options.Seeds, Forwarder: options.Forwarder})
 	g.spent = newSpentTokens(time.Now)
-	g.chains = newChainCache(g.quorum, chainBytes(options.MemoryBytes))
+	g.chains = newChainCache(g.quorum, chainBytes(options))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
 	}))
 	return g
 }
 
+// workersZone returns the zone whose workers come first.
+func workersZone(options Options) string {
+	if options.Disabled.Has(mechanism.NearWorkers) {
+		return ""
+	}
+	return options.Zone
+}
+
 // Reload puts changed settings in force: the seeds, and how long a planned stop
 // may take.
 func (g *Gateway) Reload(seeds []string, grace time.Duration) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
@@ -15,7 +16,7 @@
 // yet, which takes some ten milliseconds after a start: refused, the request would
 // cost its client one of few tries.
 func (g *Gateway) awaitWorkers(ctx context.Context) {
-	if g.directory.WorkersRevision() != 0 {
+	if g.directory.WorkersRevision() != 0 || g.disabled(mechanism.HeldRequests) {
 		return
 	}
 	limit := time.NewTimer(workersWait)
@@ -55,7 +56,7 @@
 // false once the request has waited for long enough, or too many others wait.
 func (r *request) awaitRoom(ctx context.Context) bool {
 	limit := min(maxRoomWait, r.deadline.Sub(r.received)/roomShare)
-	if len(r.full) == 0 || time.Since(r.received) > limit {
+	if r.gateway.disabled(mechanism.HeldRequests) || len(r.full) == 0 || time.Since(r.received) > limit {
 		return false
 	}
 	defer r.gateway.awaitingRoom.Add(-1)
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
@@ -34,6 +35,9 @@
 func (g *Gateway) followStore(ctx context.Context) {
 	began, late := time.Now(), rand.Float64()
 	unheard := func() bool {
+		if g.disabled(mechanism.NewsThroughReplicas) {
+			return true
+		}
 		patience := time.Duration((1 + late) * g.crowd() * float64(directory.FreshNews))
 		g.feed.SetLastRetry(time.Duration(g.crowd() * float64(directory.Hearing.LastRetry)))
 		start := directory.FirstNews + time.Duration(late*float64(startSpread))
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -32,7 +33,7 @@
 // tryPlain sends the request and passes its answer on. A request that may run
 // once more is taken back from a worker that is silent for too long.
 func (r *request) tryPlain(ctx context.Context) error {
-	if r.attemptsLeft() > 1 && r.gateway.retries.Left(time.Now()) {
+	if r.attemptsLeft() > 1 && r.gateway.mayRetry() {
 		limited, cancel := context.WithTimeout(ctx, r.silence()+silenceMargin)
 		defer cancel()
 		ctx = limited
@@ -57,7 +58,12 @@
 func (r *request) mayRepeat(ctx context.Context, err error) bool {
 	var lost *worker.Lost
 	return errors.As(err, &lost) && ctx.Err() == nil && r.route.Kind == route.Safe && r.attemptsLeft() > 0 &&
-		r.gateway.retries.Allow(time.Now())
+		(r.gateway.disabled(mechanism.RetryBudget) || r.gateway.retries.Allow(time.Now()))
+}
+
+// mayRetry reports whether the budget has a retry left.
+func (g *Gateway) mayRetry() bool {
+	return g.disabled(mechanism.RetryBudget) || g.retries.Left(time.Now())
 }
 
 // relay passes a plain answer on. A short one is read whole first, so that one
@@ -76,10 +82,10 @@
 	}
 	r.gateway.done(r, one.worker, verdictOfAnswer(one.answer.Status))
 	if one.answer.Status < http.StatusInternalServerError && r.route.TargetLatency > 0 {
-		r.gateway.balancer.Answered(one.worker.ID, time.Since(one.sent).Seconds()/r.route.TargetLatency.Seconds())
+		r.gateway.paced(one.worker, time.Since(one.sent).Seconds()/r.route.TargetLatency.Seconds())
 	}
 	if one.answer.Status >= http.StatusInternalServerError && r.route.Kind == route.Safe && r.attemptsLeft() > 0 &&
-		r.gateway.retries.Left(time.Now()) {
+		r.gateway.mayRetry() {
 		r.note(eventLost, "worker", one.worker.ID, "cause", one.answer.Status)
 		r.tried[one.worker.ID] = true
 		return &worker.Lost{Cause: &UnexpectedStatus{Status: one.answer.Status}}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -29,7 +30,7 @@
 // watchSilence begins the watch of one attempt. The context ends with ctx, or when
 // the attempt is given up.
 func (r *request) watchSilence(ctx context.Context) (context.Context, *silenceWatch) {
-	if r.route.Kind != route.Streaming || r.route.TargetLatency <= 0 || r.events > 0 {
+	if r.route.Kind != route.Streaming || r.route.TargetLatency <= 0 || r.events > 0 || r.gateway.disabled(mechanism.SilentStreams) {
 		return ctx, nil
 	}
 	watch := &silenceWatch{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
@@ -90,7 +91,8 @@
 	}
 	r.resumes++
 	r.note(eventResumed, "worker", r.workerID, "after_event", s.resumeAt(), "cause", broken.Error())
-	if same, listed := r.listed(r.workerID); listed && !r.gone[same.ID] {
+	same, listed := r.listed(r.workerID)
+	if listed && !r.gone[same.ID] && !r.gateway.disabled(mechanism.ResumeAtSameWorker) {
 		r.gateway.balancer.Begin(same.ID)
 		one, err := r.sendTo(ctx, same, s.resumeAt())
 		var notSent *worker.NotSent
@@ -165,7 +167,7 @@
 	if gap <= 0 || events < minPaceEvents {
 		return
 	}
-	s.request.gateway.balancer.Answered(one.worker.ID, took.Seconds()/float64(events)/gap.Seconds())
+	s.request.gateway.paced(one.worker, took.Seconds()/float64(events)/gap.Seconds())
 }
 
 // forward passes one event on.
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
@@ -92,7 +93,7 @@
 // tryToReserve makes one reservation.
 func (t *turnState) tryToReserve(ctx context.Context) error {
 	envelope, gateway := &t.request.envelope, t.request.gateway
-	if settled := gateway.spent.of(envelope.Program); settled+envelope.MostTokens > envelope.Budget {
+	if settled := gateway.spent.of(envelope.Program); !gateway.disabled(mechanism.SpentMemory) && settled+envelope.MostTokens > envelope.Budget {
 		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
 	}
 	t.reserved = true
--- /dev/null
+++ b/internal/mechanism/mechanism.go
@@ -0,0 +1,57 @@
+// Package mechanism names the parts of the roles that can be switched off by a setting,
+// so that an experiment can measure what each is worth. Nothing is switched off in
+// operation.
+package mechanism
+
+import "slices"
+
+// Name is a part that can be switched off.
+type Name string
+
+// The parts.
+const (
+	// Affinity sends the turns of a program to the worker that its hash ranks first.
+	Affinity Name = "affinity"
+	// Paces passes over workers that answer much more slowly than the others.
+	Paces Name = "paces"
+	// Ejection passes over workers whose attempts fail.
+	Ejection Name = "ejection"
+	// RetryBudget bounds the repeats of safe requests by the successes.
+	RetryBudget Name = "retryBudget"
+	// LapsedWorkers uses workers that are no longer listed where no other is left.
+	LapsedWorkers Name = "lapsedWorkers"
+	// ResumeAtSameWorker takes a broken stream up at its worker first.
+	ResumeAtSameWorker Name = "resumeAtSameWorker"
+	// KeptChains remembers kept turns in the gateway.
+	KeptChains Name = "keptChains"
+	// NewsThroughReplicas learns workers and groups from replicas, not from the store.
+	NewsThroughReplicas Name = "newsThroughReplicas"
+	// Forwarding calls replicas through other gateways.
+	Forwarding Name = "forwarding"
+	// OneRound grants a reservation after one round where that is proof enough.
+	OneRound Name = "oneRound"
+	// DeferredSettlements writes settlements with later reservations.
+	DeferredSettlements Name = "deferredSettlements"
+	// HeldRequests lets requests wait for the first list of workers and for room.
+	HeldRequests Name = "heldRequests"
+	// SilentStreams gives streams up whose worker stays silent for long.
+	SilentStreams Name = "silentStreams"
+	// SpentMemory remembers what programs have used.
+	SpentMemory Name = "spentMemory"
+	// NearWorkers prefers workers of the own zone where there are many.
+	NearWorkers Name = "nearWorkers"
+	// FewWatchers lets a few replicas of each zone follow the store for all.
+	FewWatchers Name = "fewWatchers"
+)
+
+// All are the parts, in the order of the page.
+var All = []Name{
+	Affinity, Paces, Ejection, RetryBudget, LapsedWorkers, ResumeAtSameWorker, KeptChains, NewsThroughReplicas, Forwarding,
+	OneRound, DeferredSettlements, HeldRequests, SilentStreams, SpentMemory, NearWorkers, FewWatchers,
+}
+
+// Disabled are the parts that are switched off.
+type Disabled []Name
+
+// Has reports whether a part is switched off.
+func (d Disabled) Has(name Name) bool { return slices.Contains(d, name) }
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -15,6 +15,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/estimate"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
@@ -55,6 +56,7 @@
 	latency  estimate.Latency
 	deferred *deferred
 	counts   counts
+	disabled mechanism.Disabled
 	// reach knows which replicas answer.
 	reach      *reach
 	forwarders *forwarders
@@ -88,6 +90,10 @@
 	return created
 }
 
+// Disable leaves mechanisms out, for an experiment. It is to be called before the
+// client is used.
+func (c *Client) Disable(disabled mechanism.Disabled) { c.disabled = disabled }
+
 // At returns the client of the replica at an address.
 func (c *Client) At(address string) replicav1connect.ReplicaServiceClient {
 	c.mutex.Lock()
--- a/internal/quorum/deferred.go
+++ b/internal/quorum/deferred.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
@@ -77,6 +78,10 @@
 // is for records that nothing waits for: one is lost where this process ends before
 // it is written, or where no majority takes it in time.
 func (c *Client) AppendLater(record *replicav1.Record) {
+	if c.disabled.Has(mechanism.DeferredSettlements) {
+		c.AppendNow(record)
+		return
+	}
 	c.deferred.add(record)
 }
 
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
@@ -51,7 +52,7 @@
 		return nil, err
 	}
 	c.counts.reservations.Add(1)
-	if OneRound(ledger, reservation.Id, c.now().Sub(began), OneRoundLimit) {
+	if !c.disabled.Has(mechanism.OneRound) && OneRound(ledger, reservation.Id, c.now().Sub(began), OneRoundLimit) {
 		return ledger, nil
 	}
 	c.counts.secondRounds.Add(1)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
@@ -48,6 +49,8 @@
 	Seeds []string
 	// Metrics is the IP:port for metrics; empty serves none.
 	Metrics string
+	// Disabled are mechanisms that an experiment leaves out.
+	Disabled mechanism.Disabled
 }
 
 // Replica is a running replica.
--- a/internal/replica/watchers.go
+++ b/internal/replica/watchers.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 )
 
 const (
@@ -55,6 +56,9 @@
 // watches reports whether this replica is to follow the store in any case: it is chosen,
 // or it is a seed while no group is known.
 func (r *Replica) watches() bool {
+	if r.options.Disabled.Has(mechanism.FewWatchers) {
+		return true
+	}
 	groups := r.directory.Groups()
 	if len(groups) == 0 {
 		return slices.Contains(*r.seeds.Load(), r.options.Address)
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
 )
 
@@ -36,6 +38,8 @@
 	GraceMilliseconds int64 `yaml:"graceMilliseconds"`
 	// MemoryMegabytes is what the process may use; 0 is unknown.
 	MemoryMegabytes int64 `yaml:"memoryMegabytes"`
+	// DisabledMechanisms are switched off for an experiment; empty in operation.
+	DisabledMechanisms []string `yaml:"disabledMechanisms"`
 }
 
 // defaultGraceMilliseconds bounds a planned stop where the file names no time.
@@ -47,6 +51,14 @@
 // MemoryBytes returns what the process may use; 0 is unknown.
 func (r Role) MemoryBytes() int64 { return r.MemoryMegabytes << 20 }
 
+// Disabled returns the mechanisms that are switched off.
+func (r Role) Disabled() (disabled mechanism.Disabled) {
+	for _, name := range r.DisabledMechanisms {
+		disabled = append(disabled, mechanism.Name(name))
+	}
+	return disabled
+}
+
 // LoadRole reads a role's settings file. Its errors are a *strictyaml.Invalid
 // with file, line and key, or a *Unreadable.
 func LoadRole(path string) (Role, error) {
@@ -98,6 +110,11 @@
 	for _, seed := range r.Seeds {
 		found.address("seeds", seed, false)
 	}
+	for _, name := range r.Disabled() {
+		if !slices.Contains(mechanism.All, name) {
+			found.add("disabledMechanisms", "is no mechanism: "+string(name), "a name of docs/operations/experiments.md")
+		}
+	}
 	if r.Metrics != "" {
 		found.address("metrics", r.Metrics, true)
 	}
--- a/internal/settings/role_test.go
+++ b/internal/settings/role_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
 )
 
@@ -59,6 +60,30 @@
 	require.ErrorContains(t, err, "11")
 }
 
+// TestTheExperimentsPageListsEveryMechanism compares docs/operations/experiments.md
+// with the code.
+func TestTheExperimentsPageListsEveryMechanism(t *testing.T) {
+	text, err := os.ReadFile("../../docs/operations/experiments.md")
+	require.NoError(t, err)
+	var named []mechanism.Name
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			named = append(named, mechanism.Name(strings.Split(line, "`")[1]))
+		}
+	}
+	require.Equal(t, mechanism.All, named)
+}
+
+func TestAMechanismThatDoesNotExistIsRefused(t *testing.T) {
+	loaded, err := loadRole(t, wholeRole+"disabledMechanisms: [affinity, afinity]\n")
+	require.NoError(t, err)
+	require.ErrorContains(t, loaded.ValidateGateway(), "afinity")
+	loaded.DisabledMechanisms = []string{"affinity"}
+	require.NoError(t, loaded.ValidateGateway())
+	require.True(t, loaded.Disabled().Has(mechanism.Affinity))
+	require.False(t, loaded.Disabled().Has(mechanism.Paces))
+}
+
 // TestTheRolesPageListsEveryKey compares docs/operations/roles.md with the
 // struct.
 func TestTheRolesPageListsEveryKey(t *testing.T) {
