No group is formed before the list of nodes has come in

Cause, traced: since nodes learn of each other through a few watchers, the list of nodes could still be empty when a node formed the first groups, and a group without members stood for ever. Groups are formed only once the node's own entry is in the list; a node that meets a group which is there already goes on with the next.

--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -180,17 +180,26 @@
 	if len(known) == 0 && !r.firstGroupMissing(ctx) {
 		return
 	}
-	for _, group := range firstGroups(r.followers.nodes()) {
+	nodes := r.followers.nodes()
+	if !slices.ContainsFunc(nodes, func(node directory.Replica) bool { return node.Node == r.options.Node }) {
+		// The list of nodes has not come in yet.
+		return
+	}
+	for _, group := range firstGroups(nodes) {
 		partitions := len(r.directory.Groups())
 		if partitions != 0 && (partitions != int(group.Partitions) || r.directory.Group(group.Partition) != nil) {
 			continue
 		}
 		err := r.objects.Create(ctx, directory.KindGroup, directory.Object{Name: directory.GroupName(group.Partition), Group: group})
-		if err != nil {
-			// Another node's comes in with the watch.
+		var taken *directory.Conflict
+		switch {
+		case err == nil:
+			r.directory.OfferGroup(group)
+		case group.Partition == 0 || !errors.As(err, &taken):
+			// Another node's first group, and with it the number of partitions, comes
+			// in with the watch.
 			return
 		}
-		r.directory.OfferGroup(group)
 	}
 }
 
