--- a/internal/directory/feed_test.go
+++ b/internal/directory/feed_test.go
@@ -58,7 +58,7 @@
 	go feed.Run(ctx)
 	waiting := func() bool { return objects.count(KindWorker) == 1 && objects.count(KindGroup) == 1 }
 	require.Eventually(t, waiting, patient, poll)
-	require.False(t, feed.Failing())
+	require.False(t, func() bool { return feed.failing.Load() > 0 }())
 	close(objects.fail)
 	again := func() bool { return objects.count(KindWorker) > 1 && objects.count(KindGroup) > 1 }
 	require.Eventually(t, again, patient, poll)
@@ -73,13 +73,13 @@
 	if kind == KindWorker {
 		return Listing{Revision: 5, Objects: []Object{{Name: "w", Worker: &Worker{ID: "w", Service: "s"}}}}, nil
 	}
-	return Listing{Revision: 5, Objects: []Object{{Name: GroupName, Group: &replicav1.Group{Epoch: 3}}}}, nil
+	return Listing{Revision: 5, Objects: []Object{{Name: GroupName(0), Group: &replicav1.Group{Epoch: 3}}}}, nil
 }
 
 func TestWorkersAndGroupAreListedOnce(t *testing.T) {
 	state := NewState(time.Now, nil)
 	NewFeed(listedObjects{}, state, Hearing).ListRest(t.Context())
 	require.Len(t, state.View().Workers["s"], 1)
-	require.EqualValues(t, 3, state.Group().Epoch)
+	require.EqualValues(t, 3, state.Group(0).Epoch)
 	require.EqualValues(t, 5, state.WorkersRevision())
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -20,8 +20,26 @@
 	Table *route.Table
 	// Workers are the workers of each service, by id.
 	Workers map[string][]Listed
-	// Group is nil until a group is known.
-	Group *replicav1.Group
+	// Groups are those of all partitions, by partition; empty until one is known, and
+	// nil for those that are not.
+	Groups []*replicav1.Group
+}
+
+// Group returns the group of a partition, or nil.
+func (v *View) Group(partition uint32) *replicav1.Group {
+	if int(partition) >= len(v.Groups) {
+		return nil
+	}
+	return v.Groups[partition]
+}
+
+// Epochs returns the epochs of the groups by partition; 0 is one that is not known.
+func (v *View) Epochs() []uint64 {
+	epochs := make([]uint64, 0, len(v.Groups))
+	for _, group := range v.Groups {
+		epochs = append(epochs, group.GetEpoch())
+	}
+	return epochs
 }
 
 // Listed is a worker of a view.
@@ -43,6 +61,7 @@
 	news            chan struct{}
 	workers         map[string]Worker
 	workersRevision int64
+	history         workerHistory
 	lapsed          map[string]lapsedWorker
 	changed         func(*View)
 }
@@ -96,7 +115,7 @@
 	s.publish(&next)
 }
 
-// OfferGroup takes a group if its epoch is higher than the one known.
+// OfferGroup takes a partition's group if its epoch is higher than the one known.
 func (s *State) OfferGroup(group *replicav1.Group) {
 	if group == nil {
 		return
@@ -104,11 +123,17 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.view.Load()
-	if current.Group != nil && current.Group.Epoch >= group.Epoch {
+	if current.Group(group.Partition).GetEpoch() >= group.Epoch {
+		return
+	}
+	partitions := max(len(current.Groups), partitionsOf(group))
+	if int(group.Partition) >= partitions {
 		return
 	}
 	next := *current
-	next.Group = group
+	next.Groups = make([]*replicav1.Group, partitions)
+	copy(next.Groups, current.Groups)
+	next.Groups[group.Partition] = group
 	s.publish(&next)
 }
 
@@ -123,11 +148,19 @@
 	for _, worker := range workers {
 		listed[worker.ID] = worker
 	}
+	var changes []Change
 	for id, worker := range s.workers {
 		if _, found := listed[id]; !found {
 			s.lapse(worker)
+			changes = append(changes, Change{Object: Object{Name: id}, Gone: true})
+		}
+	}
+	for id, worker := range listed {
+		if known, found := s.workers[id]; !found || known != worker {
+			changes = append(changes, Change{Object: Object{Name: id, Worker: &worker}})
 		}
 	}
+	s.history.add(s.workersRevision, revision, changes)
 	s.workers, s.workersRevision = listed, revision
 	s.rebuild()
 }
@@ -149,6 +182,7 @@
 			s.workers[change.Object.Name] = *change.Object.Worker
 		}
 	}
+	s.history.add(s.workersRevision, revision, changes)
 	s.workersRevision = revision
 	s.rebuild()
 }
@@ -202,34 +236,12 @@
 	}
 }
 
-// WorkerList returns the list of workers to pass on to others.
-func (s *State) WorkerList() *replicav1.WorkerList {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	list := &replicav1.WorkerList{Revision: s.workersRevision}
-	for _, worker := range s.workers {
-		list.Workers = append(list.Workers, &replicav1.Worker{
-			Id: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
-			Slots: uint32(worker.Slots), Draining: worker.Draining,
-		})
-	}
-	return list
-}
+// Group returns the group in force of a partition, or nil.
+func (s *State) Group(partition uint32) *replicav1.Group { return s.View().Group(partition) }
 
-// OfferWorkerList takes a list that another process passed on.
-func (s *State) OfferWorkerList(list *replicav1.WorkerList) {
-	if list == nil {
-		return
-	}
-	workers := make([]Worker, 0, len(list.Workers))
-	for _, worker := range list.Workers {
-		workers = append(workers, Worker{
-			ID: worker.Id, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
-			Slots: int(worker.Slots), Draining: worker.Draining,
-		})
-	}
-	s.OfferWorkers(workers, list.Revision)
-}
+// Groups returns the groups of all partitions by partition, as far as they are known.
+func (s *State) Groups() []*replicav1.Group { return s.View().Groups }
 
-// Group returns the group in force, or nil.
-func (s *State) Group() *replicav1.Group { return s.View().Group }
+// partitionsOf returns how many partitions a group says there are. A group from
+// before there were partitions says nothing, and is the only one.
+func partitionsOf(group *replicav1.Group) int { return max(1, int(group.Partitions)) }
--- a/internal/gateway/chains.go
+++ b/internal/gateway/chains.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
@@ -16,13 +17,15 @@
 	chainShare    = 8
 )
 
-// chainBytes returns how much a gateway remembers that may use so much memory;
-// 0 is unknown.
-func chainBytes(memoryBytes int64) int {
-	if memoryBytes <= 0 {
+// chainBytes returns how much a gateway remembers.
+func chainBytes(options Options) int {
+	switch {
+	case options.Disabled.Has(mechanism.KeptChains):
+		return 0
+	case options.MemoryBytes <= 0:
 		return maxChainBytes
 	}
-	return int(min(maxChainBytes, memoryBytes/chainShare))
+	return int(min(maxChainBytes, options.MemoryBytes/chainShare))
 }
 
 // chainCache remembers kept turns, the least recently used go first.
@@ -41,13 +44,14 @@
 	return &chainCache{quorum: client, limit: limit, turns: make(map[string]*list.Element), order: list.New()}
 }
 
-// get returns a turn and all before it, the newest first.
-func (c *chainCache) get(ctx context.Context, id string) ([]*replicav1.Turn, error) {
+// get returns a turn and all before it, the newest first, for a program that goes on
+// from it.
+func (c *chainCache) get(ctx context.Context, program, id string) ([]*replicav1.Turn, error) {
 	chain, missing := c.known(id)
 	if missing == "" {
 		return chain, nil
 	}
-	rest, err := c.quorum.Chain(ctx, missing)
+	rest, err := c.quorum.Chain(ctx, program, missing)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
@@ -92,7 +93,7 @@
 // tryToReserve makes one reservation.
 func (t *turnState) tryToReserve(ctx context.Context) error {
 	envelope, gateway := &t.request.envelope, t.request.gateway
-	if settled := gateway.spent.of(envelope.Program); settled+envelope.MostTokens > envelope.Budget {
+	if settled := gateway.spent.of(envelope.Program); !gateway.disabled(mechanism.SpentMemory) && settled+envelope.MostTokens > envelope.Budget {
 		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
 	}
 	t.reserved = true
@@ -129,7 +130,7 @@
 	if !r.route.Stateful || r.envelope.PreviousTurn == "" {
 		return nil
 	}
-	chain, err := r.gateway.chains.get(ctx, r.envelope.PreviousTurn)
+	chain, err := r.gateway.chains.get(ctx, r.envelope.Program, r.envelope.PreviousTurn)
 	var unknown *quorum.UnknownTurn
 	if errors.As(err, &unknown) {
 		return err
@@ -137,6 +138,9 @@
 	if err != nil {
 		return &StateUnavailable{Cause: err}
 	}
+	if len(chain) > 0 && !r.gateway.quorum.SamePartition(chain[0].Program, r.envelope.Program) {
+		r.adopted = chain
+	}
 	var prompt []byte
 	for i := len(chain) - 1; i >= 0; i-- {
 		prompt = append(prompt, chain[i].Input...)
@@ -156,14 +160,16 @@
 		Id: r.envelope.RequestID, Previous: r.envelope.PreviousTurn, Program: r.envelope.Program,
 		Input: t.input, Output: out.output,
 	}
-	records := []*replicav1.Record{{
-		Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: r.retention().Milliseconds(),
-	}}
+	retention := r.retention().Milliseconds()
+	records := []*replicav1.Record{{Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: retention}}
+	for _, before := range r.adopted {
+		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: before}, RetentionMs: retention})
+	}
 	if t.reserved && t.settleIn(out) <= 0 {
 		records = append(records, t.settlement(out))
 		t.reserved = false
 	}
-	if err := r.gateway.quorum.Append(ctx, records...); err != nil {
+	if err := r.gateway.quorum.Append(ctx, r.envelope.Program, records...); err != nil {
 		return err
 	}
 	r.note(eventKept, "turn", turn.Id, "previous", turn.Previous, "tokens", t.used(out))
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -128,7 +129,7 @@
 // NewForwarder returns a forwarder that calls members as the client does.
 func NewForwarder(client *Client) *Forwarder { return &Forwarder{client: client} }
 
-// Forward makes one call to a member of the group in force.
+// Forward makes one call to a member of a group in force.
 func (f *Forwarder) Forward(ctx context.Context, request *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error) {
 	defer f.underWay.Add(-1)
 	if f.underWay.Add(1) > maxForwarded {
@@ -156,16 +157,7 @@
 	return connect.NewResponse(response), nil
 }
 
-// isMember reports whether a member of the group in force has the address.
+// isMember reports whether a member of any group in force has the address.
 func (c *Client) isMember(address string) bool {
-	group := c.groups.Group()
-	if group == nil {
-		return false
-	}
-	for _, member := range group.Members {
-		if member.Address == address {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.members(), func(member directory.Replica) bool { return member.Address == address })
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
@@ -47,6 +49,8 @@
 	Seeds []string
 	// Metrics is the IP:port for metrics; empty serves none.
 	Metrics string
+	// Disabled are mechanisms that an experiment leaves out.
+	Disabled mechanism.Disabled
 }
 
 // Replica is a running replica.
@@ -60,15 +64,16 @@
 	quorum    *quorum.Client
 	relay     *quorum.Relay
 	state     *state
+	seeds     atomic.Pointer[[]string]
 
-	// The fields below belong to one loop each.
-	// pulling is set while the present incarnation receives what its seat held, and
-	// copied is the incarnation that has it.
-	pulling bool
-	copied  uint64
+	// copies holds a token for each seat that is being filled.
+	copies chan struct{}
 
-	retiring bool
-	retired  bool
+	// The fields below belong to the loop of reconcile.
+	proposals *proposals
+	handOvers map[handOverKey]handOver
+	retiring  bool
+	retired   bool
 }
 
 // New opens the data folder.
@@ -79,6 +84,7 @@
 	}
 	replica := &Replica{
 		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
+		copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), handOvers: make(map[handOverKey]handOver),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View) {
@@ -88,13 +94,19 @@
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.PassingOn)
 	client := transport.NewPeerClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: userTimeout}, peerConnections)
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, client)
-	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, options.Seeds, "")
+	replica.seeds.Store(&options.Seeds)
+	replica.relay = quorum.NewRelay(replica.quorum, replica.directory, quorum.RelayOptions{
+		Seeds: options.Seeds, Nodes: replica.followers, Sources: replica.otherWatchers,
+	})
 	replica.offerKept()
 	return replica, nil
 }
 
 // Reload puts changed seeds in force.
-func (r *Replica) Reload(seeds []string) { r.relay.SetSeeds(seeds) }
+func (r *Replica) Reload(seeds []string) {
+	r.seeds.Store(&seeds)
+	r.relay.SetSeeds(seeds)
+}
 
 // openFolder opens the log. Of a damaged one nothing is used: the replica
 // starts empty and recovers from the others.
@@ -127,10 +139,12 @@
 	return nil
 }
 
-// offerKept puts the kept configuration, workers and group in force until the
+// offerKept puts the kept configuration, workers and groups in force until the
 // platform tells newer ones.
 func (r *Replica) offerKept() {
-	r.directory.OfferGroup(r.state.currentGroup())
+	for _, group := range r.state.currentGroups() {
+		r.directory.OfferGroup(group)
+	}
 	r.directory.OfferWorkerList(r.state.workers)
 	kept := r.state.configuration
 	if kept == nil {
@@ -207,22 +221,20 @@
 	if err := telemetry.Serve(ctx, r.options.Metrics, registry, r.readiness); err != nil {
 		return err
 	}
-	handler := &service{state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), failing: r.feed.Failing}
+	handler := &service{state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), age: r.wordAge, followers: r.followers}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
 	server := &http.Server{Handler: bound}
 	go func() {
 		<-ctx.Done()
 		server.Close()
 	}()
-	go r.feed.Run(ctx)
-	go r.feed.Follow(ctx, directory.KindReplica, "replicas", directory.LongWait, r.followers.takeReplicas)
-	go r.feed.Follow(ctx, directory.KindRetirement, "retirements", directory.LongWait, r.followers.takeRetirements)
+	go r.followStore(ctx)
 	go r.relay.Run(ctx)
 	go r.keepWorkers(ctx)
 	go r.compact(ctx)
 	go r.register(ctx)
 	go r.announce(ctx)
-	go r.takeSeat(ctx)
+	go r.takeSeats(ctx)
 	go r.reconcile(ctx)
 	eventStarted.Log("node", r.options.Node, "address", r.options.Address, "bootstrap", r.options.Bootstrap)
 	err = server.Serve(listener)
