--- a/cmd/barleyshelf-lab/main.go
+++ b/cmd/barleyshelf-lab/main.go
@@ -85,7 +85,6 @@
 		{"load", "put load on running daemons", "Opens programs at planned times, whatever the daemons answer, and reports latencies from the planned start.", &loadCommand{lab: lab}},
 		{"experiment", "compare scheduling policies", "Runs policies on the same simulated programs and compares program latency and wasted cache.", &experimentCommand{lab: lab}},
 		{"story", "tell a request's story", "Prints every decision about a request that the logs of gateways and replicas hold, in order.", &storyCommand{lab: lab}},
-		{"scale", "measure control at full size", "Runs hollow daemons that share this process and reports what control costs each.", &scaleCommand{}},
 	}
 }
 
--- a/cmd/barleyshelf/docs_test.go
+++ b/cmd/barleyshelf/docs_test.go
@@ -52,7 +52,7 @@
 
 // outsideModels are the packages of the lab: their failures reach nobody who
 // runs the product.
-var outsideModels = regexp.MustCompile(`/(gen|lab|emulator|hollow|simulation|workload)/`)
+var outsideModels = regexp.MustCompile(`/(gen|lab|emulator|simulation|workload)/`)
 
 // TestPageListsEveryFailure compares the first cells of the tables of
 // docs/operations/refusals.md with the failure types of the product, both ways.
