A node forgets whom it saw in a seat that it takes; late words of former holders change nothing

Traced: store-wien-a-2 stands by; the members ask it whether it can take a seat, and their announcement carries their own seat and incarnation. It notes seat 1 as held by store-wien-a-1, then takes seat 1 itself.

The same is possible without that question, in the code from before too: a node that once sat in the group has seen the other seats, and may take one of them later.

Change: a new incarnation in a seat drops what was seen of that seat; announcements count by the newest group that the receiver knows; a copy under an older group is refused; nodes that could take a seat are asked without naming a seat.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -47,6 +47,9 @@
 	Service string
 	// Tried are workers that this request is not to go to again.
 	Tried map[string]bool
+	// Connected reports whether an idle connection to a worker's address is open; nil
+	// reports none.
+	Connected func(address string) bool
 }
 
 // Balancer keeps the record of each worker. It is safe for concurrent use.
--- a/internal/balance/near.go
+++ b/internal/balance/near.go
@@ -79,9 +79,27 @@
 			near = append(near, each)
 		}
 	}
+	if connected := connectedOf(near, request); len(connected) > 0 {
+		return connected
+	}
 	return near
 }
 
+// connectedOf returns those candidates that a request without affinity reaches on a
+// connection that is open already. Each process begins with workers of its own, drawn at
+// random, so that processes do not gather at the same ones.
+func connectedOf(near []candidate, request Request) (connected []candidate) {
+	if request.Affinity != "" || request.Connected == nil {
+		return nil
+	}
+	for _, each := range near {
+		if request.Connected(each.worker.Address) {
+			connected = append(connected, each)
+		}
+	}
+	return connected
+}
+
 // rateOf returns the rate of a service's requests. The mutex is held.
 func (b *Balancer) rateOf(service string) *requestRate {
 	known := b.rates[service]
--- a/internal/balance/near_test.go
+++ b/internal/balance/near_test.go
@@ -85,3 +85,25 @@
 	require.InDelta(t, 20, rate.now(*now), 2)
 	require.Less(t, rate.now(now.Add(3*rateMemory)), 1.5)
 }
+
+func TestARequestThatMayGoAnywhereUsesAnOpenConnection(t *testing.T) {
+	_, clock := fixed()
+	b := New(clock, "c")
+	connected := func(address string) bool { return address == "c1" || address == "d1" }
+	listed := zonedWorkers(3)
+	for i := range listed {
+		listed[i].Address = listed[i].ID
+	}
+	request := Request{Service: "s", Connected: connected}
+	for range 1 + nearSlack {
+		require.Equal(t, "c1", choose(t, b, listed, request))
+	}
+	require.Contains(t, []string{"c0", "c2"}, choose(t, b, listed, request), "one that has enough under way is left")
+	request.Affinity = "p"
+	used := make(map[string]bool)
+	for program := range 40 {
+		request.Affinity = fmt.Sprint(program)
+		used[choose(t, New(clock, "c"), listed, request)] = true
+	}
+	require.Len(t, used, 3, "turns go where their program's prompts are")
+}
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -12,7 +12,7 @@
 // balanceRequest says what the choice of a worker depends on: model requests
 // of a program go where the program's prompts are in memory.
 func (g *Gateway) balanceRequest(r *request) balance.Request {
-	wanted := balance.Request{Service: r.service.Name, Tried: r.tried}
+	wanted := balance.Request{Service: r.service.Name, Tried: r.tried, Connected: g.pool.Connected}
 	if r.service.Engine == nil || g.disabled(mechanism.Affinity) {
 		return wanted
 	}
--- a/internal/replica/liveness_test.go
+++ b/internal/replica/liveness_test.go
@@ -117,7 +117,7 @@
 // group does not work again.
 func TestTheGroupAlwaysComesBack(t *testing.T) {
 	for seed := range uint64(livenessSchedules) {
-		require.Empty(t, runLiveness(newProof(t, seed, noBreakage).proofFleet), fmt.Sprintf("seed %d", seed))
+		require.Empty(t, runLiveness(newProof(t, seed, noBreakage).announce(seed)), fmt.Sprintf("seed %d", seed))
 	}
 }
 
@@ -126,7 +126,7 @@
 func TestEveryGroupOfSeveralPartitionsComesBack(t *testing.T) {
 	for seed := range uint64(livenessSchedules / partitionsPlayed) {
 		fleet := newProofFleet(t, seed, noBreakage, partitionsNodes, partitionsPlayed)
-		require.Empty(t, runLiveness(fleet), fmt.Sprintf("seed %d", seed))
+		require.Empty(t, runLiveness(fleet.announce(seed)), fmt.Sprintf("seed %d", seed))
 	}
 }
 
--- a/internal/replica/partition.go
+++ b/internal/replica/partition.go
@@ -26,6 +26,11 @@
 func (p *partitionState) apply(record *replicav1.Record) bool {
 	switch kind := record.Kind.(type) {
 	case *replicav1.Record_Identity:
+		if p.identity.GetIncarnation() != kind.Identity.Incarnation {
+			// What was seen of the seat until now was of its holders before. Kept, it would
+			// say for ever that this one is not the newest.
+			delete(p.seen, kind.Identity.Seat)
+		}
 		p.identity = kind.Identity
 	case *replicav1.Record_Incarnation:
 		if p.seen[kind.Incarnation.Seat] == kind.Incarnation.Incarnation {
--- a/internal/replica/proof_test.go
+++ b/internal/replica/proof_test.go
@@ -130,7 +130,11 @@
 	// it are those from before.
 	oneRound bool
 	timing   *rand.Rand
-	steps    int64
+	// announcing is set where members also announce themselves to any node, in the
+	// middle of a schedule; announcements is then the source of which do.
+	announcing    bool
+	announcements *rand.Rand
+	steps         int64
 	// violation is the first promise that was broken.
 	violation string
 }
@@ -709,7 +713,31 @@
 }
 
 // spread lets a node learn the group in force.
-func (p *proof) spread() { p.must(p.any().state().write(groupRecord(p.group))) }
+func (p *proof) spread() {
+	p.must(p.any().state().write(groupRecord(p.group)))
+	if p.announcing {
+		p.announceToAny()
+	}
+}
+
+// announceToAny makes a node that has a seat, as far as it knows, tell any other node,
+// as members do that look for one which can take a seat.
+func (p *proof) announceToAny() {
+	from := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
+	to := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
+	known := from.state().currentGroup(p.group.Partition)
+	if from == to || from.gone || to.gone || known == nil {
+		return
+	}
+	_, err := to.service.Announce(context.Background(), connect.NewRequest(announcementOf(from.state(), known, from.name)))
+	p.must(err)
+}
+
+// announce makes announcements part of the fleet's schedule.
+func (f *proofFleet) announce(seed uint64) *proofFleet {
+	f.announcing, f.announcements = true, rand.New(rand.NewPCG(seed, 13))
+	return f
+}
 
 // changeGroup goes one step on with a retirement, or begins one.
 func (p *proof) changeGroup() {
@@ -832,7 +860,7 @@
 
 // runPartitionsProof plays one schedule of several partitions on the same nodes.
 func runPartitionsProof(t require.TestingT, seed uint64, broken breakage) string {
-	return runSchedule(newProofFleet(t, seed, broken, partitionsNodes, partitionsPlayed))
+	return runSchedule(newProofFleet(t, seed, broken, partitionsNodes, partitionsPlayed).announce(seed))
 }
 
 func runSchedule(fleet *proofFleet) string {
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -162,7 +162,7 @@
 	if leavingMember(seen) == nil && len(seen.group.Members) >= int(seen.group.Target) {
 		return
 	}
-	message := announcementOf(r.state, seen.group, r.options.Node)
+	message := &replicav1.AnnounceRequest{Group: seen.group, Node: r.options.Node}
 	able := standbys(seen)
 	for _, node := range able[:min(len(able), standbysAsked)] {
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
--- a/internal/replica/recover_test.go
+++ b/internal/replica/recover_test.go
@@ -1,11 +1,17 @@
 package replica
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/recordlog/recordlogtest"
 )
 
 // transferred is a group of three in which seat 0 has moved from "a" to "d".
@@ -41,3 +47,51 @@
 	require.Len(t, recoverySources(received, received.Members[0]), 2)
 	require.Len(t, recoverySources(group, member), 3)
 }
+
+// TestANodeForgetsWhomItSawInASeatThatItTakes: it was told of the holder before, kept
+// that, and no majority with it ever counted together (RECOVER on hofbauer-nom scale-1,
+// after the two other members had lost a disk and a machine).
+func TestANodeForgetsWhomItSawInASeatThatItTakes(t *testing.T) {
+	disk := recordlogtest.NewDisk()
+	opened, err := openState(disk)
+	require.NoError(t, err)
+	group := &replicav1.Group{Epoch: 2, Members: []*replicav1.Member{{Seat: 1, Node: "d", Claim: 2}, {Seat: 2, Node: "c", Claim: 1}}}
+	require.NoError(t, opened.write(incarnationRecord(0, 1, 11), incarnationRecord(0, 2, 22), groupRecord(group)))
+	taken := &replicav1.Identity{Seat: 1, Claim: 2, Incarnation: 33, Recovered: true}
+	require.NoError(t, opened.write(identityRecord(0, taken)))
+	other := &replicav1.Standing{
+		Epoch: 2, Member: true, Recovered: true, Seat: 2, Incarnation: 22, Seen: []*replicav1.SeatIncarnation{{Seat: 1, Incarnation: 33}},
+	}
+	require.True(t, quorum.Consistent(2, []*replicav1.Standing{opened.standing(0, 2), other}))
+
+	// What is seen of the seat from then on is of a holder after this one.
+	require.NoError(t, opened.write(incarnationRecord(0, 1, 44)))
+	require.False(t, quorum.Consistent(2, []*replicav1.Standing{opened.standing(0, 2)}))
+	opened.log.Close()
+	again, err := openState(disk)
+	require.NoError(t, err)
+	defer again.log.Close()
+	require.False(t, quorum.Consistent(2, []*replicav1.Standing{again.standing(0, 2)}), "also after a restart")
+}
+
+// TestALateWordOfAFormerHolderChangesNothing: it comes when the seat has moved on, also
+// at the node that holds it now.
+func TestALateWordOfAFormerHolderChangesNothing(t *testing.T) {
+	opened, err := openState(recordlogtest.NewDisk())
+	require.NoError(t, err)
+	defer opened.log.Close()
+	moved := &replicav1.Group{Epoch: 2, Members: []*replicav1.Member{{Seat: 1, Node: "d", Claim: 2}, {Seat: 2, Node: "c", Claim: 1}}}
+	before := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Seat: 1, Node: "a", Claim: 1}, {Seat: 2, Node: "c", Claim: 1}}}
+	require.NoError(t, opened.write(groupRecord(moved), identityRecord(0, &replicav1.Identity{Seat: 1, Claim: 2, Incarnation: 33, Recovered: true})))
+	holder := &service{state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now), roster: newRoster(time.Now)}
+
+	late := &replicav1.AnnounceRequest{Group: before, Node: "a", Seat: 1, Incarnation: 11}
+	_, err = holder.Announce(context.Background(), connect.NewRequest(late))
+	require.NoError(t, err)
+	require.Empty(t, opened.standing(0, 2).Seen)
+
+	_, err = holder.Pull(context.Background(), connect.NewRequest(&replicav1.PullRequest{Epoch: 1, Seat: 1, Incarnation: 11, Claim: 1}))
+	var stale *StaleGroup
+	require.ErrorAs(t, err, &stale)
+	require.Empty(t, opened.standing(0, 2).Seen)
+}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -62,8 +62,11 @@
 }
 
 // Pull passes records to a recovering replica, after its new incarnation is on
-// the disk here.
+// the disk here. One that asks under an older group may have lost the seat meanwhile.
 func (s *service) Pull(_ context.Context, request *connect.Request[replicav1.PullRequest]) (*connect.Response[replicav1.PullResponse], error) {
+	if known := s.state.currentGroup(request.Msg.Partition).GetEpoch(); known > request.Msg.Epoch {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &StaleGroup{Epoch: request.Msg.Epoch, Known: known})
+	}
 	if err := s.state.write(incarnationRecord(request.Msg.Partition, request.Msg.Seat, request.Msg.Incarnation)); err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
@@ -88,11 +91,15 @@
 func (s *service) Announce(_ context.Context, request *connect.Request[replicav1.AnnounceRequest]) (*connect.Response[replicav1.AnnounceResponse], error) {
 	message := request.Msg
 	partition := message.Group.GetPartition()
+	newest := s.state.currentGroup(partition)
+	if message.Group.GetEpoch() > newest.GetEpoch() {
+		newest = message.Group
+	}
 	var records []*replicav1.Record
 	if message.Group != nil {
 		records = append(records, groupRecord(message.Group))
 	}
-	if message.Incarnation != 0 && message.Group != nil && holdsSeat(message) {
+	if message.Incarnation != 0 && newest != nil && holdsSeat(newest, message) {
 		records = append(records, incarnationRecord(partition, message.Seat, message.Incarnation))
 	}
 	s.heard.note(message.Node)
@@ -103,10 +110,10 @@
 	return connect.NewResponse(&replicav1.AnnounceResponse{Standing: s.state.standing(partition, 0)}), nil
 }
 
-// holdsSeat reports whether the sender holds the seat in the group that it
-// announces.
-func holdsSeat(message *replicav1.AnnounceRequest) bool {
-	member := seatOf(message.Group, message.Node)
+// holdsSeat reports whether the sender of an announcement holds the seat that it names
+// in a group. A word that comes late may be of a seat that has moved on.
+func holdsSeat(group *replicav1.Group, message *replicav1.AnnounceRequest) bool {
+	member := seatOf(group, message.Node)
 	return member != nil && member.Seat == message.Seat
 }
 
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -99,6 +99,14 @@
 	return nil, true
 }
 
+// Connected reports whether an idle connection to an address is open.
+func (p *Pool) Connected(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	at := p.hosts[address]
+	return at != nil && len(at.idle) > 0 && time.Now().Before(at.idle[len(at.idle)-1].usableUntil)
+}
+
 func (p *Pool) release(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
