What the gateways of a zone saw of workers together passes over slow and failing ones

Change: gateways tell with the questions that they ask anyway how their requests to each worker ended; a replica adds that up over two seconds and answers with the ids of workers that are 2.2 times as slow as the median of their service or fail half of their requests; gateways pass over these for 1.5 s, unless they are more than half of a service.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,7 +60,9 @@
 	mutex  sync.Mutex
 	record map[string]*record
 	rates  map[string]*requestRate
-	turn   uint64
+	// observed is what was seen of workers and not told to others yet.
+	observed map[string]*Observation
+	turn     uint64
 }
 
 type record struct {
@@ -70,12 +72,18 @@
 	ejects  int
 	// ejectedUntil is zero for workers in good standing.
 	ejectedUntil time.Time
+	// suspectUntil ends the time for which others have found the worker slow or
+	// failing.
+	suspectUntil time.Time
 	pace         pace
 }
 
 // New returns a balancer of a process in a zone.
 func New(now func() time.Time, zone string) *Balancer {
-	return &Balancer{now: now, zone: zone, record: make(map[string]*record), rates: make(map[string]*requestRate)}
+	return &Balancer{
+		now: now, zone: zone, record: make(map[string]*record), rates: make(map[string]*requestRate),
+		observed: make(map[string]*Observation),
+	}
 }
 
 type candidate struct {
@@ -146,7 +154,7 @@
 		switch {
 		case worker.Lapsed:
 			lapsed = append(lapsed, each)
-		case now.Before(known.ejectedUntil), known.pace.slow(now, typical):
+		case now.Before(known.ejectedUntil), now.Before(known.suspectUntil), known.pace.slow(now, typical):
 			ejected = append(ejected, each)
 		default:
 			usable = append(usable, each)
@@ -239,6 +247,7 @@
 	defer b.mutex.Unlock()
 	known := b.of(worker)
 	known.underWay--
+	b.observe(worker, verdict)
 	switch verdict {
 	case Served, TurnedAway:
 		known.failing *= 1 - failureWeight
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -54,6 +54,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.of(worker).pace.add(b.now(), took)
+	b.observePace(worker, took)
 }
 
 // typicalPace is the median of the known paces; 0 where fewer than three are
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,9 @@
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
 	g.quorum.Disable(options.Disabled)
 	g.state = newStateHealth(g.quorum, g.quorum.AnsweredWithin)
-	g.relay = quorum.NewRelay(g.quorum, g.directory, quorum.RelayOptions{Seeds: options.Seeds, Forwarder: options.Forwarder})
+	g.relay = quorum.NewRelay(g.quorum, g.directory, quorum.RelayOptions{
+		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerNews(g.balancer, options),
+	})
 	g.spent = newSpentTokens(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
@@ -158,6 +160,14 @@
 	return options.Zone
 }
 
+// workerNews returns what tells others of workers and hears of them.
+func workerNews(balancer *balance.Balancer, options Options) quorum.WorkerNews {
+	if options.Disabled.Has(mechanism.SharedSight) {
+		return nil
+	}
+	return balancer
+}
+
 // Reload puts changed settings in force: the seeds, and how long a planned stop
 // may take.
 func (g *Gateway) Reload(seeds []string, grace time.Duration) {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -40,6 +40,9 @@
 	SpentMemory Name = "spentMemory"
 	// NearWorkers prefers workers of the own zone where there are many.
 	NearWorkers Name = "nearWorkers"
+	// SharedSight passes over workers that the gateways of a zone together found slow
+	// or failing.
+	SharedSight Name = "sharedSight"
 	// FewWatchers lets a few replicas of each zone follow the store for all.
 	FewWatchers Name = "fewWatchers"
 )
@@ -47,7 +50,7 @@
 // All are the parts, in the order of the page.
 var All = []Name{
 	Affinity, Paces, Ejection, RetryBudget, LapsedWorkers, ResumeAtSameWorker, KeptChains, NewsThroughReplicas, Forwarding,
-	OneRound, DeferredSettlements, HeldRequests, SilentStreams, SpentMemory, NearWorkers, FewWatchers,
+	OneRound, DeferredSettlements, HeldRequests, SilentStreams, SpentMemory, NearWorkers, SharedSight, FewWatchers,
 }
 
 // Disabled are the parts that are switched off.
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
@@ -54,6 +55,17 @@
 	Sources func() []directory.Replica
 	// Nodes takes what replicas tell of nodes; nil does not ask for that.
 	Nodes NodeNews
+	// Workers tells replicas what was seen of workers, and takes what all that tell
+	// them have seen together; nil does neither.
+	Workers WorkerNews
+}
+
+// WorkerNews is what a gateway sees of workers and hears of others' sight.
+type WorkerNews interface {
+	// TakeObservations returns what was seen since the last call.
+	TakeObservations() []balance.Observation
+	// Suspect takes the workers that were found slow or failing.
+	Suspect(workers []string)
 }
 
 // NodeNews keeps the nodes and retirements that replicas tell.
@@ -212,6 +224,9 @@
 	if r.options.Nodes != nil {
 		request.Nodes = r.options.Nodes.Revisions()
 	}
+	if r.options.Workers != nil {
+		request.Observations = encodeObservations(r.options.Workers.TakeObservations())
+	}
 	if view.Table != nil {
 		request.Version = view.Table.Version()
 	}
@@ -249,9 +264,23 @@
 	if r.options.Nodes != nil {
 		r.options.Nodes.Offer(news.Nodes, news.Retirements)
 	}
+	if r.options.Workers != nil {
+		r.options.Workers.Suspect(news.Suspects)
+	}
 	r.note(news)
 }
 
+func encodeObservations(seen []balance.Observation) []*replicav1.WorkerObservation {
+	encoded := make([]*replicav1.WorkerObservation, 0, len(seen))
+	for _, each := range seen {
+		encoded = append(encoded, &replicav1.WorkerObservation{
+			Id: each.Worker, Answers: uint32(each.Answers), Failures: uint32(each.Failures),
+			Paced: uint32(each.Paced), PaceSum: each.PaceSum,
+		})
+	}
+	return encoded
+}
+
 // note takes how old a replica's word of the store is, and how many gateways ask it.
 func (r *Relay) note(news *replicav1.DirectoryResponse) {
 	r.mutex.Lock()
--- a/internal/replica/directory_test.go
+++ b/internal/replica/directory_test.go
@@ -24,7 +24,7 @@
 // questions that they ask anyway, and are told again only when that changes.
 func TestNewsNameOtherGateways(t *testing.T) {
 	asked := &service{
-		directory: directory.NewState(time.Now, nil), roster: newRoster(time.Now), followers: newFollowed(),
+		directory: directory.NewState(time.Now, nil), roster: newRoster(time.Now), followers: newFollowed(), observations: newObservations(time.Now),
 		age: func() (time.Duration, bool) { return 0, true },
 	}
 	require.Empty(t, askNews(t, asked, "a", 0).Forwarders, "nobody else asked yet")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -221,7 +221,10 @@
 	if err := telemetry.Serve(ctx, r.options.Metrics, registry, r.readiness); err != nil {
 		return err
 	}
-	handler := &service{state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), age: r.wordAge, followers: r.followers}
+	handler := &service{
+		state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), age: r.wordAge, followers: r.followers,
+		observations: newObservations(time.Now),
+	}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
 	server := &http.Server{Handler: bound}
 	go func() {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -22,8 +22,9 @@
 	roster    *roster
 	// age returns how old this replica's word of the platform's store is, or false
 	// if it has heard nothing of it.
-	age       func() (age time.Duration, heard bool)
-	followers *followed
+	age          func() (age time.Duration, heard bool)
+	followers    *followed
+	observations *observations
 }
 
 // Append stores records and lists reservations. A replica without a seat stores nothing.
@@ -121,6 +122,7 @@
 // it waits for as long as the caller allows.
 func (s *service) Directory(ctx context.Context, request *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
 	s.roster.note(request.Msg.Forwarder)
+	s.observations.add(request.Msg.Observations)
 	until := time.NewTimer(time.Duration(request.Msg.PatienceMs) * time.Millisecond)
 	defer until.Stop()
 	for {
@@ -139,6 +141,7 @@
 		case <-nodeChanged:
 		case <-until.C:
 			response.Forwarders = s.newForwarders(request.Msg)
+			response.Suspects = s.observations.suspects(s.directory.View().Workers)
 			return connect.NewResponse(response), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
@@ -173,6 +176,7 @@
 		}
 	}
 	response.Forwarders = s.newForwarders(known)
+	response.Suspects = s.observations.suspects(view.Workers)
 	if known.Nodes != nil {
 		response.Nodes = s.followers.nodesAfter(known.Nodes.Nodes)
 		response.Retirements = s.followers.retirementsAfter(known.Nodes.Retirements)
