--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -97,7 +97,7 @@
 		return &BudgetSpent{Program: envelope.Program, Committed: settled, Budget: envelope.Budget}
 	}
 	t.reserved = true
-	t.reservation = envelope.RequestID + "/" + strconv.FormatUint(rand.Uint64(), 36)
+	t.reservation = strconv.FormatUint(rand.Uint64(), 36)
 	reservation := &replicav1.Reservation{Id: t.reservation, Program: envelope.Program, Most: envelope.MostTokens}
 	record := &replicav1.Record{
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -100,13 +100,17 @@
 	}
 }
 
-// firstAsked is how many members are asked at first. A turn goes to all of them at
-// once, so that the nearest member of its next reader has it; of all else as many
-// as must have it are enough.
+// turnCopies is how many members a turn goes to at once at least. The near one is among
+// them, and the turn's next reader is mostly in the same zone; in a group of three every
+// reader finds it near.
+const turnCopies = 3
+
+// firstAsked is how many members are asked at first: as many as must have the records,
+// and for a turn turnCopies of them.
 func (r *appendRound) firstAsked() int {
 	for _, record := range r.request.Records {
 		if record.GetTurn() != nil {
-			return len(r.group.Members)
+			return min(len(r.group.Members), max(turnCopies, WriteSize(len(r.group.Members))))
 		}
 	}
 	return WriteSize(len(r.group.Members))
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -236,3 +236,19 @@
 	require.True(t, known.answeredSince("a", now.Add(-1)))
 	require.False(t, known.answeredSince("a", now))
 }
+
+// TestATurnGoesToThreeMembersAtOnce holds that two of five are left alone: what a turn
+// says is most of what goes between zones.
+func TestATurnGoesToThreeMembersAtOnce(t *testing.T) {
+	for members, copies := range map[int]int{2: 2, 3: 3, 4: 3, 5: 3} {
+		started, group := startMembers(t, members)
+		client := NewClient(group, "", http.DefaultClient)
+		stoppedClock(client)
+		turn := &replicav1.Record{Kind: &replicav1.Record_Turn{Turn: &replicav1.Turn{Id: "t", Program: "p"}}}
+		require.NoError(t, client.Append(t.Context(), "p", turn))
+		require.Eventually(t, func() bool {
+			records, _ := total(started)
+			return records == copies
+		}, time.Minute, time.Millisecond, "of %d members", members)
+	}
+}
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -222,7 +222,8 @@
 	return true
 }
 
-// Entries returns the reservations of a program.
+// Entries returns the reservations of a program, without its name: lists of them are
+// most of what replicas answer.
 func (s *Store) Entries(program string) []*replicav1.Entry {
 	known := s.programs[program]
 	if known == nil {
@@ -230,7 +231,9 @@
 	}
 	entries := make([]*replicav1.Entry, 0, len(known.entries))
 	for _, entry := range known.entries {
-		entries = append(entries, proto.CloneOf(entry))
+		listed := proto.CloneOf(entry)
+		listed.Program = ""
+		entries = append(entries, listed)
 	}
 	return entries
 }
