A new seat counts once it has received what the others hold; a group does not shrink beside a node that can take a seat

Change: a seat that is added counts in nothing, and nobody copies from it, until its holder has received what the others hold and a second compare-and-swap says so, as for seats that move; sizes of majorities go by the members that count (quorum.Voters). A group shrinks only after nodes that could take the seat have had 1.3 s to answer.

Also: proof_test.go and reconcile.go split by what they do, one copy of the list of members.

--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -242,6 +242,21 @@
 // Groups returns the groups of all partitions by partition, as far as they are known.
 func (s *State) Groups() []*replicav1.Group { return s.View().Groups }
 
+// Members returns the members of groups, each node once.
+func Members(groups []*replicav1.Group) []Replica {
+	known := make(map[string]bool)
+	var members []Replica
+	for _, group := range groups {
+		for _, member := range group.GetMembers() {
+			if !known[member.Node] {
+				known[member.Node] = true
+				members = append(members, Replica{Node: member.Node, Address: member.Address, Zone: member.Zone})
+			}
+		}
+	}
+	return members
+}
+
 // partitionsOf returns how many partitions a group says there are. A group from
 // before there were partitions says nothing, and is the only one.
 func partitionsOf(group *replicav1.Group) int { return max(1, int(group.Partitions)) }
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -17,7 +17,7 @@
 	answered, needed := 0, 1
 	for {
 		if group := c.group(program); group != nil {
-			needed = WriteSize(len(group.Members))
+			needed = WriteSize(Voters(group))
 			round := newAppendRound(c, group, request)
 			ledger, done := round.run(ctx)
 			if done {
@@ -110,10 +110,10 @@
 func (r *appendRound) firstAsked() int {
 	for _, record := range r.request.Records {
 		if record.GetTurn() != nil {
-			return min(len(r.group.Members), max(turnCopies, WriteSize(len(r.group.Members))))
+			return min(len(r.group.Members), max(turnCopies, WriteSize(Voters(r.group))))
 		}
 	}
-	return WriteSize(len(r.group.Members))
+	return WriteSize(Voters(r.group))
 }
 
 // counted returns what the latest answers say together, if enough of them count.
@@ -123,7 +123,7 @@
 	for _, answer := range r.latest {
 		standings, answers = append(standings, answer.Standing), append(answers, answer)
 	}
-	chosen := Choose(r.group.Epoch, standings, WriteSize(len(r.group.Members)))
+	chosen := Choose(r.group.Epoch, standings, WriteSize(Voters(r.group)))
 	if chosen == nil {
 		return nil, false
 	}
--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -112,7 +112,7 @@
 	answered, needed := 0, 1
 	for {
 		if group := c.groups.Group(partition); group != nil {
-			needed = ReadSize(len(group.Members))
+			needed = ReadSize(Voters(group))
 			found, absent, count := c.findOnce(ctx, group, id)
 			if len(found) > 0 {
 				return found, nil
@@ -158,7 +158,7 @@
 			waiting++
 		}
 		asked = len(members)
-		if Choose(group.Epoch, standings, ReadSize(len(group.Members))) != nil {
+		if Choose(group.Epoch, standings, ReadSize(Voters(group))) != nil {
 			return nil, true, len(standings)
 		}
 	}
--- a/internal/quorum/partition.go
+++ b/internal/quorum/partition.go
@@ -40,19 +40,7 @@
 }
 
 // members returns the members of all groups, each node once.
-func (c *Client) members() []directory.Replica {
-	known := make(map[string]bool)
-	var members []directory.Replica
-	for _, group := range c.groups.Groups() {
-		for _, member := range group.GetMembers() {
-			if !known[member.Address] {
-				known[member.Address] = true
-				members = append(members, directory.Replica{Node: member.Node, Address: member.Address, Zone: member.Zone})
-			}
-		}
-	}
-	return members
-}
+func (c *Client) members() []directory.Replica { return directory.Members(c.groups.Groups()) }
 
 // SamePartition reports whether the records of two programs lie in one partition.
 func (c *Client) SamePartition(one, other string) bool {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -14,6 +14,24 @@
 
 import "github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 
+// Joining reports whether a member holds a new seat and has not received yet what the
+// others hold. It counts in nothing: if it did, the loss of one disk of a group that has
+// shrunk to two, and grows again, would leave one member of three and no majority.
+func Joining(member *replicav1.Member) bool {
+	before := member.GetPredecessor()
+	return before != nil && before.Node == "" && before.ReceivedBy == 0
+}
+
+// Voters returns how many members of a group count.
+func Voters(group *replicav1.Group) (count int) {
+	for _, member := range group.Members {
+		if !Joining(member) {
+			count++
+		}
+	}
+	return count
+}
+
 // WriteSize is how many of n members must have a record.
 func WriteSize(members int) int { return members/2 + 1 }
 
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -78,11 +78,11 @@
 	if c.failed > 0 {
 		return sources
 	}
-	if inTransfer(member) {
+	if inTransfer(member) && !quorum.Joining(member) {
 		// The holder before comes last and is enough alone.
 		return sources[len(sources)-1:]
 	}
-	return sources[:min(len(sources), quorum.RecoverSize(len(group.Members)))]
+	return sources[:min(len(sources), quorum.RecoverSize(quorum.Voters(group)))]
 }
 
 // attemptFailed notes an attempt that was not enough.
--- /dev/null
+++ b/internal/replica/form.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
+)
+
+const (
+	// formAfter is how long the first groups wait for nodes that start late, and
+	// formStagger how much longer each further node waits for the one before it to
+	// form them.
+	formAfter   = 2 * time.Second
+	formStagger = 2 * reconcileEvery
+	// registerPause is the time between two tries to register.
+	registerPause = 500 * time.Millisecond
+)
+
+// register keeps this node's entry in the platform's store.
+func (r *Replica) register(ctx context.Context) {
+	own := directory.Object{
+		Name:    r.options.Node,
+		Replica: &directory.Replica{Node: r.options.Node, Address: r.options.Address, Zone: r.options.Zone},
+	}
+	for {
+		err := r.registerOnce(ctx, own)
+		if err == nil {
+			return
+		}
+		if !pause.For(ctx, registerPause) {
+			return
+		}
+	}
+}
+
+func (r *Replica) registerOnce(ctx context.Context, own directory.Object) error {
+	if r.options.Bootstrap {
+		var taken *directory.Conflict
+		if err := r.objects.Create(ctx, directory.KindReplica, own); err == nil || !errors.As(err, &taken) {
+			return err
+		}
+	}
+	found, exists, err := r.objects.Get(ctx, directory.KindReplica, own.Name)
+	if err != nil {
+		return err
+	}
+	if !exists {
+		return r.objects.Create(ctx, directory.KindReplica, own)
+	}
+	if *found.Replica == *own.Replica {
+		return nil
+	}
+	own.Revision = found.Revision
+	return r.objects.Replace(ctx, directory.KindReplica, own)
+}
+
+// form creates the groups of a new system that are not there yet. Nodes that form
+// them at the same time agree on the first group that is created, and so on the number
+// of partitions; of each other group too the one that is created first stands.
+func (r *Replica) form(ctx context.Context) {
+	known := r.directory.Groups()
+	if len(known) > 0 && !slices.Contains(known, nil) {
+		return
+	}
+	if len(known) == 0 && !r.firstGroupMissing(ctx) {
+		return
+	}
+	nodes := r.followers.nodes()
+	if !slices.ContainsFunc(nodes, func(node directory.Replica) bool { return node.Node == r.options.Node }) {
+		// The list of nodes has not come in yet.
+		return
+	}
+	for _, group := range firstGroups(nodes) {
+		partitions := len(r.directory.Groups())
+		if partitions != 0 && (partitions != int(group.Partitions) || r.directory.Group(group.Partition) != nil) {
+			continue
+		}
+		err := r.objects.Create(ctx, directory.KindGroup, directory.Object{Name: directory.GroupName(group.Partition), Group: group})
+		var taken *directory.Conflict
+		switch {
+		case err == nil:
+			r.directory.OfferGroup(group)
+		case group.Partition == 0 || !errors.As(err, &taken):
+			// Another node's first group, and with it the number of partitions, comes
+			// in with the watch.
+			return
+		}
+	}
+}
+
+// rank returns how many registered nodes come before this one by name.
+func (r *Replica) rank() (before int) {
+	for _, node := range r.followers.nodes() {
+		if node.Node < r.options.Node {
+			before++
+		}
+	}
+	return before
+}
+
+// firstGroupMissing reports whether the store answers that there is no group.
+func (r *Replica) firstGroupMissing(ctx context.Context) bool {
+	found, exists, err := r.objects.Get(ctx, directory.KindGroup, directory.GroupName(0))
+	if exists {
+		r.directory.OfferGroup(found.Group)
+	}
+	return err == nil && !exists
+}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -142,6 +142,8 @@
 		return next
 	case leaving == nil && standby != nil && len(next.Members) < int(next.Target):
 		addMember(next, *standby)
+		// It counts once it has received what the others hold.
+		next.Members[len(next.Members)-1].Predecessor = &replicav1.Predecessor{}
 		return next
 	}
 	return nil
@@ -174,7 +176,7 @@
 			return false
 		}
 	}
-	return settled >= quorum.WriteSize(len(seen.group.Members))
+	return settled >= quorum.WriteSize(quorum.Voters(seen.group))
 }
 
 // allSettled reports whether every member shows the present epoch and holds
@@ -230,7 +232,7 @@
 }
 
 // inTransfer reports whether a seat's holder has not received yet what the seat
-// held before.
+// held before, or, where the seat is new, what the others hold.
 func inTransfer(member *replicav1.Member) bool {
 	return member.Predecessor != nil && member.Predecessor.ReceivedBy == 0
 }
--- /dev/null
+++ b/internal/replica/proof_groups_test.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	"connectrpc.com/connect"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// spread lets a node learn the group in force.
+func (p *proof) spread() {
+	p.must(p.any().state().write(groupRecord(p.group)))
+	if p.announcing {
+		p.announceToAny()
+	}
+}
+
+// announceToAny makes a node that has a seat, as far as it knows, tell any other node,
+// as members do that look for one which can take a seat.
+func (p *proof) announceToAny() {
+	from := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
+	to := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
+	known := from.state().currentGroup(p.group.Partition)
+	if from == to || from.gone || to.gone || known == nil {
+		return
+	}
+	_, err := to.service.Announce(context.Background(), connect.NewRequest(announcementOf(from.state(), known, from.name)))
+	p.must(err)
+}
+
+// announce makes announcements part of the fleet's schedule.
+func (f *proofFleet) announce(seed uint64) *proofFleet {
+	f.announcing, f.announcements = true, rand.New(rand.NewPCG(seed, 13))
+	return f
+}
+
+// changeGroup goes one step on with a retirement, or begins one.
+func (p *proof) changeGroup() {
+	if p.retiring == "" {
+		if p.anyUnrecovered() || len(p.order) > 8 {
+			return
+		}
+		if p.random.IntN(2) == 0 || len(p.group.Members) < proofReplicas {
+			p.addNode(fmt.Sprintf("n%d", len(p.order)))
+		}
+		if p.smallestGroup() > 2 {
+			p.retiring = p.anyMember(p.group).name
+		}
+	}
+	p.propose()
+	p.completeRetirement()
+}
+
+func (f *proofFleet) anyUnrecovered() bool {
+	for _, partition := range f.partitions {
+		if partition.unrecovered() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *proofFleet) smallestGroup() int {
+	smallest := len(f.partitions[0].group.Members)
+	for _, partition := range f.partitions {
+		smallest = min(smallest, len(partition.group.Members))
+	}
+	return smallest
+}
+
+func (f *proofFleet) groups() (groups []*replicav1.Group) {
+	for _, partition := range f.partitions {
+		groups = append(groups, partition.group)
+	}
+	return groups
+}
+
+func (p *proof) propose() {
+	var nodes []directory.Replica
+	for _, name := range p.order {
+		if !p.nodes[name].gone {
+			nodes = append(nodes, directory.Replica{Node: name, Zone: name})
+		}
+	}
+	next := nextGroup(observation{
+		group: p.group, nodes: nodes, retiring: map[string]bool{p.retiring: true}, seats: seatsHeld(p.groups()),
+		alive: func(string) bool { return true },
+		settled: func(name string) bool {
+			if p.broken == shrinkUnsettled && name == p.retiring {
+				return true
+			}
+			standing := p.nodes[name].state().standing(p.group.Partition, p.group.Epoch)
+			return standing.Member && standing.Recovered && standing.Epoch == p.group.Epoch
+		},
+	})
+	if next != nil {
+		p.group = next
+	}
+}
+
+// completeRetirement lets the retiring node go once every partition has what it held.
+func (f *proofFleet) completeRetirement() {
+	if f.retiring == "" || f.anyUnrecovered() {
+		return
+	}
+	node := f.nodes[f.retiring]
+	for _, partition := range f.partitions {
+		if seatOf(partition.group, node.name) != nil {
+			return
+		}
+	}
+	for _, partition := range f.partitions {
+		if !partition.emptied(node) {
+			return
+		}
+	}
+	node.gone = true
+	f.retiring = ""
+}
+
+// emptied reports whether a node that has no seat in the partition may go, after it
+// has handed its records over where its seat was not passed on.
+func (p *proof) emptied(node *proofNode) bool {
+	if node.state().currentIdentity(p.group.Partition) == nil {
+		return true
+	}
+	p.must(node.state().write(groupRecord(p.group)))
+	if p.broken == retireUnemptied || passedSeatOf(p.group, node.name) != nil {
+		return true
+	}
+	records, _, _, err := node.state().after(p.group.Partition, 0, 1<<30)
+	p.must(err)
+	for _, member := range p.group.Members {
+		request := &replicav1.AppendRequest{Epoch: p.group.Epoch, Partition: p.group.Partition, Records: records}
+		response, err := p.nodes[member.Node].service.Append(context.Background(), connect.NewRequest(request))
+		p.must(err)
+		if standing := response.Msg.Standing; standing.Epoch != p.group.Epoch || !standing.Recovered {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -31,12 +31,17 @@
 // due reports whether a member that comes after rank others may propose a change of the
 // group now.
 func (p *proposals) due(group *replicav1.Group, rank int) bool {
+	return p.wantedFor(group, time.Duration(rank)*proposalStagger)
+}
+
+// wantedFor reports whether a change of the group has been wanted for so long.
+func (p *proposals) wantedFor(group *replicav1.Group, limit time.Duration) bool {
 	known, found := p.wanted[group.Partition]
 	if !found || known.epoch != group.Epoch {
 		known = wantedChange{epoch: group.Epoch, since: p.now()}
 		p.wanted[group.Partition] = known
 	}
-	return p.now().Sub(known.since) >= time.Duration(rank)*proposalStagger
+	return p.now().Sub(known.since) >= limit
 }
 
 // settled notes that no change of a partition's group is wanted.
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,16 +15,13 @@
 	announceEvery   = 400 * time.Millisecond
 	announceTimeout = 700 * time.Millisecond
 	reconcileEvery  = 300 * time.Millisecond
-	// formAfter is how long the first groups wait for nodes that start late, and
-	// formStagger how much longer each further node waits for the one before it to
-	// form them.
-	formAfter   = 2 * time.Second
-	formStagger = 2 * reconcileEvery
+	// shrinkAfter is how long nodes that could take a seat have to say that they are
+	// there before a group shrinks instead: two questions of lookForStandbys, and the
+	// time that the first may take. A group of two rests while one of them is away.
+	shrinkAfter = 2*reconcileEvery + announceTimeout
 	// standbysAsked is how many nodes are asked at a time whether they can take a
 	// seat: some may be in the same trouble as the member that they are to replace.
 	standbysAsked = 3
-	// registerPause is the time between two tries to register.
-	registerPause = 500 * time.Millisecond
 )
 
 // announce tells the other members of each group that this node has a seat in, again
@@ -76,44 +71,6 @@
 	r.heard.noteStanding(member.Node, message.Group.Partition, standing)
 }
 
-// register keeps this node's entry in the platform's store.
-func (r *Replica) register(ctx context.Context) {
-	own := directory.Object{
-		Name:    r.options.Node,
-		Replica: &directory.Replica{Node: r.options.Node, Address: r.options.Address, Zone: r.options.Zone},
-	}
-	for {
-		err := r.registerOnce(ctx, own)
-		if err == nil {
-			return
-		}
-		if !pause.For(ctx, registerPause) {
-			return
-		}
-	}
-}
-
-func (r *Replica) registerOnce(ctx context.Context, own directory.Object) error {
-	if r.options.Bootstrap {
-		var taken *directory.Conflict
-		if err := r.objects.Create(ctx, directory.KindReplica, own); err == nil || !errors.As(err, &taken) {
-			return err
-		}
-	}
-	found, exists, err := r.objects.Get(ctx, directory.KindReplica, own.Name)
-	if err != nil {
-		return err
-	}
-	if !exists {
-		return r.objects.Create(ctx, directory.KindReplica, own)
-	}
-	if *found.Replica == *own.Replica {
-		return nil
-	}
-	own.Revision = found.Revision
-	return r.objects.Replace(ctx, directory.KindReplica, own)
-}
-
 // reconcile brings the groups in line with the nodes that are there, again and
 // again, one change of each at a time.
 func (r *Replica) reconcile(ctx context.Context) {
@@ -145,6 +102,9 @@
 		return
 	}
 	if len(next.Members) < len(group.Members) {
+		if !r.proposals.wantedFor(group, shrinkAfter) && len(standbys(seen)) > 0 {
+			return
+		}
 		if seatOf(next, r.options.Node) != nil || !r.handOver(ctx, group) {
 			return
 		}
@@ -169,59 +129,6 @@
 	}
 }
 
-// form creates the groups of a new system that are not there yet. Nodes that form
-// them at the same time agree on the first group that is created, and so on the number
-// of partitions; of each other group too the one that is created first stands.
-func (r *Replica) form(ctx context.Context) {
-	known := r.directory.Groups()
-	if len(known) > 0 && !slices.Contains(known, nil) {
-		return
-	}
-	if len(known) == 0 && !r.firstGroupMissing(ctx) {
-		return
-	}
-	nodes := r.followers.nodes()
-	if !slices.ContainsFunc(nodes, func(node directory.Replica) bool { return node.Node == r.options.Node }) {
-		// The list of nodes has not come in yet.
-		return
-	}
-	for _, group := range firstGroups(nodes) {
-		partitions := len(r.directory.Groups())
-		if partitions != 0 && (partitions != int(group.Partitions) || r.directory.Group(group.Partition) != nil) {
-			continue
-		}
-		err := r.objects.Create(ctx, directory.KindGroup, directory.Object{Name: directory.GroupName(group.Partition), Group: group})
-		var taken *directory.Conflict
-		switch {
-		case err == nil:
-			r.directory.OfferGroup(group)
-		case group.Partition == 0 || !errors.As(err, &taken):
-			// Another node's first group, and with it the number of partitions, comes
-			// in with the watch.
-			return
-		}
-	}
-}
-
-// rank returns how many registered nodes come before this one by name.
-func (r *Replica) rank() (before int) {
-	for _, node := range r.followers.nodes() {
-		if node.Node < r.options.Node {
-			before++
-		}
-	}
-	return before
-}
-
-// firstGroupMissing reports whether the store answers that there is no group.
-func (r *Replica) firstGroupMissing(ctx context.Context) bool {
-	found, exists, err := r.objects.Get(ctx, directory.KindGroup, directory.GroupName(0))
-	if exists {
-		r.directory.OfferGroup(found.Group)
-	}
-	return err == nil && !exists
-}
-
 func (r *Replica) observe(group *replicav1.Group) observation {
 	own := r.options.Node
 	return observation{
@@ -255,115 +162,3 @@
 	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members))
 	r.directory.OfferGroup(next)
 }
-
-// retire empties this node when that is asked. The node may go once it holds no
-// seat and what it holds is not needed any more.
-func (r *Replica) retire(ctx context.Context) {
-	retirement, asked := r.followers.retirement(r.options.Node)
-	if !asked || retirement.Completed || r.retired {
-		return
-	}
-	if !r.retiring {
-		r.retiring = r.objects.SetRetirement(ctx, r.options.Node, false) == nil
-	}
-	groups := r.directory.Groups()
-	if len(groups) == 0 || slices.Contains(groups, nil) || len(r.ownGroups()) > 0 {
-		return
-	}
-	for _, group := range groups {
-		if !r.emptied(ctx, group) {
-			return
-		}
-	}
-	if err := r.objects.SetRetirement(ctx, r.options.Node, true); err == nil {
-		r.retired = true
-		eventRetired.Log("node", r.options.Node)
-	}
-}
-
-// emptied reports whether this node, which holds no seat of a group, may go: it never
-// held one, or the node that took its seat holds everything that the seat held, or
-// every member has all records of this one.
-func (r *Replica) emptied(ctx context.Context, group *replicav1.Group) bool {
-	if r.state.currentIdentity(group.Partition) == nil {
-		return true
-	}
-	if passedSeatOf(group, r.options.Node) != nil {
-		return r.transferDone(ctx, group)
-	}
-	return r.handOver(ctx, group)
-}
-
-// transferDone asks the members of a group that this node has left whether each holds
-// everything that its seat held.
-func (r *Replica) transferDone(ctx context.Context, group *replicav1.Group) bool {
-	message := announcementOf(r.state, group, r.options.Node)
-	for _, member := range group.Members {
-		r.announceTo(ctx, member, message)
-	}
-	return allSettled(r.observe(group))
-}
-
-// handOverKey names a member of a partition's group.
-type handOverKey struct {
-	partition uint32
-	node      string
-}
-
-// handOver is how far a member has got this node's records.
-type handOver struct {
-	// incarnation is the life of the member's folder that got them.
-	incarnation uint64
-	// position is the one after the last of them.
-	position uint64
-}
-
-// handOver writes all records that this node has of a partition to every member. An attempt goes on where
-// the one before it stopped.
-func (r *Replica) handOver(ctx context.Context, group *replicav1.Group) bool {
-	if err := r.state.write(groupRecord(group)); err != nil {
-		return false
-	}
-	for _, member := range group.Members {
-		if member.Node != r.options.Node && !r.handOverTo(ctx, group, member) {
-			return false
-		}
-	}
-	return true
-}
-
-func (r *Replica) handOverTo(ctx context.Context, group *replicav1.Group, member *replicav1.Member) bool {
-	key := handOverKey{partition: group.Partition, node: member.Node}
-	done := r.handOvers[key]
-	for {
-		records, next, more, err := r.state.after(group.Partition, done.position, maxPullBytes)
-		if err != nil {
-			return false
-		}
-		call, cancel := context.WithTimeout(ctx, pullTimeout)
-		request := &replicav1.AppendRequest{Epoch: group.Epoch, Partition: group.Partition, Records: records}
-		response, err := r.quorum.At(member.Address).Append(call, connect.NewRequest(request))
-		cancel()
-		if err != nil {
-			return false
-		}
-		standing := response.Msg.Standing
-		if !standing.Member || !standing.Recovered || standing.Epoch != group.Epoch {
-			r.directory.OfferGroup(standing.Group)
-			return false
-		}
-		if done.incarnation != standing.Incarnation {
-			restart := done.position != 0
-			done = handOver{incarnation: standing.Incarnation}
-			if restart {
-				// What went to a former life of the member's folder is lost.
-				continue
-			}
-		}
-		done.position = next
-		r.handOvers[key] = done
-		if !more {
-			return true
-		}
-	}
-}
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -192,16 +192,16 @@
 	return true
 }
 
-// recoverySources returns the other members and, while the seat is in transfer,
-// the node that held it before.
+// recoverySources returns the other members that count and, while the seat is in
+// transfer, the node that held it before.
 func recoverySources(group *replicav1.Group, member *replicav1.Member) []*replicav1.Member {
 	var sources []*replicav1.Member
 	for _, other := range group.Members {
-		if other.Seat != member.Seat {
+		if other.Seat != member.Seat && !quorum.Joining(other) {
 			sources = append(sources, other)
 		}
 	}
-	if before := member.Predecessor; inTransfer(member) {
+	if before := member.Predecessor; inTransfer(member) && !quorum.Joining(member) {
 		sources = append(sources, &replicav1.Member{Seat: member.Seat, Node: before.Node, Address: before.Address, Claim: before.Claim})
 	}
 	return sources
@@ -219,7 +219,7 @@
 			others = append(others, standing)
 		}
 	}
-	chosen := quorum.Choose(group.Epoch, others, quorum.RecoverSize(len(group.Members)))
+	chosen := quorum.Choose(group.Epoch, others, quorum.RecoverSize(quorum.Voters(group)))
 	if chosen == nil {
 		return nil
 	}
@@ -236,7 +236,7 @@
 // the seat is in transfer, no later holder has acknowledged anything.
 func passesSeatOn(group *replicav1.Group, member *replicav1.Member, standing *replicav1.Standing) bool {
 	before := member.Predecessor
-	return inTransfer(member) && !standing.Member && standing.Recovered && standing.Epoch >= group.Epoch &&
+	return inTransfer(member) && !quorum.Joining(member) && !standing.Member && standing.Recovered && standing.Epoch >= group.Epoch &&
 		standing.Seat == member.Seat && standing.Claim == before.Claim
 }
 
--- a/internal/replica/recover_test.go
+++ b/internal/replica/recover_test.go
@@ -95,3 +95,25 @@
 	require.ErrorAs(t, err, &stale)
 	require.Empty(t, opened.standing(0, 2).Seen)
 }
+
+// TestAGroupThatGrowsBearsTheLossOfADisk: a group of two grew to three, one of the two lost
+// its disk before the third had copied anything, and two of three were nothing for ever
+// (RECOVER on hofbauer-nom scale-1, seconds 21 to 24).
+func TestAGroupThatGrowsBearsTheLossOfADisk(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	removeSeat(group, 0)
+	grown := nextGroup(seenAll(group, nodes("b", "c", "d")))
+	require.Equal(t, []string{"b", "c", "d"}, memberNames(grown))
+	require.Equal(t, 2, quorum.Voters(grown), "the new one counts once it has received what the others hold")
+
+	left := &replicav1.Standing{
+		Epoch: grown.Epoch, Member: true, Recovered: true, Seat: grown.Members[1].Seat, Incarnation: 7,
+	}
+	require.NotNil(t, enoughToRecover(grown, grown.Members[0], []*replicav1.Standing{left}), "the emptied one")
+	require.NotNil(t, enoughToRecover(grown, grown.Members[2], []*replicav1.Standing{left}), "the new one")
+	require.Equal(t, "c", recoverySources(grown, grown.Members[0])[0].Node)
+	require.Len(t, recoverySources(grown, grown.Members[0]), 1, "a new one has nothing to give")
+
+	joined := receivedGroup(grown, grown.Members[2].Seat, 9)
+	require.Equal(t, 3, quorum.Voters(joined))
+}
--- a/internal/replica/watchers.go
+++ b/internal/replica/watchers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
@@ -29,24 +30,12 @@
 // same groups choose alike: the first members of each zone, by name.
 func watchers(groups []*replicav1.Group) []directory.Replica {
 	zones := make(map[string][]directory.Replica)
-	known := make(map[string]bool)
-	for _, group := range groups {
-		for _, member := range group.GetMembers() {
-			if known[member.Node] {
-				continue
-			}
-			known[member.Node] = true
-			zones[member.Zone] = append(zones[member.Zone], directory.Replica{Node: member.Node, Address: member.Address, Zone: member.Zone})
-		}
+	for _, member := range directory.Members(groups) {
+		zones[member.Zone] = append(zones[member.Zone], member)
 	}
 	var chosen []directory.Replica
 	for _, inZone := range zones {
-		slices.SortFunc(inZone, func(a, b directory.Replica) int {
-			if a.Node < b.Node {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(inZone, func(a, b directory.Replica) int { return strings.Compare(a.Node, b.Node) })
 		each := (wantedWatchers + len(zones) - 1) / len(zones)
 		chosen = append(chosen, inZone[:min(each, len(inZone))]...)
 	}
