A gateway listens at once after its start and holds requests for its first configuration

Cause: a gateway opened its listener only once it had a configuration, which it now hears from replicas; those start 0.1 to 0.5 s after a loss of power on all machines.

Change: it listens at once, and a request waits up to 1 s for the first configuration, by the clock of its own deadline; the configuration is listed at the store like workers and groups where no replica has told it 0.25 to 0.5 s after the start.

--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -172,15 +172,23 @@
 	f.Follow(ctx, KindWorker, "workers", LongWait, f.takeWorkers)
 }
 
-// ListRest lists the workers and the group once. A call that fails is not repeated.
+// ListConfiguration lists the configuration once. A call that fails is not repeated.
+func (f *Feed) ListConfiguration(ctx context.Context) {
+	f.listOnce(ctx, KindConfiguration, "configuration", f.takeConfiguration)
+}
+
+// ListRest lists the workers and the groups once. A call that fails is not repeated.
 func (f *Feed) ListRest(ctx context.Context) {
-	listed := make(chan struct{})
-	go func() {
-		defer close(listed)
-		_, _ = f.step(ctx, nil, KindGroup, 0, 0, f.takeGroup)
-	}()
-	_, _ = f.step(ctx, nil, KindWorker, 0, 0, f.takeWorkers)
-	<-listed
+	var listing sync.WaitGroup
+	listing.Go(func() { f.listOnce(ctx, KindGroup, "groups", f.takeGroup) })
+	listing.Go(func() { f.listOnce(ctx, KindWorker, "workers", f.takeWorkers) })
+	listing.Wait()
+}
+
+func (f *Feed) listOnce(ctx context.Context, kind Kind, name string, take func(Listing, []Change, int64)) {
+	if _, err := f.step(ctx, nil, kind, 0, 0, take); err != nil {
+		eventStoreLost.Log("kind", name, "cause", err.Error())
+	}
 }
 
 func (f *Feed) takeConfiguration(listing Listing, changes []Change, _ int64) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,8 +64,6 @@
 	// maxForwardBytes bounds a call that is made for another gateway.
 	maxForwardBytes = 16 << 20
 	sweepEvery      = time.Second
-	// firstConfigurationWait is how long the listener waits for a configuration.
-	firstConfigurationWait = 2 * time.Second
 )
 
 // Options set up a gateway.
@@ -203,7 +201,6 @@
 	if err := g.serveForwarder(working); err != nil {
 		return err
 	}
-	g.awaitConfiguration(ctx)
 	ingress, err := transport.Listen(working, g.options.Ingress, clientUserTimeout)
 	if err != nil {
 		return &failure.Internal{Cause: err}
@@ -242,15 +239,6 @@
 	return nil
 }
 
-func (g *Gateway) awaitConfiguration(ctx context.Context) {
-	until := time.Now().Add(firstConfigurationWait)
-	for g.directory.View().Table == nil && time.Now().Before(until) {
-		if !pause.For(ctx, 20*time.Millisecond) {
-			return
-		}
-	}
-}
-
 // sweep closes idle connections and forgets workers that are gone.
 func (g *Gateway) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepEvery) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -9,26 +9,44 @@
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
-// workersWait bounds how long a request waits for the first list of workers.
-const workersWait = 700 * time.Millisecond
+const (
+	// workersWait bounds how long a request waits for the first list of workers.
+	workersWait = 700 * time.Millisecond
+	// configurationWait bounds how long a request waits for the first configuration.
+	// Replicas that lost power with all other machines tell it some 200 ms after their
+	// start, more where their logs are long; a client that is not even connected tries
+	// again at once, and has few tries.
+	configurationWait = time.Second
+)
+
+// awaitConfiguration holds a request while this process has not learned of any
+// configuration yet.
+func (g *Gateway) awaitConfiguration(ctx context.Context) {
+	g.await(ctx, configurationWait, func() bool { return g.directory.View().Table != nil })
+}
 
 // awaitWorkers holds a request while this process has not learned of any worker
 // yet, which takes some ten milliseconds after a start: refused, the request would
 // cost its client one of few tries.
 func (g *Gateway) awaitWorkers(ctx context.Context) {
-	if g.directory.WorkersRevision() != 0 || g.disabled(mechanism.HeldRequests) {
+	g.await(ctx, workersWait, func() bool { return g.directory.WorkersRevision() != 0 })
+}
+
+// await waits until something is known, for as long as the limit allows.
+func (g *Gateway) await(ctx context.Context, limit time.Duration, known func() bool) {
+	if known() || g.disabled(mechanism.HeldRequests) {
 		return
 	}
-	limit := time.NewTimer(workersWait)
-	defer limit.Stop()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	for {
 		news := g.directory.News()
-		if g.directory.WorkersRevision() != 0 {
+		if known() {
 			return
 		}
 		select {
 		case <-news:
-		case <-limit.C:
+		case <-timer.C:
 			return
 		case <-ctx.Done():
 			return
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -61,11 +61,14 @@
 	return time.Since(began) > countedAfter && g.relay.Gateways() <= fewGateways
 }
 
-// listOnce lists the workers and the groups at the store if no replica has told them
-// soon after the start.
+// listOnce lists the workers and the groups at the store, and the configuration, if no
+// replica has told them soon after the start.
 func (g *Gateway) listOnce(ctx context.Context) {
 	pause.For(ctx, listAfter+rand.N(listSpread))
 	if g.directory.WorkersRevision() == 0 {
 		g.feed.ListRest(ctx)
 	}
+	if g.directory.View().Table == nil {
+		g.feed.ListConfiguration(ctx)
+	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -67,8 +67,10 @@
 		// The client is to open its next connection elsewhere.
 		w.Header().Set("Connection", "close")
 	}
+	received := time.Now()
+	g.awaitConfiguration(incoming.Context())
 	r := &request{
-		gateway: g, writer: w, incoming: incoming, received: time.Now(),
+		gateway: g, writer: w, incoming: incoming, received: received,
 		envelope: g.options.Dialect.Envelope(incoming.Header), view: g.directory.View(),
 		tried: make(map[string]bool), ran: make(map[string]bool), gone: make(map[string]bool),
 	}
