--- /dev/null
+++ b/internal/quorum/chain_test.go
@@ -0,0 +1,121 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+)
+
+// turnHolder is a member that has some turns.
+type turnHolder struct {
+	replicav1connect.UnimplementedReplicaServiceHandler
+	seat  uint32
+	turns map[string]*replicav1.Turn
+	// unrecovered members prove nothing.
+	unrecovered bool
+}
+
+func (s *turnHolder) ReadChain(_ context.Context, request *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
+	response := &replicav1.ReadChainResponse{
+		Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: !s.unrecovered, Seat: s.seat, Incarnation: 1},
+	}
+	if turn := s.turns[request.Msg.Id]; turn != nil {
+		response.Turns = []*replicav1.Turn{turn}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// startTurnHolder listens at a free address.
+func startTurnHolder(t *testing.T, member *turnHolder) string {
+	_, handler := replicav1connect.NewReplicaServiceHandler(member)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// fixedGroups are groups that do not change.
+type fixedGroups []*replicav1.Group
+
+func (s fixedGroups) Group(partition uint32) *replicav1.Group { return s[partition] }
+func (s fixedGroups) Groups() []*replicav1.Group              { return s }
+func (fixedGroups) OfferGroup(*replicav1.Group)               {}
+
+// startTurnHolders starts three members for each of so many partitions, all of which have
+// the turns of their partition.
+func startTurnHolders(t *testing.T, turns ...map[string]*replicav1.Turn) (fixedGroups, [][]*turnHolder) {
+	var groups fixedGroups
+	var members [][]*turnHolder
+	for partition, kept := range turns {
+		group := &replicav1.Group{Epoch: 1, Partition: uint32(partition), Partitions: uint32(len(turns))}
+		var held []*turnHolder
+		for seat := range 3 {
+			member := &turnHolder{seat: uint32(seat), turns: kept}
+			held = append(held, member)
+			group.Members = append(group.Members, &replicav1.Member{Seat: uint32(seat), Address: startTurnHolder(t, member)})
+		}
+		groups, members = append(groups, group), append(members, held)
+	}
+	return groups, members
+}
+
+// programIn returns a program that one of so many partitions holds.
+func programIn(partition uint32, partitions int) string {
+	for name := "p"; ; name += "p" {
+		if PartitionOf(name, partitions) == partition {
+			return name
+		}
+	}
+}
+
+func TestALineThatGoesOnFromAnotherProgramsTurnIsFound(t *testing.T) {
+	groups, _ := startTurnHolders(t,
+		map[string]*replicav1.Turn{"own": {Id: "own", Previous: "other"}},
+		map[string]*replicav1.Turn{},
+		map[string]*replicav1.Turn{"other": {Id: "other"}},
+	)
+	client := NewClient(groups, "", http.DefaultClient)
+	chain, err := client.Chain(t.Context(), programIn(0, 3), "own")
+	require.NoError(t, err)
+	require.Len(t, chain, 2)
+	require.Equal(t, "other", chain[1].Id)
+}
+
+func TestATurnIsUnknownOnlyWhereEachPartitionProvesThat(t *testing.T) {
+	groups, members := startTurnHolders(t, map[string]*replicav1.Turn{}, map[string]*replicav1.Turn{})
+	client := NewClient(groups, "", http.DefaultClient)
+	var unknown *UnknownTurn
+	_, err := client.Chain(t.Context(), programIn(0, 2), "never")
+	require.ErrorAs(t, err, &unknown)
+
+	for _, member := range members[1][:2] {
+		member.unrecovered = true
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	var unavailable *Unavailable
+	_, err = client.Chain(ctx, programIn(0, 2), "never")
+	require.ErrorAs(t, err, &unavailable, "the other partition may have it")
+}
+
+func TestProgramsSpreadOverPartitions(t *testing.T) {
+	counts := make(map[uint32]int)
+	for i := range 12_000 {
+		counts[PartitionOf(fmt.Sprintf("program-%d", i), 12)]++
+	}
+	require.Len(t, counts, 12)
+	for partition, count := range counts {
+		require.InDelta(t, 1000, count, 150, "partition %d", partition)
+	}
+	require.Zero(t, PartitionOf("any", 1))
+	require.Zero(t, PartitionOf("any", 0), "a group from before there were partitions")
+}
