A request that crosses the close of its connection goes no further; members in tests have names

That this was it is likely, not shown. A connection that is to be closed is marked under the lock now, and a request on it is not passed on.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -49,10 +49,12 @@
 
 	mutex  sync.Mutex
 	states map[net.Conn]connectionState
+	// closing are those that were found past their limits and are not closed yet.
+	closing map[net.Conn]bool
 }
 
 func newConnections(now func() time.Time) *connections {
-	return &connections{now: now, states: make(map[net.Conn]connectionState)}
+	return &connections{now: now, states: make(map[net.Conn]connectionState), closing: make(map[net.Conn]bool)}
 }
 
 type connectionKey struct{}
@@ -72,21 +74,34 @@
 	case http.StateClosed, http.StateHijacked:
 		c.mutex.Lock()
 		delete(c.states, connection)
+		delete(c.closing, connection)
 		c.mutex.Unlock()
 	}
 }
 
-// served notes that a request's head is whole.
-func (c *connections) served(request *http.Request) {
-	if connection, found := request.Context().Value(connectionKey{}).(net.Conn); found {
-		c.set(connection, busy)
+// served notes that a request's head is whole. It returns false where the connection is
+// being closed because it has rested for too long: a request that crosses that close must
+// go no further.
+func (c *connections) served(request *http.Request) bool {
+	connection, found := request.Context().Value(connectionKey{}).(net.Conn)
+	if !found {
+		return true
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing[connection] {
+		return false
+	}
+	c.states[connection] = connectionState{phase: busy, since: c.now()}
+	return true
 }
 
 func (c *connections) set(connection net.Conn, next phase) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.states[connection] = connectionState{phase: next, since: c.now()}
+	if !c.closing[connection] {
+		c.states[connection] = connectionState{phase: next, since: c.now()}
+	}
 }
 
 // overdue removes and returns the connections that are past their limits.
@@ -112,6 +127,7 @@
 			continue
 		}
 		delete(c.states, connection)
+		c.closing[connection] = true
 	}
 	return rested, slow
 }
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -40,6 +40,11 @@
 	rested, slow = tracked.overdue(limits)
 	require.Equal(t, []net.Conn{resting}, rested)
 	require.Empty(t, slow, "a request that is served is not cut off")
+	require.False(t, tracked.served(incoming.WithContext(tracked.remember(t.Context(), resting))),
+		"a request that crosses the close goes no further")
+	tracked.changed(resting, http.StateClosed)
+	tracked.changed(bringing, http.StateClosed)
+	require.Empty(t, tracked.closing)
 	tracked.changed(serving, http.StateClosed)
 	require.Empty(t, tracked.states)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,7 +62,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	g.underWay.Add(1)
 	defer g.underWay.Add(-1)
-	g.connections.served(incoming)
+	if !g.connections.served(incoming) {
+		panic(http.ErrAbortHandler)
+	}
 	if g.stopping.Load() || g.state.isolated() {
 		// The client is to open its next connection elsewhere.
 		w.Header().Set("Connection", "close")
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -86,7 +87,9 @@
 		member := &fakeMember{seat: uint32(seat), address: "127.0.0.1:0"}
 		member.start(t)
 		members = append(members, member)
-		group.group.Members = append(group.group.Members, &replicav1.Member{Seat: member.seat, Address: member.address})
+		group.group.Members = append(group.group.Members, &replicav1.Member{
+			Seat: member.seat, Node: fmt.Sprintf("n%d", seat), Address: member.address,
+		})
 	}
 	return members, group
 }
