--- a/internal/quorum/chain_test.go
+++ b/internal/quorum/chain_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,12 +23,12 @@
 	seat  uint32
 	turns map[string]*replicav1.Turn
 	// unrecovered members prove nothing.
-	unrecovered bool
+	unrecovered atomic.Bool
 }
 
 func (s *turnHolder) ReadChain(_ context.Context, request *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
 	response := &replicav1.ReadChainResponse{
-		Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: !s.unrecovered, Seat: s.seat, Incarnation: 1},
+		Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: !s.unrecovered.Load(), Seat: s.seat, Incarnation: 1},
 	}
 	if turn := s.turns[request.Msg.Id]; turn != nil {
 		response.Turns = []*replicav1.Turn{turn}
@@ -98,7 +99,7 @@
 	require.ErrorAs(t, err, &unknown)
 
 	for _, member := range members[1][:2] {
-		member.unrecovered = true
+		member.unrecovered.Store(true)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
