replica: suspects are worked out only for an answer that is given; one look for a node by name

Found on the last reading: a question for news worked out the slow and failing workers when it began to wait, and again when it was answered; form and watches each searched a list of nodes in their own way; max(1, ...) in partitionsFor could not matter. No change of behaviour.

--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -70,7 +70,7 @@
 		return
 	}
 	nodes := r.followers.nodes()
-	if !slices.ContainsFunc(nodes, func(node directory.Replica) bool { return node.Node == r.options.Node }) {
+	if !hasNode(nodes, r.options.Node) {
 		// The list of nodes has not come in yet.
 		return
 	}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -44,7 +44,7 @@
 	if nodes <= maxSeats {
 		return 1
 	}
-	return max(1, nodes/nodesPerPartition)
+	return nodes / nodesPerPartition
 }
 
 // firstGroups returns the groups that a new system begins with, one for each
@@ -94,6 +94,11 @@
 	return suitable
 }
 
+// hasNode reports whether a node is among others, by name.
+func hasNode(nodes []directory.Replica, name string) bool {
+	return slices.ContainsFunc(nodes, func(node directory.Replica) bool { return node.Node == name })
+}
+
 // seatsHeld returns how many seats each node holds in all groups.
 func seatsHeld(groups []*replicav1.Group) map[string]int {
 	seats := make(map[string]int)
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -71,8 +71,8 @@
 	position uint64
 }
 
-// handOver writes all records that this node has of a partition to every member. An attempt goes on where
-// the one before it stopped.
+// handOver writes all records that this node has of a partition to every member. An
+// attempt goes on where the one before it stopped.
 func (r *Replica) handOver(ctx context.Context, group *replicav1.Group) bool {
 	if err := r.state.write(groupRecord(group)); err != nil {
 		return false
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -134,6 +134,7 @@
 		firstForwarders := request.Msg.ForwardersDigest == 0 && len(response.Forwarders) > 0
 		nodeNews := response.Nodes != nil || response.Retirements != nil
 		if response.Configuration != nil || response.Workers != nil || len(response.Groups) > 0 || firstForwarders || nodeNews {
+			response.Suspects = s.observations.suspects(s.directory.View().Workers)
 			return connect.NewResponse(response), nil
 		}
 		select {
@@ -176,7 +177,6 @@
 		}
 	}
 	response.Forwarders = s.newForwarders(known)
-	response.Suspects = s.observations.suspects(view.Workers)
 	if known.Nodes != nil {
 		response.Nodes = s.followers.nodesAfter(known.Nodes.Nodes)
 		response.Retirements = s.followers.retirementsAfter(known.Nodes.Retirements)
--- a/internal/replica/watchers.go
+++ b/internal/replica/watchers.go
@@ -52,7 +52,7 @@
 	if len(groups) == 0 {
 		return slices.Contains(*r.seeds.Load(), r.options.Address)
 	}
-	return slices.ContainsFunc(watchers(groups), func(watcher directory.Replica) bool { return watcher.Node == r.options.Node })
+	return hasNode(watchers(groups), r.options.Node)
 }
 
 // followStore follows the platform's store while this replica is to, or while it hears
