Connections that fall silent cost one call: the host's other idle ones are closed with it

Before, each idle connection in turn cost a call its whole time: 0.9 s at a replica, 1.5 s at the store, a request's deadline at a worker.

Change: a call that runs out of time closes its host's idle connections (transport.hosts, for calls between daemons and to the platform's store). A request on a kept connection to a worker that has not begun to answer for longer than it should closes that worker's idle ones, unless the worker has answered on another meanwhile. What was under way is decided as at a reset.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -217,7 +217,7 @@
 	r.gateway.options.Dialect.Address(header, addressing)
 	return &worker.Request{
 		ID: r.envelope.RequestID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
-		Host: r.incoming.Host, Header: header, Body: r.body,
+		Host: r.incoming.Host, Header: header, Body: r.body, Silence: r.silence(),
 	}
 }
 
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -84,6 +84,11 @@
 	if outlook.Wait <= 0 {
 		return outlook, &MajorityAway{For: outlook.Away, ComeBack: outlook.ComeBack}
 	}
+	// A worker must still be able to answer after the wait.
+	outlook.Wait = min(outlook.Wait, time.Until(r.deadline)-r.fastest().Value())
+	if outlook.Wait <= 0 {
+		return outlook, r.checkTime()
+	}
 	return outlook, nil
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -68,22 +68,22 @@
 // It keeps at most maxConnections to each peer; further calls wait: calls that
 // pile up behind a slow peer must not take its memory.
 func NewPeerClient(options Options, maxConnections int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         NewDialer(options).DialContext,
-		MaxIdleConnsPerHost: maxConnections,
-		MaxConnsPerHost:     maxConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	return newClient(options, func(transport *http.Transport) {
+		transport.MaxIdleConnsPerHost, transport.MaxConnsPerHost = maxConnections, maxConnections
+	})
 }
 
 // NewHTTPClient returns a client for calls that may be repeated: net/http sends
 // a call again by itself when a kept connection ends before the answer.
 func NewHTTPClient(options Options) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         NewDialer(options).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	return newClient(options, func(transport *http.Transport) { transport.MaxIdleConnsPerHost = idleConnections })
+}
+
+// newClient returns a client whose calls notice hosts that fall silent.
+func newClient(options Options, bound func(transport *http.Transport)) *http.Client {
+	return &http.Client{Transport: newHosts(func() *http.Transport {
+		transport := &http.Transport{DialContext: NewDialer(options).DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true}
+		bound(transport)
+		return transport
+	})}
 }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -31,6 +31,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Silence is how long the answer may take to begin before the worker's idle
+	// connections are taken to have fallen silent; 0 watches nothing.
+	Silence time.Duration
 }
 
 // Head tells what the head of an answer says in the product's terms.
@@ -70,6 +73,11 @@
 		return nil, &NotSent{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { used.SetDeadline(time.Unix(1, 0)) })
+	if request.Silence > 0 {
+		began := time.Now()
+		watch := time.AfterFunc(request.Silence, func() { p.suspect(used, began) })
+		defer watch.Stop()
+	}
 	outgoing := request.http()
 	written, sent := used.write(outgoing, len(request.Body))
 	answer, err := used.read(request, outgoing, readHead)
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -40,6 +40,8 @@
 	// lostInRow counts the requests on kept connections that got no answer, since
 	// the last answer.
 	lostInRow int
+	// answeredAt is when the last answer began, on any connection.
+	answeredAt time.Time
 }
 
 type connection struct {
@@ -134,18 +136,10 @@
 	if !used.kept {
 		return
 	}
-	p.mutex.Lock()
-	var closing []*connection
-	if at := p.hosts[used.address]; at != nil {
+	p.closeIdle(used.address, func(at *host) bool {
 		at.lostInRow++
-		if at.lostInRow >= maxLostInRow {
-			closing, at.idle = at.idle, nil
-		}
-	}
-	p.mutex.Unlock()
-	for _, each := range closing {
-		p.discard(each)
-	}
+		return at.lostInRow >= maxLostInRow
+	})
 }
 
 // answered notes an answer.
@@ -153,7 +147,30 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if at := p.hosts[address]; at != nil {
-		at.lostInRow = 0
+		at.lostInRow, at.answeredAt = 0, time.Now()
+	}
+}
+
+// suspect closes the idle connections of a worker that has not begun to answer a request
+// on a kept one, sent at a moment, for longer than it should: connections may go silent
+// for good without a reset, mostly together, while new ones work. An answer on another
+// connection since then speaks for the worker.
+func (p *Pool) suspect(used *connection, sent time.Time) {
+	if used.kept {
+		p.closeIdle(used.address, func(at *host) bool { return at.answeredAt.Before(sent) })
+	}
+}
+
+// closeIdle closes the idle connections of a worker, if that is wanted.
+func (p *Pool) closeIdle(address string, wanted func(at *host) bool) {
+	p.mutex.Lock()
+	var closing []*connection
+	if at := p.hosts[address]; at != nil && wanted(at) {
+		closing, at.idle = at.idle, nil
+	}
+	p.mutex.Unlock()
+	for _, each := range closing {
+		p.discard(each)
 	}
 }
 
