--- a/cmd/barleyshelf-lab/main.go
+++ b/cmd/barleyshelf-lab/main.go
@@ -84,6 +84,7 @@
 		{"demo", "run a whole deployment", "Runs the stand-ins, real daemons and the users' workload in one process and checks every promise.", &demoCommand{lab: lab}},
 		{"load", "put load on running daemons", "Opens programs at planned times, whatever the daemons answer, and reports latencies from the planned start.", &loadCommand{lab: lab}},
 		{"experiment", "compare scheduling policies", "Runs policies on the same simulated programs and compares program latency and wasted cache.", &experimentCommand{lab: lab}},
+		{"soak", "run real gateways and replicas under faults", "Runs the roles as processes on loopback before stand-ins, brings faults about, drawn from seeds, and checks every promise.", &soakCommand{lab: lab}},
 		{"story", "tell a request's story", "Prints every decision about a request that the logs of gateways and replicas hold, in order.", &storyCommand{lab: lab}},
 	}
 }
