Settlements at the end of a planned stop fit within its grace

They now have what is left of the grace, 0.1 s apart from the end of the process. Test: TestSettlementsAtAStopTakeNoLongerThanTheStopAllows.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -42,8 +42,10 @@
 	// lingerFor is how long kept connections may bring a last request, which
 	// is answered with the wish to close.
 	lingerFor = 1500 * time.Millisecond
-	// stopMargin is kept of the grace for the end of the process.
+	// stopMargin is kept of the grace for what follows the last request: settlements, which
+	// take a round to a majority, and the end of the process, for which exitMargin stays.
 	stopMargin = 400 * time.Millisecond
+	exitMargin = 100 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
 )
 
@@ -65,5 +67,7 @@
 	for g.underWay.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPoll)
 	}
-	g.quorum.WriteDeferred()
+	settling, stopSettling := context.WithDeadline(context.Background(), end.Add(stopMargin-exitMargin))
+	defer stopSettling()
+	g.quorum.WriteDeferred(settling)
 }
--- a/internal/quorum/deferred.go
+++ b/internal/quorum/deferred.go
@@ -88,7 +88,7 @@
 // AppendNow writes a record, with those that wait, in the background.
 func (c *Client) AppendNow(record *replicav1.Record) {
 	c.deferred.add(record)
-	go c.WriteDeferred()
+	go c.WriteDeferred(context.Background())
 }
 
 // RunDeferred writes records that no reservation took along, until ctx ends; then
@@ -102,13 +102,14 @@
 		if !c.deferred.full() {
 			pause.For(ctx, deferredFor)
 		}
-		c.WriteDeferred()
+		c.WriteDeferred(context.WithoutCancel(ctx))
 	}
 }
 
-// WriteDeferred writes the records that wait, one call for each partition.
-func (c *Client) WriteDeferred() {
-	ctx, cancel := context.WithTimeout(context.Background(), deferredTimeout)
+// WriteDeferred writes the records that wait, one call for each partition. It takes
+// deferredTimeout at most, and less where ctx ends before.
+func (c *Client) WriteDeferred(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deferredTimeout)
 	defer cancel()
 	partitions := len(c.groups.Groups())
 	byPartition := make(map[uint32][]*replicav1.Record)
--- a/internal/quorum/forward_test.go
+++ b/internal/quorum/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
@@ -90,3 +91,17 @@
 	require.Equal(t, ForwardersDigest([]string{"a", "b"}), ForwardersDigest([]string{"b", "a"}))
 	require.NotEqual(t, ForwardersDigest([]string{"a"}), ForwardersDigest([]string{"b"}))
 }
+
+// TestSettlementsAtAStopTakeNoLongerThanTheStopAllows writes records while no replica is
+// reached, in less time than that usually gets: a process that stops must end within its
+// grace.
+func TestSettlementsAtAStopTakeNoLongerThanTheStopAllows(t *testing.T) {
+	members, group := startMembers(t, 2)
+	cut := NewClient(group, "", cutFrom(members[0].address, members[1].address))
+	cut.AppendLater(reservation("r"))
+	stopping, cancel := context.WithTimeout(t.Context(), deferredTimeout/30)
+	defer cancel()
+	began := time.Now()
+	cut.WriteDeferred(stopping)
+	require.Less(t, time.Since(began), deferredTimeout/2)
+}
