A request that a worker has taken no longer keeps others from asking

Found on reading: the first of those that wait for room stayed first while its attempt was under way, and a call's answer begins when its work is done, so one place a service time was given out. It now leaves the backlog to ask, comes back to its place if it was turned away, and what is learned of waits counts up to the moment of asking. Tests: TestOneThatWasTakenDoesNotKeepOthersBack (failed before), asking in vain in the fuzzing against the oracle.

--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -120,14 +120,20 @@
 	return max(b.interval.Mean(), now.Sub(b.since)) + time.Duration(before)*b.interval.Mean()
 }
 
-// Admit removes an entry that has got a place.
-func (b *Backlog) Admit(now time.Time, entry *Entry) {
-	if !b.Leave(entry) {
-		return
+// Admit notes that an entry got a place at a moment, and removes it if it still waits.
+func (b *Backlog) Admit(at time.Time, entry *Entry) {
+	b.Leave(entry)
+	b.interval.Observe(max(0, at.Sub(b.since)))
+	b.waits.Observe(at.Sub(entry.joined))
+	b.since = at
+}
+
+// Rejoin puts an entry that had left, to ask for a place, back where it was.
+func (b *Backlog) Rejoin(entry *Entry) {
+	if place, waits := b.place(entry); !waits {
+		b.entries = slices.Insert(b.entries, place, entry)
+		b.entries = b.entries[:min(len(b.entries), b.limit)]
 	}
-	b.interval.Observe(now.Sub(b.since))
-	b.waits.Observe(now.Sub(entry.joined))
-	b.since = now
 }
 
 // Leave removes an entry that has got no place, and reports whether it still waited.
--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -131,6 +131,14 @@
 				require.True(t, waiting.Leave(oracle[i].entry))
 				oracle = slices.Delete(oracle, i, i+1)
 			},
+			"ask in vain": func(t *rapid.T) {
+				if first := waiting.First(); first != nil {
+					require.True(t, waiting.Leave(first))
+					waiting.Rejoin(first)
+					waiting.Rejoin(first)
+					require.Same(t, oracle[0].entry, waiting.First())
+				}
+			},
 			"wait": func(t *rapid.T) { now += rapid.IntRange(1, 200).Draw(t, "ms") },
 			"": func(t *rapid.T) {
 				require.Equal(t, len(oracle), waiting.Len())
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -40,6 +40,10 @@
 	wake  chan struct{}
 	// pauses counts how often the request has asked as the first one.
 	pauses int
+	// asked is when the request last went to ask workers; it is out of the others' way
+	// from then until it waits again.
+	asked time.Time
+	out   bool
 }
 
 func newRooms() *rooms { return &rooms{} }
@@ -129,9 +133,11 @@
 	return r.waiting.Expected(time.Now(), rank)
 }
 
-// await waits until it is this request's turn to ask workers. It returns false where
-// waiting is in vain, or ctx ends.
+// await waits until it is this request's turn to ask workers, and lets the next one be
+// first then: a worker that takes a request may answer it much later. It returns false
+// where waiting is in vain, or ctx ends.
 func (p *roomPlace) await(ctx context.Context) bool {
+	p.rejoin()
 	pause := min(lastRoomPause, firstRoomPause<<min(p.pauses, 8))
 	timer := time.NewTimer(pause/2 + rand.N(pause))
 	defer timer.Stop()
@@ -145,38 +151,58 @@
 		case <-timer.C:
 			timer.Reset(lastRoomPause)
 		}
-		first, inVain := p.look()
-		switch {
-		case inVain:
+		turn, inVain := p.takeTurn()
+		if inVain {
 			return false
-		case first && woken:
-			p.pauses = 0
-			return true
-		case first:
+		}
+		if turn {
 			p.pauses++
+			if woken {
+				p.pauses = 0
+			}
 			return true
 		}
 	}
 }
 
-// look reports whether the request is first, and whether it waits in vain.
-func (p *roomPlace) look() (first, inVain bool) {
+// rejoin puts a request that asked and was turned away back where it was.
+func (p *roomPlace) rejoin() {
+	p.room.mutex.Lock()
+	defer p.room.mutex.Unlock()
+	if p.out {
+		p.room.waiting.Rejoin(p.entry)
+		p.out = false
+	}
+}
+
+// takeTurn reports whether it is the request's turn, and then takes it out of the others'
+// way, and whether it waits in vain.
+func (p *roomPlace) takeTurn() (turn, inVain bool) {
 	p.room.mutex.Lock()
 	defer p.room.mutex.Unlock()
-	return p.room.waiting.First() == p.entry, p.room.waiting.InVain(time.Now(), p.entry)
+	now := time.Now()
+	if p.room.waiting.InVain(now, p.entry) {
+		return false, true
+	}
+	if p.room.waiting.First() != p.entry {
+		return false, false
+	}
+	p.room.waiting.Leave(p.entry)
+	p.out, p.asked = true, now
+	return true, false
 }
 
-// end takes the request out, and lets the next one ask at once: where one place became
-// free there may be another.
+// end takes the request out. Where it got a place there may be another: the next one asks
+// at once.
 func (p *roomPlace) end(admitted bool) {
 	p.room.mutex.Lock()
 	defer p.room.mutex.Unlock()
-	if admitted {
-		p.room.waiting.Admit(time.Now(), p.entry)
-	} else {
+	delete(p.room.wake, p.entry)
+	if !admitted {
 		p.room.waiting.Leave(p.entry)
+		return
 	}
-	delete(p.room.wake, p.entry)
+	p.room.waiting.Admit(p.asked, p.entry)
 	p.room.wakeFirst()
 }
 
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -31,10 +31,13 @@
 	require.True(t, room.moreUrgentThan(2))
 	require.False(t, room.moreUrgentThan(1), "its equals ask workers as it does")
 	urgent := room.join(0, time.Now().Add(time.Hour))
-	first, _ := less.look()
-	require.False(t, first, "it came first, and is less urgent")
-	first, _ = urgent.look()
-	require.True(t, first)
+	turn, _ := less.takeTurn()
+	require.False(t, turn, "it came first, and is less urgent")
+	turn, _ = urgent.takeTurn()
+	require.True(t, turn)
+	urgent.rejoin()
+	turn, _ = less.takeTurn()
+	require.False(t, turn, "the urgent one was turned away and waits again")
 	require.Equal(t, 2, rooms.waiting())
 	urgent.end(true)
 	require.True(t, less.await(t.Context()), "it is told that its turn has come")
@@ -42,6 +45,17 @@
 	require.Zero(t, rooms.waiting())
 }
 
+// TestOneThatWasTakenDoesNotKeepOthersBack: a worker that takes a call answers it only when
+// its work is done.
+func TestOneThatWasTakenDoesNotKeepOthersBack(t *testing.T) {
+	room := newRooms().of("s")
+	taken, next := room.join(0, time.Now().Add(time.Minute)), room.join(0, time.Now().Add(time.Hour))
+	require.True(t, taken.await(t.Context()))
+	require.True(t, next.await(t.Context()), "the first one is at a worker")
+	taken.end(true)
+	next.end(true)
+}
+
 func TestAFreedPlaceWakesTheFirst(t *testing.T) {
 	rooms := newRooms()
 	place := rooms.of("s").join(0, time.Now().Add(time.Minute))
