balance: a begin of load is seen after a few requests

Change: a second rate with a memory of 1 s; the higher one holds. Test that failed before: TestABeginOfLoadIsSeenAfterAFewRequests.

--- a/internal/balance/near.go
+++ b/internal/balance/near.go
@@ -6,8 +6,14 @@
 )
 
 const (
-	// rateMemory is the time over which a service's requests are counted.
-	rateMemory = 10 * time.Second
+	// slowRateMemory and fastRateMemory are the times over which a service's requests are
+	// counted; the higher of both rates holds. The slow one keeps gaps between requests
+	// from counting as an end of load, the fast one shows a begin of load after a few
+	// requests: by the slow one alone a gateway with 25 requests a second for 12 workers
+	// took its load for little during 1.1 s, filled the workers of its zone, and then moved
+	// its lines, whose prompts had to be read once more elsewhere.
+	slowRateMemory = 10 * time.Second
+	fastRateMemory = time.Second
 	// keptFor is about how long workers keep an idle connection: 10 s on the users'
 	// platform, less the margin before the worker's own limit.
 	keptFor = 9 * time.Second
@@ -23,25 +29,36 @@
 	nearUsable = 0.5
 )
 
-// requestRate is how many requests of one service this process sends. It falls by
-// itself over rateMemory.
-type requestRate struct {
-	perSecond float64
-	at        time.Time
-}
+// requestRate is how many requests of one service this process sends.
+type requestRate struct{ slow, fast fadingRate }
 
 // count notes a request.
 func (r *requestRate) count(now time.Time) {
-	r.perSecond = r.now(now) + 1/rateMemory.Seconds()
-	r.at = now
+	r.slow.count(now, slowRateMemory)
+	r.fast.count(now, fastRateMemory)
 }
 
 // now returns the rate a second.
 func (r *requestRate) now(now time.Time) float64 {
+	return max(r.slow.now(now, slowRateMemory), r.fast.now(now, fastRateMemory))
+}
+
+// fadingRate is a rate that falls by itself over a memory.
+type fadingRate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *fadingRate) count(now time.Time, memory time.Duration) {
+	r.perSecond = r.now(now, memory) + 1/memory.Seconds()
+	r.at = now
+}
+
+func (r *fadingRate) now(now time.Time, memory time.Duration) float64 {
 	if r.at.IsZero() {
 		return 0
 	}
-	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateMemory.Seconds())
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/memory.Seconds())
 }
 
 // spreadsTooThin reports whether so many workers would each get so few requests that
--- a/internal/balance/near_test.go
+++ b/internal/balance/near_test.go
@@ -49,6 +49,26 @@
 	require.Len(t, zones, 6)
 }
 
+// TestABeginOfLoadIsSeenAfterAFewRequests holds that a process which was idle does not send
+// the first second of its load to its own zone alone.
+func TestABeginOfLoadIsSeenAfterAFewRequests(t *testing.T) {
+	const perSecond, few = 25, 4
+	now, clock := fixed()
+	b := New(clock, "c")
+	listed := zonedWorkers(2)
+	elsewhere := 0
+	for n := range perSecond {
+		*now = now.Add(time.Second / perSecond)
+		chosen, found := b.Choose(listed, Request{Service: "s", Affinity: fmt.Sprintf("p%d", n)})
+		require.True(t, found)
+		b.Done(chosen.ID, Served)
+		if n >= few && chosen.Zone != "c" {
+			elsewhere++
+		}
+	}
+	require.Greater(t, elsewhere, (perSecond-few)/2, "five of six workers are elsewhere")
+}
+
 func TestTheOtherZonesTakeWhatTheOwnHasNoRoomFor(t *testing.T) {
 	_, clock := fixed()
 	b := New(clock, "c")
