--- a/internal/balance/near_test.go
+++ b/internal/balance/near_test.go
@@ -103,7 +103,7 @@
 		rate.count(*now)
 	}
 	require.InDelta(t, 20, rate.now(*now), 2)
-	require.Less(t, rate.now(now.Add(3*rateMemory)), 1.5)
+	require.Less(t, rate.now(now.Add(3*slowRateMemory)), 1.5)
 }
 
 func TestARequestThatMayGoAnywhereUsesAnOpenConnection(t *testing.T) {
