--- a/internal/transport/hosts.go
+++ b/internal/transport/hosts.go
@@ -11,7 +11,8 @@
 // hosts keeps the connections to each host apart, so that those to one that has fallen
 // silent can be closed. A connection may go silent for good without a reset, while new
 // ones work; then the other idle ones to the same host have mostly gone silent too, and
-// each would cost a call its whole time.
+// each would cost a call its whole time. A host's transport stays for the process's life:
+// a process calls the machines of its partitions and a few gateways.
 type hosts struct {
 	// create returns the transport of one host.
 	create func() *http.Transport
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -73,9 +73,9 @@
 		return nil, &NotSent{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { used.SetDeadline(time.Unix(1, 0)) })
-	if request.Silence > 0 {
+	if request.Silence > 0 && used.kept {
 		began := time.Now()
-		watch := time.AfterFunc(request.Silence, func() { p.suspect(used, began) })
+		watch := time.AfterFunc(request.Silence, func() { p.suspect(address, began) })
 		defer watch.Stop()
 	}
 	outgoing := request.http()
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -155,10 +155,8 @@
 // on a kept one, sent at a moment, for longer than it should: connections may go silent
 // for good without a reset, mostly together, while new ones work. An answer on another
 // connection since then speaks for the worker.
-func (p *Pool) suspect(used *connection, sent time.Time) {
-	if used.kept {
-		p.closeIdle(used.address, func(at *host) bool { return at.answeredAt.Before(sent) })
-	}
+func (p *Pool) suspect(address string, sent time.Time) {
+	p.closeIdle(address, func(at *host) bool { return at.answeredAt.Before(sent) })
 }
 
 // closeIdle closes the idle connections of a worker, if that is wanted.
--- a/internal/worker/silence_test.go
+++ b/internal/worker/silence_test.go
@@ -77,16 +77,14 @@
 func TestAnAnswerOnAnotherConnectionSpeaksForAWorker(t *testing.T) {
 	pool := newPool()
 	proxy := keepConnections(t, pool, 3)
-	used, err := pool.get(t.Context(), proxy.Address(), 0)
-	require.NoError(t, err)
 	sent := time.Now()
 	answered, err := sendWatched(t, pool, proxy.Address(), "meanwhile")
 	require.NoError(t, err)
 	_, err = io.Copy(io.Discard, answered.Body)
 	require.NoError(t, err)
 	answered.Close()
-	pool.suspect(used, sent)
+	pool.suspect(proxy.Address(), sent)
 	require.True(t, pool.Connected(proxy.Address()))
-	pool.suspect(used, time.Now())
+	pool.suspect(proxy.Address(), time.Now())
 	require.False(t, pool.Connected(proxy.Address()))
 }
