--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -90,9 +90,10 @@
 	if o.away[partition] != nil || o.counted[partition].After(began) || now.Sub(began) < minOutage {
 		return
 	}
-	o.away[partition] = &outage{since: began, asked: now}
+	noted := &outage{since: began, asked: now}
+	o.away[partition] = noted
 	eventMajorityAway.Log("partition", partition)
-	go o.awaitReturn(partition)
+	go o.awaitReturn(partition, noted)
 }
 
 // outlook returns what is expected of a partition's majority.
@@ -115,8 +116,8 @@
 }
 
 // awaitReturn makes rounds until a majority answers, or nobody asks any more.
-func (o *outages) awaitReturn(partition uint32) {
-	for o.wanted(partition) {
+func (o *outages) awaitReturn(partition uint32, noted *outage) {
+	for o.wanted(partition, noted) {
 		ctx, cancel := context.WithTimeout(context.Background(), returnRound)
 		// A round that is answered notes so itself.
 		_ = o.look(ctx, partition)
@@ -126,14 +127,13 @@
 
 // wanted reports whether an outage goes on and was asked about lately. One that nobody
 // asks about is forgotten: nobody would see its end.
-func (o *outages) wanted(partition uint32) bool {
+func (o *outages) wanted(partition uint32, noted *outage) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	known := o.away[partition]
-	if known == nil {
+	if o.away[partition] != noted {
 		return false
 	}
-	if o.now().Sub(known.asked) > returnInterest {
+	if o.now().Sub(noted.asked) > returnInterest {
 		delete(o.away, partition)
 		return false
 	}
--- a/internal/quorum/outage_test.go
+++ b/internal/quorum/outage_test.go
@@ -83,8 +83,12 @@
 	began := outages.now()
 	clock.advance(time.Second)
 	outages.unanswered(0, began)
-	require.True(t, outages.wanted(0))
+	noted := outages.away[0]
+	require.True(t, outages.wanted(0, noted))
 	clock.advance(returnInterest + 1)
-	require.False(t, outages.wanted(0))
+	require.False(t, outages.wanted(0, noted))
 	require.Equal(t, firstReturn, outages.outlook(0).Wait)
+	clock.advance(time.Second)
+	outages.unanswered(0, outages.now().Add(-time.Second))
+	require.False(t, outages.wanted(0, noted), "one goroutine looks for a return")
 }
