--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -245,7 +245,7 @@
 
 // Retry says when to come back.
 func (e *MajorityAway) Retry() failure.Retry {
-	return failure.Retry{Allowed: true, After: comeBackAfter}
+	return failure.Retry{Allowed: true, After: e.ComeBack}
 }
 
 // Isolated reports that no replica answers this gateway; others may reach them.
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -70,6 +70,16 @@
 	require.Empty(t, recorder.Header().Get("Retry-After"))
 }
 
+// TestARefusalTellsWhenServingIsLikelyAgain holds that what is known of that is told.
+func TestARefusalTellsWhenServingIsLikelyAgain(t *testing.T) {
+	const comeBack = 1700 * time.Millisecond
+	for _, refusal := range []failure.Failure{
+		&MajorityAway{ComeBack: comeBack}, &StateUnavailable{Cause: errCause, ComeBack: comeBack}, &ServiceFull{ComeBack: comeBack},
+	} {
+		require.Equal(t, comeBack, refusal.Retry().After, refusal.Type())
+	}
+}
+
 // TestClientsThatAreRefusedTogetherComeBackApart holds that no two of many are told the
 // same time.
 func TestClientsThatAreRefusedTogetherComeBackApart(t *testing.T) {
