--- a/cmd/barleyshelf-lab/soak.go
+++ b/cmd/barleyshelf-lab/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -116,7 +115,7 @@
 	gateways := c.Processes - replicas
 	report, err := soak.Run(c.lab.context, soak.Options{
 		Binary: c.Binary, Folder: folder, Seed: seed, For: c.For, Gateways: gateways, Replicas: replicas,
-		Callers: callersPerGateway * gateways, ReturnBound: soak.DefaultReturnBound, Progress: io.Writer(progress),
+		Callers: callersPerGateway * gateways, ReturnBound: soak.DefaultReturnBound, Progress: progress,
 	})
 	if err != nil {
 		return false, err
--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -45,8 +45,7 @@
 // New returns a backlog of up to limit requests.
 func New(limit int) *Backlog {
 	created := &Backlog{limit: limit}
-	// The mean of what is typical, which is the mean and two deviations of half of it.
-	created.waits.Observe(firstWait / 2)
+	created.waits.Expect(firstWait)
 	return created
 }
 
@@ -67,9 +66,14 @@
 	if place >= b.limit || b.tooFarBack(now, place, latest) {
 		return nil
 	}
+	b.insert(place, entry)
+	return entry
+}
+
+// insert puts an entry at its place; in a full backlog the last gives way.
+func (b *Backlog) insert(place int, entry *Entry) {
 	b.entries = slices.Insert(b.entries, place, entry)
 	b.entries = b.entries[:min(len(b.entries), b.limit)]
-	return entry
 }
 
 // Len returns how many requests wait.
@@ -131,8 +135,7 @@
 // Rejoin puts an entry that had left, to ask for a place, back where it was.
 func (b *Backlog) Rejoin(entry *Entry) {
 	if place, waits := b.place(entry); !waits {
-		b.entries = slices.Insert(b.entries, place, entry)
-		b.entries = b.entries[:min(len(b.entries), b.limit)]
+		b.insert(place, entry)
 	}
 }
 
--- a/internal/estimate/latency.go
+++ b/internal/estimate/latency.go
@@ -49,6 +49,10 @@
 	return max(least, l.mean+deviations*l.deviation)
 }
 
+// Expect sets what is typical before anything was observed: a mean of half of it, whose
+// first deviation is half of the mean.
+func (l *Latency) Expect(typical time.Duration) { l.Observe(typical / 2) }
+
 // Typical returns the time that most have taken, the mean and two deviations; 0 where
 // nothing is known.
 func (l *Latency) Typical() time.Duration {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -52,28 +52,30 @@
 // awaitConfiguration holds a request while this process has not learned of any
 // configuration yet: a client that is refused has few tries left.
 func (r *request) awaitConfiguration() {
-	defer r.hold(heldForConfiguration)()
-	r.gateway.await(r.incoming.Context(), configurationWait, func() bool { return r.gateway.directory.View().Table != nil })
+	r.await(r.incoming.Context(), heldForConfiguration, configurationWait, func() bool { return r.gateway.directory.View().Table != nil })
 }
 
 // awaitWorkers holds a request while this process has not learned of any worker yet.
 func (r *request) awaitWorkers(ctx context.Context) {
-	defer r.hold(heldForWorkers)()
-	r.gateway.await(ctx, workersWait, func() bool { return r.gateway.directory.WorkersRevision() != 0 })
+	r.await(ctx, heldForWorkers, workersWait, func() bool { return r.gateway.directory.WorkersRevision() != 0 })
 }
 
 // await waits until something is known, for as long as that usually takes from this
 // process's start. What is not known by then may take any time: requests that come
 // later are not held.
-func (g *Gateway) await(ctx context.Context, usual time.Duration, known func() bool) {
-	left := usual - time.Since(g.started)
-	if known() || left <= 0 || g.disabled(mechanism.HeldRequests) {
+func (r *request) await(ctx context.Context, reason holdReason, usual time.Duration, known func() bool) {
+	if known() || r.gateway.disabled(mechanism.HeldRequests) {
 		return
 	}
+	left := usual - time.Since(r.gateway.started)
+	if left <= 0 {
+		return
+	}
+	defer r.hold(reason)()
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	for {
-		news := g.directory.News()
+		news := r.gateway.directory.News()
 		if known() {
 			return
 		}
--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -62,8 +62,7 @@
 
 func newOutages(now func() time.Time, look func(ctx context.Context, partition uint32) error) *outages {
 	created := &outages{now: now, look: look, away: make(map[uint32]*outage), counted: make(map[uint32]time.Time)}
-	// The mean of what is typical, which is the mean and two deviations of half of it.
-	created.usual.Observe(firstReturn / 2)
+	created.usual.Expect(firstReturn)
 	return created
 }
 
