--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -71,7 +71,8 @@
 	defer log.Close(logCloseTimeout)
 	running, err := replica.New(replica.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Address: loaded.Replica, Folder: loaded.DataFolder,
-		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, Metrics: loaded.Metrics, Disabled: loaded.Disabled(),
+		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, Metrics: loaded.Metrics, Quota: loaded.Quota(),
+		Disabled: loaded.Disabled(),
 	}, newStore(loaded))
 	if err != nil {
 		return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,6 +211,9 @@
 		header["User-Agent"] = []string{""}
 	}
 	addressing := Addressing{Worker: chosen.ID, Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent}
+	if r.tenant != nil {
+		addressing.Tenant = r.tenant.Name
+	}
 	if r.service.Engine != nil {
 		addressing.Priority = r.gateway.priority(r)
 	}
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -28,10 +28,8 @@
 	lastPriority  = 9
 )
 
-// priority ranks a request at its engine by the route's own rank.
-func (g *Gateway) priority(r *request) int {
-	return min(lastPriority, firstPriority+2*r.route.Priority)
-}
+// priority ranks a request at its engine.
+func (g *Gateway) priority(r *request) int { return min(lastPriority, firstPriority+r.urgency) }
 
 // done ends an attempt.
 func (g *Gateway) done(r *request, chosen directory.Worker, verdict balance.Verdict) {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -6,12 +6,16 @@
 	"net/http"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // Envelope is what the head of a request says besides method, host and path.
 type Envelope struct {
 	RequestID string
+	// Keyed is set where the client sent a key, Key its hash.
+	Keyed bool
+	Key   route.KeyHash
 	// Wait is how long the client waits; 0 is unknown.
 	Wait time.Duration
 	// Program is the agent program, Line its line of turns.
@@ -43,6 +47,8 @@
 type Addressing struct {
 	// Worker is the id of the only worker that may run the request.
 	Worker string
+	// Tenant is the name of the tenant that the request belongs to; "" is none.
+	Tenant string
 	// Wait is how long the worker may work.
 	Wait time.Duration
 	// Priority ranks the request at an engine, 0 first; -1 says nothing.
@@ -58,7 +64,8 @@
 	ReadinessPath() string
 	// Envelope reads the head of a client's request.
 	Envelope(header http.Header) Envelope
-	// Address writes the head of an attempt.
+	// Address writes the head of an attempt. What a client may not set is dropped from it,
+	// the client's key too.
 	Address(header http.Header, addressing Addressing)
 	// Head reads the head of a worker's answer.
 	Head(status int, header http.Header) worker.Head
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,14 +100,17 @@
 	quorum    *quorum.Client
 	chains    *chainCache
 	spent     *spentTokens
-	pool      *worker.Pool
-	balancer  *balance.Balancer
-	waits     *balance.Waits
-	splitter  *route.Splitter
-	retries   *limit.RetryBudget
-	state     *stateHealth
-	registry  *telemetry.Registry
-	metrics   *metrics
+	// allowances are what tenants' limits allow here, programs those let in lately.
+	allowances allowances
+	programs   *recentPrograms
+	pool       *worker.Pool
+	balancer   *balance.Balancer
+	waits      *balance.Waits
+	splitter   *route.Splitter
+	retries    *limit.RetryBudget
+	state      *stateHealth
+	registry   *telemetry.Registry
+	metrics    *metrics
 	// connections are those of clients.
 	connections *connections
 
@@ -150,6 +153,7 @@
 		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerNews(g.balancer, options),
 	})
 	g.spent = newSpentTokens(time.Now)
+	g.programs = newRecentPrograms(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options))
 	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
@@ -256,6 +260,8 @@
 			}
 		}
 		g.spent.sweep()
+		g.programs.sweep()
+		g.allowances.sweep(time.Now())
 		g.pool.Sweep(func(address string) bool { return addresses[address] })
 		g.balancer.Forget(func(id string) bool { return ids[id] })
 		g.forgetUndeclared()
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -17,6 +17,7 @@
 	heldForState         holdReason = "state"
 	heldForBudget        holdReason = "budget"
 	heldForRoom          holdReason = "room"
+	heldForQuota         holdReason = "quota"
 )
 
 // minHoldTold is the time from which a wait is told in a request's story and counted:
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,6 +17,10 @@
 
 // servePlain serves a request that has one answer.
 func (r *request) servePlain(ctx context.Context) {
+	if err := r.admitAlone(ctx); err != nil {
+		r.refuse(err)
+		return
+	}
 	for {
 		err := r.tryPlain(ctx)
 		if err == nil {
--- /dev/null
+++ b/internal/gateway/quota.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
+	"github.com/barleyshelf/barleyshelf/internal/route"
+)
+
+// grantsWait bounds how long a request waits for a member that grants: all of them have
+// had the time to answer then, directly or through another gateway.
+const grantsWait = 600 * time.Millisecond
+
+// allowances are what this gateway may let in, by tenant.
+type allowances struct{ tenants sync.Map }
+
+// tenantAllowance is what this gateway may let in for one tenant. One request at a time
+// asks members for more, for all that wait.
+type tenantAllowance struct {
+	quota.Allowance
+
+	mutex   sync.Mutex
+	waiting int
+	// asked is closed when the question under way has its answer; nil while there is none.
+	asked chan struct{}
+}
+
+func (a *allowances) of(tenant string) *tenantAllowance {
+	if known, found := a.tenants.Load(tenant); found {
+		return known.(*tenantAllowance)
+	}
+	known, _ := a.tenants.LoadOrStore(tenant, &tenantAllowance{})
+	return known.(*tenantAllowance)
+}
+
+// sweep forgets tenants that have not asked for anything lately.
+func (a *allowances) sweep(now time.Time) {
+	for tenant, each := range a.tenants.Range {
+		known := each.(*tenantAllowance)
+		known.mutex.Lock()
+		unused := known.waiting == 0
+		known.mutex.Unlock()
+		if unused && known.Idle(now) {
+			a.tenants.Delete(tenant)
+		}
+	}
+}
+
+// admitAlone lets the request in where it waits for nothing else meanwhile. A process that
+// has just started learns first which replicas grant.
+func (r *request) admitAlone(ctx context.Context) error {
+	if r.tenant == nil || !r.tenant.Quota.Bounded() {
+		return nil
+	}
+	r.await(ctx, heldForQuota, workersWait, func() bool { return len(r.gateway.directory.Groups()) > 0 })
+	defer r.hold(heldForQuota)()
+	return r.admit(ctx)
+}
+
+// admit lets the request in within its tenant's limit, or refuses it. Nothing is sent to
+// a worker before.
+func (r *request) admit(ctx context.Context) error {
+	if r.tenant == nil || !r.tenant.Quota.Bounded() {
+		return nil
+	}
+	opening := r.opensProgram()
+	allowance := r.gateway.allowances.of(r.tenant.Name)
+	ctx, cancel := context.WithTimeout(ctx, grantsWait)
+	defer cancel()
+	for {
+		now := time.Now()
+		if pass, found := allowance.Take(now, opening); found {
+			r.quotaPass, r.passed = pass, true
+			r.gateway.programs.note(r.program)
+			return nil
+		}
+		if after, refused := allowance.Refused(now, opening); refused {
+			return &QuotaExceeded{Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after}
+		}
+		if err := r.askOrWait(ctx, allowance, opening); err != nil {
+			return err
+		}
+	}
+}
+
+// askOrWait asks the members for more, or waits for the answer that another request of the
+// tenant has asked for.
+func (r *request) askOrWait(ctx context.Context, allowance *tenantAllowance, opening bool) error {
+	allowance.mutex.Lock()
+	if underWay := allowance.asked; underWay != nil {
+		allowance.waiting++
+		allowance.mutex.Unlock()
+		defer allowance.leave()
+		select {
+		case <-underWay:
+			return nil
+		case <-ctx.Done():
+			return &QuotaUnknown{Cause: ctx.Err()}
+		}
+	}
+	asked := make(chan struct{})
+	allowance.asked = asked
+	waiting := allowance.waiting
+	allowance.mutex.Unlock()
+	defer func() {
+		allowance.mutex.Lock()
+		allowance.asked = nil
+		allowance.mutex.Unlock()
+		close(asked)
+	}()
+	return r.ask(ctx, allowance, waiting+1, opening)
+}
+
+func (a *tenantAllowance) leave() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.waiting--
+}
+
+// ask asks the members of the tenant's group.
+func (r *request) ask(ctx context.Context, allowance *tenantAllowance, waiting int, opening bool) error {
+	began := time.Now()
+	limit := quota.Limit{Rate: r.tenant.Quota.Rate, Burst: r.tenant.Quota.Burst, Version: r.view.Table.Version()}
+	granted, err := r.gateway.quorum.Grant(ctx, r.tenant.Name, limit, allowance.Wanted(began, waiting), opening)
+	switch {
+	case err != nil:
+		return &QuotaUnknown{Cause: err}
+	case granted.Refused:
+		allowance.Refuse(time.Now().Add(granted.After), opening)
+	default:
+		allowance.Add(began, granted.Grant)
+	}
+	return nil
+}
+
+// opensProgram reports whether the request is known to begin a program: a turn that goes
+// on from none, of a program that this gateway has not seen.
+func (r *request) opensProgram() bool {
+	return r.route.Kind == route.Streaming && r.envelope.Program != "" && r.envelope.PreviousTurn == "" &&
+		!r.gateway.programs.seen(r.program)
+}
+
+// returnPass gives the request's pass back if it has not run.
+func (r *request) returnPass() {
+	if r.passed && len(r.ran) == 0 {
+		r.gateway.allowances.of(r.tenant.Name).Return(time.Now(), r.quotaPass)
+	}
+}
+
+// QuotaExceeded reports a request beyond its tenant's limit.
+type QuotaExceeded struct {
+	Tenant string
+	Quota  route.Quota
+	// Opening is set where the request would have begun a program: the last part of a
+	// limit is kept for programs under way.
+	Opening bool
+	// ComeBack is after what time a request may be let in again.
+	ComeBack time.Duration
+}
+
+func (e *QuotaExceeded) Error() string {
+	text := fmt.Sprintf("tenant %s is at its limit of %g requests a second and %g on top", e.Tenant, e.Quota.Rate, e.Quota.Burst)
+	if e.Opening {
+		return text + "; what is left is kept for programs under way"
+	}
+	return text
+}
+
+// Type returns "quota_exceeded".
+func (e *QuotaExceeded) Type() failure.Type { return "quota_exceeded" }
+
+// Outcome returns NotRun.
+func (e *QuotaExceeded) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry says when to come back.
+func (e *QuotaExceeded) Retry() failure.Retry { return failure.Retry{Allowed: true, After: e.ComeBack} }
+
+// QuotaUnknown reports a request that may be within its tenant's limit, which too few
+// replicas answered to tell.
+type QuotaUnknown struct {
+	Cause error
+}
+
+func (e *QuotaUnknown) Error() string {
+	return fmt.Sprintf("whether the request is within its tenant's limit is not known: %v", e.Cause)
+}
+
+// Type returns "quota_unknown".
+func (e *QuotaUnknown) Type() failure.Type { return "quota_unknown" }
+
+// Outcome returns NotRun: nothing was sent to a worker.
+func (e *QuotaUnknown) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry says when to come back: another gateway may know it.
+func (e *QuotaUnknown) Retry() failure.Retry {
+	return failure.Retry{Allowed: true, After: comeBackAfter}
+}
+
+// Unwrap returns the cause.
+func (e *QuotaUnknown) Unwrap() error { return e.Cause }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -297,11 +297,13 @@
 // Retry forbids a repeat: the client knows what may run twice.
 func (e *SilentWorker) Retry() failure.Retry { return failure.Retry{} }
 
-// statusOf returns the HTTP status of a failure. 408 and 503 promise that the
+// statusOf returns the HTTP status of a failure. 408, 429 and 503 promise that the
 // request has not run and never will; 502 and 504 promise nothing.
 func statusOf(err error) int {
 	var (
 		route   *UnknownRoute
+		key     *UnknownKey
+		quota   *QuotaExceeded
 		unknown *quorum.UnknownTurn
 		spent   *BudgetSpent
 		head    *HeadTooLong
@@ -311,6 +313,10 @@
 	switch {
 	case errors.As(err, &route), errors.As(err, &unknown):
 		return http.StatusNotFound
+	case errors.As(err, &key):
+		return http.StatusUnauthorized
+	case errors.As(err, &quota):
+		return http.StatusTooManyRequests
 	case errors.As(err, &spent):
 		return http.StatusPaymentRequired
 	case errors.As(err, &head):
@@ -336,7 +342,8 @@
 // refuse gives a request its final answer.
 func refuse(w http.ResponseWriter, err error) {
 	status := statusOf(err)
-	if retry := failure.Classify(err).Retry(); status == http.StatusServiceUnavailable && retry.Allowed {
+	tellsWhen := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if retry := failure.Classify(err).Retry(); tellsWhen && retry.Allowed {
 		after := spread(max(retry.After, comeBackAfter))
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -21,6 +22,15 @@
 	envelope Envelope
 	view     *directory.View
 	route    *route.Route
+	// tenant is the one that holds the client's key; nil on routes that need none.
+	tenant *route.Tenant
+	// urgency ranks the request among others of its service, 0 first.
+	urgency int
+	// quotaPass lets the request in within its tenant's limit, once passed is set.
+	quotaPass quota.Pass
+	passed    bool
+	// program names the agent program in kept state, apart from other tenants' programs.
+	program string
 	// service is the part of the route that the request was dealt to.
 	service  route.Service
 	received time.Time
@@ -76,6 +86,7 @@
 		envelope: g.options.Dialect.Envelope(incoming.Header),
 		tried:    make(map[string]bool), ran: make(map[string]bool), gone: make(map[string]bool),
 	}
+	defer r.returnPass()
 	r.awaitConfiguration()
 	r.view = g.directory.View()
 	if err := r.match(); err != nil {
@@ -109,6 +120,10 @@
 	if limit := table.Limits().MaxHeaderBytes; limit > 0 && headBytes(r.incoming) > limit {
 		return &HeadTooLong{Limit: limit}
 	}
+	if err := r.identify(table); err != nil {
+		return err
+	}
+	r.urgency = route.Urgency(r.route, r.tenant)
 	r.service = table.Service(r.gateway.splitter.Next(r.route))
 	held := r.route.Timeout
 	if r.envelope.Wait > 0 && (held == 0 || r.envelope.Wait < held) {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -208,7 +208,7 @@
 
 // letMoreUrgentGoFirst waits while requests of a more urgent kind wait for the service.
 func (r *request) letMoreUrgentGoFirst(ctx context.Context) error {
-	if r.gateway.disabled(mechanism.HeldRequests) || !r.gateway.rooms.of(r.service.Name).moreUrgentThan(r.route.Priority) {
+	if r.gateway.disabled(mechanism.HeldRequests) || !r.gateway.rooms.of(r.service.Name).moreUrgentThan(r.urgency) {
 		return nil
 	}
 	return r.awaitRoom(ctx)
@@ -223,13 +223,13 @@
 	defer r.hold(heldForRoom)()
 	room := r.gateway.rooms.of(r.service.Name)
 	if r.place == nil {
-		r.place = room.join(r.route.Priority, r.deadline.Add(-r.fastest().Value()))
+		r.place = room.join(r.urgency, r.deadline.Add(-r.fastest().Value()))
 	}
 	if r.place == nil || !r.place.await(ctx) {
 		if ctx.Err() != nil {
 			return r.outOfTime(ctx)
 		}
-		return &ServiceFull{Service: r.service.Name, Tried: r.turnedAway, ComeBack: min(lastRoomComeBack, room.expected(r.route.Priority))}
+		return &ServiceFull{Service: r.service.Name, Tried: r.turnedAway, ComeBack: min(lastRoomComeBack, room.expected(r.urgency))}
 	}
 	for _, id := range r.full {
 		delete(r.tried, id)
--- a/internal/gateway/spent_test.go
+++ b/internal/gateway/spent_test.go
@@ -26,7 +26,7 @@
 	// The gateway has no client for replicas: a call would panic.
 	g := &Gateway{spent: newSpentTokens(time.Now)}
 	g.spent.note("p", 60)
-	turn := &turnState{request: &request{gateway: g, route: &route.Route{}, envelope: Envelope{Program: "p", MostTokens: 50, Budget: 100}}}
+	turn := &turnState{request: &request{gateway: g, route: &route.Route{}, program: "p", envelope: Envelope{Program: "p", MostTokens: 50, Budget: 100}}}
 	err := turn.reserve(t.Context())
 	var refused *BudgetSpent
 	require.ErrorAs(t, err, &refused)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -37,13 +37,14 @@
 	input []byte
 }
 
-// beginTurn reserves the turn's most tokens and puts the turns before it in
-// front of its input. Nothing is sent to a worker before both are done.
+// beginTurn lets the turn in within its tenant's limit, reserves its most tokens and puts
+// the turns before it in front of its input. Nothing is sent to a worker before all are
+// done.
 func (r *request) beginTurn(ctx context.Context) (*turnState, error) {
 	state := &turnState{request: r, input: r.body}
 	budgeted := r.envelope.Budget >= 0 && r.envelope.Program != ""
 	if !budgeted && !r.route.Stateful {
-		return state, nil
+		return state, r.admitAlone(ctx)
 	}
 	if budgeted {
 		// This needs no replica, and is the truer reason where none answers.
@@ -58,14 +59,18 @@
 	defer r.hold(heldForState)()
 	wait, cancel := context.WithTimeout(ctx, outlook.Wait)
 	defer cancel()
-	assembled := make(chan error, 1)
+	assembled, admitted := make(chan error, 1), make(chan error, 1)
 	go func() { assembled <- r.assemble(wait) }()
+	go func() { admitted <- r.admit(wait) }()
 	if budgeted {
 		err = state.reserve(wait)
 	}
 	if chainErr := <-assembled; err == nil {
 		err = chainErr
 	}
+	if quotaErr := <-admitted; err == nil {
+		err = quotaErr
+	}
 	if err != nil {
 		state.settle(&stream{request: r})
 		return nil, err
@@ -77,7 +82,7 @@
 // that is in vain: no majority has answered for longer than is usual, or none answers
 // this gateway while others may reach them.
 func (r *request) stateOutlook() (quorum.Outlook, error) {
-	outlook := r.gateway.quorum.Outlook(r.envelope.Program)
+	outlook := r.gateway.quorum.Outlook(r.program)
 	if r.gateway.state.isolated() {
 		return outlook, &Isolated{}
 	}
@@ -94,7 +99,7 @@
 
 // unavailable is the failure of a turn whose replicas did not answer in time.
 func (r *request) unavailable(cause error) error {
-	return &StateUnavailable{Cause: cause, ComeBack: r.gateway.quorum.Outlook(r.envelope.Program).ComeBack}
+	return &StateUnavailable{Cause: cause, ComeBack: r.gateway.quorum.Outlook(r.program).ComeBack}
 }
 
 // reserve writes the reservation to a majority and checks the program's sum as
@@ -122,7 +127,7 @@
 // that the turn does not fit, or nil.
 func (r *request) knownSpent() error {
 	envelope := &r.envelope
-	settled := r.gateway.spent.of(envelope.Program)
+	settled := r.gateway.spent.of(r.program)
 	if r.gateway.disabled(mechanism.SpentMemory) || settled+envelope.MostTokens <= envelope.Budget {
 		return nil
 	}
@@ -137,7 +142,7 @@
 	}
 	t.reserved = true
 	t.reservation = strconv.FormatUint(rand.Uint64(), 36)
-	reservation := &replicav1.Reservation{Id: t.reservation, Program: envelope.Program, Most: envelope.MostTokens}
+	reservation := &replicav1.Reservation{Id: t.reservation, Program: t.request.program, Most: envelope.MostTokens}
 	record := &replicav1.Record{
 		Kind:        &replicav1.Record_Reservation{Reservation: reservation},
 		RetentionMs: t.request.retention().Milliseconds(),
@@ -149,7 +154,7 @@
 		return t.request.unavailable(err)
 	}
 	settled := ledger.Settled()
-	gateway.spent.note(envelope.Program, settled)
+	gateway.spent.note(t.request.program, settled)
 	if !ledger.Fits(t.reservation, envelope.MostTokens, envelope.Budget) {
 		return &BudgetSpent{
 			Program: envelope.Program, Committed: ledger.Committed(t.reservation), Budget: envelope.Budget,
@@ -169,7 +174,7 @@
 	if !r.route.Stateful || r.envelope.PreviousTurn == "" {
 		return nil
 	}
-	chain, err := r.gateway.chains.get(ctx, r.envelope.Program, r.envelope.PreviousTurn)
+	chain, err := r.gateway.chains.get(ctx, r.program, r.envelope.PreviousTurn)
 	var unknown *quorum.UnknownTurn
 	if errors.As(err, &unknown) {
 		return err
@@ -177,7 +182,11 @@
 	if err != nil {
 		return r.unavailable(err)
 	}
-	if len(chain) > 0 && !r.gateway.quorum.SamePartition(chain[0].Program, r.envelope.Program) {
+	if len(chain) > 0 && chain[0].Tenant != r.tenantName() {
+		// Said alike of a turn that does not exist. The turns before it are its tenant's too.
+		return &quorum.UnknownTurn{Turn: r.envelope.PreviousTurn}
+	}
+	if len(chain) > 0 && !r.gateway.quorum.SamePartition(chain[0].Program, r.program) {
 		r.adopted = chain
 	}
 	var prompt []byte
@@ -196,8 +205,8 @@
 		return nil
 	}
 	turn := &replicav1.Turn{
-		Id: r.envelope.RequestID, Previous: r.envelope.PreviousTurn, Program: r.envelope.Program,
-		Input: t.input, Output: out.output,
+		Id: r.envelope.RequestID, Previous: r.envelope.PreviousTurn, Program: r.program,
+		Input: t.input, Output: out.output, Tenant: r.tenantName(),
 	}
 	retention := r.retention().Milliseconds()
 	records := []*replicav1.Record{{Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: retention}}
@@ -208,7 +217,7 @@
 		records = append(records, t.settlement(out))
 		t.reserved = false
 	}
-	if err := r.gateway.quorum.Append(ctx, r.envelope.Program, records...); err != nil {
+	if err := r.gateway.quorum.Append(ctx, r.program, records...); err != nil {
 		return err
 	}
 	r.note(eventKept, "turn", turn.Id, "previous", turn.Previous, "tokens", t.used(out))
@@ -256,7 +265,7 @@
 func (t *turnState) settlement(out *stream) *replicav1.Record {
 	r := t.request
 	settlement := &replicav1.Settlement{
-		Id: t.reservation, Program: r.envelope.Program, Used: t.used(out),
+		Id: t.reservation, Program: r.program, Used: t.used(out),
 	}
 	return &replicav1.Record{
 		Kind:        &replicav1.Record_Settlement{Settlement: settlement},
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -50,6 +50,8 @@
 	// ReplicaServiceDirectoryProcedure is the fully-qualified name of the ReplicaService's Directory
 	// RPC.
 	ReplicaServiceDirectoryProcedure = "/barleyshelf.replica.v1.ReplicaService/Directory"
+	// ReplicaServiceGrantProcedure is the fully-qualified name of the ReplicaService's Grant RPC.
+	ReplicaServiceGrantProcedure = "/barleyshelf.replica.v1.ReplicaService/Grant"
 	// ForwardServiceForwardProcedure is the fully-qualified name of the ForwardService's Forward RPC.
 	ForwardServiceForwardProcedure = "/barleyshelf.replica.v1.ForwardService/Forward"
 )
@@ -67,6 +69,8 @@
 	// Directory returns the newest configuration, workers and group known here, or
 	// waits for newer ones.
 	Directory(context.Context, *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error)
+	// Grant hands out requests that a gateway may let in for a tenant.
+	Grant(context.Context, *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error)
 }
 
 // NewReplicaServiceClient constructs a client for the barleyshelf.replica.v1.ReplicaService
@@ -110,6 +114,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Directory")),
 			connect.WithClientOptions(opts...),
 		),
+		grant: connect.NewClient[replicav1.GrantRequest, replicav1.GrantResponse](
+			httpClient,
+			baseURL+ReplicaServiceGrantProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("Grant")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -120,6 +130,7 @@
 	pull      *connect.Client[replicav1.PullRequest, replicav1.PullResponse]
 	announce  *connect.Client[replicav1.AnnounceRequest, replicav1.AnnounceResponse]
 	directory *connect.Client[replicav1.DirectoryRequest, replicav1.DirectoryResponse]
+	grant     *connect.Client[replicav1.GrantRequest, replicav1.GrantResponse]
 }
 
 // Append calls barleyshelf.replica.v1.ReplicaService.Append.
@@ -147,6 +158,11 @@
 	return c.directory.CallUnary(ctx, req)
 }
 
+// Grant calls barleyshelf.replica.v1.ReplicaService.Grant.
+func (c *replicaServiceClient) Grant(ctx context.Context, req *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error) {
+	return c.grant.CallUnary(ctx, req)
+}
+
 // ReplicaServiceHandler is an implementation of the barleyshelf.replica.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
 	// Append stores records; the answer means that they are on the disk.
@@ -160,6 +176,8 @@
 	// Directory returns the newest configuration, workers and group known here, or
 	// waits for newer ones.
 	Directory(context.Context, *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error)
+	// Grant hands out requests that a gateway may let in for a tenant.
+	Grant(context.Context, *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error)
 }
 
 // NewReplicaServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -199,6 +217,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Directory")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceGrantHandler := connect.NewUnaryHandler(
+		ReplicaServiceGrantProcedure,
+		svc.Grant,
+		connect.WithSchema(replicaServiceMethods.ByName("Grant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/barleyshelf.replica.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaServiceAppendProcedure:
@@ -211,6 +235,8 @@
 			replicaServiceAnnounceHandler.ServeHTTP(w, r)
 		case ReplicaServiceDirectoryProcedure:
 			replicaServiceDirectoryHandler.ServeHTTP(w, r)
+		case ReplicaServiceGrantProcedure:
+			replicaServiceGrantHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -240,6 +266,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Directory is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) Grant(context.Context, *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Grant is not implemented"))
+}
+
 // ForwardServiceClient is a client for the barleyshelf.replica.v1.ForwardService service.
 type ForwardServiceClient interface {
 	// Forward makes one call to a member of the group for the caller and returns its
--- a/internal/limit/bucket.go
+++ b/internal/limit/bucket.go
@@ -5,27 +5,28 @@
 	"time"
 )
 
-// bucket is a token bucket whose rate may change at any time.
-type bucket struct {
-	tokens  float64
-	updated time.Time
+// Bucket is a token bucket whose rate may change at any time.
+type Bucket struct {
+	// Tokens are what may be taken, as of Updated.
+	Tokens  float64
+	Updated time.Time
 }
 
-// refill adds what the rate gave since the last refill, up to capacity.
-func (b *bucket) refill(now time.Time, rate Rate, capacity float64) {
-	if elapsed := now.Sub(b.updated); elapsed > 0 {
-		b.tokens += float64(rate) * elapsed.Seconds()
-		b.updated = now
+// Refill adds what the rate gave since the last refill, up to capacity.
+func (b *Bucket) Refill(now time.Time, rate Rate, capacity float64) {
+	if elapsed := now.Sub(b.Updated); elapsed > 0 {
+		b.Tokens += float64(rate) * elapsed.Seconds()
+		b.Updated = now
 	}
-	b.tokens = min(b.tokens, capacity)
+	b.Tokens = min(b.Tokens, capacity)
 }
 
-// take removes one token if there is one.
-func (b *bucket) take() bool {
-	if b.tokens < 1 {
+// Take removes one token if there is one.
+func (b *Bucket) Take() bool {
+	if b.Tokens < 1 {
 		return false
 	}
-	b.tokens--
+	b.Tokens--
 	return true
 }
 
--- a/internal/limit/exchange.go
+++ b/internal/limit/exchange.go
@@ -17,10 +17,10 @@
 func (s *Shares) Tick(now time.Time) []Outgoing {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.reports.refill(now, reportsPerSecond, reportBurst)
+	s.reports.Refill(now, reportsPerSecond, reportBurst)
 	outbox := newOutbox(s.self)
 	for _, tenant := range s.mostUrgent(now) {
-		if !s.reports.take() {
+		if !s.reports.Take() {
 			break
 		}
 		held, found := s.byID.Load(tenant)
@@ -31,7 +31,7 @@
 		home := s.home(tenant)
 		if home == s.self.Node {
 			// A report to itself costs no message and no budget.
-			s.reports.tokens++
+			s.reports.Tokens++
 			s.takeReport(now, s.self, report, outbox)
 			continue
 		}
--- a/internal/limit/retry.go
+++ b/internal/limit/retry.go
@@ -12,7 +12,7 @@
 	mutex  sync.Mutex
 	ratio  float64
 	steady Rate
-	bucket bucket
+	bucket Bucket
 }
 
 // retryBurst is the number of retries that may be saved up.
@@ -25,7 +25,7 @@
 	return &RetryBudget{
 		ratio:  ratio,
 		steady: steady,
-		bucket: bucket{tokens: retryBurst, updated: now},
+		bucket: Bucket{Tokens: retryBurst, Updated: now},
 	}
 }
 
@@ -33,22 +33,22 @@
 func (r *RetryBudget) Succeeded(now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.bucket.tokens += r.ratio
-	r.bucket.refill(now, r.steady, retryBurst)
+	r.bucket.Tokens += r.ratio
+	r.bucket.Refill(now, r.steady, retryBurst)
 }
 
 // Left reports whether a retry would be allowed, without taking it.
 func (r *RetryBudget) Left(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.bucket.refill(now, r.steady, retryBurst)
-	return r.bucket.tokens >= 1
+	r.bucket.Refill(now, r.steady, retryBurst)
+	return r.bucket.Tokens >= 1
 }
 
 // Allow takes one retry out of the budget, if there is one.
 func (r *RetryBudget) Allow(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.bucket.refill(now, r.steady, retryBurst)
-	return r.bucket.take()
+	r.bucket.Refill(now, r.steady, retryBurst)
+	return r.bucket.Take()
 }
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -18,7 +18,7 @@
 	// part of it that needs no grant.
 	declared Rate
 	reserve  Rate
-	bucket   bucket
+	bucket   Bucket
 	demand   demand
 	comeback comeback
 	random   *rand.Rand
@@ -42,7 +42,7 @@
 func newShare(tenant structs.TenantID, now time.Time, seed uint64) *share {
 	return &share{
 		tenant: tenant,
-		bucket: bucket{updated: now},
+		bucket: Bucket{Updated: now},
 		demand: demand{updated: now},
 		random: rand.New(rand.NewPCG(seed, 0)),
 	}
@@ -66,11 +66,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	first := s.declared == 0
-	s.bucket.refill(now, s.rate(now), s.burst(now))
+	s.bucket.Refill(now, s.rate(now), s.burst(now))
 	s.declared = declared
 	s.reserve = declared * reserveFraction / Rate(max(known, 1))
 	if first {
-		s.bucket.tokens = s.burst(now)
+		s.bucket.Tokens = s.burst(now)
 	}
 }
 
@@ -80,8 +80,8 @@
 	defer s.mutex.Unlock()
 	s.demand.add(now)
 	rate := s.rate(now)
-	s.bucket.refill(now, rate, s.burst(now))
-	if s.bucket.take() {
+	s.bucket.Refill(now, rate, s.burst(now))
+	if s.bucket.Take() {
 		return nil
 	}
 	s.short = true
@@ -122,7 +122,7 @@
 func (s *share) report(now time.Time) Report {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.bucket.refill(now, s.rate(now), s.burst(now))
+	s.bucket.Refill(now, s.rate(now), s.burst(now))
 	demanded := s.demand.at(now)
 	if !now.Before(s.expires) {
 		s.granted = 0
@@ -147,7 +147,7 @@
 	if grant.Report != s.number || grant.Number <= s.taken {
 		return
 	}
-	s.bucket.refill(now, s.rate(now), s.burst(now))
+	s.bucket.Refill(now, s.rate(now), s.burst(now))
 	s.lowered = now.Before(s.expires) && grant.Rate < s.granted
 	s.taken = grant.Number
 	s.granted = min(grant.Rate, s.declared)
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -60,7 +60,7 @@
 	view    View
 	hashes  []uint64 // of view.Nodes
 	homes   map[structs.TenantID]*tenantHome
-	reports bucket
+	reports Bucket
 }
 
 // NewShares returns the shares of one life of a daemon. Before Declare no
@@ -70,7 +70,7 @@
 		self:    self,
 		seed:    seed,
 		homes:   map[structs.TenantID]*tenantHome{},
-		reports: bucket{updated: now, tokens: reportBurst},
+		reports: Bucket{Updated: now, Tokens: reportBurst},
 	}
 	shares.terms.Store(&terms{rates: Rates{}, known: 1})
 	shares.SetView(now, View{Nodes: []structs.NodeID{self.Node}, Known: 1})
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -107,6 +107,7 @@
 	c.counts.forwarded.Add(1)
 	c.groups.OfferGroup(response.GetAppend().GetStanding().GetGroup())
 	c.groups.OfferGroup(response.GetReadChain().GetStanding().GetGroup())
+	c.groups.OfferGroup(response.GetGrant().GetStanding().GetGroup())
 	return response
 }
 
@@ -153,6 +154,12 @@
 			return nil, err
 		}
 		response.Answer = &replicav1.ForwardResponse_ReadChain{ReadChain: answer.Msg}
+	case *replicav1.ForwardRequest_Grant:
+		answer, err := f.client.At(address).Grant(ctx, connect.NewRequest(call.Grant))
+		if err != nil {
+			return nil, err
+		}
+		response.Answer = &replicav1.ForwardResponse_Grant{Grant: answer.Msg}
 	}
 	return connect.NewResponse(response), nil
 }
--- /dev/null
+++ b/internal/quota/allowance.go
@@ -0,0 +1,121 @@
+package quota
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Allowance is what one gateway may let in for one tenant. It is safe for concurrent use.
+type Allowance struct {
+	mutex  sync.Mutex
+	grants []held
+	// taken counts the requests let in since asked, when a member was last asked.
+	taken int
+	asked time.Time
+	// lifetime is that of the last grant.
+	lifetime time.Duration
+	// refusedUntil is until when all members are known to grant nothing, to programs
+	// under way and to such as begin.
+	refusedUntil, openingRefusedUntil time.Time
+}
+
+// held is what is left of a grant.
+type held struct {
+	requests int
+	plenty   bool
+	expires  time.Time
+}
+
+// Pass is one request that may be let in.
+type Pass struct {
+	plenty  bool
+	expires time.Time
+}
+
+// mostWanted bounds what a gateway asks for at once.
+const mostWanted = 64
+
+// Take lets a request in if something granted is left for it.
+func (a *Allowance) Take(now time.Time, opening bool) (Pass, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.dropExpired(now)
+	for i := range a.grants {
+		grant := &a.grants[i]
+		if grant.requests == 0 || opening && !grant.plenty {
+			continue
+		}
+		grant.requests--
+		a.taken++
+		return Pass{plenty: grant.plenty, expires: grant.expires}, true
+	}
+	return Pass{}, false
+}
+
+// Return gives a pass back whose request has not run and never will.
+func (a *Allowance) Return(now time.Time, pass Pass) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.taken--
+	if now.Before(pass.expires) {
+		a.grants = append(a.grants, held{requests: 1, plenty: pass.plenty, expires: pass.expires})
+	}
+}
+
+// Wanted returns how many requests to ask for where so many wait: as many more as have
+// lately been let in within the lifetime of a grant.
+func (a *Allowance) Wanted(now time.Time, waiting int) int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	since := now.Sub(a.asked)
+	expected := 0
+	if since > 0 && since < longestLifetime {
+		expected = int(float64(a.taken) * min(1, a.lifetime.Seconds()/since.Seconds()))
+	}
+	a.taken, a.asked = 0, now
+	return min(mostWanted, waiting+expected)
+}
+
+// Add takes a grant that was asked for at a time.
+func (a *Allowance) Add(asked time.Time, grant Grant) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.lifetime = grant.Lifetime
+	a.grants = append(a.grants, held{requests: grant.Requests, plenty: grant.Plenty, expires: asked.Add(grant.Lifetime)})
+}
+
+// Refuse notes until when all members grant nothing.
+func (a *Allowance) Refuse(until time.Time, opening bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.openingRefusedUntil = until
+	if !opening {
+		a.refusedUntil = until
+	}
+}
+
+// Refused returns after what time members may grant again, if they are known to grant
+// nothing now.
+func (a *Allowance) Refused(now time.Time, opening bool) (after time.Duration, refused bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	until := a.refusedUntil
+	if opening {
+		until = a.openingRefusedUntil
+	}
+	return until.Sub(now), now.Before(until)
+}
+
+// Idle reports whether nothing was let in or asked for lately.
+func (a *Allowance) Idle(now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.dropExpired(now)
+	return len(a.grants) == 0 && now.Sub(a.asked) > longestLifetime && !now.Before(a.refusedUntil)
+}
+
+// dropExpired drops what may not be used any more. The mutex is held.
+func (a *Allowance) dropExpired(now time.Time) {
+	a.grants = slices.DeleteFunc(a.grants, func(grant held) bool { return grant.requests == 0 || !now.Before(grant.expires) })
+}
--- /dev/null
+++ b/internal/quota/granter.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/limit"
+)
+
+// Ask is a gateway's wish to let requests of a tenant in.
+type Ask struct {
+	Tenant string
+	Limit  Limit
+	// Members is how many members share the limit.
+	Members int
+	// Since is when this member began to hold its seat; it grants nothing that it would
+	// have gained before.
+	Since time.Time
+	// Wanted is how many requests the gateway asks for.
+	Wanted int
+	// Opening is set where the first of them begins a program.
+	Opening bool
+}
+
+// Grant is a member's answer.
+type Grant struct {
+	// Requests is how many the gateway may let in; Lifetime until when, from when it asked.
+	Requests int
+	Lifetime time.Duration
+	// Plenty is set where programs may be begun with them.
+	Plenty bool
+	// After is when the member has a further request to grant.
+	After time.Duration
+}
+
+// openingReserve is the part of a member's capacity that is kept for programs under way:
+// a program that is refused in its middle has used what its turns before cost in vain.
+const openingReserve = 0.25
+
+// Granter grants one member's parts of tenants' limits. It is safe for concurrent use.
+type Granter struct {
+	tolerance Tolerance
+
+	mutex   sync.Mutex
+	tenants map[string]*part
+}
+
+// part is one member's part of a tenant's limit.
+type part struct {
+	limit   Limit
+	members int
+	terms   terms
+	since   time.Time
+	bucket  limit.Bucket
+}
+
+// NewGranter returns a granter that has granted nothing.
+func NewGranter(tolerance Tolerance) *Granter {
+	return &Granter{tolerance: tolerance, tenants: make(map[string]*part)}
+}
+
+// SetTolerance puts a changed tolerance in force for limits that are declared from now on.
+func (g *Granter) SetTolerance(tolerance Tolerance) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.tolerance = tolerance
+}
+
+// Grant answers a gateway.
+func (g *Granter) Grant(now time.Time, ask Ask) Grant {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	held := g.part(now, ask)
+	held.bucket.Refill(now, limit.Rate(held.terms.rate), held.terms.capacity)
+	reserve := openingReserve * held.terms.capacity
+	if held.terms.capacity < 1/openingReserve {
+		// A part this small holds less than one request back.
+		reserve = 0
+	}
+	least := 1.0
+	if ask.Opening {
+		least += reserve
+	}
+	if held.bucket.Tokens < least {
+		return Grant{After: timeFor(least-held.bucket.Tokens, held.terms.rate)}
+	}
+	granted := min(max(ask.Wanted, 1), int(held.bucket.Tokens-least+1), g.fairPart(held))
+	held.bucket.Tokens -= float64(granted)
+	return Grant{
+		Requests: granted, Lifetime: held.terms.lifetime, Plenty: held.bucket.Tokens >= reserve,
+		After: timeFor(max(0, 1-held.bucket.Tokens), held.terms.rate),
+	}
+}
+
+// mostOfPart is the part of what a member has that one gateway gets at a time: what one
+// does not use in its lifetime is lost to the others.
+const mostOfPart = 0.25
+
+// fairPart returns how many requests one gateway gets at most.
+func (g *Granter) fairPart(held *part) int { return max(1, int(mostOfPart*held.bucket.Tokens)) }
+
+// part returns this member's part of a tenant's limit under the newest terms.
+func (g *Granter) part(now time.Time, ask Ask) *part {
+	held := g.tenants[ask.Tenant]
+	if held == nil || held.since.Before(ask.Since) {
+		held = &part{since: ask.Since, bucket: limit.Bucket{Updated: ask.Since}}
+		g.tenants[ask.Tenant] = held
+	}
+	if ask.Limit.Version > held.limit.Version || held.members != ask.Members {
+		held.bucket.Refill(now, limit.Rate(held.terms.rate), held.terms.capacity)
+		if ask.Limit.Version >= held.limit.Version {
+			held.limit = ask.Limit
+		}
+		held.members = ask.Members
+		first := held.terms == terms{}
+		held.terms = termsOf(held.limit, g.tolerance, held.members)
+		if first {
+			held.bucket.Updated = held.since
+		}
+	}
+	return held
+}
+
+// Forget drops the parts that are full: one that is asked for again is as full.
+func (g *Granter) Forget(now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for tenant, held := range g.tenants {
+		idle := held.terms.rate * now.Sub(held.bucket.Updated).Seconds()
+		sinceSeat := held.terms.rate * now.Sub(held.since).Seconds()
+		if held.bucket.Tokens+idle >= held.terms.capacity && sinceSeat >= held.terms.capacity {
+			delete(g.tenants, tenant)
+		}
+	}
+}
+
+// Len returns how many tenants have a part that is in use.
+func (g *Granter) Len() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.tenants)
+}
+
+// timeFor returns the time in which a rate gains a number of requests.
+func timeFor(requests, rate float64) time.Duration {
+	return time.Duration(requests / rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/quota/terms.go
@@ -0,0 +1,69 @@
+// Package quota keeps tenants' limits over all gateways together. The members of a
+// tenant's group each grant an equal part of its limit, and gateways let requests in by
+// what they were granted. The parts are fixed, so nothing has to be agreed on: whoever
+// reaches a member may use its part, and one that is lost takes its part along until its
+// seat is filled again. The package does no I/O and reads no clock.
+//
+// Invariant: in every span of Tolerance.Window, the requests that gateways let in for a
+// tenant stay within (rate x window + burst) x (1 + overshoot) + slack, as long as each
+// part is granted by one process at a time. A process that starts, or takes a seat,
+// begins with nothing and gains at its part of the rate.
+package quota
+
+import (
+	"time"
+)
+
+// Tolerance is by how much requests that are let in may exceed a limit, because no
+// process knows them all at once.
+type Tolerance struct {
+	// Window is the span over which requests are counted.
+	Window time.Duration
+	// Overshoot is a part of what the limit allows in a window, Slack a number of
+	// requests on top.
+	Overshoot, Slack float64
+}
+
+// Limit is a tenant's declared limit.
+type Limit struct {
+	// Rate is in requests a second, Burst in requests.
+	Rate, Burst float64
+	// Version is that of the configuration which declares it.
+	Version uint64
+}
+
+const (
+	// usedTolerance is the part of the tolerance that grants may take up in calm times.
+	// The rest covers a seat that two members believe to hold for a moment: a fifth of a
+	// limit for the time in which gateways learn of a new group.
+	usedTolerance = 0.8
+	// lifetimeShare is the part of that which goes to grants that gateways have not used
+	// yet; the remainder adds to the burst, so that requests inside the limit are not
+	// refused because another gateway holds what is left.
+	lifetimeShare = 0.5
+	// shortestLifetime is the time in which an answer reaches a gateway and a request that
+	// waits for it goes on; longestLifetime bounds how late a lowered limit binds.
+	shortestLifetime = 200 * time.Millisecond
+	longestLifetime  = 2 * time.Second
+)
+
+// terms are what one member may grant of a limit.
+type terms struct {
+	// rate is in requests a second, capacity in requests.
+	rate, capacity float64
+	// lifetime is how long a gateway may use what it is granted.
+	lifetime time.Duration
+}
+
+// termsOf returns one member's terms where so many members share a limit.
+//
+// What is granted in a window and a lifetime before it may be used in that window:
+// capacity + rate x (window + lifetime) requests at most.
+func termsOf(limit Limit, tolerance Tolerance, members int) terms {
+	spare := usedTolerance * (tolerance.Overshoot*(limit.Rate*tolerance.Window.Seconds()+limit.Burst) + tolerance.Slack)
+	lifetime := time.Duration(lifetimeShare * spare / limit.Rate * float64(time.Second))
+	lifetime = min(max(lifetime, shortestLifetime), longestLifetime)
+	capacity := max(limit.Burst, limit.Burst+spare-limit.Rate*lifetime.Seconds())
+	parts := float64(max(members, 1))
+	return terms{rate: limit.Rate / parts, capacity: max(1, capacity/parts), lifetime: lifetime}
+}
--- /dev/null
+++ b/internal/replica/grants.go
@@ -0,0 +1,93 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
+)
+
+// forgetGrantsEvery is how often parts of limits that nobody uses are dropped.
+const forgetGrantsEvery = 10 * time.Second
+
+// grants hands out this node's parts of tenants' limits. Each of its seats begins with
+// nothing when this process first holds it: what the process before, or the holder
+// before, has granted is not known.
+type grants struct {
+	node    string
+	now     func() time.Time
+	granter *quota.Granter
+
+	mutex sync.Mutex
+	// seats are those that this process holds, by partition.
+	seats map[uint32]heldSeat
+}
+
+// heldSeat is a seat since this process knows that its node holds it.
+type heldSeat struct {
+	claim uint64
+	since time.Time
+}
+
+func newGrants(node string, now func() time.Time, tolerance quota.Tolerance) *grants {
+	return &grants{node: node, now: now, granter: quota.NewGranter(tolerance), seats: make(map[uint32]heldSeat)}
+}
+
+// take notes the seats that a group gives this node, or takes from it.
+func (g *grants) take(groups []*replicav1.Group) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, group := range groups {
+		if group == nil {
+			continue
+		}
+		member := seatOf(group, g.node)
+		if member == nil {
+			delete(g.seats, group.Partition)
+			continue
+		}
+		if held, found := g.seats[group.Partition]; !found || held.claim != member.Claim {
+			g.seats[group.Partition] = heldSeat{claim: member.Claim, since: g.now()}
+		}
+	}
+}
+
+// seat returns the node's seat in a partition's group.
+func (g *grants) seat(partition uint32) (heldSeat, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	held, found := g.seats[partition]
+	return held, found
+}
+
+// sweep drops what nobody uses, again and again.
+func (g *grants) sweep(ctx context.Context) {
+	for pause.For(ctx, forgetGrantsEvery) {
+		g.granter.Forget(g.now())
+	}
+}
+
+// Grant hands out requests of a tenant. Of a group's limit each seat has the same part,
+// also while the group has shrunk: a seat that comes back finds its part untouched.
+func (s *service) Grant(_ context.Context, request *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error) {
+	message := request.Msg
+	response := &replicav1.GrantResponse{Standing: s.state.standing(message.Partition, message.Epoch)}
+	group := s.state.currentGroup(message.Partition)
+	seat, found := s.grants.seat(message.Partition)
+	if !found || message.Rate <= 0 {
+		return connect.NewResponse(response), nil
+	}
+	granted := s.grants.granter.Grant(s.grants.now(), quota.Ask{
+		Tenant: message.Tenant, Limit: quota.Limit{Rate: message.Rate, Burst: message.Burst, Version: message.Version},
+		Members: max(int(group.GetTarget()), len(group.GetMembers())), Since: seat.since,
+		Wanted: int(message.Wanted), Opening: message.Opening,
+	})
+	response.Granted, response.Plenty = uint32(granted.Requests), granted.Plenty
+	response.LifetimeMs, response.AfterMs = uint32(granted.Lifetime.Milliseconds()), uint32(granted.After.Milliseconds())
+	return connect.NewResponse(response), nil
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,6 +17,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
@@ -49,6 +50,8 @@
 	Seeds []string
 	// Metrics is the IP:port for metrics; empty serves none.
 	Metrics string
+	// Quota is by how much tenants' requests may exceed their limits.
+	Quota quota.Tolerance
 	// Disabled are mechanisms that an experiment leaves out.
 	Disabled mechanism.Disabled
 }
@@ -64,6 +67,7 @@
 	quorum    *quorum.Client
 	relay     *quorum.Relay
 	state     *state
+	grants    *grants
 	seeds     atomic.Pointer[[]string]
 
 	// copies holds a token for each seat that is being filled.
@@ -84,11 +88,13 @@
 	}
 	replica := &Replica{
 		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
+		grants: newGrants(options.Node, time.Now, options.Quota),
 		copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), handOvers: make(map[handOverKey]handOver),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View) {
 		logChanges(view)
+		replica.grants.take(view.Groups)
 		replica.keep(view)
 	})
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.PassingOn)
@@ -223,7 +229,7 @@
 	}
 	handler := &service{
 		state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now), age: r.wordAge, followers: r.followers,
-		observations: newObservations(time.Now),
+		observations: newObservations(time.Now), grants: r.grants,
 	}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
 	server := &http.Server{Handler: bound}
@@ -235,6 +241,7 @@
 	go r.relay.Run(ctx)
 	go r.keepWorkers(ctx)
 	go r.compact(ctx)
+	go r.grants.sweep(ctx)
 	go r.register(ctx)
 	go r.announce(ctx)
 	go r.takeSeats(ctx)
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -25,6 +25,7 @@
 	age          func() (age time.Duration, heard bool)
 	followers    *followed
 	observations *observations
+	grants       *grants
 }
 
 // Append stores records and lists reservations. A replica without a seat stores nothing.
--- a/internal/route/configuration.go
+++ b/internal/route/configuration.go
@@ -23,7 +23,9 @@
 	Version  uint64
 	Routes   []Route
 	Services map[string]Service
-	Limits   Limits
+	// Tenants are those whose keys are known. Where there are none, no request needs a key.
+	Tenants []Tenant `json:",omitempty"`
+	Limits  Limits
 }
 
 // Route sends the requests of a host and path prefix to services.
@@ -55,6 +57,8 @@
 	Sticky bool
 	// Resumable streams may go on at another worker after an event.
 	Resumable bool
+	// Public routes ask for no key.
+	Public bool `json:",omitempty"`
 }
 
 // Part is a service's share of a route.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -11,6 +11,7 @@
 	configuration *Configuration
 	byHost        map[string][]*Route
 	byName        map[string]*Route
+	tenants       tenantIndex
 }
 
 // NewTable indexes a configuration, which must not be changed afterwards.
@@ -19,6 +20,7 @@
 		configuration: configuration,
 		byHost:        make(map[string][]*Route),
 		byName:        make(map[string]*Route, len(configuration.Routes)),
+		tenants:       indexTenants(configuration.Tenants),
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -51,6 +53,12 @@
 	return service
 }
 
+// AsksForKeys reports whether requests need a key, except on public routes.
+func (t *Table) AsksForKeys() bool { return len(t.configuration.Tenants) > 0 }
+
+// Tenant returns the tenant that holds a key, or nil.
+func (t *Table) Tenant(key KeyHash) *Tenant { return t.tenants.find(key) }
+
 // Match returns the route of the host whose prefix is the longest that begins
 // the path, or nil.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/strictyaml"
 )
 
@@ -38,6 +39,12 @@
 	GraceMilliseconds int64 `yaml:"graceMilliseconds"`
 	// MemoryMegabytes is what the process may use; 0 is unknown.
 	MemoryMegabytes int64 `yaml:"memoryMegabytes"`
+	// LimitWindowMilliseconds is the span over which tenants' requests are counted;
+	// LimitOvershoot, a part of a limit, and LimitSlack, a number of requests, are by how
+	// much all gateways together may exceed it in one.
+	LimitWindowMilliseconds int64   `yaml:"limitWindowMilliseconds"`
+	LimitOvershoot          float64 `yaml:"limitOvershoot"`
+	LimitSlack              float64 `yaml:"limitSlack"`
 	// DisabledMechanisms are switched off for an experiment; empty in operation.
 	DisabledMechanisms []string `yaml:"disabledMechanisms"`
 }
@@ -48,6 +55,13 @@
 // Grace returns how long a planned stop may take.
 func (r Role) Grace() time.Duration { return time.Duration(r.GraceMilliseconds) * time.Millisecond }
 
+// Quota returns by how much tenants' requests may exceed their limits.
+func (r Role) Quota() quota.Tolerance {
+	return quota.Tolerance{
+		Window: time.Duration(r.LimitWindowMilliseconds) * time.Millisecond, Overshoot: r.LimitOvershoot, Slack: r.LimitSlack,
+	}
+}
+
 // MemoryBytes returns what the process may use; 0 is unknown.
 func (r Role) MemoryBytes() int64 { return r.MemoryMegabytes << 20 }
 
@@ -107,6 +121,13 @@
 	found.name("zone", r.Zone)
 	found.address("store", r.Store, false)
 	found.notNegative("memoryMegabytes", r.MemoryMegabytes)
+	found.notNegative("limitWindowMilliseconds", r.LimitWindowMilliseconds)
+	if r.LimitOvershoot < 0 || r.LimitOvershoot > 1 {
+		found.add("limitOvershoot", "is no part of a limit", "a number from 0 to 1")
+	}
+	if r.LimitSlack < 0 {
+		found.add("limitSlack", "is negative", "a number of requests")
+	}
 	for _, seed := range r.Seeds {
 		found.address("seeds", seed, false)
 	}
