--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -87,6 +88,8 @@
 	Log *logsink.Sink
 	// MemoryBytes is what the process may use; 0 is unknown.
 	MemoryBytes int64
+	// Quota is by how much tenants' requests may exceed their limits.
+	Quota quota.Tolerance
 	// Disabled are mechanisms that an experiment leaves out.
 	Disabled mechanism.Disabled
 }
@@ -102,6 +105,7 @@
 	spent     *spentTokens
 	// allowances are what tenants' limits allow here, programs those let in lately.
 	allowances allowances
+	granter    granter
 	programs   *recentPrograms
 	pool       *worker.Pool
 	balancer   *balance.Balancer
@@ -152,6 +156,10 @@
 	g.relay = quorum.NewRelay(g.quorum, g.directory, quorum.RelayOptions{
 		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerNews(g.balancer, options),
 	})
+	g.granter = g.quorum
+	if options.Disabled.Has(mechanism.GrantedLimits) {
+		g.granter = newFixedShares(options.Quota, g.relay.Gateways)
+	}
 	g.spent = newSpentTokens(time.Now)
 	g.programs = newRecentPrograms(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options))
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
@@ -69,24 +70,34 @@
 	}
 	opening := r.opensProgram()
 	allowance := r.gateway.allowances.of(r.tenant.Name)
+	if r.takePass(allowance, opening) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, grantsWait)
 	defer cancel()
 	for {
-		now := time.Now()
-		if pass, found := allowance.Take(now, opening); found {
-			r.quotaPass, r.passed = pass, true
-			r.gateway.programs.note(r.program)
-			return nil
-		}
-		if after, refused := allowance.Refused(now, opening); refused {
+		if after, refused := allowance.Refused(time.Now(), opening); refused {
 			return &QuotaExceeded{Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after}
 		}
 		if err := r.askOrWait(ctx, allowance, opening); err != nil {
 			return err
 		}
+		if r.takePass(allowance, opening) {
+			return nil
+		}
 	}
 }
 
+// takePass lets the request in if something granted is left for it.
+func (r *request) takePass(allowance *tenantAllowance, opening bool) bool {
+	pass, found := allowance.Take(time.Now(), opening)
+	if found {
+		r.quotaPass, r.passed = pass, true
+		r.gateway.programs.note(r.program)
+	}
+	return found
+}
+
 // askOrWait asks the members for more, or waits for the answer that another request of the
 // tenant has asked for.
 func (r *request) askOrWait(ctx context.Context, allowance *tenantAllowance, opening bool) error {
@@ -125,7 +136,11 @@
 func (r *request) ask(ctx context.Context, allowance *tenantAllowance, waiting int, opening bool) error {
 	began := time.Now()
 	limit := quota.Limit{Rate: r.tenant.Quota.Rate, Burst: r.tenant.Quota.Burst, Version: r.view.Table.Version()}
-	granted, err := r.gateway.quorum.Grant(ctx, r.tenant.Name, limit, allowance.Wanted(began, waiting), opening)
+	wanted := waiting
+	if !r.gateway.disabled(mechanism.GrantsAhead) {
+		wanted = allowance.Wanted(began, waiting)
+	}
+	granted, err := r.gateway.granter.Grant(ctx, r.tenant.Name, limit, wanted, opening)
 	switch {
 	case err != nil:
 		return &QuotaUnknown{Cause: err}
