--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -3,18 +3,29 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
-// grantsWait bounds how long a request waits for a member that grants: all of them have
-// had the time to answer then, directly or through another gateway.
-const grantsWait = 600 * time.Millisecond
+const (
+	// grantsWait bounds how long a request waits for a member that grants: all of them have
+	// had the time to answer then, directly or through another gateway.
+	grantsWait = 600 * time.Millisecond
+	// firstQuotaPause and lastQuotaPause bound the pauses, which double, after which a
+	// request of a program under way is offered to members that had nothing to grant.
+	firstQuotaPause = 40 * time.Millisecond
+	lastQuotaPause  = 160 * time.Millisecond
+	// quotaPatience is the part of the time left for which such a request waits: a refused
+	// call of a tool ends its program, and what was spent on its turns is lost.
+	quotaPatience = 1.0 / 3
+)
 
 // allowances are what this gateway may let in, by tenant.
 type allowances struct{ tenants sync.Map }
@@ -73,11 +84,18 @@
 	if r.takePass(allowance, opening) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, grantsWait)
-	defer cancel()
+	until := time.Now()
+	if !opening {
+		until = until.Add(time.Duration(quotaPatience * float64(time.Until(r.deadline))))
+	}
+	wait := firstQuotaPause
 	for {
 		if after, refused := allowance.Refused(time.Now(), opening); refused {
-			return &QuotaExceeded{Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after}
+			if time.Now().Add(max(after, wait)).After(until) || !pause.For(ctx, max(after, wait/2+rand.N(wait))) {
+				return &QuotaExceeded{Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after}
+			}
+			wait = min(2*wait, lastQuotaPause)
+			continue
 		}
 		if err := r.askOrWait(ctx, allowance, opening); err != nil {
 			return err
@@ -101,6 +119,8 @@
 // askOrWait asks the members for more, or waits for the answer that another request of the
 // tenant has asked for.
 func (r *request) askOrWait(ctx context.Context, allowance *tenantAllowance, opening bool) error {
+	ctx, cancel := context.WithTimeout(ctx, grantsWait)
+	defer cancel()
 	allowance.mutex.Lock()
 	if underWay := allowance.asked; underWay != nil {
 		allowance.waiting++
--- a/internal/gateway/quota_bench_test.go
+++ b/internal/gateway/quota_bench_test.go
@@ -16,7 +16,7 @@
 type plentiful struct{}
 
 func (plentiful) Grant(_ context.Context, _ string, _ quota.Limit, _ int, _ bool) (quorum.Granted, error) {
-	return quorum.Granted{Grant: quota.Grant{Requests: 1000, Lifetime: time.Second, Plenty: true}}, nil
+	return quorum.Granted{Grant: quota.Grant{Requests: 1000, Plenty: true}}, nil
 }
 
 // manyTenants returns a table with so many tenants, and their keys' hashes.
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -97,8 +97,7 @@
 		after = min(after, r.grant.After)
 	}
 	r.grant = quota.Grant{
-		Requests: int(answer.Granted), Plenty: answer.Plenty,
-		Lifetime: time.Duration(answer.LifetimeMs) * time.Millisecond, After: after,
+		Requests: int(answer.Granted), Plenty: answer.Plenty, After: after,
 	}
 }
 
--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -13,8 +13,6 @@
 	// taken counts the requests let in since asked, when a member was last asked.
 	taken int
 	asked time.Time
-	// lifetime is that of the last grant.
-	lifetime time.Duration
 	// refusedUntil is until when all members are known to grant nothing, to programs
 	// under way and to such as begin.
 	refusedUntil, openingRefusedUntil time.Time
@@ -33,8 +31,12 @@
 	expires time.Time
 }
 
-// mostWanted bounds what a gateway asks for at once.
-const mostWanted = 64
+const (
+	// mostWanted bounds what a gateway asks for at once.
+	mostWanted = 64
+	// demandMemory is for how long what was let in tells what to expect.
+	demandMemory = 2 * time.Second
+)
 
 // Take lets a request in if something granted is left for it.
 func (a *Allowance) Take(now time.Time, opening bool) (Pass, bool) {
@@ -70,8 +72,8 @@
 	defer a.mutex.Unlock()
 	since := now.Sub(a.asked)
 	expected := 0
-	if since > 0 && since < longestLifetime {
-		expected = int(float64(a.taken) * min(1, a.lifetime.Seconds()/since.Seconds()))
+	if since > 0 && since < demandMemory {
+		expected = int(float64(a.taken) * min(1, Lifetime.Seconds()/since.Seconds()))
 	}
 	a.taken, a.asked = 0, now
 	return min(mostWanted, waiting+expected)
@@ -81,8 +83,7 @@
 func (a *Allowance) Add(asked time.Time, grant Grant) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.lifetime = grant.Lifetime
-	a.grants = append(a.grants, held{requests: grant.Requests, plenty: grant.Plenty, expires: asked.Add(grant.Lifetime)})
+	a.grants = append(a.grants, held{requests: grant.Requests, plenty: grant.Plenty, expires: asked.Add(Lifetime)})
 }
 
 // Refuse notes until when all members grant nothing.
@@ -112,7 +113,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.dropExpired(now)
-	return len(a.grants) == 0 && now.Sub(a.asked) > longestLifetime && !now.Before(a.refusedUntil)
+	return len(a.grants) == 0 && now.Sub(a.asked) > demandMemory && !now.Before(a.refusedUntil)
 }
 
 // dropExpired drops what may not be used any more. The mutex is held.
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -107,10 +107,11 @@
 	if lost || grant.Requests == 0 {
 		return
 	}
+	asked := f.now
 	if f.broken == grantNeverExpires {
-		grant.Lifetime = time.Hour
+		asked = asked.Add(time.Hour)
 	}
-	from.underWay = append(from.underWay, answer{asked: f.now, arrives: f.now.Add(way), grant: grant})
+	from.underWay = append(from.underWay, answer{asked: asked, arrives: f.now.Add(way), grant: grant})
 	if f.broken == grantCountedTwice {
 		from.underWay = append(from.underWay, answer{asked: f.now, arrives: f.now.Add(way), grant: grant})
 	}
--- a/internal/quota/granter.go
+++ b/internal/quota/granter.go
@@ -24,9 +24,8 @@
 
 // Grant is a member's answer.
 type Grant struct {
-	// Requests is how many the gateway may let in; Lifetime until when, from when it asked.
+	// Requests is how many the gateway may let in, for Lifetime from when it asked.
 	Requests int
-	Lifetime time.Duration
 	// Plenty is set where programs may be begun with them.
 	Plenty bool
 	// After is when the member has a further request to grant.
@@ -87,7 +86,7 @@
 	granted := min(max(ask.Wanted, 1), int(held.bucket.Tokens-least+1), g.fairPart(held))
 	held.bucket.Tokens -= float64(granted)
 	return Grant{
-		Requests: granted, Lifetime: held.terms.lifetime, Plenty: held.bucket.Tokens >= reserve,
+		Requests: granted, Plenty: held.bucket.Tokens >= reserve,
 		After: timeFor(max(0, 1-held.bucket.Tokens), held.terms.rate),
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,7 +57,7 @@
 			each.limit = f.limit
 		}
 		f.greed(false)
-		f.step(longestLifetime)
+		f.step(Lifetime)
 		f.letIn = nil
 		f.limits = []declaredLimit{{limit: f.limit, since: f.now}}
 		for range 100 {
@@ -75,7 +75,7 @@
 	f.step(time.Minute)
 	for range 20 {
 		f.grab()
-		f.step(termsOf(limit, tolerance, members).lifetime - time.Millisecond)
+		f.step(Lifetime - time.Millisecond)
 	}
 	for range 600 {
 		f.greed(false)
@@ -128,7 +128,7 @@
 	f.step(time.Minute)
 	f.greed(false)
 	f.declare(Limit{Rate: 10, Burst: 10}, func(int) bool { return true })
-	f.step(usual.Window + longestLifetime)
+	f.step(usual.Window + Lifetime)
 	for range 100 {
 		f.greed(false)
 		f.step(100 * time.Millisecond)
@@ -182,7 +182,7 @@
 func TestAPassThatWasNotUsedIsThereAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
 	allowance := &Allowance{}
-	allowance.Add(now, Grant{Requests: 1, Lifetime: time.Second, Plenty: true})
+	allowance.Add(now, Grant{Requests: 1, Plenty: true})
 	pass, found := allowance.Take(now, true)
 	require.True(t, found)
 	_, found = allowance.Take(now, false)
@@ -199,12 +199,12 @@
 	now := time.Unix(1000, 0)
 	allowance := &Allowance{}
 	require.Equal(t, 1, allowance.Wanted(now, 1))
-	allowance.Add(now, Grant{Requests: 20, Lifetime: time.Second})
+	allowance.Add(now, Grant{Requests: 20})
 	for range 20 {
 		allowance.Take(now, false)
 	}
-	require.Equal(t, 11, allowance.Wanted(now.Add(2*time.Second-time.Millisecond), 1), "half of what was let in in two lifetimes")
-	require.Equal(t, 2, allowance.Wanted(now.Add(2*time.Second), 2))
+	require.Equal(t, 11, allowance.Wanted(now.Add(2*Lifetime), 1), "half of what was let in in two lifetimes")
+	require.Equal(t, 2, allowance.Wanted(now.Add(3*Lifetime), 2))
 }
 
 func TestForgettingChangesNothing(t *testing.T) {
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -34,36 +34,28 @@
 
 const (
 	// usedTolerance is the part of the tolerance that grants may take up in calm times.
-	// The rest covers a seat that two members believe to hold for a moment: a fifth of a
-	// limit for the time in which gateways learn of a new group.
-	usedTolerance = 0.8
-	// lifetimeShare is the part of that which goes to grants that gateways have not used
-	// yet; the remainder adds to the burst, so that requests inside the limit are not
-	// refused because another gateway holds what is left.
-	lifetimeShare = 0.5
-	// shortestLifetime is the time in which an answer reaches a gateway and a request that
-	// waits for it goes on; longestLifetime bounds how late a lowered limit binds.
-	shortestLifetime = 200 * time.Millisecond
-	longestLifetime  = 2 * time.Second
+	// The rest covers a seat that two members believe to hold for a moment.
+	usedTolerance = 0.9
+	// Lifetime is how long a gateway may use what it was granted, from when it asked: the
+	// time in which an answer reaches it and a request that waits for it goes on. What is
+	// granted and not used yet takes rate x Lifetime away from the burst.
+	Lifetime = 200 * time.Millisecond
 )
 
 // terms are what one member may grant of a limit.
 type terms struct {
 	// rate is in requests a second, capacity in requests.
 	rate, capacity float64
-	// lifetime is how long a gateway may use what it is granted.
-	lifetime time.Duration
 }
 
 // termsOf returns one member's terms where so many members share a limit.
 //
 // What is granted in a window and a lifetime before it may be used in that window:
-// capacity + rate x (window + lifetime) requests at most.
+// capacity + rate x (window + Lifetime) requests at most over all members, which is the
+// limit with the part of the tolerance that is used.
 func termsOf(limit Limit, tolerance Tolerance, members int) terms {
-	spare := usedTolerance * (tolerance.Overshoot*(limit.Rate*tolerance.Window.Seconds()+limit.Burst) + tolerance.Slack)
-	lifetime := time.Duration(lifetimeShare * spare / limit.Rate * float64(time.Second))
-	lifetime = min(max(lifetime, shortestLifetime), longestLifetime)
-	capacity := max(limit.Burst, limit.Burst+spare-limit.Rate*lifetime.Seconds())
+	rate := limit.Rate * (1 + usedTolerance*tolerance.Overshoot)
+	capacity := limit.Burst*(1+usedTolerance*tolerance.Overshoot) + usedTolerance*tolerance.Slack - rate*Lifetime.Seconds()
 	parts := float64(max(members, 1))
-	return terms{rate: limit.Rate / parts, capacity: max(1, capacity/parts), lifetime: lifetime}
+	return terms{rate: rate / parts, capacity: max(1, capacity/parts)}
 }
--- a/internal/replica/grants.go
+++ b/internal/replica/grants.go
@@ -88,6 +88,6 @@
 		Wanted: int(message.Wanted), Opening: message.Opening,
 	})
 	response.Granted, response.Plenty = uint32(granted.Requests), granted.Plenty
-	response.LifetimeMs, response.AfterMs = uint32(granted.Lifetime.Milliseconds()), uint32(granted.After.Milliseconds())
+	response.AfterMs = uint32(granted.After.Milliseconds())
 	return connect.NewResponse(response), nil
 }
