--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,6 +62,10 @@
 		Name: "gateway_held_seconds", Kind: telemetry.KindHistogram, Unit: "seconds", Labels: []string{"reason", "outcome"},
 		Help: "Time for which a request waited before it could be sent to a worker, by what for, and whether it was begun or refused.", Buckets: latencyBuckets,
 	})
+	metricTenants = telemetry.Define(telemetry.Definition{
+		Name: "gateway_tenant_requests_total", Kind: telemetry.KindCounter, Unit: "requests", Labels: []string{"tenant", "outcome"},
+		Help: "Requests of tenants that have a limit: let in, refused at the limit, or refused because it could not be told. Tenants beyond the first 100 count as one.",
+	})
 	metricDropped = telemetry.Define(telemetry.Definition{
 		Name: "gateway_log_lines_dropped", Kind: telemetry.KindGauge, Unit: "lines",
 		Help: "Log lines that were dropped since the start.",
@@ -74,13 +79,25 @@
 	breaks     *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
 	waits      *prometheus.HistogramVec
+	tenants    *prometheus.CounterVec
+
+	mutex sync.Mutex
+	// labelled are the tenants that have a label of their own.
+	labelled map[string]bool
 }
 
+const (
+	// maxLabelledTenants bounds the labels of metrics; otherTenants stands for the others.
+	maxLabelledTenants = 100
+	otherTenants       = "(others)"
+)
+
 func newMetrics(registry *telemetry.Registry) *metrics {
 	return &metrics{
 		latency: registry.Histogram(metricAnswered), firstEvent: registry.Histogram(metricFirstEvent),
 		refusals: registry.Counter(metricRefused), breaks: registry.Counter(metricBroken),
 		attempts: registry.Counter(metricAttempts), waits: registry.Histogram(metricHeld),
+		tenants: registry.Counter(metricTenants), labelled: make(map[string]bool),
 	}
 }
 
@@ -122,6 +139,24 @@
 	}
 }
 
+// limited notes what became of a request of a tenant that has a limit.
+func (m *metrics) limited(tenant, outcome string) {
+	m.tenants.WithLabelValues(m.label(tenant), outcome).Inc()
+}
+
+// label returns the tenant's own label, or the one for all beyond a bound.
+func (m *metrics) label(tenant string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.labelled[tenant] {
+		if len(m.labelled) >= maxLabelledTenants {
+			return otherTenants
+		}
+		m.labelled[tenant] = true
+	}
+	return tenant
+}
+
 // held notes how long a request waited, by reason, and whether a worker began it.
 func (m *metrics) held(reasons map[holdReason]time.Duration, begun bool) {
 	outcome := "refused"
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -82,7 +83,26 @@
 	if r.tenant == nil || !r.tenant.Quota.Bounded() {
 		return nil
 	}
-	opening := r.opensProgram()
+	err := r.awaitPass(ctx, r.opensProgram())
+	r.gateway.metrics.limited(r.tenant.Name, outcomeOfLimit(err))
+	return err
+}
+
+// outcomeOfLimit names what became of a request that a limit applies to.
+func outcomeOfLimit(err error) string {
+	var exceeded *QuotaExceeded
+	switch {
+	case err == nil:
+		return "admitted"
+	case errors.As(err, &exceeded):
+		return "refused"
+	}
+	return "unknown"
+}
+
+// awaitPass takes what was granted before, or asks for more, and waits a little where
+// members have nothing to grant.
+func (r *request) awaitPass(ctx context.Context, opening bool) error {
 	allowance := r.gateway.allowances.of(r.tenant.Name)
 	if r.takePass(allowance, opening) {
 		return nil
--- a/internal/gateway/quota_bench_test.go
+++ b/internal/gateway/quota_bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 )
 
 // plentiful grants all that is asked for.
@@ -41,7 +42,7 @@
 	for _, tenants := range []int{100, 10000} {
 		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
 			table, keys := manyTenants(tenants)
-			g := &Gateway{granter: plentiful{}, programs: newRecentPrograms(time.Now)}
+			g := &Gateway{granter: plentiful{}, programs: newRecentPrograms(time.Now), metrics: newMetrics(telemetry.NewRegistry())}
 			r := &request{gateway: g, route: &table.Configuration().Routes[0], view: &directory.View{Table: table}}
 			r.envelope.Keyed = true
 			b.ReportAllocs()
