A refusal at a limit tells how many replicas said so and when; one way to ask a member directly

Cause: an operator who reads 429 has to know whose limit and on what evidence; quorum had the same call-and-learn lines in grant.go and chain.go. Change: the refusal carries count and age; askDirectly serves both callers.

--- a/internal/gateway/fixedshares.go
+++ b/internal/gateway/fixedshares.go
@@ -33,5 +33,5 @@
 	grant := f.granter.Grant(time.Now(), quota.Ask{
 		Tenant: tenant, Limit: limit, Members: f.gateways(), Since: f.since, Wanted: wanted, Opening: opening,
 	})
-	return quorum.Granted{Grant: grant, Refused: grant.Requests == 0}, nil
+	return quorum.Granted{Grant: grant, Refused: grant.Requests == 0, Answered: 1}, nil
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -114,9 +114,13 @@
 	until := time.Now().Add(time.Duration(patience * float64(time.Until(r.deadline))))
 	wait := firstQuotaPause
 	for {
-		if after, refused := allowance.Refused(time.Now(), opening); refused {
+		if refusal, refused := allowance.Refused(time.Now(), opening); refused {
+			after := time.Until(refusal.Until)
 			if time.Now().Add(max(after, wait)).After(until) || !pause.For(ctx, max(after, wait/2+rand.N(wait))) {
-				return &QuotaExceeded{Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after}
+				return &QuotaExceeded{
+					Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after,
+					Members: refusal.Members, Age: time.Since(refusal.Said),
+				}
 			}
 			wait = min(2*wait, lastQuotaPause)
 			continue
@@ -189,7 +193,8 @@
 	case err != nil:
 		return &QuotaUnknown{Cause: err}
 	case granted.Refused:
-		allowance.Refuse(time.Now().Add(granted.After), opening)
+		now := time.Now()
+		allowance.Refuse(quota.Refusal{Said: now, Until: now.Add(granted.After), Members: granted.Answered}, opening)
 	default:
 		allowance.Add(began, granted.Grant)
 	}
@@ -217,12 +222,16 @@
 	// Opening is set where the request would have begun a program: the last part of a
 	// limit is kept for programs under way.
 	Opening bool
+	// Members is how many members had nothing to grant, Age how long ago they said so.
+	Members int
+	Age     time.Duration
 	// ComeBack is after what time a request may be let in again.
 	ComeBack time.Duration
 }
 
 func (e *QuotaExceeded) Error() string {
-	text := fmt.Sprintf("tenant %s is at its limit of %g requests a second and %g on top", e.Tenant, e.Quota.Rate, e.Quota.Burst)
+	text := fmt.Sprintf("tenant %s is at its limit of %g requests a second and %g on top, as %d replicas said %v ago",
+		e.Tenant, e.Quota.Rate, e.Quota.Burst, e.Members, e.Age.Round(time.Millisecond))
 	if e.Opening {
 		return text + "; what is left is kept for programs under way"
 	}
--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -170,18 +170,10 @@
 func (c *Client) readChain(ctx context.Context, group *replicav1.Group, member *replicav1.Member, id string) *replicav1.ReadChainResponse {
 	request := &replicav1.ReadChainRequest{Epoch: group.Epoch, Partition: group.Partition, Id: id}
 	if !c.reach.isDown(member.Address) {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		response, err := c.At(member.Address).ReadChain(call, connect.NewRequest(request))
-		if err == nil {
-			c.reach.answered(member.Address)
-			c.learn(group, member, response.Msg.Standing)
-			return response.Msg
+		answer := askDirectly(ctx, c, group, member, callTimeout, connect.NewRequest(request), c.At(member.Address).ReadChain)
+		if answer != nil || ctx.Err() != nil {
+			return answer
 		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		c.reach.failed(member.Address, err)
 	}
 	return c.forward(ctx, &replicav1.ForwardRequest{
 		Address: member.Address, Call: &replicav1.ForwardRequest_ReadChain{ReadChain: request},
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -126,6 +126,35 @@
 	return c.reach.anyAnsweredSince(c.now().Add(-limit))
 }
 
+// withStanding is an answer in which a replica says what it is.
+type withStanding interface {
+	GetStanding() *replicav1.Standing
+}
+
+// askDirectly makes one call to a member and takes in what it says of itself. It returns
+// the zero answer where there was none; where ctx has not ended, that speaks against the
+// member.
+func askDirectly[Q, A any, P interface {
+	*A
+	withStanding
+}](ctx context.Context, c *Client, group *replicav1.Group, member *replicav1.Member, limit time.Duration, request *connect.Request[Q],
+	call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) P {
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	response, err := call(limited, request)
+	if err == nil {
+		answer := P(response.Msg)
+		c.reach.answered(member.Address)
+		c.learn(group, member, answer.GetStanding())
+		return answer
+	}
+	if ctx.Err() == nil {
+		c.reach.failed(member.Address, err)
+	}
+	return nil
+}
+
 // probe asks one replica for anything at all.
 func (c *Client) probe(ctx context.Context, address string) error {
 	_, err := c.At(address).Append(ctx, connect.NewRequest(&replicav1.AppendRequest{}))
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -26,6 +26,8 @@
 	// Refused is set where a majority answered that it has nothing to grant, and so did all
 	// others that are reached.
 	Refused bool
+	// Answered is how many members answered.
+	Answered int
 }
 
 // Grant asks the members of a tenant's group, one after the other, until one grants
@@ -70,7 +72,7 @@
 	if round.answered < needed {
 		return Granted{}, &Unavailable{Needed: needed, Answered: round.answered}
 	}
-	return Granted{Grant: round.grant, Refused: true}, nil
+	return Granted{Grant: round.grant, Refused: true, Answered: round.answered}, nil
 }
 
 // allDown reports whether none of the members is reached.
@@ -105,19 +107,7 @@
 // that there was no answer.
 func (c *Client) askForGrant(ctx context.Context, group *replicav1.Group, member *replicav1.Member, request *replicav1.GrantRequest) *replicav1.GrantResponse {
 	if !c.reach.isDown(member.Address) {
-		call, cancel := context.WithTimeout(ctx, grantTimeout)
-		defer cancel()
-		response, err := c.At(member.Address).Grant(call, connect.NewRequest(request))
-		if err == nil {
-			c.reach.answered(member.Address)
-			c.learn(group, member, response.Msg.Standing)
-			return response.Msg
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		c.reach.failed(member.Address, err)
-		return nil
+		return askDirectly(ctx, c, group, member, grantTimeout, connect.NewRequest(request), c.At(member.Address).Grant)
 	}
 	return c.forward(ctx, &replicav1.ForwardRequest{
 		Address: member.Address, Call: &replicav1.ForwardRequest_Grant{Grant: request},
--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -13,9 +13,17 @@
 	// taken counts the requests let in since asked, when a member was last asked.
 	taken int
 	asked time.Time
-	// refusedUntil is until when all members are known to grant nothing, to programs
-	// under way and to such as begin.
-	refusedUntil, openingRefusedUntil time.Time
+	// refusal is what members last said to programs under way, openingRefusal to such as
+	// begin.
+	refusal, openingRefusal Refusal
+}
+
+// Refusal is the word of members that they have nothing to grant.
+type Refusal struct {
+	// Said is when they said so, Until when one of them has a further request to grant.
+	Said, Until time.Time
+	// Members is how many said so.
+	Members int
 }
 
 // held is what is left of a grant.
@@ -86,26 +94,26 @@
 	a.grants = append(a.grants, held{requests: grant.Requests, plenty: grant.Plenty, expires: asked.Add(Lifetime)})
 }
 
-// Refuse notes until when all members grant nothing.
-func (a *Allowance) Refuse(until time.Time, opening bool) {
+// Refuse notes that all members that were reached grant nothing. What is refused to
+// programs under way is refused to such as begin too.
+func (a *Allowance) Refuse(refusal Refusal, opening bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.openingRefusedUntil = until
+	a.openingRefusal = refusal
 	if !opening {
-		a.refusedUntil = until
+		a.refusal = refusal
 	}
 }
 
-// Refused returns after what time members may grant again, if they are known to grant
-// nothing now.
-func (a *Allowance) Refused(now time.Time, opening bool) (after time.Duration, refused bool) {
+// Refused returns what members said, if it holds now.
+func (a *Allowance) Refused(now time.Time, opening bool) (refusal Refusal, refused bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	until := a.refusedUntil
+	refusal = a.refusal
 	if opening {
-		until = a.openingRefusedUntil
+		refusal = a.openingRefusal
 	}
-	return until.Sub(now), now.Before(until)
+	return refusal, now.Before(refusal.Until)
 }
 
 // Idle reports whether nothing was let in or asked for lately.
@@ -113,7 +121,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.dropExpired(now)
-	return len(a.grants) == 0 && now.Sub(a.asked) > demandMemory && !now.Before(a.refusedUntil)
+	return len(a.grants) == 0 && now.Sub(a.asked) > demandMemory && !now.Before(a.refusal.Until)
 }
 
 // dropExpired drops what may not be used any more. The mutex is held.
