--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -104,34 +104,38 @@
 // members have nothing to grant.
 func (r *request) awaitPass(ctx context.Context, opening bool) error {
 	allowance := r.gateway.allowances.of(r.tenant.Name)
-	if r.takePass(allowance, opening) {
-		return nil
-	}
-	patience := quotaPatience
-	if opening {
-		patience = openingPatience
-	}
-	until := time.Now().Add(time.Duration(patience * float64(time.Until(r.deadline))))
-	wait := firstQuotaPause
-	for {
-		if refusal, refused := allowance.Refused(time.Now(), opening); refused {
-			after := time.Until(refusal.Until)
-			if time.Now().Add(max(after, wait)).After(until) || !pause.For(ctx, max(after, wait/2+rand.N(wait))) {
-				return &QuotaExceeded{
-					Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: after,
-					Members: refusal.Members, Age: time.Since(refusal.Said),
-				}
+	var until time.Time
+	for wait := firstQuotaPause; !r.takePass(allowance, opening); {
+		now := time.Now()
+		if until.IsZero() {
+			until = now.Add(r.limitPatience(opening))
+		}
+		refusal, refused := allowance.Refused(now, opening)
+		if !refused {
+			if err := r.askOrWait(ctx, allowance, opening); err != nil {
+				return err
 			}
-			wait = min(2*wait, lastQuotaPause)
 			continue
 		}
-		if err := r.askOrWait(ctx, allowance, opening); err != nil {
-			return err
-		}
-		if r.takePass(allowance, opening) {
-			return nil
+		after := max(refusal.Until.Sub(now), wait/2+rand.N(wait))
+		if now.Add(after).After(until) || !pause.For(ctx, after) {
+			return &QuotaExceeded{
+				Tenant: r.tenant.Name, Quota: r.tenant.Quota, Opening: opening, ComeBack: refusal.Until.Sub(now),
+				Members: refusal.Members, Age: now.Sub(refusal.Said),
+			}
 		}
+		wait = min(2*wait, lastQuotaPause)
+	}
+	return nil
+}
+
+// limitPatience returns for how long the request waits for its tenant's limit.
+func (r *request) limitPatience(opening bool) time.Duration {
+	share := quotaPatience
+	if opening {
+		share = openingPatience
 	}
+	return time.Duration(share * float64(time.Until(r.deadline)))
 }
 
 // takePass lets the request in if something granted is left for it.
--- a/internal/gateway/quota_bench_test.go
+++ b/internal/gateway/quota_bench_test.go
@@ -37,7 +37,8 @@
 // BenchmarkAdmit lets requests in: the key's tenant is found and one of its grants used.
 // With a timer made for each request, before looking for a grant: 1,431 ns and 4
 // allocations a request at 100 tenants, 1,812 ns and 4 at 10,000. With the timer made for
-// those alone that wait: 200 ns and 310 ns, no allocation (8 cores, busy; median of 3).
+// those alone that wait: 200 ns and 310 ns, no allocation; with the metric by tenant, 344 ns
+// and 468 ns, one allocation (8 cores, busy; medians of 3).
 func BenchmarkAdmit(b *testing.B) {
 	for _, tenants := range []int{100, 10000} {
 		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
