--- a/internal/quota/granter.go
+++ b/internal/quota/granter.go
@@ -40,17 +40,20 @@
 type Granter struct {
 	tolerance Tolerance
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// tenants are the parts in use, by tenant.
 	tenants map[string]*part
 }
 
 // part is one member's part of a tenant's limit.
 type part struct {
+	// limit is the one with the highest version that any gateway has named.
 	limit   Limit
 	members int
 	terms   terms
-	since   time.Time
-	bucket  limit.Bucket
+	// since is when this process took the seat that the part belongs to.
+	since  time.Time
+	bucket limit.Bucket
 }
 
 // NewGranter returns a granter that has granted nothing.
@@ -58,13 +61,6 @@
 	return &Granter{tolerance: tolerance, tenants: make(map[string]*part)}
 }
 
-// SetTolerance puts a changed tolerance in force for limits that are declared from now on.
-func (g *Granter) SetTolerance(tolerance Tolerance) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.tolerance = tolerance
-}
-
 // Grant answers a gateway.
 func (g *Granter) Grant(now time.Time, ask Ask) Grant {
 	g.mutex.Lock()
@@ -133,13 +129,6 @@
 	}
 }
 
-// Len returns how many tenants have a part that is in use.
-func (g *Granter) Len() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return len(g.tenants)
-}
-
 // timeFor returns the time in which a rate gains a number of requests.
 func timeFor(requests, rate float64) time.Duration {
 	return time.Duration(requests / rate * float64(time.Second))
