--- /dev/null
+++ b/internal/gateway/quota_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
+	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+)
+
+// granterFunc answers as a test wants.
+type granterFunc func(wanted int, opening bool) (quorum.Granted, error)
+
+func (f granterFunc) Grant(_ context.Context, _ string, _ quota.Limit, wanted int, opening bool) (quorum.Granted, error) {
+	return f(wanted, opening)
+}
+
+// limitedGateway returns a gateway whose members answer as told.
+func limitedGateway(answer granterFunc) *Gateway {
+	return &Gateway{granter: answer, programs: newRecentPrograms(time.Now), metrics: newMetrics(telemetry.NewRegistry())}
+}
+
+// limitedRequest returns a call of a tenant that has a limit, with so much time left.
+func limitedRequest(g *Gateway, left time.Duration) *request {
+	table := route.NewTable(&route.Configuration{Version: 1})
+	return &request{
+		gateway: g, view: &directory.View{Table: table}, route: &route.Route{Kind: route.Unsafe}, deadline: time.Now().Add(left),
+		tenant: &route.Tenant{Name: "north", Quota: route.Quota{Rate: 10, Burst: 10}}, ran: make(map[string]bool),
+	}
+}
+
+func TestOneRequestAsksForAllThatWait(t *testing.T) {
+	var underWay, most, granted atomic.Int64
+	g := limitedGateway(func(wanted int, _ bool) (quorum.Granted, error) {
+		most.Store(max(most.Load(), underWay.Add(1)))
+		defer underWay.Add(-1)
+		time.Sleep(5 * time.Millisecond)
+		granted.Add(int64(wanted))
+		return quorum.Granted{Grant: quota.Grant{Requests: wanted}}, nil
+	})
+	var admitted atomic.Int64
+	var requests sync.WaitGroup
+	for range 40 {
+		requests.Go(func() {
+			if limitedRequest(g, time.Minute).admit(t.Context()) == nil {
+				admitted.Add(1)
+			}
+		})
+	}
+	requests.Wait()
+	require.EqualValues(t, 40, admitted.Load())
+	require.EqualValues(t, 1, most.Load(), "one question at a time")
+	require.GreaterOrEqual(t, granted.Load(), admitted.Load(), "nothing is let in that was not granted")
+}
+
+func TestARequestOfAProgramUnderWayWaitsForItsLimit(t *testing.T) {
+	asked := 0
+	g := limitedGateway(func(int, bool) (quorum.Granted, error) {
+		if asked++; asked < 3 {
+			return quorum.Granted{Grant: quota.Grant{After: time.Millisecond}, Refused: true, Answered: 5}, nil
+		}
+		return quorum.Granted{Grant: quota.Grant{Requests: 1}}, nil
+	})
+	require.NoError(t, limitedRequest(g, time.Minute).admit(t.Context()))
+	require.Equal(t, 3, asked)
+}
+
+func TestARequestThatWouldWaitInVainIsRefusedAtOnce(t *testing.T) {
+	g := limitedGateway(func(int, bool) (quorum.Granted, error) {
+		return quorum.Granted{Grant: quota.Grant{After: time.Hour}, Refused: true, Answered: 5}, nil
+	})
+	began := time.Now()
+	err := limitedRequest(g, time.Minute).admit(t.Context())
+	require.Less(t, time.Since(began), time.Minute/3, "it does not wait out its patience")
+	var refused *QuotaExceeded
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, 5, refused.Members)
+	require.InDelta(t, time.Hour.Seconds(), refused.ComeBack.Seconds(), 60)
+	require.Equal(t, http.StatusTooManyRequests, statusOf(err))
+}
+
+func TestALimitThatNobodyTellsIsNoRefusalAtTheLimit(t *testing.T) {
+	g := limitedGateway(func(int, bool) (quorum.Granted, error) { return quorum.Granted{}, &quorum.Unavailable{Needed: 3} })
+	err := limitedRequest(g, time.Minute).admit(t.Context())
+	var unknown *QuotaUnknown
+	require.ErrorAs(t, err, &unknown)
+	require.Equal(t, http.StatusServiceUnavailable, statusOf(err))
+}
+
+func TestThePassOfARequestThatDidNotRunServesAnother(t *testing.T) {
+	asked := 0
+	g := limitedGateway(func(int, bool) (quorum.Granted, error) {
+		asked++
+		return quorum.Granted{Grant: quota.Grant{Requests: 1}}, nil
+	})
+	first := limitedRequest(g, time.Minute)
+	require.NoError(t, first.admit(t.Context()))
+	first.returnPass()
+	second := limitedRequest(g, time.Minute)
+	require.NoError(t, second.admit(t.Context()))
+	require.Equal(t, 1, asked)
+	second.ran["i-1"] = true
+	second.returnPass()
+	require.NoError(t, limitedRequest(g, time.Minute).admit(t.Context()))
+	require.Equal(t, 2, asked, "what ran is used up")
+}
+
+func TestATurnThatBeginsAProgramIsToldFromOneThatGoesOn(t *testing.T) {
+	g := limitedGateway(func(int, bool) (quorum.Granted, error) {
+		return quorum.Granted{Grant: quota.Grant{Requests: 1, Plenty: true}}, nil
+	})
+	turn := limitedRequest(g, time.Minute)
+	turn.route = &route.Route{Kind: route.Streaming}
+	turn.envelope.Program, turn.program = "p", "north/p"
+	require.True(t, turn.opensProgram())
+	require.NoError(t, turn.admit(t.Context()))
+	require.False(t, turn.opensProgram(), "the program is under way")
+	later := limitedRequest(g, time.Minute)
+	later.route = turn.route
+	later.envelope.Program, later.envelope.PreviousTurn, later.program = "q", "t1", "north/q"
+	require.False(t, later.opensProgram(), "it goes on from a turn")
+}
--- /dev/null
+++ b/internal/route/tenant_test.go
@@ -0,0 +1,78 @@
+package route
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestAConfigurationPassesOnHashesOfKeysAlone(t *testing.T) {
+	const key = "gjqnirth5mgjy5rcpihh"
+	priority := 0
+	configuration := &Configuration{Version: 1, Tenants: []Tenant{
+		{Name: "north", Keys: []KeyHash{HashKey(key)}, Priority: &priority, Quota: Quota{Rate: 3, Burst: 4}},
+	}}
+	document, err := json.Marshal(configuration)
+	require.NoError(t, err)
+	require.NotContains(t, string(document), key)
+	passedOn := &Configuration{}
+	require.NoError(t, json.Unmarshal(document, passedOn))
+	require.Equal(t, configuration, passedOn)
+	require.Equal(t, "north", NewTable(passedOn).Tenant(HashKey(key)).Name)
+}
+
+func TestATextThatIsNoHashIsRefusedAndNotRepeated(t *testing.T) {
+	for _, text := range []string{"", "secret", strings.Repeat("zz", 32), strings.Repeat("ab", 33)} {
+		var hash KeyHash
+		err := hash.UnmarshalText([]byte(text))
+		var bad *BadKeyHash
+		require.ErrorAs(t, err, &bad)
+		if text != "" {
+			require.NotContains(t, err.Error(), text)
+		}
+	}
+}
+
+// TestTheTenantOfAKeyAgainstAPlainSearch compares the index with a search through all keys.
+func TestTheTenantOfAKeyAgainstAPlainSearch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Hashes that begin alike share a place of the index.
+		hash := rapid.Custom(func(t *rapid.T) (made KeyHash) {
+			made[0], made[31] = rapid.ByteRange(0, 1).Draw(t, "begin"), rapid.ByteRange(0, 3).Draw(t, "end")
+			return made
+		})
+		configuration := &Configuration{}
+		owners := make(map[KeyHash]string)
+		for i := range rapid.IntRange(0, 6).Draw(t, "tenants") {
+			each := Tenant{Name: string(rune('a' + i))}
+			for range rapid.IntRange(0, 2).Draw(t, "keys") {
+				key := hash.Draw(t, "key")
+				if owners[key] == "" {
+					owners[key] = each.Name
+					each.Keys = append(each.Keys, key)
+				}
+			}
+			configuration.Tenants = append(configuration.Tenants, each)
+		}
+		wanted := hash.Draw(t, "wanted")
+		found := NewTable(configuration).Tenant(wanted)
+		if owners[wanted] == "" {
+			require.Nil(t, found)
+			return
+		}
+		require.Equal(t, owners[wanted], found.Name)
+	})
+}
+
+func TestATenantsPriorityGoesBeforeItsRoutes(t *testing.T) {
+	urgent, later := &Route{Priority: 0}, &Route{Priority: 1}
+	first, second := 0, 1
+	ahead, behind, unranked := &Tenant{Priority: &first}, &Tenant{Priority: &second}, &Tenant{}
+	require.Less(t, Urgency(later, ahead), Urgency(urgent, behind))
+	require.Less(t, Urgency(urgent, ahead), Urgency(later, ahead), "within a tenant the more urgent route stays first")
+	require.Less(t, Urgency(urgent, unranked), Urgency(later, unranked))
+	require.Equal(t, Urgency(urgent, nil), Urgency(urgent, unranked))
+}
