Limits: no lock that tenants share on the path of a request; a time to come back is rounded up

Cause, from reading: the metric's labels and the programs under way were kept under one mutex each, and a refusal under a millisecond was told as 0, so that its gateway asked again at once. Change: sync.Map with a count, rounding up.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -81,9 +82,9 @@
 	waits      *prometheus.HistogramVec
 	tenants    *prometheus.CounterVec
 
-	mutex sync.Mutex
-	// labelled are the tenants that have a label of their own.
-	labelled map[string]bool
+	// labelled are the tenants that have a label of their own, labels how many.
+	labelled sync.Map
+	labels   atomic.Int64
 }
 
 const (
@@ -97,7 +98,7 @@
 		latency: registry.Histogram(metricAnswered), firstEvent: registry.Histogram(metricFirstEvent),
 		refusals: registry.Counter(metricRefused), breaks: registry.Counter(metricBroken),
 		attempts: registry.Counter(metricAttempts), waits: registry.Histogram(metricHeld),
-		tenants: registry.Counter(metricTenants), labelled: make(map[string]bool),
+		tenants: registry.Counter(metricTenants),
 	}
 }
 
@@ -146,13 +147,14 @@
 
 // label returns the tenant's own label, or the one for all beyond a bound.
 func (m *metrics) label(tenant string) string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if !m.labelled[tenant] {
-		if len(m.labelled) >= maxLabelledTenants {
-			return otherTenants
-		}
-		m.labelled[tenant] = true
+	if _, found := m.labelled.Load(tenant); found {
+		return tenant
+	}
+	if m.labels.Load() >= maxLabelledTenants {
+		return otherTenants
+	}
+	if _, found := m.labelled.LoadOrStore(tenant, true); !found {
+		m.labels.Add(1)
 	}
 	return tenant
 }
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -129,3 +130,29 @@
 	later.envelope.Program, later.envelope.PreviousTurn, later.program = "q", "t1", "north/q"
 	require.False(t, later.opensProgram(), "it goes on from a turn")
 }
+
+func TestRecentProgramsAreBoundedAndForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	programs := newRecentPrograms(func() time.Time { return now })
+	for i := range maxPrograms + 10 {
+		programs.note(fmt.Sprint(i))
+	}
+	require.True(t, programs.seen("0"))
+	require.False(t, programs.seen(fmt.Sprint(maxPrograms)), "no more than so many")
+	now = now.Add(programMemory / 2)
+	programs.note("1")
+	now = now.Add(programMemory / 2)
+	require.False(t, programs.seen("0"))
+	require.True(t, programs.seen("1"))
+	programs.sweep()
+	require.EqualValues(t, 1, programs.count.Load())
+}
+
+func TestTenantsBeyondABoundShareALabel(t *testing.T) {
+	counted := newMetrics(telemetry.NewRegistry())
+	for i := range maxLabelledTenants {
+		require.Equal(t, fmt.Sprint(i), counted.label(fmt.Sprint(i)))
+	}
+	require.Equal(t, otherTenants, counted.label("one more"))
+	require.Equal(t, "0", counted.label("0"))
+}
--- a/internal/replica/grants.go
+++ b/internal/replica/grants.go
@@ -77,17 +77,18 @@
 func (s *service) Grant(_ context.Context, request *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error) {
 	message := request.Msg
 	response := &replicav1.GrantResponse{Standing: s.state.standing(message.Partition, message.Epoch)}
-	group := s.state.currentGroup(message.Partition)
 	seat, found := s.grants.seat(message.Partition)
 	if !found || message.Rate <= 0 {
 		return connect.NewResponse(response), nil
 	}
+	group := s.state.currentGroup(message.Partition)
 	granted := s.grants.granter.Grant(s.grants.now(), quota.Ask{
 		Tenant: message.Tenant, Limit: quota.Limit{Rate: message.Rate, Burst: message.Burst, Version: message.Version},
 		Members: max(int(group.GetTarget()), len(group.GetMembers())), Since: seat.since,
 		Wanted: int(message.Wanted), Opening: message.Opening,
 	})
 	response.Granted, response.Plenty = uint32(granted.Requests), granted.Plenty
-	response.AfterMs = uint32(granted.After.Milliseconds())
+	// Rounded up: a caller that comes back too soon asks once more.
+	response.AfterMs = uint32((granted.After + time.Millisecond - 1).Milliseconds())
 	return connect.NewResponse(response), nil
 }
