--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -38,58 +38,77 @@
 	if group == nil {
 		return Granted{}, &Unavailable{Needed: 1}
 	}
-	request := &replicav1.GrantRequest{
-		Epoch: group.Epoch, Partition: group.Partition, Tenant: tenant, Version: limit.Version, Rate: limit.Rate,
-		Burst: limit.Burst, Wanted: uint32(wanted), Opening: opening,
+	round := &grantRound{
+		client: c, group: group, waiting: c.preferred(group), needed: WriteSize(len(group.Members)),
+		answers: make(chan *replicav1.GrantResponse, len(group.Members)),
+		request: &replicav1.GrantRequest{
+			Epoch: group.Epoch, Partition: group.Partition, Tenant: tenant, Version: limit.Version, Rate: limit.Rate,
+			Burst: limit.Burst, Wanted: uint32(wanted), Opening: opening,
+		},
 	}
+	return round.run(ctx)
+}
+
+// grantRound asks the members of one group for one grant.
+type grantRound struct {
+	client  *Client
+	group   *replicav1.Group
+	request *replicav1.GrantRequest
+	// waiting are the members that were not asked yet.
+	waiting []*replicav1.Member
+	answers chan *replicav1.GrantResponse
+	// needed is how many must answer before it is known that nothing is granted.
+	needed int
+	// underWay counts calls, answered those that a member answered.
+	underWay, answered int
+	// grant is the one that was granted; its After is the shortest of all.
+	grant quota.Grant
+}
+
+// run asks the next member whenever one has answered, or takes longer than is usual.
+func (r *grantRound) run(ctx context.Context) (Granted, error) {
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
-	members, needed := c.preferred(group), WriteSize(len(group.Members))
-	answers := make(chan *replicav1.GrantResponse, len(members))
-	var round grantRound
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for asked := 0; round.ended < len(members); {
+	for !r.over() {
 		select {
 		case <-ctx.Done():
-			return Granted{}, &Unavailable{Needed: needed, Answered: round.answered}
+			return Granted{}, &Unavailable{Needed: r.needed, Answered: r.answered}
 		case <-next.C:
-		case answer := <-answers:
-			if round.take(answer); round.grant.Requests > 0 {
-				return Granted{Grant: round.grant}, nil
+		case answer := <-r.answers:
+			if r.take(answer); r.grant.Requests > 0 {
+				return Granted{Grant: r.grant, Answered: r.answered}, nil
 			}
 		}
-		if round.answered >= needed && c.allDown(members[asked:]) && round.ended == asked {
-			break
-		}
-		if asked < len(members) {
-			member := members[asked]
-			asked++
-			go func() { answers <- c.askForGrant(asking, group, member, request) }()
-			next.Reset(c.latency.Limit(nextGrantAfter))
+		if len(r.waiting) > 0 {
+			r.askNext(asking)
+			next.Reset(r.client.latency.Limit(nextGrantAfter))
 		}
 	}
-	if round.answered < needed {
-		return Granted{}, &Unavailable{Needed: needed, Answered: round.answered}
+	if r.answered < r.needed {
+		return Granted{}, &Unavailable{Needed: r.needed, Answered: r.answered}
 	}
-	return Granted{Grant: round.grant, Refused: true, Answered: round.answered}, nil
+	return Granted{Grant: r.grant, Refused: true, Answered: r.answered}, nil
 }
 
-// allDown reports whether none of the members is reached.
-func (c *Client) allDown(members []*replicav1.Member) bool {
-	return !slices.ContainsFunc(members, func(member *replicav1.Member) bool { return !c.reach.isDown(member.Address) })
+// over reports whether no answer is awaited, and none is worth asking for: all members were
+// asked, or enough have answered and the others are not reached.
+func (r *grantRound) over() bool {
+	return r.underWay == 0 && (len(r.waiting) == 0 || r.answered >= r.needed && r.client.allDown(r.waiting))
 }
 
-// grantRound is what the members that were asked have answered.
-type grantRound struct {
-	// ended counts calls that are over, answered those of them that a member answered.
-	ended, answered int
-	// grant is the one that was granted; its After is the shortest of all.
-	grant quota.Grant
+// askNext asks the member that comes next.
+func (r *grantRound) askNext(ctx context.Context) {
+	member := r.waiting[0]
+	r.waiting = r.waiting[1:]
+	r.underWay++
+	go func() { r.answers <- r.client.askForGrant(ctx, r.group, member, r.request) }()
 }
 
+// take takes one call's answer; nil is none.
 func (r *grantRound) take(answer *replicav1.GrantResponse) {
-	r.ended++
+	r.underWay--
 	if !answer.GetStanding().GetMember() {
 		return
 	}
@@ -98,9 +117,12 @@
 	if r.answered > 1 {
 		after = min(after, r.grant.After)
 	}
-	r.grant = quota.Grant{
-		Requests: int(answer.Granted), Plenty: answer.Plenty, After: after,
-	}
+	r.grant = quota.Grant{Requests: int(answer.Granted), Plenty: answer.Plenty, After: after}
+}
+
+// allDown reports whether none of the members is reached.
+func (c *Client) allDown(members []*replicav1.Member) bool {
+	return !slices.ContainsFunc(members, func(member *replicav1.Member) bool { return !c.reach.isDown(member.Address) })
 }
 
 // askForGrant asks one member, through another gateway where it does not answer; nil means
--- /dev/null
+++ b/internal/quorum/grant_test.go
@@ -0,0 +1,107 @@
+package quorum
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/quota"
+)
+
+// grantingMember grants what it has.
+type grantingMember struct {
+	replicav1connect.UnimplementedReplicaServiceHandler
+	has     atomic.Int64
+	afterMs uint32
+	// stray members hold no seat; silent ones never answer.
+	stray, silent bool
+}
+
+func (m *grantingMember) Grant(ctx context.Context, request *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error) {
+	if m.silent {
+		<-ctx.Done()
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	granted := min(m.has.Load(), int64(request.Msg.Wanted))
+	m.has.Add(-granted)
+	return connect.NewResponse(&replicav1.GrantResponse{
+		Standing: &replicav1.Standing{Epoch: 1, Member: !m.stray}, Granted: uint32(granted), AfterMs: m.afterMs,
+	}), nil
+}
+
+// startGranting starts members of one group, and a client of them.
+func startGranting(t *testing.T, members ...*grantingMember) *Client {
+	group := &replicav1.Group{Epoch: 1}
+	for seat, member := range members {
+		_, handler := replicav1connect.NewReplicaServiceHandler(member)
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.CloseClientConnections)
+		t.Cleanup(server.Close)
+		group.Members = append(group.Members, &replicav1.Member{Seat: uint32(seat), Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	return NewClient(fixedGroups{group}, "", http.DefaultClient)
+}
+
+// grantTo asks for so many requests.
+func grantTo(t *testing.T, client *Client, wanted int) (Granted, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	return client.Grant(ctx, "north", quota.Limit{Rate: 1, Burst: 1, Version: 1}, wanted, false)
+}
+
+func TestAMemberThatHasNothingIsFollowedByTheNext(t *testing.T) {
+	rich := &grantingMember{}
+	rich.has.Store(3)
+	client := startGranting(t, &grantingMember{afterMs: 20}, &grantingMember{afterMs: 30}, rich)
+	granted, err := grantTo(t, client, 5)
+	require.NoError(t, err)
+	require.Equal(t, 3, granted.Requests)
+	granted, err = grantTo(t, client, 5)
+	require.NoError(t, err)
+	require.True(t, granted.Refused)
+	require.Equal(t, 3, granted.Answered)
+}
+
+func TestARefusalNamesTheSoonestOfAllMembers(t *testing.T) {
+	client := startGranting(t, &grantingMember{afterMs: 90}, &grantingMember{afterMs: 20}, &grantingMember{afterMs: 50})
+	granted, err := grantTo(t, client, 1)
+	require.NoError(t, err)
+	require.True(t, granted.Refused)
+	require.Equal(t, 20*time.Millisecond, granted.After)
+}
+
+func TestAMajorityThatHasNothingIsEnoughToRefuse(t *testing.T) {
+	client := startGranting(t, &grantingMember{}, &grantingMember{silent: true}, &grantingMember{})
+	granted, err := grantTo(t, client, 1)
+	require.NoError(t, err)
+	require.True(t, granted.Refused)
+	require.Equal(t, 2, granted.Answered)
+}
+
+func TestFewerThanAMajorityRefuseNothing(t *testing.T) {
+	client := startGranting(t, &grantingMember{}, &grantingMember{stray: true}, &grantingMember{stray: true})
+	_, err := grantTo(t, client, 1)
+	var unavailable *Unavailable
+	require.ErrorAs(t, err, &unavailable)
+	require.Equal(t, 1, unavailable.Answered)
+}
+
+func TestASilentMemberDoesNotHoldAGrantUp(t *testing.T) {
+	rich := &grantingMember{}
+	rich.has.Store(1000)
+	client := startGranting(t, &grantingMember{silent: true}, rich)
+	for range 20 {
+		granted, err := grantTo(t, client, 1)
+		require.NoError(t, err)
+		require.Equal(t, 1, granted.Requests)
+	}
+}
