--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -49,7 +49,7 @@
 	running := gateway.New(gateway.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Ingress: loaded.Ingress, Readiness: loaded.Readiness,
 		Forwarder: loaded.Forwarder, Seeds: loaded.Seeds, Grace: loaded.Grace(), Dialect: platform.Dialect{},
-		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(), Quota: loaded.Quota(), Disabled: loaded.Disabled(),
+		Metrics: loaded.Metrics, Log: log, MemoryBytes: loaded.MemoryBytes(), Disabled: loaded.Disabled(),
 	}, newStore(loaded))
 	c.follow(c.app, loaded, settings.Role.ValidateGateway, func(changed settings.Role) {
 		running.Reload(changed.Seeds, changed.Grace())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,7 +17,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
-	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -88,8 +87,6 @@
 	Log *logsink.Sink
 	// MemoryBytes is what the process may use; 0 is unknown.
 	MemoryBytes int64
-	// Quota is by how much tenants' requests may exceed their limits.
-	Quota quota.Tolerance
 	// Disabled are mechanisms that an experiment leaves out.
 	Disabled mechanism.Disabled
 }
@@ -157,9 +154,6 @@
 		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerNews(g.balancer, options),
 	})
 	g.granter = g.quorum
-	if options.Disabled.Has(mechanism.GrantedLimits) {
-		g.granter = newFixedShares(options.Quota, g.relay.Gateways)
-	}
 	g.spent = newSpentTokens(time.Now)
 	g.programs = newRecentPrograms(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options))
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -11,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
@@ -31,6 +32,13 @@
 	openingPatience = 1.0 / 10
 )
 
+// granter grants requests of tenants. quorum.Client asks the members of a tenant's group.
+type granter interface {
+	// Grant grants up to so many requests of a tenant, of which the first may begin a
+	// program.
+	Grant(ctx context.Context, tenant string, limit quota.Limit, wanted int, opening bool) (quorum.Granted, error)
+}
+
 // allowances are what this gateway may let in, by tenant.
 type allowances struct{ tenants sync.Map }
 
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -45,9 +45,6 @@
 	SharedSight Name = "sharedSight"
 	// FewWatchers lets a few replicas of each zone follow the store for all.
 	FewWatchers Name = "fewWatchers"
-	// GrantedLimits lets replicas grant what gateways may let in for a tenant; without it
-	// each gateway keeps an equal, fixed part of the limit.
-	GrantedLimits Name = "grantedLimits"
 	// GrantsAhead asks for as many requests as are expected; without it for those alone
 	// that wait.
 	GrantsAhead Name = "grantsAhead"
@@ -57,7 +54,7 @@
 var All = []Name{
 	Affinity, Paces, Ejection, RetryBudget, LapsedWorkers, ResumeAtSameWorker, KeptChains, NewsThroughReplicas, Forwarding,
 	OneRound, DeferredSettlements, HeldRequests, SilentStreams, SpentMemory, NearWorkers, SharedSight, FewWatchers,
-	GrantedLimits, GrantsAhead,
+	GrantsAhead,
 }
 
 // Disabled are the parts that are switched off.
