--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -210,9 +210,8 @@
 		// Keeps net/http from adding its own.
 		header["User-Agent"] = []string{""}
 	}
-	addressing := Addressing{Worker: chosen.ID, Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent}
-	if r.tenant != nil {
-		addressing.Tenant = r.tenant.Name
+	addressing := Addressing{
+		Worker: chosen.ID, Tenant: r.tenantName(), Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent,
 	}
 	if r.service.Engine != nil {
 		addressing.Priority = r.gateway.priority(r)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -74,10 +74,13 @@
 	}
 }
 
+// isLimited reports whether the request counts against a limit.
+func (r *request) isLimited() bool { return r.tenant != nil && r.tenant.Quota.Bounded() }
+
 // admitAlone lets the request in where it waits for nothing else meanwhile. A process that
 // has just started learns first which replicas grant.
 func (r *request) admitAlone(ctx context.Context) error {
-	if r.tenant == nil || !r.tenant.Quota.Bounded() {
+	if !r.isLimited() {
 		return nil
 	}
 	r.await(ctx, heldForQuota, workersWait, func() bool { return len(r.gateway.directory.Groups()) > 0 })
@@ -88,7 +91,7 @@
 // admit lets the request in within its tenant's limit, or refuses it. Nothing is sent to
 // a worker before.
 func (r *request) admit(ctx context.Context) error {
-	if r.tenant == nil || !r.tenant.Quota.Bounded() {
+	if !r.isLimited() {
 		return nil
 	}
 	err := r.awaitPass(ctx, r.opensProgram())
--- a/internal/quota/granter.go
+++ b/internal/quota/granter.go
@@ -79,7 +79,7 @@
 	if held.bucket.Tokens < least {
 		return Grant{After: timeFor(least-held.bucket.Tokens, held.terms.rate)}
 	}
-	granted := min(max(ask.Wanted, 1), int(held.bucket.Tokens-least+1), g.fairPart(held))
+	granted := min(max(ask.Wanted, 1), int(held.bucket.Tokens-least+1), held.mostAtATime())
 	held.bucket.Tokens -= float64(granted)
 	return Grant{
 		Requests: granted, Plenty: held.bucket.Tokens >= reserve,
@@ -91,8 +91,8 @@
 // does not use in its lifetime is lost to the others.
 const mostOfPart = 0.25
 
-// fairPart returns how many requests one gateway gets at most.
-func (g *Granter) fairPart(held *part) int { return max(1, int(mostOfPart*held.bucket.Tokens)) }
+// mostAtATime returns how many requests one gateway gets at most.
+func (p *part) mostAtATime() int { return max(1, int(mostOfPart*p.bucket.Tokens)) }
 
 // part returns this member's part of a tenant's limit under the newest terms.
 func (g *Granter) part(now time.Time, ask Ask) *part {
