--- a/cmd/barleyshelf-lab/soak.go
+++ b/cmd/barleyshelf-lab/soak.go
@@ -16,6 +16,8 @@
 	// mostSoakProcesses what one machine may be asked for.
 	leastSoakProcesses = 5
 	mostSoakProcesses  = 200
+	// leastReplicas is how many make a group that bears a lost disk.
+	leastReplicas = 3
 	// gatewayShare is how many of three processes are gateways where there are many.
 	gatewayShare = 2
 	// callersPerGateway is how many programs run at a time for each gateway.
@@ -29,6 +31,7 @@
 	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
 	For       time.Duration `long:"for" default:"20s" description:"least time in which series of faults begin, for each seed"`
 	Processes int           `long:"processes" default:"5" description:"gateways and replicas together, 5 to 200"`
+	Replicas  int           `long:"replicas" default:"0" description:"replicas among the processes, at least 3; a third of them if 0"`
 	Binary    string        `long:"binary" description:"barleyshelf program; built from this module if empty"`
 	Folder    string        `long:"folder" description:"folder for logs and data of seeds that failed; a temporary one if empty"`
 	Output    string        `long:"output" choice:"text" choice:"json" default:"text" description:"form of the reports"`
@@ -41,6 +44,13 @@
 	return fmt.Sprintf("%d processes: %d to %d are possible", e.Processes, leastSoakProcesses, mostSoakProcesses)
 }
 
+// TooFewOrManyReplicas reports a number of replicas that makes no system.
+type TooFewOrManyReplicas struct{ Replicas, Processes int }
+
+func (e *TooFewOrManyReplicas) Error() string {
+	return fmt.Sprintf("%d replicas: %d to %d are possible among %d processes", e.Replicas, leastReplicas, e.Processes-1, e.Processes)
+}
+
 // NotBuilt reports that the product's program could not be built.
 type NotBuilt struct {
 	Cause  error
@@ -59,6 +69,9 @@
 	if c.Processes < leastSoakProcesses || c.Processes > mostSoakProcesses {
 		return &TooFewOrManyProcesses{Processes: c.Processes}
 	}
+	if c.Replicas != 0 && (c.Replicas < leastReplicas || c.Replicas >= c.Processes) {
+		return &TooFewOrManyReplicas{Replicas: c.Replicas, Processes: c.Processes}
+	}
 	if c.Folder == "" {
 		folder, err := os.MkdirTemp("", "barleyshelf-soak-")
 		if err != nil {
@@ -111,11 +124,14 @@
 		return false, err
 	}
 	defer progress.Close()
-	replicas := max(3, c.Processes/(gatewayShare+1))
+	replicas := max(leastReplicas, c.Processes/(gatewayShare+1))
+	if c.Replicas != 0 {
+		replicas = c.Replicas
+	}
 	gateways := c.Processes - replicas
 	report, err := soak.Run(c.lab.context, soak.Options{
 		Binary: c.Binary, Folder: folder, Seed: seed, For: c.For, Gateways: gateways, Replicas: replicas,
-		Callers: callersPerGateway * gateways, ReturnBound: soak.DefaultReturnBound, Progress: progress,
+		Callers: callersPerGateway * gateways, ReturnBound: soak.DefaultReturnBound, WholeBound: soak.DefaultWholeBound, Progress: progress,
 	})
 	if err != nil {
 		return false, err
