Standbys: each question for a node that can take a seat goes to other nodes

Cause: members asked the first three nodes without a seat, by zone, seats and name, and the same three each time. Machines that have gone for good stay registered. Once three of them came first, a replica that had come for one of them was never asked, its seat stayed with a machine that was gone, and nobody saw it; the next lost disk left one whole member of three, for ever.

--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -19,9 +19,6 @@
 	// there before a group shrinks instead: two questions of lookForStandbys, and the
 	// time that the first may take. A group of two rests while one of them is away.
 	shrinkAfter = 2*reconcileEvery + announceTimeout
-	// standbysAsked is how many nodes are asked at a time whether they can take a
-	// seat: some may be in the same trouble as the member that they are to replace.
-	standbysAsked = 3
 )
 
 // announce tells the other members of each group that this node has a seat in, again
@@ -121,11 +118,11 @@
 // wanted, and returns their names. Nodes without a seat announce nothing to the members.
 func (r *Replica) lookForStandbys(ctx context.Context, seen observation) (asked []string) {
 	if leavingMember(seen) == nil && len(seen.group.Members) >= int(seen.group.Target) {
+		r.standbys.end(seen.group.Partition)
 		return nil
 	}
 	message := &replicav1.AnnounceRequest{Group: seen.group, Node: r.options.Node}
-	able := standbys(seen)
-	for _, node := range able[:min(len(able), standbysAsked)] {
+	for _, node := range r.standbys.next(seen.group.Partition, standbys(seen), seen.alive) {
 		asked = append(asked, node.Node)
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,6 +84,7 @@
 
 	// The fields below belong to the loop of reconcile.
 	proposals *proposals
+	standbys  *standbySearch
 	handOvers map[handOverKey]handOver
 	retiring  bool
 	retired   bool
@@ -98,7 +99,7 @@
 	replica := &Replica{
 		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
 		grants:  newGrants(options.Node, time.Now, options.Quota, options.ColdTolerance),
-		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), handOvers: make(map[handOverKey]handOver),
+		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View) {
