Replicas: a planned stop hands seats over to nodes that stand by

Cause: members learn of a stop by 2.6 s of silence, and the seat is received after that.

Change: on SIGTERM a replica proposes its successor itself, serves until that one holds the seat (3 s at most; at once where no node is registered), and ends. What has become whole tells the others at once and not within 400 ms.

--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -31,6 +31,8 @@
 	nodes []directory.Replica
 	// retiring nodes are to hold no seat.
 	retiring map[string]bool
+	// stopping is set where the observer's own process, of this name, is to stop.
+	stopping string
 	// seats are how many seats each node holds in all groups.
 	seats map[string]int
 	// regions names the region of each zone.
@@ -162,14 +164,17 @@
 	return nil
 }
 
-// leavingMember returns a member that is to be emptied, else one that is
-// silent.
+// leavingMember returns a member that is to be emptied, else the observer where it is to
+// stop, else one that is silent.
 func leavingMember(seen observation) *replicav1.Member {
 	for _, member := range seen.group.Members {
 		if seen.retiring[member.Node] {
 			return member
 		}
 	}
+	if stopping := seatOf(seen.group, seen.stopping); stopping != nil {
+		return stopping
+	}
 	for _, member := range seen.group.Members {
 		if !seen.alive(member.Node) {
 			return member
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -48,8 +48,11 @@
 func (p *proposals) settled(partition uint32) { delete(p.wanted, partition) }
 
 // proposalRank returns how many members propose before a node: those that are alive,
-// in the order of the group.
+// in the order of the group. None does before one that is to stop, which they do not know.
 func proposalRank(seen observation, node string) int {
+	if seen.stopping == node {
+		return 0
+	}
 	rank := 0
 	for _, member := range seen.group.Members {
 		if member.Node == node {
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -26,12 +26,17 @@
 func (r *Replica) announce(ctx context.Context) {
 	for pause.For(ctx, announceEvery) {
 		for _, group := range r.ownGroups() {
-			message := announcementOf(r.state, group, r.options.Node)
-			for _, member := range group.Members {
-				if member.Node != r.options.Node {
-					go r.announceTo(ctx, member, message)
-				}
-			}
+			r.announceGroup(ctx, group)
+		}
+	}
+}
+
+// announceGroup tells the other members of a group once that this node is here.
+func (r *Replica) announceGroup(ctx context.Context, group *replicav1.Group) {
+	message := announcementOf(r.state, group, r.options.Node)
+	for _, member := range group.Members {
+		if member.Node != r.options.Node {
+			go r.announceTo(ctx, member, message)
 		}
 	}
 }
@@ -130,9 +135,12 @@
 }
 
 func (r *Replica) observe(group *replicav1.Group) observation {
-	own := r.options.Node
+	own, stopping := r.options.Node, ""
+	if r.stopping.Load() {
+		stopping = own
+	}
 	return observation{
-		group: group, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
+		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
 		regions: r.options.Regions,
 		alive:   func(node string) bool { return node == own || r.heard.alive(node) },
 		settled: func(node string) bool {
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -93,7 +93,7 @@
 	case begun && identity.Recovered:
 		return
 	case begun && identity.Incarnation == member.Predecessor.GetReceivedBy():
-		s.markRecovered(group, identity)
+		s.markRecovered(ctx, group, identity)
 		return
 	case r.beginsWithGroup(group, member, identity):
 		r.startIdentity(group, member, true)
@@ -115,11 +115,12 @@
 		r.propose(ctx, group, receivedGroup(group, member.Seat, identity.Incarnation))
 		return
 	}
-	s.markRecovered(group, identity)
+	s.markRecovered(ctx, group, identity)
 }
 
-// markRecovered notes that this node holds everything that its seat held.
-func (s *seat) markRecovered(group *replicav1.Group, identity *replicav1.Identity) {
+// markRecovered notes that this node holds everything that its seat held, and tells the
+// others at once: until they know the incarnation, no answer of theirs counts with its own.
+func (s *seat) markRecovered(ctx context.Context, group *replicav1.Group, identity *replicav1.Identity) {
 	recovered := proto.CloneOf(identity)
 	recovered.Recovered = true
 	if err := s.replica.state.write(identityRecord(group.Partition, recovered)); err != nil {
@@ -128,6 +129,7 @@
 	}
 	s.copy = nil
 	eventRecovered.Log("partition", group.Partition, "seat", identity.Seat, "epoch", group.Epoch)
+	s.replica.announceGroup(ctx, group)
 }
 
 func seatOf(group *replicav1.Group, node string) *replicav1.Member {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -78,6 +78,8 @@
 	grants    *grants
 	lacking   *lackingGroups
 	seeds     atomic.Pointer[[]string]
+	// stopping is set once this process is to stop.
+	stopping atomic.Bool
 
 	// copies holds a token for each seat that is being filled.
 	copies chan struct{}
@@ -261,8 +263,10 @@
 	}
 }
 
-// Run serves until ctx ends.
-func (r *Replica) Run(ctx context.Context) error {
+// Run serves until stop ends, and then until others hold its seats, where any stand by.
+func (r *Replica) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
 	listener, err := transport.Listen(ctx, r.options.Address, userTimeout)
 	if err != nil {
 		return &failure.Internal{Cause: err}
@@ -282,7 +286,9 @@
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
 	server := &http.Server{Handler: bound}
 	go func() {
-		<-ctx.Done()
+		<-stop.Done()
+		r.handSeatsOver(ctx)
+		cancel()
 		server.Close()
 	}()
 	go r.followStore(ctx)
--- /dev/null
+++ b/internal/replica/stop.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/pause"
+)
+
+const (
+	// handSeatsOverWithin bounds how long a replica that is to stop waits until others hold
+	// its seats. Passing one on takes under a second; the users' grace is 8 s.
+	handSeatsOverWithin = 3 * time.Second
+	// standbyAnswersWithin is how long nodes that could take a seat have to say so: three
+	// questions to more and more of them. Where all are gone, a stop takes this much longer.
+	standbyAnswersWithin = 4 * reconcileEvery
+	// stopPause is the time between two looks whether a replica may stop.
+	stopPause = 30 * time.Millisecond
+)
+
+// handSeatsOver lets nodes that stand by take this node's seats before it stops, and returns
+// once they hold them, or where none stands by. A member that merely fell silent would be
+// replaced after silentAfter: whoever replaces replicas one after another, each once the one
+// before had its time to catch up, would take the second disk before the first seat is held.
+func (r *Replica) handSeatsOver(ctx context.Context) {
+	r.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, handSeatsOverWithin)
+	defer cancel()
+	began := time.Now()
+	for _, group := range r.ownGroups() {
+		for r.seatToHandOver(ctx, group.Partition, time.Since(began)) && pause.For(ctx, stopPause) {
+		}
+	}
+}
+
+// seatToHandOver reports whether a node that has been stopping for a while still waits for
+// one that takes its seat of a partition, or for the one that has and does not hold it yet.
+func (r *Replica) seatToHandOver(ctx context.Context, partition uint32, stopping time.Duration) bool {
+	group := r.directory.Group(partition)
+	seen := r.observe(group)
+	if holder := passedSeatOf(group, r.options.Node); holder != nil {
+		r.announceTo(ctx, holder, announcementOf(r.state, group, r.options.Node))
+		return !seen.settled(holder.Node)
+	}
+	if seatOf(group, r.options.Node) == nil {
+		return false
+	}
+	return standbyNode(seen) != nil || (stopping < standbyAnswersWithin && len(standbys(seen)) > 0)
+}
