Record log: a new segment that failed is begun again

Found while half-done steps were looked for: a new segment's file stayed where its first sync, or that of the folder, failed. It is made exclusively, so each later try failed, and a replica whose disk was full for a moment took no record until its process was started again; a replica that copies its seat got nothing from it.

--- a/internal/recordlog/files.go
+++ b/internal/recordlog/files.go
@@ -1,6 +1,7 @@
 package recordlog
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -63,7 +64,7 @@
 	return os.Open(filepath.Join(string(f), name))
 }
 
-// Create makes a new file and syncs the folder.
+// Create makes a new file and syncs the folder. Where that fails, no file stays.
 func (f Folder) Create(name string) (File, error) {
 	file, err := os.OpenFile(filepath.Join(string(f), name), os.O_CREATE|os.O_EXCL|os.O_RDWR, filePermission)
 	if err != nil {
@@ -71,7 +72,7 @@
 	}
 	if err := f.sync(); err != nil {
 		file.Close()
-		return nil, err
+		return nil, errors.Join(err, f.Remove(name))
 	}
 	return file, nil
 }
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -5,6 +5,7 @@
 package recordlog
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -160,13 +161,15 @@
 	if len(l.segments) > 0 {
 		number = l.segments[len(l.segments)-1].number + 1
 	}
-	file, err := l.files.Create(segmentName(number))
+	name := segmentName(number)
+	file, err := l.files.Create(name)
 	if err != nil {
 		return err
 	}
 	if err := file.Sync(); err != nil {
 		file.Close()
-		return err
+		// A file that stayed would keep every later try from making it.
+		return errors.Join(err, l.files.Remove(name))
 	}
 	l.file, l.offset = file, 0
 	l.segments = append(l.segments, segment{number: number})
