Workers: a life is instance and start, and an entry that names no worker costs nothing but itself

Cause: one entry of another writer that could not be read ended the whole listing, or a watch's whole batch, at every gateway and replica; one without an address, or in no known state, was taken for a worker that is ready. Everything that was known of a worker went by its id, which it may have again after a crash.

Beliefs go by the life, which is another key after a restart; the start tells which life is newer. Connections are kept for one life.

--- a/internal/coldstart/tracker_test.go
+++ b/internal/coldstart/tracker_test.go
@@ -39,7 +39,7 @@
 }
 
 func entry(id string, left time.Duration) directory.Worker {
-	return directory.Worker{ID: id, Service: "model", Address: "10.0.0.1:1", Zone: "zone-a", ColdLeft: left}
+	return directory.Worker{ID: id, Instance: id, Service: "model", Address: "10.0.0.1:1", Zone: "zone-a", ColdLeft: left}
 }
 
 func (h *heardOf) list(workers ...directory.Worker) {
@@ -164,7 +164,7 @@
 	require.False(t, h.tracker.Any(h.state.View(), "model"))
 	require.Zero(t, h.tracker.Count())
 	cold := newHeardOf(&route.Cold{For: coldFor, PerSecond: 23})
-	cold.list(directory.Worker{ID: "t", Service: "tools", ColdLeft: time.Hour})
+	cold.list(directory.Worker{ID: "t", Instance: "t", Service: "tools", ColdLeft: time.Hour})
 	_, reason := cold.tracker.Cold(cold.state.View(), "tools", "t")
 	require.Equal(t, Warm, reason)
 }
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -12,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/event"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 )
 
 // ConfigurationName is the name of the single object of its kind, and firstGroupName
@@ -150,6 +151,7 @@
 	lastRetry atomic.Int64
 	// drainWait is how long a watch of the drained zones lasts; 0 does not follow them.
 	drainWait time.Duration
+	unusable  *unusableEntries
 
 	mutex sync.Mutex
 	// suspicion is closed, and replaced, when a kind begins to fail.
@@ -158,7 +160,7 @@
 
 // NewFeed returns a feed; Run starts it.
 func NewFeed(objects Objects, state *State, pace Pace) *Feed {
-	feed := &Feed{objects: objects, state: state, pace: pace, suspicion: make(chan struct{}), outage: newOutage()}
+	feed := &Feed{objects: objects, state: state, pace: pace, suspicion: make(chan struct{}), outage: newOutage(), unusable: newUnusableEntries()}
 	feed.SetLastRetry(pace.LastRetry)
 	return feed
 }
@@ -168,6 +170,9 @@
 // Without it no call is made for them. It is called before Run.
 func (f *Feed) FollowZoneDrains(wait time.Duration) { f.drainWait = wait }
 
+// Report keeps a gauge of the store's entries that name nothing to use.
+func (f *Feed) Report(registry *telemetry.Registry) { f.unusable.report(registry) }
+
 // FollowsWorkers reports whether the workers are followed at the store, which answers.
 func (f *Feed) FollowsWorkers() bool { return f.workersHeard.Load() > 0 && f.failing.Load() == 0 }
 
@@ -271,7 +276,7 @@
 	for _, object := range listing.Objects {
 		workers = append(workers, *object.Worker)
 	}
-	f.state.OfferWorkers(workers, revision)
+	f.state.OfferWorkers(workers, revision, listing.Unusable...)
 }
 
 func (f *Feed) takeZoneDrains(listing Listing, changes []Change, revision int64) {
@@ -393,6 +398,7 @@
 		if err != nil {
 			return 0, err
 		}
+		f.unusable.takeListing(kind, listing)
 		take(listing, nil, listing.Revision)
 		return listing.Revision, nil
 	}
@@ -403,6 +409,7 @@
 		return 0, err
 	}
 	if len(changes) > 0 {
+		f.unusable.takeChanges(kind, changes)
 		take(Listing{}, changes, next)
 	}
 	return next, nil
--- a/internal/directory/feed_test.go
+++ b/internal/directory/feed_test.go
@@ -71,7 +71,7 @@
 
 func (listedObjects) List(_ context.Context, kind Kind) (Listing, error) {
 	if kind == KindWorker {
-		return Listing{Revision: 5, Objects: []Object{{Name: "w", Worker: &Worker{ID: "w", Service: "s"}}}}, nil
+		return Listing{Revision: 5, Objects: []Object{{Name: "w", Worker: &Worker{ID: "w", Instance: "w", Service: "s"}}}}, nil
 	}
 	return Listing{Revision: 5, Objects: []Object{{Name: GroupName(0), Group: &replicav1.Group{Epoch: 3}}}}, nil
 }
--- /dev/null
+++ b/internal/directory/life.go
@@ -0,0 +1,54 @@
+package directory
+
+import (
+	"strconv"
+	"strings"
+)
+
+// lifeSeparator stands between an instance and the start of one of its lives.
+const lifeSeparator = "@"
+
+// LifeID names one life of a worker: the instance that it is registered as, and its start in
+// Unix ms, 0 where that is not known. Everything that is believed of a worker is kept under
+// this name, so that a worker which starts again is a new one by construction, and nothing
+// of its former life is used. Two lives never share a name, whatever instances are called.
+func LifeID(instance string, started int64) string {
+	if started == 0 && !strings.Contains(instance, lifeSeparator) {
+		return instance
+	}
+	return instance + lifeSeparator + strconv.FormatInt(started, 10)
+}
+
+// maxUnlistedLives is how many instances that are not listed are remembered with their
+// starts: those of some hours of restarts. A late entry of a former life comes within
+// seconds.
+const maxUnlistedLives = 4096
+
+// lives remembers the newest start of each instance. The start decides which life is the
+// newer one, never the order in which entries arrive: an entry may be written late, or be
+// passed on by a process that is behind.
+type lives map[string]int64
+
+// admits reports whether a worker is not a former life of an instance, and remembers it. One
+// without a start says nothing of its life, and is taken as it comes.
+func (l lives) admits(worker Worker) bool {
+	if worker.Started < l[worker.Instance] && worker.Started != 0 {
+		return false
+	}
+	if worker.Started != 0 {
+		l[worker.Instance] = worker.Started
+	}
+	return true
+}
+
+// forget drops instances that are not listed, once there are many.
+func (l lives) forget(listed map[string]Worker) {
+	if len(l) <= len(listed)+maxUnlistedLives {
+		return
+	}
+	for instance := range l {
+		if _, found := listed[instance]; !found {
+			delete(l, instance)
+		}
+	}
+}
--- /dev/null
+++ b/internal/directory/life_test.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// life is a worker that started at a time.
+func life(instance string, started int64) Worker {
+	return Worker{ID: LifeID(instance, started), Instance: instance, Started: started, Service: "s", Address: "10.0.0.1:1"}
+}
+
+func entryOf(worker Worker) Change { return Change{Object: Object{Name: worker.Instance, Worker: &worker}} }
+
+// ids returns the lives of a view's workers.
+func ids(state *State) (listed []string) {
+	for _, each := range state.View().Workers["s"] {
+		listed = append(listed, each.ID)
+	}
+	return listed
+}
+
+func TestLivesNeverShareAName(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instance := rapid.SampledFrom([]string{"a", "a@1", "a@", "@", "a@1@2", ""})
+		started := rapid.Int64Range(0, 3)
+		first, second := instance.Draw(t, "first"), instance.Draw(t, "second")
+		since, later := started.Draw(t, "since"), started.Draw(t, "later")
+		same := first == second && since == later
+		require.Equal(t, same, LifeID(first, since) == LifeID(second, later))
+	})
+}
+
+func TestAWorkerThatStartsAgainIsAnotherOne(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferWorkers([]Worker{life("a", 1), life("b", 1)}, 5)
+	state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 6)
+	require.ElementsMatch(t, []string{"a@2", "b@1"}, ids(state), "the former life is not even a last resort")
+	require.NotContains(t, state.View().Heard, "a@1")
+	require.Contains(t, state.View().Heard, "a@2")
+	state.OfferWorkers([]Worker{life("a", 3), life("b", 1)}, 9)
+	require.ElementsMatch(t, []string{"a@3", "b@1"}, ids(state))
+}
+
+func TestAFormerLifeNeverComesBack(t *testing.T) {
+	for name, late := range map[string]func(state *State){
+		"an entry that is written late": func(state *State) { state.ChangeWorkers([]Change{entryOf(life("a", 1))}, 8) },
+		"a listing with it":             func(state *State) { state.OfferWorkers([]Worker{life("a", 1)}, 8) },
+		"an old listing":                func(state *State) { state.OfferWorkers([]Worker{life("a", 1)}, 5) },
+		"a member that is behind": func(state *State) {
+			state.OfferWorkerList(&replicav1.WorkerList{Revision: 8, Since: 7, Workers: []*replicav1.Worker{encodeWorker(life("a", 1))}})
+		},
+	} {
+		state := NewState(time.Now, nil)
+		state.OfferWorkers([]Worker{life("a", 1)}, 5)
+		state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 7)
+		late(state)
+		require.Equal(t, []string{"a@2"}, ids(state), name)
+		state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 9)
+		state.ChangeWorkers([]Change{entryOf(life("a", 1))}, 10)
+		require.NotContains(t, ids(state), "a@1", "%s, after the newer life's entry went", name)
+	}
+}
+
+func TestALapsedLifeEndsWithTheNext(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferWorkers([]Worker{life("a", 1)}, 5)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 6)
+	require.Equal(t, []string{"a@1"}, ids(state), "a last resort")
+	state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 7)
+	require.Equal(t, []string{"a@2"}, ids(state))
+}
+
+func TestAWorkerWithoutAStartIsTakenAsItComes(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferWorkers([]Worker{life("a", 5)}, 5)
+	state.ChangeWorkers([]Change{entryOf(life("a", 0))}, 6)
+	require.Equal(t, []string{"a"}, ids(state))
+	state.ChangeWorkers([]Change{entryOf(life("a", 4))}, 7)
+	require.Equal(t, []string{"a"}, ids(state), "it is before a life that is known")
+}
+
+func TestLivesArePassedOn(t *testing.T) {
+	first, second := NewState(time.Now, nil), NewState(time.Now, nil)
+	first.OfferWorkers([]Worker{life("a", 1)}, 5)
+	second.OfferWorkerList(first.WorkerList())
+	require.Equal(t, []string{"a@1"}, ids(second))
+	first.ChangeWorkers([]Change{entryOf(life("a", 2))}, 6)
+	second.OfferWorkerList(first.WorkerChanges(5))
+	require.Equal(t, []string{"a@2"}, ids(second))
+	first.ChangeWorkers([]Change{entryOf(life("a", 3)), entryOf(life("a", 1))}, 7)
+	second.OfferWorkerList(first.WorkerChanges(6))
+	require.Equal(t, []string{"a@3"}, ids(second), "an entry that was not taken hides none that was")
+	second.OfferWorkerList(&replicav1.WorkerList{Revision: 9, Workers: []*replicav1.Worker{{Id: "old", Service: "s"}}})
+	require.Contains(t, ids(second), "old", "passed on by a process from before lives")
+}
+
+func TestInstancesThatAreNotListedAreForgotten(t *testing.T) {
+	known := make(lives)
+	for i := range int64(maxUnlistedLives + 10) {
+		known.admits(life(fmt.Sprint("w", i), i+1))
+	}
+	listed := map[string]Worker{"w1": life("w1", 2)}
+	known.forget(listed)
+	require.Equal(t, lives{"w1": 2}, known)
+}
+
+// TestAnEntryIsToldOnce: not with each heartbeat of its writer.
+func TestAnEntryIsToldOnce(t *testing.T) {
+	entries := newUnusableEntries()
+	bad := Unusable{Name: "w", Field: "Slots", Reason: FieldMissing}
+	entries.takeListing(KindWorker, Listing{Unusable: []Unusable{bad}})
+	for range 3 {
+		entries.takeChanges(KindWorker, []Change{{Gone: true, Unusable: &bad}})
+	}
+	require.Equal(t, map[UnusableReason]int{FieldMissing: 1}, entries.count())
+	worse := Unusable{Name: "v", Field: "State", Reason: FieldUnknown}
+	entries.takeChanges(KindReplica, []Change{{Gone: true, Unusable: &worse}})
+	require.Equal(t, map[UnusableReason]int{FieldMissing: 1, FieldUnknown: 1}, entries.count())
+	entries.takeChanges(KindWorker, []Change{{Object: Object{Name: "w"}}})
+	entries.takeListing(KindReplica, Listing{})
+	require.Empty(t, entries.count())
+	require.True(t, strings.Contains(bad.Error(), "Slots"))
+}
--- a/internal/directory/objects.go
+++ b/internal/directory/objects.go
@@ -24,6 +24,12 @@
 	KindZoneDrain
 )
 
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	names := [...]string{"configuration", "worker", "replica", "group", "retirement", "zone drain"}
+	return names[k]
+}
+
 // Object is one object of the store. Exactly the field of its kind is set.
 type Object struct {
 	Name     string
@@ -37,9 +43,14 @@
 	ZoneDrain     *ZoneDrain
 }
 
-// Worker is a back end as it describes itself.
+// Worker is one life of a back end as it describes itself.
 type Worker struct {
-	ID      string
+	// ID is its LifeID.
+	ID string
+	// Instance is the name that it is registered as, which a later life may have too.
+	Instance string
+	// Started is the start of this life in Unix ms by the worker's clock; 0 is not known.
+	Started int64
 	Service string
 	// Address is an IP and a port.
 	Address string
@@ -75,12 +86,16 @@
 type Listing struct {
 	Objects  []Object
 	Revision int64
+	// Unusable are the entries that name no object to use. They are not in Objects.
+	Unusable []Unusable
 }
 
 // Change is one event of a watch. Of a gone object only the name is set.
 type Change struct {
 	Object Object
 	Gone   bool
+	// Unusable is why the entry names no object to use any more; such a change is Gone.
+	Unusable *Unusable
 }
 
 // Objects is the platform's store.
--- a/internal/directory/state_test.go
+++ b/internal/directory/state_test.go
@@ -31,12 +31,12 @@
 
 func TestAnOlderListOfWorkersChangesNothing(t *testing.T) {
 	state := NewState(time.Now, nil)
-	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}}, 10)
+	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 10)
 	state.OfferWorkers(nil, 9)
 	require.Len(t, state.View().Workers["s"], 1)
-	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Service: "s", Draining: true}}}}, 11)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Instance: "a", Service: "s", Draining: true}}}}, 11)
 	require.Empty(t, state.View().Workers["s"], "draining workers take no new work")
-	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Service: "s"}}}}, 8)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Instance: "a", Service: "s"}}}}, 8)
 	require.Empty(t, state.View().Workers["s"])
 }
 
@@ -49,9 +49,9 @@
 		return now
 	}
 	state := NewState(clock, nil)
-	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}}, 1)
+	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}, {ID: "b", Instance: "b", Service: "s", Draining: true}}, 1)
 	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}, {Object: Object{Name: "b"}, Gone: true}}, 2)
-	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Service: "s"}, Lapsed: true}}, state.View().Workers["s"])
+	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Instance: "a", Service: "s"}, Lapsed: true}}, state.View().Workers["s"])
 	mutex.Lock()
 	now = now.Add(lapseGrace)
 	mutex.Unlock()
@@ -61,16 +61,16 @@
 
 func TestAWorkerThatComesBackIsNoLongerLapsed(t *testing.T) {
 	state := NewState(time.Now, nil)
-	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}}, 1)
+	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 1)
 	state.OfferWorkers(nil, 2)
 	require.True(t, state.View().Workers["s"][0].Lapsed)
-	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}}, 3)
-	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Service: "s"}}}, state.View().Workers["s"])
+	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 3)
+	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Instance: "a", Service: "s"}}}, state.View().Workers["s"])
 }
 
 func TestAListPassedOnByAnotherProcessIsTakenOver(t *testing.T) {
 	from, to := NewState(time.Now, nil), NewState(time.Now, nil)
-	from.OfferWorkers([]Worker{{ID: "a", Service: "s", Address: "1.2.3.4:5", Zone: "z", Slots: 3, Draining: true}}, 5)
+	from.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s", Address: "1.2.3.4:5", Zone: "z", Slots: 3, Draining: true}}, 5)
 	to.OfferWorkerList(from.WorkerList())
 	require.Equal(t, int64(5), to.WorkersRevision())
 	require.Equal(t, from.WorkerList().Workers[0].Address, to.WorkerList().Workers[0].Address)
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -64,8 +64,10 @@
 
 	mutex sync.Mutex
 	// news is closed, and replaced, with each new view.
-	news    chan struct{}
+	news chan struct{}
+	// workers are those that are listed, by instance.
 	workers map[string]Worker
+	lives   lives
 	// heard is when each worker's entry was last heard.
 	heard           map[string]time.Time
 	workersRevision int64
@@ -84,7 +86,7 @@
 func NewState(now func() time.Time, changed func(*View)) *State {
 	state := &State{
 		now: now, changed: changed, news: make(chan struct{}),
-		workers: make(map[string]Worker), lapsed: make(map[string]lapsedWorker), heard: make(map[string]time.Time),
+		workers: make(map[string]Worker), lives: make(lives), lapsed: make(map[string]lapsedWorker), heard: make(map[string]time.Time),
 	}
 	state.view.Store(&View{})
 	return state
@@ -145,33 +147,46 @@
 	s.publish(&next)
 }
 
-// OfferWorkers takes a whole list if its revision is later than what is known.
-func (s *State) OfferWorkers(workers []Worker, revision int64) {
+// OfferWorkers takes a whole list if its revision is later than what is known. unusable are
+// the instances whose entries name no worker to use.
+func (s *State) OfferWorkers(workers []Worker, revision int64, unusable ...Unusable) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if revision <= s.workersRevision {
 		return
 	}
-	listed, now := make(map[string]Worker, len(workers)), s.now()
-	clear(s.heard)
+	listed := make(map[string]Worker, len(workers))
 	for _, worker := range workers {
-		listed[worker.ID] = worker
-		s.heard[worker.ID] = now
+		if !s.lives.admits(worker) {
+			known, found := s.workers[worker.Instance]
+			if !found {
+				continue
+			}
+			worker = known
+		}
+		listed[worker.Instance] = worker
+	}
+	for _, entry := range unusable {
+		s.drop(s.workers[entry.Name])
 	}
 	var changes []Change
-	for id, worker := range s.workers {
-		if _, found := listed[id]; !found {
+	for instance, worker := range s.workers {
+		if _, found := listed[instance]; !found {
 			s.lapse(worker)
-			changes = append(changes, Change{Object: Object{Name: id}, Gone: true})
+			changes = append(changes, Change{Object: Object{Name: instance}, Gone: true})
 		}
 	}
-	for id, worker := range listed {
-		if known, found := s.workers[id]; !found || known != worker {
-			changes = append(changes, Change{Object: Object{Name: id, Worker: &worker}})
+	clear(s.heard)
+	now := s.now()
+	for instance, worker := range listed {
+		s.heard[worker.ID] = now
+		if known, found := s.workers[instance]; !found || known != worker {
+			changes = append(changes, Change{Object: Object{Name: instance, Worker: &worker}})
 		}
 	}
 	s.history.add(s.workersRevision, revision, changes)
 	s.workers, s.workersRevision = listed, revision
+	s.lives.forget(listed)
 	s.rebuild()
 }
 
@@ -182,24 +197,45 @@
 	if revision <= s.workersRevision {
 		return
 	}
-	now := s.now()
+	taken := make([]Change, 0, len(changes))
 	for _, change := range changes {
-		known, found := s.workers[change.Object.Name]
-		switch {
-		case change.Gone && found:
-			delete(s.workers, known.ID)
-			delete(s.heard, known.ID)
-			s.lapse(known)
-		case !change.Gone && change.Object.Worker != nil:
-			s.workers[change.Object.Name] = *change.Object.Worker
-			s.heard[change.Object.Name] = now
+		if s.takeChange(change) {
+			taken = append(taken, change)
 		}
 	}
-	s.history.add(s.workersRevision, revision, changes)
+	// What was not taken is not passed on: it would stand in place of what was.
+	s.history.add(s.workersRevision, revision, taken)
 	s.workersRevision = revision
 	s.rebuild()
 }
 
+// takeChange takes one change of a worker's entry and reports whether it says anything.
+func (s *State) takeChange(change Change) bool {
+	known, found := s.workers[change.Object.Name]
+	switch {
+	case change.Unusable != nil:
+		s.drop(known)
+	case change.Gone && found:
+		s.drop(known)
+		s.lapse(known)
+	case change.Gone:
+		// It may be listed where this is passed on to.
+	case change.Object.Worker == nil || !s.lives.admits(*change.Object.Worker):
+		return false
+	default:
+		s.drop(known)
+		s.workers[change.Object.Name] = *change.Object.Worker
+		s.heard[change.Object.Worker.ID] = s.now()
+	}
+	return true
+}
+
+// drop takes a worker off the list, with its life.
+func (s *State) drop(worker Worker) {
+	delete(s.workers, worker.Instance)
+	delete(s.heard, worker.ID)
+}
+
 // lapse remembers a worker whose entry went while it was not leaving.
 func (s *State) lapse(worker Worker) {
 	if !worker.Draining {
@@ -227,8 +263,13 @@
 func (s *State) rebuild() {
 	next := *s.view.Load()
 	next.Workers, next.Heard = make(map[string][]Listed), maps.Clone(s.heard)
+	for id, lapsed := range s.lapsed {
+		if _, again := s.workers[lapsed.worker.Instance]; again {
+			// It is back, or has started again: then its former life has ended.
+			delete(s.lapsed, id)
+		}
+	}
 	for _, worker := range s.workers {
-		delete(s.lapsed, worker.ID)
 		if !worker.Draining {
 			next.Workers[worker.Service] = append(next.Workers[worker.Service], Listed{Worker: worker})
 		}
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -106,7 +106,7 @@
 	}
 	for _, worker := range list.Workers {
 		decoded := decodeWorker(worker)
-		changes = append(changes, Change{Object: Object{Name: decoded.ID, Worker: &decoded}})
+		changes = append(changes, Change{Object: Object{Name: decoded.Instance, Worker: &decoded}})
 	}
 	s.ChangeWorkers(changes, list.Revision)
 }
@@ -115,12 +115,20 @@
 	return &replicav1.Worker{
 		Id: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: uint32(worker.Slots), Draining: worker.Draining, ColdForMs: uint32(worker.ColdLeft.Milliseconds()),
+		Instance: worker.Instance, StartedMs: worker.Started,
 	}
 }
 
+// decodeWorker takes what another process passed on. One from before workers had lives names
+// the instance alone.
 func decodeWorker(worker *replicav1.Worker) Worker {
+	instance := worker.Instance
+	if instance == "" {
+		instance = worker.Id
+	}
 	return Worker{
-		ID: worker.Id, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
+		ID: LifeID(instance, worker.StartedMs), Instance: instance, Started: worker.StartedMs,
+		Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: int(worker.Slots), Draining: worker.Draining, ColdLeft: time.Duration(worker.ColdForMs) * time.Millisecond,
 	}
 }
--- a/internal/directory/workers_test.go
+++ b/internal/directory/workers_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func ready(id string) Worker { return Worker{ID: id, Service: "s", Address: id + ":1"} }
+func ready(id string) Worker { return Worker{ID: id, Instance: id, Service: "s", Address: id + ":1"} }
 
 // idsOf returns the ids that a state's service has, lapsed ones left out.
 func idsOf(state *State) (ids []string) {
@@ -86,7 +86,7 @@
 	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, 10)
 	first := now
 	now = now.Add(time.Second)
-	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Service: "s"}}}}, 11)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Instance: "a", Service: "s"}}}}, 11)
 	require.Equal(t, now, heard("a"), "the same entry, written again")
 	require.Equal(t, first, heard("b"))
 	now = now.Add(time.Second)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -286,14 +286,14 @@
 		header["User-Agent"] = []string{""}
 	}
 	addressing := Addressing{
-		Worker: chosen.ID, Tenant: r.tenantName(), Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent,
+		Worker: chosen.Instance, Tenant: r.tenantName(), Wait: time.Until(r.deadline), Priority: -1, LastEvent: lastEvent,
 	}
 	if r.service.Engine != nil {
 		addressing.Priority = r.gateway.priority(r)
 	}
 	r.gateway.options.Dialect.Address(header, addressing)
 	return &worker.Request{
-		ID: r.envelope.RequestID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
+		ID: r.envelope.RequestID, Life: chosen.ID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
 		Host: r.incoming.Host, Header: header, Body: r.body, Silence: r.silence(),
 		Connected: func(took time.Duration) { r.gateway.ways.Observe(time.Now(), chosen.Zone, took) },
 	}
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -37,7 +37,7 @@
 	g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
 	var listed []directory.Worker
 	for i := range maxTries + 2 {
-		listed = append(listed, directory.Worker{ID: fmt.Sprint(i), Service: "s", Address: "127.0.0.1:1"})
+		listed = append(listed, directory.Worker{ID: fmt.Sprint(i), Instance: fmt.Sprint(i), Service: "s", Address: "127.0.0.1:1"})
 	}
 	g.directory.OfferWorkers(listed, 1)
 	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/p", nil)
--- a/internal/gateway/coldpass_bench_test.go
+++ b/internal/gateway/coldpass_bench_test.go
@@ -24,7 +24,7 @@
 			g.directory = directory.NewState(time.Now, g.cold.tracker.Take)
 			var listed []directory.Worker
 			for i := range workers {
-				listed = append(listed, directory.Worker{ID: fmt.Sprint("worker-", i), Service: "s"})
+				listed = append(listed, directory.Worker{ID: fmt.Sprint("worker-", i), Instance: fmt.Sprint("worker-", i), Service: "s"})
 			}
 			g.directory.OfferWorkers(listed, 1)
 			r := requestOf(g)
--- a/internal/gateway/coldpass_test.go
+++ b/internal/gateway/coldpass_test.go
@@ -110,11 +110,11 @@
 }
 
 func coldWorker(id, address string) directory.Worker {
-	return directory.Worker{ID: id, Service: "s", Address: address, ColdLeft: time.Hour}
+	return directory.Worker{ID: id, Instance: id, Service: "s", Address: address, ColdLeft: time.Hour}
 }
 
 func warmWorker(id, address string) directory.Worker {
-	return directory.Worker{ID: id, Service: "s", Address: address}
+	return directory.Worker{ID: id, Instance: id, Service: "s", Address: address}
 }
 
 // sendOne sends one request with so much time left.
--- a/internal/gateway/eligible_test.go
+++ b/internal/gateway/eligible_test.go
@@ -36,7 +36,7 @@
 	g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
 	var listed []directory.Worker
 	for _, zone := range zones {
-		listed = append(listed, directory.Worker{ID: zone, Service: "s", Zone: zone, Address: "127.0.0.1:1"})
+		listed = append(listed, directory.Worker{ID: zone, Instance: zone, Service: "s", Zone: zone, Address: "127.0.0.1:1"})
 	}
 	g.directory.OfferWorkers(listed, 1)
 	return g
@@ -178,7 +178,7 @@
 	g := gatewayWithWorkers("a")
 	g.options.Dialect = fullDialect{}
 	address := strings.TrimPrefix(full.URL, "http://")
-	g.directory.OfferWorkers([]directory.Worker{{ID: "a", Service: "s", Zone: "a", Address: address}}, 2)
+	g.directory.OfferWorkers([]directory.Worker{{ID: "a", Instance: "a", Service: "s", Zone: "a", Address: address}}, 2)
 	g.directory.OfferZoneDrains(nil, 4)
 	const waiting = 40
 	refused := make(chan error, waiting)
@@ -299,7 +299,7 @@
 	var listed []directory.Worker
 	for i := range 8 {
 		zone := []string{"a", "b"}[i/6]
-		listed = append(listed, directory.Worker{ID: fmt.Sprintf("%s%d", zone, i), Service: "s", Zone: zone, Address: "127.0.0.1:1"})
+		listed = append(listed, directory.Worker{ID: fmt.Sprintf("%s%d", zone, i), Instance: fmt.Sprintf("%s%d", zone, i), Service: "s", Zone: zone, Address: "127.0.0.1:1"})
 	}
 	g.directory.OfferWorkers(listed, 2)
 	g.directory.OfferZoneDrains([]string{"a"}, 5)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 	g.metrics = newMetrics(g.registry)
 	g.defineGauges(g.registry)
 	g.feed = directory.NewFeed(objects, g.directory, directory.Hearing)
+	g.feed.Report(g.registry)
 	if options.DrainsFollowed {
 		g.feed.FollowZoneDrains(g.bounded(directory.LongWait))
 	}
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -35,7 +35,7 @@
 		t.Fatal("not held")
 	case <-time.After(20 * time.Millisecond):
 	}
-	r.gateway.directory.OfferWorkers([]directory.Worker{{ID: "w", Service: "s"}}, 1)
+	r.gateway.directory.OfferWorkers([]directory.Worker{{ID: "w", Instance: "w", Service: "s"}}, 1)
 	<-held
 	require.Positive(t, r.held[heldForWorkers])
 	r.awaitWorkers(t.Context())
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -77,7 +77,7 @@
 	var workers []directory.Worker
 	for zone, address := range zones {
 		group.Members = append(group.Members, &replicav1.Member{Seat: uint32(len(group.Members)), Node: zone, Address: address, Zone: zone})
-		workers = append(workers, directory.Worker{ID: zone, Service: "s", Address: address, Zone: zone})
+		workers = append(workers, directory.Worker{ID: zone, Instance: zone, Service: "s", Address: address, Zone: zone})
 	}
 	known.OfferGroup(group)
 	known.OfferWorkers(workers, 1)
@@ -119,7 +119,7 @@
 // TestAZoneWhoseReplicasAloneAreAwayKeepsItsWorkers: what speaks for a zone is anybody in it.
 func TestAZoneWhoseReplicasAloneAreAwayKeepsItsWorkers(t *testing.T) {
 	g := gatewayAmongZones(t, map[string]string{"a": answeringAddress(t), "b": darkAddress(t), "c": answeringAddress(t)})
-	g.directory.OfferWorkers([]directory.Worker{{ID: "b", Service: "s", Address: answeringAddress(t), Zone: "b"}}, 2)
+	g.directory.OfferWorkers([]directory.Worker{{ID: "b", Instance: "b", Service: "s", Address: answeringAddress(t), Zone: "b"}}, 2)
 	require.Never(t, func() bool { return g.zones.sight.Unreached("b") }, 2*time.Second, zonePolls)
 }
 
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -26,6 +26,9 @@
 	// ID is echoed by the answer.
 	ID     string
 	Method string
+	// Life names the life of the worker that the request is for; only connections that were
+	// opened to it are used.
+	Life string
 	// Target is the path and query as the client sent them.
 	Target string
 	Host   string
@@ -80,7 +83,7 @@
 // *NotSent and *Lost. When ctx ends, the connection is closed, which cancels
 // the request at the worker.
 func (p *Pool) Send(ctx context.Context, address string, limit int, request *Request, readHead ReadHead) (*Answer, error) {
-	used, err := p.get(ctx, address, limit)
+	used, err := p.get(ctx, address, request.Life, limit)
 	if err != nil {
 		return nil, &NotSent{Cause: err}
 	}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -48,6 +48,8 @@
 type connection struct {
 	net.Conn
 	address string
+	// life is that of the worker which the connection was opened to.
+	life string
 	reader  *bufio.Reader
 	// dialed is how long opening it took.
 	dialed time.Duration
@@ -60,8 +62,9 @@
 // NewPool returns an empty pool.
 func NewPool(dialer *net.Dialer) *Pool { return &Pool{dialer: dialer, hosts: make(map[string]*host)} }
 
-// get returns a kept connection, or opens one if fewer than limit are open.
-func (p *Pool) get(ctx context.Context, address string, limit int) (*connection, error) {
+// get returns a kept connection to one life of a worker, or opens one if fewer than limit are
+// open. One that was opened to another life is closed: behind a cut it says nothing of its end.
+func (p *Pool) get(ctx context.Context, address, life string, limit int) (*connection, error) {
 	for {
 		kept, open := p.take(address, limit)
 		if kept == nil && !open {
@@ -70,7 +73,7 @@
 		if kept == nil {
 			break
 		}
-		if time.Now().Before(kept.usableUntil) && kept.quiet() {
+		if kept.life == life && time.Now().Before(kept.usableUntil) && kept.quiet() {
 			return kept, nil
 		}
 		p.discard(kept)
@@ -81,7 +84,7 @@
 		p.release(address)
 		return nil, err
 	}
-	return &connection{Conn: dialed, address: address, reader: bufio.NewReaderSize(dialed, readerBytes), dialed: time.Since(began)}, nil
+	return &connection{Conn: dialed, address: address, life: life, reader: bufio.NewReaderSize(dialed, readerBytes), dialed: time.Since(began)}, nil
 }
 
 // take returns the connection that was used last, or counts a new one.
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -171,13 +171,13 @@
 func TestNoMoreConnectionsThanAllowed(t *testing.T) {
 	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte(); time.Sleep(time.Second) })
 	pool := newPool()
-	first, err := pool.get(context.Background(), address, 1)
+	first, err := pool.get(context.Background(), address, "", 1)
 	require.NoError(t, err)
-	_, err = pool.get(context.Background(), address, 1)
+	_, err = pool.get(context.Background(), address, "", 1)
 	var full *TooManyConnections
 	require.ErrorAs(t, err, &full)
 	pool.discard(first)
-	_, err = pool.get(context.Background(), address, 1)
+	_, err = pool.get(context.Background(), address, "", 1)
 	require.NoError(t, err)
 }
 
@@ -303,3 +303,20 @@
 	require.EqualValues(t, 1, opened.Load(), "a connection that was not used is kept")
 	require.Equal(t, 4, asked)
 }
+
+func TestAConnectionToAFormerLifeIsNotUsed(t *testing.T) {
+	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
+	pool := newPool()
+	former, err := pool.get(t.Context(), address, "a@1", 1)
+	require.NoError(t, err)
+	pool.putBack(former)
+	again, err := pool.get(t.Context(), address, "a@1", 1)
+	require.NoError(t, err)
+	require.Same(t, former, again)
+	pool.putBack(again)
+	present, err := pool.get(t.Context(), address, "a@2", 1)
+	require.NoError(t, err, "the former connection is closed and does not count")
+	require.NotSame(t, former, present)
+	_, err = former.Write([]byte("x"))
+	require.Error(t, err)
+}
