--- a/internal/directory/life_test.go
+++ b/internal/directory/life_test.go
@@ -17,7 +17,9 @@
 	return Worker{ID: LifeID(instance, started), Instance: instance, Started: started, Service: "s", Address: "10.0.0.1:1"}
 }
 
-func entryOf(worker Worker) Change { return Change{Object: Object{Name: worker.Instance, Worker: &worker}} }
+func entryOf(worker Worker) Change {
+	return Change{Object: Object{Name: worker.Instance, Worker: &worker}}
+}
 
 // ids returns the lives of a view's workers.
 func ids(state *State) (listed []string) {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -49,8 +49,8 @@
 	net.Conn
 	address string
 	// life is that of the worker which the connection was opened to.
-	life string
-	reader  *bufio.Reader
+	life   string
+	reader *bufio.Reader
 	// dialed is how long opening it took.
 	dialed time.Duration
 	// kept is set once the connection has been used before.
