Replicas: a node at the address of one that is gone does not speak for it

A replica that came to the address of one that had gone for good answered for it, and the seat was never taken. Answers to announcements tell the node's name now. The test fails without the check ("gone" is alive).

--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -70,6 +70,10 @@
 	}
 	standing := response.Msg.Standing
 	r.directory.OfferGroup(standing.Group)
+	if answering := response.Msg.Node; answering != "" && answering != member.Node {
+		// A node that has come to the address of one that is gone does not speak for it.
+		return
+	}
 	r.heard.noteStanding(member.Node, message.Group.Partition, standing)
 }
 
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -16,6 +16,8 @@
 // service answers gateways and other replicas. It implements
 // replicav1connect.ReplicaServiceHandler.
 type service struct {
+	// node is this replica's name.
+	node      string
 	state     *state
 	directory *directory.State
 	heard     *heard
@@ -109,7 +111,7 @@
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
 	s.directory.OfferGroup(s.state.currentGroup(partition))
-	return connect.NewResponse(&replicav1.AnnounceResponse{Standing: s.state.standing(partition, 0)}), nil
+	return connect.NewResponse(&replicav1.AnnounceResponse{Node: s.node, Standing: s.state.standing(partition, 0)}), nil
 }
 
 // holdsSeat reports whether the sender of an announcement holds the seat that it names
