Replicas: a node that is to stop says so, and gets no seat

The stopping member passed its seat to the node that had stopped before it: its last word counts for 2.6 s. In its turn the seat came back to the one that was just stopping.

Change: announcements and their answers tell that a node is to stop; it counts as gone until it starts again.

--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -42,6 +42,14 @@
 	h.nodes[node] = word
 }
 
+// leave takes a node's word that it is to stop. What it said before says nothing any more; a
+// node that starts again is heard anew.
+func (h *heard) leave(node string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.nodes, node)
+}
+
 // noteStanding takes an answer that concerns a partition.
 func (h *heard) noteStanding(node string, partition uint32, standing *replicav1.Standing) {
 	h.mutex.Lock()
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -33,7 +33,7 @@
 
 // announceGroup tells the other members of a group once that this node is here.
 func (r *Replica) announceGroup(ctx context.Context, group *replicav1.Group) {
-	message := announcementOf(r.state, group, r.options.Node)
+	message := r.announcement(group)
 	for _, member := range group.Members {
 		if member.Node != r.options.Node {
 			go r.announceTo(ctx, member, message)
@@ -60,6 +60,13 @@
 	return message
 }
 
+// announcement returns what this node tells the members of a group.
+func (r *Replica) announcement(group *replicav1.Group) *replicav1.AnnounceRequest {
+	message := announcementOf(r.state, group, r.options.Node)
+	message.Stopping = r.stopping.Load()
+	return message
+}
+
 func (r *Replica) announceTo(ctx context.Context, member *replicav1.Member, message *replicav1.AnnounceRequest) {
 	call, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
@@ -74,6 +81,10 @@
 		// A node that has come to the address of one that is gone does not speak for it.
 		return
 	}
+	if response.Msg.Stopping {
+		r.heard.leave(member.Node)
+		return
+	}
 	r.heard.noteStanding(member.Node, message.Group.Partition, standing)
 }
 
@@ -130,7 +141,7 @@
 		r.standbys.end(seen.group.Partition)
 		return nil
 	}
-	message := &replicav1.AnnounceRequest{Group: seen.group, Node: r.options.Node}
+	message := &replicav1.AnnounceRequest{Group: seen.group, Node: r.options.Node, Stopping: r.stopping.Load()}
 	for _, node := range r.standbys.next(seen.group.Partition, standbys(seen), seen.alive) {
 		asked = append(asked, node.Node)
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -300,7 +300,7 @@
 // pullAll copies the records of another member that are not here yet, part by part, and tells
 // of the first part.
 func (r *Replica) pullAll(ctx context.Context, group *replicav1.Group, other *replicav1.Member, identity *replicav1.Identity, copied *sourceCopy, first chan<- struct{}) (result pulled) {
-	r.announceTo(ctx, other, announcementOf(r.state, group, r.options.Node))
+	r.announceTo(ctx, other, r.announcement(group))
 	for {
 		part, err := r.pullPart(ctx, group, other, identity, copied)
 		if err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -280,7 +280,7 @@
 		return err
 	}
 	handler := &service{
-		node: r.options.Node, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
+		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -53,7 +53,7 @@
 // transferDone asks the members of a group that this node has left whether each holds
 // everything that its seat held.
 func (r *Replica) transferDone(ctx context.Context, group *replicav1.Group) bool {
-	message := announcementOf(r.state, group, r.options.Node)
+	message := r.announcement(group)
 	for _, member := range group.Members {
 		r.announceTo(ctx, member, message)
 	}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -17,7 +17,9 @@
 // replicav1connect.ReplicaServiceHandler.
 type service struct {
 	// node is this replica's name.
-	node      string
+	node string
+	// stopping reports whether this replica is to stop; nil is no.
+	stopping  func() bool
 	state     *state
 	directory *directory.State
 	heard     *heard
@@ -106,12 +108,16 @@
 	if message.Incarnation != 0 && newest != nil && holdsSeat(newest, message) {
 		records = append(records, incarnationRecord(partition, message.Seat, message.Incarnation))
 	}
-	s.heard.note(message.Node)
+	if message.Stopping {
+		s.heard.leave(message.Node)
+	} else {
+		s.heard.note(message.Node)
+	}
 	if err := s.state.write(records...); err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
 	s.directory.OfferGroup(s.state.currentGroup(partition))
-	return connect.NewResponse(&replicav1.AnnounceResponse{Node: s.node, Standing: s.state.standing(partition, 0)}), nil
+	return connect.NewResponse(&replicav1.AnnounceResponse{Node: s.node, Stopping: s.stopping != nil && s.stopping(), Standing: s.state.standing(partition, 0)}), nil
 }
 
 // holdsSeat reports whether the sender of an announcement holds the seat that it names
--- a/internal/replica/stop.go
+++ b/internal/replica/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/pause"
@@ -26,6 +27,7 @@
 	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, handSeatsOverWithin)
 	defer cancel()
+	r.tellStopping(ctx)
 	began := time.Now()
 	for _, group := range r.ownGroups() {
 		for r.seatToHandOver(ctx, group.Partition, time.Since(began)) && pause.For(ctx, stopPause) {
@@ -33,13 +35,28 @@
 	}
 }
 
+// tellStopping tells all members that this node is to stop, also where it has no seat: one
+// that has just stopped would be given a seat for as long as its last word counts, and the
+// seat would be empty for that long.
+func (r *Replica) tellStopping(ctx context.Context) {
+	var telling sync.WaitGroup
+	for _, group := range r.directory.Groups() {
+		for _, member := range group.GetMembers() {
+			if member.Node != r.options.Node {
+				telling.Go(func() { r.announceTo(ctx, member, r.announcement(group)) })
+			}
+		}
+	}
+	telling.Wait()
+}
+
 // seatToHandOver reports whether a node that has been stopping for a while still waits for
 // one that takes its seat of a partition, or for the one that has and does not hold it yet.
 func (r *Replica) seatToHandOver(ctx context.Context, partition uint32, stopping time.Duration) bool {
 	group := r.directory.Group(partition)
 	seen := r.observe(group)
 	if holder := passedSeatOf(group, r.options.Node); holder != nil {
-		r.announceTo(ctx, holder, announcementOf(r.state, group, r.options.Node))
+		r.announceTo(ctx, holder, r.announcement(group))
 		return !seen.settled(holder.Node)
 	}
 	if seatOf(group, r.options.Node) == nil {
--- a/internal/replica/stop_test.go
+++ b/internal/replica/stop_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/recordlog/recordlogtest"
 )
 
 func TestAStoppingMembersSeatGoesToANodeThatStandsBy(t *testing.T) {
@@ -22,3 +28,17 @@
 	seen.stopping, seen.retiring = "b", map[string]bool{"c": true}
 	require.Equal(t, []string{"a", "b", "spare"}, memberNames(nextGroup(seen)))
 }
+
+func TestANodeThatIsToStopCountsAsGoneUntilItStartsAgain(t *testing.T) {
+	now := time.Unix(100, 0)
+	heard := newHeard(func() time.Time { return now })
+	opened, err := openState(recordlogtest.NewDisk())
+	require.NoError(t, err)
+	t.Cleanup(opened.log.Close)
+	answering := &service{state: opened, directory: directory.NewState(time.Now, nil), heard: heard}
+	for _, stopping := range []bool{false, true, false} {
+		_, err := answering.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Node: "a", Stopping: stopping}))
+		require.NoError(t, err)
+		require.Equal(t, !stopping, heard.alive("a"))
+	}
+}
