--- a/internal/directory/life.go
+++ b/internal/directory/life.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // lifeSeparator stands between an instance and the start of one of its lives.
@@ -24,20 +25,26 @@
 // seconds.
 const maxUnlistedLives = 4096
 
+// maxStartAhead is how far ahead of this machine's time of day a worker's start may lie: clocks
+// differ by seconds. One that lies further ahead would make every later life a former one.
+const maxStartAhead = 5 * time.Minute
+
 // lives remembers the newest start of each instance. The start decides which life is the
 // newer one, never the order in which entries arrive: an entry may be written late, or be
 // passed on by a process that is behind.
 type lives map[string]int64
 
-// admits reports whether a worker is not a former life of an instance, and remembers it. One
-// without a start says nothing of its life, and is taken as it comes.
-func (l lives) admits(worker Worker) bool {
-	if worker.Started < l[worker.Instance] && worker.Started != 0 {
+// admits reports whether a worker is neither a former life of an instance nor one that is yet
+// to start, and remembers it. One without a start says nothing of its life, and is taken as it
+// comes.
+func (l lives) admits(worker Worker, now time.Time) bool {
+	switch {
+	case worker.Started == 0:
+		return true
+	case worker.Started < l[worker.Instance], worker.Started > now.Add(maxStartAhead).UnixMilli():
 		return false
 	}
-	if worker.Started != 0 {
-		l[worker.Instance] = worker.Started
-	}
+	l[worker.Instance] = worker.Started
 	return true
 }
 
--- a/internal/directory/life_test.go
+++ b/internal/directory/life_test.go
@@ -89,6 +89,15 @@
 	require.Equal(t, []string{"a"}, ids(state), "it is before a life that is known")
 }
 
+func TestAStartThatLiesAheadIsNotBelieved(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferWorkers([]Worker{life("a", 1)}, 5)
+	state.ChangeWorkers([]Change{entryOf(life("a", time.Now().Add(time.Hour).UnixMilli()))}, 6)
+	require.Equal(t, []string{"a@1"}, ids(state))
+	state.ChangeWorkers([]Change{entryOf(life("a", time.Now().Add(time.Second).UnixMilli()))}, 7)
+	require.NotContains(t, ids(state), "a@1", "clocks differ a little")
+}
+
 func TestLivesArePassedOn(t *testing.T) {
 	first, second := NewState(time.Now, nil), NewState(time.Now, nil)
 	first.OfferWorkers([]Worker{life("a", 1)}, 5)
@@ -107,7 +116,7 @@
 func TestInstancesThatAreNotListedAreForgotten(t *testing.T) {
 	known := make(lives)
 	for i := range int64(maxUnlistedLives + 10) {
-		known.admits(life(fmt.Sprint("w", i), i+1))
+		known.admits(life(fmt.Sprint("w", i), i+1), time.Now())
 	}
 	listed := map[string]Worker{"w1": life("w1", 2)}
 	known.forget(listed)
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -157,7 +157,7 @@
 	}
 	listed := make(map[string]Worker, len(workers))
 	for _, worker := range workers {
-		if !s.lives.admits(worker) {
+		if !s.lives.admits(worker, s.now()) {
 			known, found := s.workers[worker.Instance]
 			if !found {
 				continue
@@ -220,7 +220,7 @@
 		s.lapse(known)
 	case change.Gone:
 		// It may be listed where this is passed on to.
-	case change.Object.Worker == nil || !s.lives.admits(*change.Object.Worker):
+	case change.Object.Worker == nil || !s.lives.admits(*change.Object.Worker, s.now()):
 		return false
 	default:
 		s.drop(known)
