--- a/internal/directory/life_test.go
+++ b/internal/directory/life_test.go
@@ -113,6 +113,28 @@
 	require.Contains(t, ids(second), "old", "passed on by a process from before lives")
 }
 
+func TestAnUnusableEntryTakesItsWorkerOffWhereItIsPassedOnToo(t *testing.T) {
+	bad := Unusable{Name: "a", Field: "Slots", Reason: FieldMissing}
+	for name, spoil := range map[string]func(state *State){
+		"a listing": func(state *State) { state.OfferWorkers([]Worker{life("b", 1)}, 6, bad) },
+		"a change": func(state *State) {
+			state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true, Unusable: &bad}}, 6)
+		},
+	} {
+		first, second := NewState(time.Now, nil), NewState(time.Now, nil)
+		first.OfferWorkers([]Worker{life("a", 1), life("b", 1)}, 5)
+		second.OfferWorkerList(first.WorkerList())
+		spoil(first)
+		require.Equal(t, []string{"b@1"}, ids(first), name)
+		require.Equal(t, []string{"a"}, first.WorkerChanges(5).Gone, name)
+		second.OfferWorkerList(first.WorkerChanges(5))
+		require.Len(t, second.View().Workers["s"], 2, "a last resort for a moment")
+		for _, each := range second.View().Workers["s"] {
+			require.Equal(t, each.Instance == "a", each.Lapsed, name)
+		}
+	}
+}
+
 func TestInstancesThatAreNotListedAreForgotten(t *testing.T) {
 	known := make(lives)
 	for i := range int64(maxUnlistedLives + 10) {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -155,9 +155,9 @@
 	if revision <= s.workersRevision {
 		return
 	}
-	listed := make(map[string]Worker, len(workers))
+	listed, now := make(map[string]Worker, len(workers)), s.now()
 	for _, worker := range workers {
-		if !s.lives.admits(worker, s.now()) {
+		if !s.lives.admits(worker, now) {
 			known, found := s.workers[worker.Instance]
 			if !found {
 				continue
@@ -166,10 +166,13 @@
 		}
 		listed[worker.Instance] = worker
 	}
+	var changes []Change
 	for _, entry := range unusable {
-		s.drop(s.workers[entry.Name])
+		if known, found := s.workers[entry.Name]; found {
+			s.drop(known)
+			changes = append(changes, Change{Object: Object{Name: entry.Name}, Gone: true})
+		}
 	}
-	var changes []Change
 	for instance, worker := range s.workers {
 		if _, found := listed[instance]; !found {
 			s.lapse(worker)
@@ -177,7 +180,6 @@
 		}
 	}
 	clear(s.heard)
-	now := s.now()
 	for instance, worker := range listed {
 		s.heard[worker.ID] = now
 		if known, found := s.workers[instance]; !found || known != worker {
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -23,6 +23,7 @@
 	first chan struct{}
 }
 
+// beginAttempt begins to copy the sources that are wanted first.
 func (s *seat) beginAttempt(ctx context.Context, group *replicav1.Group, member *replicav1.Member, identity *replicav1.Identity) *copyAttempt {
 	attempt := &copyAttempt{seat: s, group: group, member: member, identity: identity, first: make(chan struct{}, 1)}
 	attempt.ctx, attempt.stop = context.WithCancel(ctx)
@@ -65,6 +66,7 @@
 				}
 			}
 		}
+		// What was asked first is late, or was not enough.
 		if enough == nil {
 			a.ask(a.spare)
 		}
--- a/internal/replica/lacking.go
+++ b/internal/replica/lacking.go
@@ -20,8 +20,10 @@
 	groups map[uint32]*lackingGroup
 }
 
+// lackingGroup is one of them.
 type lackingGroup struct {
-	since   time.Time
+	since time.Time
+	// members are those that lacked something when that was told last.
 	members []string
 	told    bool
 }
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -60,13 +60,14 @@
 	return message
 }
 
-// announcement returns what this node tells the members of a group.
+// announcement is announcementOf for this node, with whether it is to stop.
 func (r *Replica) announcement(group *replicav1.Group) *replicav1.AnnounceRequest {
 	message := announcementOf(r.state, group, r.options.Node)
 	message.Stopping = r.stopping.Load()
 	return message
 }
 
+// announceTo announces this node to another one, and takes what that says of itself.
 func (r *Replica) announceTo(ctx context.Context, member *replicav1.Member, message *replicav1.AnnounceRequest) {
 	call, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
@@ -85,7 +86,7 @@
 		r.heard.leave(member.Node)
 		return
 	}
-	r.heard.noteStanding(member.Node, message.Group.Partition, standing)
+	r.heard.noteStanding(member.Node, message.Group.GetPartition(), standing)
 }
 
 // reconcile brings the groups in line with the nodes that are there, again and
--- a/internal/replica/stop.go
+++ b/internal/replica/stop.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
@@ -35,16 +37,15 @@
 	}
 }
 
-// tellStopping tells all members that this node is to stop, also where it has no seat: one
-// that has just stopped would be given a seat for as long as its last word counts, and the
-// seat would be empty for that long.
+// tellStopping tells every node that has a seat anywhere that this one is to stop, also where
+// it has none itself: one that has just stopped would be given a seat for as long as its last
+// word counts, and the seat would be empty for that long.
 func (r *Replica) tellStopping(ctx context.Context) {
+	message := &replicav1.AnnounceRequest{Node: r.options.Node, Stopping: true}
 	var telling sync.WaitGroup
-	for _, group := range r.directory.Groups() {
-		for _, member := range group.GetMembers() {
-			if member.Node != r.options.Node {
-				telling.Go(func() { r.announceTo(ctx, member, r.announcement(group)) })
-			}
+	for _, node := range directory.Members(r.directory.Groups()) {
+		if node.Node != r.options.Node {
+			telling.Go(func() { r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message) })
 		}
 	}
 	telling.Wait()
