Quorum: a round that succeeds makes no error

Found on reading the change again: each write to a majority, a step of every turn, began with the error that it returns where none answers. It is made where it is returned. No change of behaviour.

--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -33,11 +33,12 @@
 // enough members answer. It goes to those that the policy permits.
 func (c *Client) appendTo(ctx context.Context, inForce func() *replicav1.Group, policy placement.RegionPolicy, request *replicav1.AppendRequest) (turn.Ledger, error) {
 	began := c.now()
-	unavailable := &Unavailable{Needed: 1}
+	answered, needed := 0, 1
+	var why Shortfall
 	for {
 		group := inForce()
 		if group != nil {
-			unavailable.Needed = WriteSize(Voters(group))
+			needed = WriteSize(Voters(group))
 			round := newAppendRound(c, group, request)
 			round.policy = policy
 			ledger, done := round.run(ctx)
@@ -45,14 +46,13 @@
 				c.outages.answered(group.Partition)
 				return ledger, nil
 			}
-			unavailable.Answered = max(unavailable.Answered, len(round.latest))
-			unavailable.Shortfall = round.shortfall()
+			answered, why = max(answered, len(round.latest)), round.shortfall()
 		}
 		if !pause.For(ctx, retryPause) {
 			if group != nil {
-				c.outages.unanswered(group.Partition, began, unavailable.Shortfall)
+				c.outages.unanswered(group.Partition, began, why)
 			}
-			return nil, unavailable
+			return nil, &Unavailable{Needed: needed, Answered: answered, Shortfall: why}
 		}
 	}
 }
