Peers that read slowly: what is held for them is bounded, and workers do not wait for their clients

Cause: an answer was written to its client with the worker's connection unread meanwhile, so that a client which pauses lost what its worker had said (workers cut off after seconds); a declared body took its whole length at once; a worker that pauses in a long body for 0.5 s ended the request (TCP_USER_TIMEOUT counts a closed window); nothing bounded the sum over connections. Change: answers are read ahead once a write has waited 250 ms, 256 KB each and an eighth of the memory for all; who has taken nothing for longest is cut off for others; bodies count as they come, and are refused without room; buffers of the system are bounded; long bodies have 3 s for the worker to go on reading.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/estimate"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/traffic"
@@ -29,11 +30,14 @@
 	// gives it back.
 	context context.Context
 	release context.CancelFunc
+	// ahead is the answer's body.
+	ahead *flowcontrol.ReadAhead
 }
 
 // close ends an attempt whose answer is read, or is not wanted any more. The answer comes
 // first: a context that ends before it takes the connection along, which could be kept.
 func (a *attempt) close() {
+	a.ahead.Stop(a.release)
 	a.answer.Close()
 	a.watch.end()
 	a.release()
@@ -192,7 +196,20 @@
 	r.begunAfter = time.Since(r.received)
 	r.fastest().Observe(time.Since(sent))
 	r.note(eventBegun, "worker", chosen.ID, "status", answer.Status, "distance", r.gateway.places.Class(chosen.Zone).String())
-	return &attempt{worker: chosen, answer: answer, sent: sent, watch: watch, context: zoned, release: release}, nil
+	ahead := r.aheadOf(answer)
+	return &attempt{worker: chosen, answer: answer, sent: sent, watch: watch, context: zoned, release: release, ahead: ahead}, nil
+}
+
+// aheadOf has the body of an answer read ahead while the client is slow.
+func (r *request) aheadOf(answer *worker.Answer) *flowcontrol.ReadAhead {
+	if r.out == nil {
+		// Never begun, so that nothing is held.
+		return flowcontrol.NewReadAhead(answer.Body, 0, nil)
+	}
+	ahead := flowcontrol.NewReadAhead(answer.Body, readAheadBytes, r.out.holder)
+	answer.Body = ahead
+	r.out.readAhead(ahead)
+	return ahead
 }
 
 // readyFor returns what is asked once there is a connection to a worker, right before the
@@ -245,6 +262,10 @@
 		r.pass(chosen, verdict, err)
 		return err
 	}
+	var lost *worker.Lost
+	if errors.As(err, &lost) && lost.BodyUnread {
+		r.gateway.metrics.cutOff(workerSide, unread)
+	}
 	r.ran[chosen.ID] = true
 	r.tried[chosen.ID] = true
 	r.note(eventLost, "worker", chosen.ID, "cause", err.Error())
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -8,6 +8,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 )
 
@@ -93,7 +94,8 @@
 // is lost.
 func verdictOfBreak(ctx context.Context, err error) balance.Verdict {
 	var lost *ZoneLost
-	if ctx.Err() != nil || errors.As(err, &lost) {
+	var full *flowcontrol.NoRoom
+	if ctx.Err() != nil || errors.As(err, &lost) || errors.As(err, &full) {
 		return balance.Abandoned
 	}
 	return balance.Failed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/limit"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
@@ -129,6 +130,8 @@
 	metrics  *metrics
 	// connections are those of clients.
 	connections *connections
+	// answerBytes are held for clients that read slowly, bodyBytes for requests until they end.
+	answerBytes, bodyBytes *flowcontrol.Account
 
 	// started is when this process began.
 	started time.Time
@@ -157,6 +160,8 @@
 		balancer:    balance.NewAmong(time.Now, workersZone(options), ways, places),
 		retries:     limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
 		connections: newConnections(time.Now),
+		answerBytes: flowcontrol.NewAccount(heldBytes(options), time.Now),
+		bodyBytes:   flowcontrol.NewAccount(heldBytes(options), time.Now),
 		started:     time.Now(),
 		rooms:       newRooms(),
 		fastest:     newFastestAnswers(),
@@ -193,9 +198,9 @@
 	g.lent = newRecentPrograms(time.Now)
 	g.chains = newChainCache(g.quorum, chainBytes(options))
 	g.chains.zone, g.chains.regionOf = options.Zone, options.Regions
-	g.pool = worker.NewPool(transport.NewDialer(transport.Options{
-		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout,
-	}))
+	g.pool = worker.NewPoolWith(transport.Options{
+		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: workerReceiveBuffer,
+	})
 	return g
 }
 
@@ -261,7 +266,7 @@
 	if err := g.serveForwarder(working); err != nil {
 		return err
 	}
-	ingress, err := transport.Listen(working, g.options.Ingress, clientUserTimeout)
+	ingress, err := transport.ListenBounded(working, g.options.Ingress, clientUserTimeout, clientSendBuffer)
 	if err != nil {
 		return &failure.Internal{Cause: err}
 	}
@@ -293,7 +298,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(replicav1connect.NewForwardServiceHandler(quorum.NewForwarder(g.quorum), transport.HandlerOptions(maxForwardBytes)...))
-	server := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0)}
+	server := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), WriteTimeout: transport.PeerWriteTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go server.Serve(listener)
 	return nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -101,6 +101,18 @@
 		Name: "gateway_cold_requests_total", Kind: telemetry.KindCounter, Unit: "requests", Labels: []string{"outcome"},
 		Help: "Requests for which a cold worker was chosen: admitted there, refused there, or unknown because too few replicas answered.",
 	})
+	metricHeldAnswers = telemetry.Define(telemetry.Definition{
+		Name: "gateway_held_answer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
+		Help: "Bytes of answers that are held for clients that read slowly.",
+	})
+	metricHeldBodies = telemetry.Define(telemetry.Definition{
+		Name: "gateway_held_body_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
+		Help: "Bytes of requests that are held until the requests end, with the turns before them and what turns have said.",
+	})
+	metricCutOff = telemetry.Define(telemetry.Definition{
+		Name: "gateway_slow_peers_total", Kind: telemetry.KindCounter, Unit: "requests", Labels: []string{"side", "cause"},
+		Help: "Requests that ended because of a slow reader: a client that took nothing or was given up for others, a body without room, a worker that did not read one.",
+	})
 	metricDropped = telemetry.Define(telemetry.Definition{
 		Name: "gateway_log_lines_dropped", Kind: telemetry.KindGauge, Unit: "lines",
 		Help: "Log lines that were dropped since the start.",
@@ -119,6 +131,7 @@
 	traffic    *traffic.Counted
 	loans      *prometheus.CounterVec
 	cold       *prometheus.CounterVec
+	slowPeers  *prometheus.CounterVec
 
 	// labelled are the tenants that have a label of their own, labels how many.
 	labelled sync.Map
@@ -137,12 +150,14 @@
 		refusals: registry.Counter(metricRefused), breaks: registry.Counter(metricBroken),
 		attempts: registry.Counter(metricAttempts), waits: registry.Histogram(metricHeld),
 		tenants: registry.Counter(metricTenants), aside: registry.Counter(metricTurnedAside), traffic: traffic.New(registry),
-		loans: registry.Counter(metricLent), cold: registry.Counter(metricColdRequests),
+		loans: registry.Counter(metricLent), cold: registry.Counter(metricColdRequests), slowPeers: registry.Counter(metricCutOff),
 	}
 }
 
 // defineGauges makes the gauges that are read at each scrape.
 func (g *Gateway) defineGauges(registry *telemetry.Registry) {
+	registry.GaugeFunc(metricHeldAnswers, func() float64 { return float64(g.answerBytes.Held()) })
+	registry.GaugeFunc(metricHeldBodies, func() float64 { return float64(g.bodyBytes.Held()) })
 	registry.GaugeFunc(metricUnderWay, func() float64 { return float64(g.underWay.Load()) })
 	registry.GaugeFunc(metricVersion, func() float64 {
 		if table := g.directory.View().Table; table != nil {
@@ -185,6 +200,18 @@
 
 func (m *metrics) lent(outcome string) { m.loans.WithLabelValues(outcome).Inc() }
 
+// The sides of metricCutOff, and its causes besides flowcontrol's.
+const (
+	clientSide = "client"
+	bodySide   = "body"
+	workerSide = "worker"
+	noRoom     = "no_room"
+	unread     = "unread"
+)
+
+// cutOff notes a request that ended because of a slow reader.
+func (m *metrics) cutOff(side, cause string) { m.slowPeers.WithLabelValues(side, cause).Inc() }
+
 func (m *metrics) broken() { m.breaks.WithLabelValues().Inc() }
 
 func (m *metrics) answered(kind string, whole, first time.Duration) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -74,7 +74,7 @@
 // that breaks off can still be replaced.
 func (r *request) relay(one *attempt) error {
 	defer one.close()
-	body, err := io.ReadAll(io.LimitReader(one.answer.Body, wholeAnswerBytes))
+	body, err := r.readAnswer(one)
 	if err != nil {
 		err = r.causeOf(one.context, one.worker, err)
 		r.gateway.done(r, one.worker, verdictOfBreak(r.incoming.Context(), err))
@@ -100,12 +100,34 @@
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	r.writer.WriteHeader(one.answer.Status)
-	// A failed write means that the client has gone.
-	_, _ = r.writer.Write(body)
+	if _, err := r.writer.Write(body); err != nil {
+		// The client has gone, or does not read.
+		r.noteStalled(err)
+	}
 	r.endAnswered(one.answer.Status)
 	return nil
 }
 
+// readAnswer reads an answer of up to wholeAnswerBytes. What is longer than most answers is
+// read only where it may be held for a client that reads slowly.
+func (r *request) readAnswer(one *attempt) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(one.answer.Body, smallAnswerBytes))
+	if err != nil || len(body) < smallAnswerBytes {
+		return body, err
+	}
+	const rest = wholeAnswerBytes - smallAnswerBytes
+	if r.out != nil {
+		if err := r.out.holder.Take(one.context, rest); err != nil {
+			return nil, err
+		}
+	}
+	more, err := io.ReadAll(io.LimitReader(one.answer.Body, rest))
+	if r.out != nil {
+		r.out.holder.Give(rest - len(more))
+	}
+	return append(body, more...), err
+}
+
 // relayLong passes a long answer on as it comes. If the worker breaks off, so
 // does the answer, visibly.
 func (r *request) relayLong(one *attempt, begin []byte) {
@@ -122,6 +144,7 @@
 
 // abort ends a begun answer so that it cannot look complete.
 func (r *request) abort(cause error) {
+	r.noteStalled(cause)
 	r.endBroken(cause)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -26,28 +27,29 @@
 
 // refusals are the failures that reach a gateway's clients, with their status.
 var refusals = map[failure.Failure]int{
-	&NoConfiguration{}:           http.StatusServiceUnavailable,
-	&UnknownRoute{}:              http.StatusNotFound,
-	&BodyTooLong{}:               http.StatusRequestEntityTooLarge,
-	&HeadTooLong{}:               http.StatusRequestHeaderFieldsTooLarge,
-	&BodyBroken{Cause: errCause}: http.StatusRequestTimeout,
-	&BudgetSpent{}:               http.StatusPaymentRequired,
-	&quorum.UnknownTurn{}:        http.StatusNotFound,
-	&quorum.KeptElsewhere{}:      http.StatusServiceUnavailable,
-	&failure.NoPermittedPlace{}:  http.StatusServiceUnavailable,
+	&NoConfiguration{}:                              http.StatusServiceUnavailable,
+	&flowcontrol.NoRoom{}:                           http.StatusServiceUnavailable,
+	&UnknownRoute{}:                                 http.StatusNotFound,
+	&BodyTooLong{}:                                  http.StatusRequestEntityTooLarge,
+	&HeadTooLong{}:                                  http.StatusRequestHeaderFieldsTooLarge,
+	&BodyBroken{Cause: errCause}:                    http.StatusRequestTimeout,
+	&BudgetSpent{}:                                  http.StatusPaymentRequired,
+	&quorum.UnknownTurn{}:                           http.StatusNotFound,
+	&quorum.KeptElsewhere{}:                         http.StatusServiceUnavailable,
+	&failure.NoPermittedPlace{}:                     http.StatusServiceUnavailable,
 	&StateUnavailable{Cause: &quorum.Unavailable{}}: http.StatusServiceUnavailable,
-	&MajorityAway{}:               http.StatusServiceUnavailable,
-	&Isolated{}:                   http.StatusServiceUnavailable,
-	&quorum.LoanOutstanding{}:     http.StatusServiceUnavailable,
-	&ServiceFull{}:                http.StatusServiceUnavailable,
-	&TimeTooShort{}:               http.StatusServiceUnavailable,
-	&WorkersCold{}:                http.StatusServiceUnavailable,
-	&WorkerCold{}:                 http.StatusServiceUnavailable,
-	&NoWorker{}:                   http.StatusServiceUnavailable,
-	&ZonesDrained{}:               http.StatusServiceUnavailable,
-	&DrainsUnknown{}:              http.StatusServiceUnavailable,
-	&NotEligible{}:                http.StatusServiceUnavailable,
-	&worker.Lost{Cause: errCause}: http.StatusBadGateway,
+	&MajorityAway{}:                                 http.StatusServiceUnavailable,
+	&Isolated{}:                                     http.StatusServiceUnavailable,
+	&quorum.LoanOutstanding{}:                       http.StatusServiceUnavailable,
+	&ServiceFull{}:                                  http.StatusServiceUnavailable,
+	&TimeTooShort{}:                                 http.StatusServiceUnavailable,
+	&WorkersCold{}:                                  http.StatusServiceUnavailable,
+	&WorkerCold{}:                                   http.StatusServiceUnavailable,
+	&NoWorker{}:                                     http.StatusServiceUnavailable,
+	&ZonesDrained{}:                                 http.StatusServiceUnavailable,
+	&DrainsUnknown{}:                                http.StatusServiceUnavailable,
+	&NotEligible{}:                                  http.StatusServiceUnavailable,
+	&worker.Lost{Cause: errCause}:                   http.StatusBadGateway,
 	&worker.Lost{Cause: context.DeadlineExceeded}:     http.StatusGatewayTimeout,
 	&quorum.Unavailable{}:                             http.StatusBadGateway,
 	&worker.NotSent{Cause: errCause}:                  http.StatusServiceUnavailable,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/eligibility"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
@@ -17,12 +19,16 @@
 
 // request is one client attempt on its way through the gateway.
 type request struct {
-	gateway  *Gateway
-	writer   http.ResponseWriter
-	incoming *http.Request
-	envelope Envelope
-	view     *directory.View
-	route    *route.Route
+	gateway *Gateway
+	writer  http.ResponseWriter
+	// out is the writer, and what is held for the client; held bodies count in bodyBytes.
+	// Both are nil where the request comes from no client.
+	out       *clientWriter
+	bodyBytes *flowcontrol.Holder
+	incoming  *http.Request
+	envelope  Envelope
+	view      *directory.View
+	route     *route.Route
 	// tenant is the one that holds the client's key; nil on routes that need none.
 	tenant *route.Tenant
 	// urgency ranks the request among others of its service, 0 first.
@@ -89,8 +95,12 @@
 		// The client is to open its next connection elsewhere.
 		w.Header().Set("Connection", "close")
 	}
+	out := newClientWriter(w, g.answerBytes)
+	defer out.release()
+	bodyBytes := g.bodyBytes.Open(nil)
+	defer bodyBytes.Release()
 	r := &request{
-		gateway: g, writer: w, incoming: incoming, received: time.Now(),
+		gateway: g, writer: out, out: out, bodyBytes: bodyBytes, incoming: incoming, received: time.Now(),
 		envelope: g.options.Dialect.Envelope(incoming.Header),
 		tried:    make(map[string]bool), ran: make(map[string]bool), gone: make(map[string]bool),
 	}
@@ -167,8 +177,12 @@
 	}
 	control := http.NewResponseController(r.writer)
 	_ = control.SetReadDeadline(r.deadline)
-	body, err := readWhole(r.incoming.Body, r.incoming.ContentLength, limit)
+	body, err := r.readWhole(limit)
 	_ = control.SetReadDeadline(time.Time{})
+	var full *flowcontrol.NoRoom
+	if errors.As(err, &full) {
+		return err
+	}
 	if err != nil {
 		return &BodyBroken{Cause: err}
 	}
@@ -179,16 +193,61 @@
 	return nil
 }
 
-// readWhole reads a body of the declared length, or of up to limit bytes and one
-// more where none is declared. A declared one is read into one buffer, without the
-// smaller ones that a growing buffer leaves behind.
-func readWhole(from io.Reader, length, limit int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(io.LimitReader(from, limit+1))
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
+// firstBodyBytes and nextBodyBytes are how much of a body is made room for before any of it has
+// come, and then at least: most are shorter than the second, and a client that declares a long
+// one and sends nothing takes no more than the first.
+const (
+	firstBodyBytes = 4 << 10
+	nextBodyBytes  = 64 << 10
+)
+
+// readWhole reads a body of the declared length, or of up to limit bytes and one more where
+// none is declared, into one buffer that grows with what has come. It fails with
+// *flowcontrol.NoRoom where bodies take all the memory that they may.
+func (r *request) readWhole(limit int64) ([]byte, error) {
+	length, most := r.incoming.ContentLength, limit+1
+	if length >= 0 {
+		most = length
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := int(min(most, nextStep(cap(body))))
+			if err := r.takeBody(grown - cap(body)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		count, err := r.incoming.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case int64(len(body)) == most:
+			return body, nil
+		case err == io.EOF && length >= 0:
+			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// nextStep returns the size of a body's next buffer.
+func nextStep(size int) int64 {
+	if size == 0 {
+		return firstBodyBytes
+	}
+	return max(nextBodyBytes, 2*int64(size))
+}
+
+// takeBody counts bytes that the request is to hold, if there is room for them.
+func (r *request) takeBody(bytes int) error {
+	if r.bodyBytes == nil || r.bodyBytes.TryTake(bytes) {
+		return nil
+	}
+	r.gateway.metrics.cutOff(bodySide, noRoom)
+	return &flowcontrol.NoRoom{Wanted: bytes, Limit: r.gateway.bodyBytes.Limit()}
 }
 
 // refuse gives the final answer for a failure of the gateway's own, unless the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -207,11 +207,20 @@
 		r.events++
 		if r.route.Stateful {
 			s.output = append(append(s.output, event.data...), '\n')
+			r.holdOutput(len(event.data) + 1)
 		}
 	}
 	return nil
 }
 
+// holdOutput counts what a kept turn has said until it is kept. It was said, so that it must be
+// held; requests that come find less room.
+func (r *request) holdOutput(bytes int) {
+	if r.bodyBytes != nil {
+		r.bodyBytes.Force(bytes)
+	}
+}
+
 // begin sends the head of the first attempt that answers.
 func (s *stream) begin(one *attempt) {
 	if s.begun {
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -263,7 +263,14 @@
 	if len(chain) > 0 && !r.gateway.quorum.SamePlace(quorum.ScopeOf(chain[0]), scope) {
 		r.adopted = chain
 	}
-	var prompt []byte
+	size := len(r.body)
+	for _, before := range chain {
+		size += len(before.Input) + len(before.Output)
+	}
+	if err := r.takeBody(size - len(r.body)); err != nil {
+		return err
+	}
+	prompt := make([]byte, 0, size)
 	for i := len(chain) - 1; i >= 0; i-- {
 		prompt = append(prompt, chain[i].Input...)
 		prompt = append(prompt, chain[i].Output...)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -284,7 +284,7 @@
 		observations: newObservations(time.Now), grants: r.grants,
 	}
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
-	server := &http.Server{Handler: bound}
+	server := &http.Server{Handler: bound, WriteTimeout: transport.PeerWriteTimeout}
 	go func() {
 		<-stop.Done()
 		r.handSeatsOver(ctx)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -25,6 +25,9 @@
 	DialTimeout time.Duration
 	// UserTimeout is how long sent data may stay unacknowledged.
 	UserTimeout time.Duration
+	// ReceiveBuffer is about half of what the system holds of what the peer sent and was not
+	// read; 0 leaves that to the system, which may hold megabytes.
+	ReceiveBuffer int
 }
 
 // NewDialer returns a dialer for the options.
@@ -35,30 +38,64 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, connection syscall.RawConn) error {
-			return connection.Control(func(descriptor uintptr) { setUserTimeout(descriptor, options.UserTimeout) })
+			return connection.Control(func(descriptor uintptr) {
+				setUserTimeout(descriptor, options.UserTimeout)
+				if options.ReceiveBuffer > 0 {
+					// Best effort: without it the system holds more.
+					_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, options.ReceiveBuffer)
+				}
+			})
 		},
 	}
 }
 
 // Listen opens a listener whose accepted connections notice a silent peer.
 func Listen(ctx context.Context, address string, userTimeout time.Duration) (net.Listener, error) {
+	return ListenBounded(ctx, address, userTimeout, 0)
+}
+
+// ListenBounded is Listen for peers that may read slowly: the system holds about twice
+// sendBuffer bytes for a connection; 0 leaves that to the system, which may hold megabytes.
+func ListenBounded(ctx context.Context, address string, userTimeout time.Duration, sendBuffer int) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 		Control: func(_, _ string, connection syscall.RawConn) error {
-			return connection.Control(func(descriptor uintptr) { setUserTimeout(descriptor, userTimeout) })
+			return connection.Control(func(descriptor uintptr) {
+				setUserTimeout(descriptor, userTimeout)
+				if sendBuffer > 0 {
+					// Best effort: accepted connections inherit it.
+					_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+				}
+			})
 		},
 	}
 	return config.Listen(ctx, "tcp4", address)
 }
 
+// SetUserTimeout changes how long what is sent on a connection may stay unacknowledged. A peer
+// that does not read counts like one that is gone.
+func SetUserTimeout(connection net.Conn, timeout time.Duration) {
+	if tcp, is := connection.(syscall.Conn); is {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			// A connection that has ended has no timeout to set.
+			_ = raw.Control(func(descriptor uintptr) { setUserTimeout(descriptor, timeout) })
+		}
+	}
+}
+
 // setUserTimeout is best effort: without the option the keep-alive probes find
 // a silent peer later.
 func setUserTimeout(descriptor uintptr, timeout time.Duration) {
 	_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
+// PeerWriteTimeout is how long an answer to another daemon may take from the call's head on,
+// with what the call waits for: a daemon that stands still must not hold the bytes that it does
+// not read, and asks again when it goes on. Calls wait for a second or two at most.
+const PeerWriteTimeout = 10 * time.Second
+
 const (
 	idleConnections = 32
 	idleTimeout     = 30 * time.Second
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -31,6 +31,8 @@
 type Lost struct {
 	// Cause is how the connection ended.
 	Cause error
+	// BodyUnread is set where the worker had not read the whole body by then.
+	BodyUnread bool
 }
 
 func (e *Lost) Error() string { return fmt.Sprintf("no answer from the worker: %v", e.Cause) }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -9,12 +9,18 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
 	// inlineBodyBytes is the size up to which a body is written before the
 	// answer is read. A worker may answer a longer one before it has read it.
 	inlineBodyBytes = 16 << 10
+	// longBodyUserTimeout is how long a worker may read nothing of a body that is longer than
+	// inlineBodyBytes. The system cannot tell one that pauses from one that is gone, and a
+	// request that was cut off may not be sent again.
+	longBodyUserTimeout = 3 * time.Second
 	// surplusBytes bounds the surplus answer that is skipped before the own one.
 	surplusBytes = 256 << 10
 	// maxSurplus is how many surplus answers are skipped.
@@ -114,7 +120,7 @@
 		if !sent() {
 			return nil, &NotSent{Cause: err}
 		}
-		return nil, &Lost{Cause: err}
+		return nil, &Lost{Cause: err, BodyUnread: !writtenWhole(written)}
 	}
 	p.answered(address)
 	answer.pool, answer.written, answer.stop = p, written, stop
@@ -166,6 +172,7 @@
 		result <- err
 	}
 	if bodyBytes > inlineBodyBytes {
+		c.beginLongBody()
 		go send()
 		return result, func() bool { return true }
 	}
@@ -173,6 +180,22 @@
 	return result, func() bool { return counting.count > 0 }
 }
 
+// beginLongBody gives the worker more time to read what is sent, until endLongBody.
+func (c *connection) beginLongBody() {
+	if c.userTimeout > 0 && c.userTimeout < longBodyUserTimeout {
+		c.longBody = true
+		transport.SetUserTimeout(c.Conn, longBodyUserTimeout)
+	}
+}
+
+// endLongBody takes beginLongBody back.
+func (c *connection) endLongBody() {
+	if c.longBody {
+		c.longBody = false
+		transport.SetUserTimeout(c.Conn, c.userTimeout)
+	}
+}
+
 // read returns the answer that names the request. Surplus answers to earlier
 // requests are skipped.
 func (c *connection) read(request *Request, outgoing *http.Request, readHead ReadHead) (*Answer, error) {
@@ -231,16 +254,18 @@
 // and the answer read whole, and the worker keeps it too.
 func (a *Answer) Close() {
 	undisturbed := a.stop()
-	if !undisturbed || !a.whole.done || a.response.Close || !a.requestWritten() {
+	if !undisturbed || !a.whole.done || a.response.Close || !writtenWhole(a.written) {
 		a.pool.discard(a.used)
 		return
 	}
+	a.used.endLongBody()
 	a.pool.put(a.used, a.Header)
 }
 
-func (a *Answer) requestWritten() bool {
+// writtenWhole reports whether a request was written to its end.
+func writtenWhole(written <-chan error) bool {
 	select {
-	case err := <-a.written:
+	case err := <-written:
 		return err == nil
 	default:
 		return false
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -30,6 +32,9 @@
 // Pool keeps the connections to all workers. It is safe for concurrent use.
 type Pool struct {
 	dialer *net.Dialer
+	// userTimeout is how long the dialer's connections may leave what is sent unacknowledged;
+	// 0 leaves that as it is for each request.
+	userTimeout time.Duration
 
 	mutex sync.Mutex
 	hosts map[string]*host
@@ -57,11 +62,21 @@
 	kept bool
 	// usableUntil ends the time in which an idle connection may be used.
 	usableUntil time.Time
+	// userTimeout is the pool's; longBody is set while a longer one is in force.
+	userTimeout time.Duration
+	longBody    bool
 }
 
 // NewPool returns an empty pool.
 func NewPool(dialer *net.Dialer) *Pool { return &Pool{dialer: dialer, hosts: make(map[string]*host)} }
 
+// NewPoolWith returns an empty pool of connections that notice a silent worker.
+func NewPoolWith(options transport.Options) *Pool {
+	pool := NewPool(transport.NewDialer(options))
+	pool.userTimeout = options.UserTimeout
+	return pool
+}
+
 // get returns a kept connection to one life of a worker, or opens one if fewer than limit are
 // open. One that was opened to another life is closed: behind a cut it says nothing of its end.
 func (p *Pool) get(ctx context.Context, address, life string, limit int) (*connection, error) {
@@ -84,7 +99,7 @@
 		p.release(address)
 		return nil, err
 	}
-	return &connection{Conn: dialed, address: address, life: life, reader: bufio.NewReaderSize(dialed, readerBytes), dialed: time.Since(began)}, nil
+	return &connection{Conn: dialed, address: address, life: life, reader: bufio.NewReaderSize(dialed, readerBytes), dialed: time.Since(began), userTimeout: p.userTimeout}, nil
 }
 
 // take returns the connection that was used last, or counts a new one.
