--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -10,10 +10,10 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 )
 
-func workers(count int) []directory.Listed {
-	var listed []directory.Listed
+func workers(count int) []*directory.Listed {
+	var listed []*directory.Listed
 	for i := range count {
-		listed = append(listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("w%d", i)}})
+		listed = append(listed, &directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("w%d", i)}})
 	}
 	return listed
 }
@@ -23,7 +23,7 @@
 	return &now, func() time.Time { return now }
 }
 
-func choose(t *testing.T, b *Balancer, listed []directory.Listed, request Request) string {
+func choose(t *testing.T, b *Balancer, listed []*directory.Listed, request Request) string {
 	chosen, found := b.Choose(listed, request)
 	require.True(t, found)
 	return chosen.ID
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -37,7 +37,7 @@
 // choice is one request's choice out of a list.
 type choice struct {
 	now     time.Time
-	workers []directory.Listed
+	workers []*directory.Listed
 	request Request
 	// homeListed and homeTried count the workers of the own region that are listed, and those
 	// of them that the request is not to go to again.
@@ -45,7 +45,7 @@
 }
 
 // at returns the worker of a candidate.
-func (c *choice) at(each *candidate) *directory.Listed { return &c.workers[each.index] }
+func (c *choice) at(each *candidate) *directory.Listed { return c.workers[each.index] }
 
 // candidate is a worker of a choice's list.
 type candidate struct {
@@ -78,7 +78,7 @@
 
 // Choose returns a worker and counts the request as under way there, or false
 // if there is none. Done must be called for it.
-func (b *Balancer) Choose(workers []directory.Listed, request Request) (Decision, bool) {
+func (b *Balancer) Choose(workers []*directory.Listed, request Request) (Decision, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.turn++
@@ -139,7 +139,7 @@
 	b.field, b.paces = b.field[:0], b.paces[:0]
 	several := b.places.SeveralRegions()
 	for i := range choice.workers {
-		worker := &choice.workers[i]
+		worker := choice.workers[i]
 		known := b.record[worker.ID]
 		if known == nil {
 			known = &unseen
--- a/internal/balance/large_test.go
+++ b/internal/balance/large_test.go
@@ -12,15 +12,15 @@
 )
 
 // spreadOver returns so many workers, dealt out over so many zones.
-func spreadOver(workers, zones int) []directory.Listed {
-	listed := make([]directory.Listed, workers)
+func spreadOver(workers, zones int) []*directory.Listed {
+	listed := make([]*directory.Listed, workers)
 	for i := range listed {
-		listed[i].Worker = directory.Worker{ID: fmt.Sprintf("worker-%05d", i), Zone: fmt.Sprintf("zone-%d", i%zones)}
+		listed[i] = &directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("worker-%05d", i), Zone: fmt.Sprintf("zone-%d", i%zones)}}
 	}
 	return listed
 }
 
-func benchmarkChoice(b *testing.B, balancer *Balancer, listed []directory.Listed) {
+func benchmarkChoice(b *testing.B, balancer *Balancer, listed []*directory.Listed) {
 	b.ReportAllocs()
 	for turn := 0; b.Loop(); turn++ {
 		chosen, _ := balancer.Choose(listed, Request{Service: "s", Affinity: "program"})
--- a/internal/balance/model_test.go
+++ b/internal/balance/model_test.go
@@ -135,7 +135,7 @@
 	queue    modelQueue
 	events   int
 	gateways map[string][]*Balancer
-	listed   []directory.Listed
+	listed   []*directory.Listed
 	running  map[string]int
 	// prompts is the worker that had a program's last turn.
 	prompts map[string]string
@@ -169,7 +169,7 @@
 			m.gateways[region] = append(m.gateways[region], balancer)
 		}
 		for i := range modelWorkers {
-			m.listed = append(m.listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprint(region, "-", i), Zone: fmt.Sprint(region, 1+i%2)}})
+			m.listed = append(m.listed, &directory.Listed{Worker: directory.Worker{ID: fmt.Sprint(region, "-", i), Zone: fmt.Sprint(region, 1+i%2)}})
 		}
 	}
 	return m
@@ -208,7 +208,7 @@
 }
 
 // workers returns those that are listed now.
-func (m *model) workers() []directory.Listed {
+func (m *model) workers() []*directory.Listed {
 	if !m.inTrouble() {
 		return m.listed
 	}
--- a/internal/balance/near_test.go
+++ b/internal/balance/near_test.go
@@ -11,11 +11,11 @@
 )
 
 // zonedWorkers returns so many workers in each of the zones "a" to "f".
-func zonedWorkers(each int) []directory.Listed {
-	var listed []directory.Listed
+func zonedWorkers(each int) []*directory.Listed {
+	var listed []*directory.Listed
 	for _, zone := range []string{"a", "b", "c", "d", "e", "f"} {
 		for i := range each {
-			listed = append(listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("%s%d", zone, i), Zone: zone}})
+			listed = append(listed, &directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("%s%d", zone, i), Zone: zone}})
 		}
 	}
 	return listed
@@ -23,7 +23,7 @@
 
 // zonesUsed sends requests one after another, so many a second, and returns how many
 // went to each zone.
-func zonesUsed(t *testing.T, b *Balancer, now *time.Time, listed []directory.Listed, perSecond float64) map[string]int {
+func zonesUsed(t *testing.T, b *Balancer, now *time.Time, listed []*directory.Listed, perSecond float64) map[string]int {
 	zones := make(map[string]int)
 	for n := range 400 {
 		*now = now.Add(time.Duration(float64(time.Second) / perSecond))
--- a/internal/balance/reference_test.go
+++ b/internal/balance/reference_test.go
@@ -18,12 +18,12 @@
 // listedCandidate and the functions after it are the choice within one region, written for
 // clearness: all lists are made, and ordered by rank. Choose must agree with it.
 type listedCandidate struct {
-	worker directory.Listed
+	worker *directory.Listed
 	load   int
 	rank   uint64
 }
 
-func (b *Balancer) chooseByLists(workers []directory.Listed, request Request) (directory.Worker, bool) {
+func (b *Balancer) chooseByLists(workers []*directory.Listed, request Request) (directory.Worker, bool) {
 	b.turn++
 	b.rateOf(request.Service).count(b.now())
 	candidates := b.listCandidates(workers, request)
@@ -39,7 +39,7 @@
 }
 
 // zonesOf returns how many workers each zone has.
-func zonesOf(workers []directory.Listed) map[string]int {
+func zonesOf(workers []*directory.Listed) map[string]int {
 	zones := make(map[string]int)
 	for _, worker := range workers {
 		zones[worker.Zone]++
@@ -68,7 +68,7 @@
 
 // listCandidates returns the workers that may be chosen, by rank. Ejected and slow
 // workers are left out, unless they are more than maxEjected of the service.
-func (b *Balancer) listCandidates(workers []directory.Listed, request Request) []listedCandidate {
+func (b *Balancer) listCandidates(workers []*directory.Listed, request Request) []listedCandidate {
 	now := b.now()
 	typical := b.typicalPaceOfList(now, workers)
 	var usable, lapsed, ejected []listedCandidate
@@ -168,7 +168,7 @@
 
 // typicalPaceOfList is the median of the known paces; 0 where fewer than three are
 // known.
-func (b *Balancer) typicalPaceOfList(now time.Time, workers []directory.Listed) float64 {
+func (b *Balancer) typicalPaceOfList(now time.Time, workers []*directory.Listed) float64 {
 	const enough = 3
 	var known []float64
 	for _, worker := range workers {
@@ -196,10 +196,10 @@
 		zone := rapid.SampledFrom([]string{"", "a"}).Draw(t, "zone")
 		places := distance.NewPlaces("a", rapid.SampledFrom(oneRegion).Draw(t, "regions"))
 		made, wanted := NewAmong(clock, zone, distance.NewTimes(places), places), New(clock, zone)
-		listed := make([]directory.Listed, rapid.IntRange(0, 24).Draw(t, "workers"))
+		listed := make([]*directory.Listed, rapid.IntRange(0, 24).Draw(t, "workers"))
 		for i := range listed {
 			id := fmt.Sprint("w", i)
-			listed[i].Worker = directory.Worker{ID: id, Address: id, Zone: string(rune('a' + i%4))}
+			listed[i] = &directory.Listed{Worker: directory.Worker{ID: id, Address: id, Zone: string(rune('a' + i%4))}}
 			listed[i].Lapsed = rapid.IntRange(0, 9).Draw(t, "lapsed") == 0
 		}
 		connected := func(address string) bool { return len(address)%2 == 0 }
--- a/internal/balance/spill_test.go
+++ b/internal/balance/spill_test.go
@@ -13,11 +13,11 @@
 )
 
 // regionWorkers returns so many workers in each of the zones of modelRegions.
-func regionWorkers(each int) []directory.Listed {
-	var listed []directory.Listed
+func regionWorkers(each int) []*directory.Listed {
+	var listed []*directory.Listed
 	for _, zone := range []string{"a1", "a2", "b1", "b2", "c1", "c2"} {
 		for i := range each {
-			listed = append(listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprint(zone, "-", i), Zone: zone}})
+			listed = append(listed, &directory.Listed{Worker: directory.Worker{ID: fmt.Sprint(zone, "-", i), Zone: zone}})
 		}
 	}
 	return listed
@@ -33,7 +33,7 @@
 	return NewAmong(clock, zone, times, places)
 }
 
-func decide(t *testing.T, b *Balancer, listed []directory.Listed, request Request) Decision {
+func decide(t *testing.T, b *Balancer, listed []*directory.Listed, request Request) Decision {
 	decision, found := b.Choose(listed, request)
 	require.True(t, found)
 	return decision
@@ -62,7 +62,7 @@
 	_, clock := fixed()
 	b := inZone(clock, "a1")
 	all := regionWorkers(2)
-	var elsewhere []directory.Listed
+	var elsewhere []*directory.Listed
 	for _, each := range all {
 		if modelRegions[each.Zone] == "b" {
 			elsewhere = append(elsewhere, each)
--- a/internal/coldstart/compare_test.go
+++ b/internal/coldstart/compare_test.go
@@ -91,11 +91,11 @@
 func TestTheChoiceAloneSendsAHerdToAWorkerThatReturns(t *testing.T) {
 	const gateways, underWay, workers = 68, 8, 6
 	now := time.Unix(1000, 0)
-	var listed []directory.Listed
+	var listed []*directory.Listed
 	for i := range workers {
-		listed = append(listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("w%d", i)}})
+		listed = append(listed, &directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("w%d", i)}})
 	}
-	back := directory.Listed{Worker: directory.Worker{ID: "back"}}
+	back := &directory.Listed{Worker: directory.Worker{ID: "back"}}
 	sent := 0
 	for range gateways {
 		chooses := balance.New(func() time.Time { return now }, "")
@@ -105,7 +105,7 @@
 			}
 		}
 		for number := range underWay - 2 {
-			chosen, found := chooses.Choose(append([]directory.Listed{back}, listed...), balance.Request{Affinity: fmt.Sprint("program-", number), Service: "model"})
+			chosen, found := chooses.Choose(append([]*directory.Listed{back}, listed...), balance.Request{Affinity: fmt.Sprint("program-", number), Service: "model"})
 			require.True(t, found)
 			if chosen.ID == back.ID {
 				sent++
--- a/internal/coldstart/tracker.go
+++ b/internal/coldstart/tracker.go
@@ -164,6 +164,11 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	declared := declaredIn(view)
+	if len(declared) == 0 && len(t.workers) == 0 && len(t.followed) == 0 {
+		t.drains = view.Drains
+		t.state.Store(&state{view: view})
+		return
+	}
 	for service := range t.followed {
 		if _, found := declared[service]; !found {
 			delete(t.followed, service)
@@ -171,8 +176,8 @@
 	}
 	t.taken++
 	for service, cold := range declared {
-		for _, each := range view.Workers[service] {
-			t.take(each, view.Heard[each.ID], cold, view.Drains)
+		for each := range view.Workers.Of(service) {
+			t.take(each, view.Heard(each), cold, view.Drains)
 		}
 		if view.Workers != nil {
 			t.followed[service] = true
@@ -203,7 +208,7 @@
 }
 
 // take takes one worker of a view. The mutex is held.
-func (t *Tracker) take(listed directory.Listed, heard time.Time, cold route.Cold, drains directory.ZoneDrains) {
+func (t *Tracker) take(listed *directory.Listed, heard time.Time, cold route.Cold, drains directory.ZoneDrains) {
 	now := t.now()
 	known := t.workers[listed.ID]
 	if known == nil || known.service != listed.Service || known.address != listed.Address {
@@ -221,7 +226,7 @@
 }
 
 // meet begins to keep a worker. The mutex is held.
-func (t *Tracker) meet(listed directory.Listed, heard time.Time, cold route.Cold, now time.Time) *standing {
+func (t *Tracker) meet(listed *directory.Listed, heard time.Time, cold route.Cold, now time.Time) *standing {
 	known := &standing{
 		service: listed.Service, address: listed.Address, zone: listed.Zone, heard: heard,
 		left: listed.ColdLeft, told: heard.Add(listed.ColdLeft),
@@ -238,7 +243,7 @@
 
 // hear takes a worker's next entry. One that may have been written before the worker was
 // doubted does not end the doubt.
-func (s *standing) hear(listed directory.Listed, heard time.Time) {
+func (s *standing) hear(listed *directory.Listed, heard time.Time) {
 	s.heard, s.left, s.zone = heard, listed.ColdLeft, listed.Zone
 	s.told = heard.Add(listed.ColdLeft)
 	if !heard.Before(s.doubted.Add(EntryAge)) {
--- a/internal/coldstart/tracker_test.go
+++ b/internal/coldstart/tracker_test.go
@@ -31,7 +31,7 @@
 	h.tracker = NewTracker(clock, func(reason Reason, workers []string) {
 		h.begun = append(h.begun, fmt.Sprintf("%s %v", reason, workers))
 	})
-	h.state = directory.NewState(clock, h.tracker.Take)
+	h.state = directory.NewState(clock, func(view *directory.View, _ directory.WorkerUpdate) { h.tracker.Take(view) })
 	h.state.OfferConfiguration(&route.Configuration{Version: 1, Services: map[string]route.Service{
 		"model": {Name: "model", Cold: cold}, "tools": {Name: "tools"},
 	}})
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -76,9 +76,9 @@
 
 // LogChanges returns a function that logs how each view differs from the one
 // before it.
-func LogChanges() func(*View) {
+func LogChanges() func(*View, WorkerUpdate) {
 	before := &View{}
-	return func(next *View) {
+	return func(next *View, update WorkerUpdate) {
 		if next.Table != before.Table {
 			eventConfiguration.Log("version", next.Table.Version(), "routes", len(next.Table.Configuration().Routes))
 		}
@@ -87,7 +87,7 @@
 				eventGroup.Log("partition", partition, "epoch", group.Epoch, "members", memberNodes(group))
 			}
 		}
-		logWorkers(before, next)
+		logWorkers(update)
 		logZoneDrains(before.Drains, next.Drains)
 		before = next
 	}
@@ -107,35 +107,19 @@
 	return nodes
 }
 
-func logWorkers(before, next *View) {
-	known := make(map[string]bool)
-	for _, workers := range before.Workers {
-		for _, worker := range workers {
-			known[worker.ID] = worker.Lapsed
-		}
-	}
-	var in, lapsed []string
-	for _, workers := range next.Workers {
-		for _, worker := range workers {
-			wasLapsed, found := known[worker.ID]
-			delete(known, worker.ID)
-			switch {
-			case worker.Lapsed && !wasLapsed:
-				lapsed = append(lapsed, worker.ID)
-			case !worker.Lapsed && (!found || wasLapsed):
-				in = append(in, worker.ID)
-			}
-		}
-	}
-	out := make([]string, 0, len(known))
-	for id := range known {
-		out = append(out, id)
-	}
-	if len(in)+len(out)+len(lapsed) > 0 {
-		eventWorkers.Log("in", in, "out", out, "lapsed", lapsed)
+func logWorkers(update WorkerUpdate) {
+	if len(update.In)+len(update.Out)+len(update.Lapsed) > 0 {
+		eventWorkers.Log("in", named(update.In), "out", named(update.Out), "lapsed", named(update.Lapsed),
+			"in_count", len(update.In), "out_count", len(update.Out), "lapsed_count", len(update.Lapsed))
 	}
 }
 
+// maxNamed is how many workers one line names: a whole fleet that comes in at once would be
+// hundreds of kilobytes in each process.
+const maxNamed = 20
+
+func named(workers []string) []string { return workers[:min(maxNamed, len(workers))] }
+
 // Feed follows kinds of objects in the platform's store into a State.
 type Feed struct {
 	objects Objects
--- a/internal/directory/feed_test.go
+++ b/internal/directory/feed_test.go
@@ -79,7 +79,7 @@
 func TestWorkersAndGroupAreListedOnce(t *testing.T) {
 	state := NewState(time.Now, nil)
 	NewFeed(listedObjects{}, state, Hearing).ListRest(t.Context())
-	require.Len(t, state.View().Workers["s"], 1)
+	require.Len(t, state.View().Workers.All("s"), 1)
 	require.EqualValues(t, 3, state.Group(0).Epoch)
 	require.EqualValues(t, 5, state.WorkersRevision())
 }
--- a/internal/directory/life.go
+++ b/internal/directory/life.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -48,14 +49,10 @@
 	return true
 }
 
-// forget drops instances that are not listed, once there are many.
-func (l lives) forget(listed map[string]Worker) {
-	if len(l) <= len(listed)+maxUnlistedLives {
+// forget drops instances that are not listed, once they may be many.
+func (l lives) forget(listed func(instance string) bool) {
+	if len(l) <= maxUnlistedLives {
 		return
 	}
-	for instance := range l {
-		if _, found := listed[instance]; !found {
-			delete(l, instance)
-		}
-	}
+	maps.DeleteFunc(l, func(instance string, _ int64) bool { return !listed(instance) })
 }
--- a/internal/directory/life_test.go
+++ b/internal/directory/life_test.go
@@ -23,7 +23,7 @@
 
 // ids returns the lives of a view's workers.
 func ids(state *State) (listed []string) {
-	for _, each := range state.View().Workers["s"] {
+	for _, each := range state.View().Workers.All("s") {
 		listed = append(listed, each.ID)
 	}
 	return listed
@@ -45,8 +45,11 @@
 	state.OfferWorkers([]Worker{life("a", 1), life("b", 1)}, 5)
 	state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 6)
 	require.ElementsMatch(t, []string{"a@2", "b@1"}, ids(state), "the former life is not even a last resort")
-	require.NotContains(t, state.View().Heard, "a@1")
-	require.Contains(t, state.View().Heard, "a@2")
+	_, former := state.View().Workers.Find("a@1")
+	require.False(t, former)
+	present, found := state.View().Workers.Find("a@2")
+	require.True(t, found)
+	require.False(t, state.View().Heard(present).IsZero())
 	state.OfferWorkers([]Worker{life("a", 3), life("b", 1)}, 9)
 	require.ElementsMatch(t, []string{"a@3", "b@1"}, ids(state))
 }
@@ -128,8 +131,8 @@
 		require.Equal(t, []string{"b@1"}, ids(first), name)
 		require.Equal(t, []string{"a"}, first.WorkerChanges(5).Gone, name)
 		second.OfferWorkerList(first.WorkerChanges(5))
-		require.Len(t, second.View().Workers["s"], 2, "a last resort for a moment")
-		for _, each := range second.View().Workers["s"] {
+		require.Len(t, second.View().Workers.All("s"), 2, "a last resort for a moment")
+		for _, each := range second.View().Workers.All("s") {
 			require.Equal(t, each.Instance == "a", each.Lapsed, name)
 		}
 	}
@@ -140,8 +143,7 @@
 	for i := range int64(maxUnlistedLives + 10) {
 		known.admits(life(fmt.Sprint("w", i), i+1), time.Now())
 	}
-	listed := map[string]Worker{"w1": life("w1", 2)}
-	known.forget(listed)
+	known.forget(func(instance string) bool { return instance == "w1" })
 	require.Equal(t, lives{"w1": 2}, known)
 }
 
--- a/internal/directory/state_test.go
+++ b/internal/directory/state_test.go
@@ -33,11 +33,11 @@
 	state := NewState(time.Now, nil)
 	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 10)
 	state.OfferWorkers(nil, 9)
-	require.Len(t, state.View().Workers["s"], 1)
+	require.Len(t, state.View().Workers.All("s"), 1)
 	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Instance: "a", Service: "s", Draining: true}}}}, 11)
-	require.Empty(t, state.View().Workers["s"], "draining workers take no new work")
+	require.Empty(t, state.View().Workers.All("s"), "draining workers take no new work")
 	state.ChangeWorkers([]Change{{Object: Object{Name: "a", Worker: &Worker{ID: "a", Instance: "a", Service: "s"}}}}, 8)
-	require.Empty(t, state.View().Workers["s"])
+	require.Empty(t, state.View().Workers.All("s"))
 }
 
 func TestAWorkerThatGoesWithoutNoticeIsALastResortForAWhile(t *testing.T) {
@@ -51,21 +51,27 @@
 	state := NewState(clock, nil)
 	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}, {ID: "b", Instance: "b", Service: "s", Draining: true}}, 1)
 	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}, {Object: Object{Name: "b"}, Gone: true}}, 2)
-	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Instance: "a", Service: "s"}, Lapsed: true}}, state.View().Workers["s"])
+	last := state.View().Workers.All("s")
+	require.Len(t, last, 1)
+	require.Equal(t, Worker{ID: "a", Instance: "a", Service: "s"}, last[0].Worker)
+	require.True(t, last[0].Lapsed)
 	mutex.Lock()
 	now = now.Add(lapseGrace)
 	mutex.Unlock()
 	state.expire()
-	require.Empty(t, state.View().Workers["s"])
+	require.Empty(t, state.View().Workers.All("s"))
 }
 
 func TestAWorkerThatComesBackIsNoLongerLapsed(t *testing.T) {
 	state := NewState(time.Now, nil)
 	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 1)
 	state.OfferWorkers(nil, 2)
-	require.True(t, state.View().Workers["s"][0].Lapsed)
+	require.True(t, state.View().Workers.All("s")[0].Lapsed)
 	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}}, 3)
-	require.Equal(t, []Listed{{Worker: Worker{ID: "a", Instance: "a", Service: "s"}}}, state.View().Workers["s"])
+	back := state.View().Workers.All("s")
+	require.Len(t, back, 1)
+	require.Equal(t, Worker{ID: "a", Instance: "a", Service: "s"}, back[0].Worker)
+	require.False(t, back[0].Lapsed)
 }
 
 func TestAListPassedOnByAnotherProcessIsTakenOver(t *testing.T) {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -1,10 +1,12 @@
 package directory
 
 import (
-	"maps"
+	"iter"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unique"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/route"
@@ -19,11 +21,11 @@
 type View struct {
 	// Table is nil until a configuration is known.
 	Table *route.Table
-	// Workers are the workers of each service, by id.
-	Workers map[string][]Listed
-	// Heard is when this process last heard each worker's entry, by its own clock; the
-	// entry was written before. Lapsed workers are not in it.
-	Heard map[string]time.Time
+	// Workers are those of all services; nil until a list was heard.
+	Workers *Workers
+	// WorkersListed is when the last whole list of workers was heard: it has each worker's
+	// entry anew, also those that did not change.
+	WorkersListed time.Time
 	// Groups are those of all partitions, by partition; empty until one is known, and
 	// nil for those that are not.
 	Groups []*replicav1.Group
@@ -48,12 +50,23 @@
 	return epochs
 }
 
-// Listed is a worker of a view.
-type Listed struct {
-	Worker
-	// Lapsed workers are no longer listed and went without notice; they take
-	// work only where no other worker is left.
-	Lapsed bool
+// Heard returns when this process last heard a worker's entry, by its own clock; the zero time
+// for a lapsed worker, which has none.
+func (v *View) Heard(worker *Listed) time.Time {
+	switch {
+	case worker.Lapsed:
+		return time.Time{}
+	case v.WorkersListed.After(worker.Heard):
+		return v.WorkersListed
+	}
+	return worker.Heard
+}
+
+// WorkerUpdate is how the workers of a view differ from those of the view before it, by ID.
+type WorkerUpdate struct {
+	// In may take work and could not before, or only as a last resort; Out may not any more;
+	// Lapsed have become a last resort.
+	In, Out, Lapsed []string
 }
 
 // State builds views out of what several sources tell. A configuration and a
@@ -61,32 +74,53 @@
 type State struct {
 	view atomic.Pointer[View]
 	now  func() time.Time
+	// after runs a function after a time, on a goroutine of its own.
+	after func(time.Duration, func())
 
 	mutex sync.Mutex
 	// news is closed, and replaced, with each new view.
 	news chan struct{}
 	// workers are those that are listed, by instance.
-	workers map[string]Worker
-	lives   lives
-	// heard is when each worker's entry was last heard.
-	heard           map[string]time.Time
+	workers map[string]*listing
+	// listings counts the whole lists that were taken.
+	listings uint64
+	lives    lives
+	// usable are those that may take work, lapsed ones among them.
+	usable          *workerTrees
 	workersRevision int64
 	history         workerHistory
-	lapsed          map[string]lapsedWorker
-	changed         func(*View)
+	// lapsed are by instance; expiring is set while a timer is to look for those whose time is
+	// over.
+	lapsed   map[string]lapsedWorker
+	expiring bool
+	// touched is how each worker that has changed since the last view stood in it; nil is
+	// not at all.
+	touched map[string]*Listed
+	changed func(*View, WorkerUpdate)
+	// encoded are the lists that were passed on of the present revision, by the revision
+	// that they follow.
+	encoded map[int64]*replicav1.WorkerList
+}
+
+// listing is the entry of one instance.
+type listing struct {
+	*Listed
+	// inList is the last whole list that had it.
+	inList uint64
 }
 
 type lapsedWorker struct {
-	worker Worker
-	until  time.Time
+	id    string
+	until time.Time
 }
 
 // NewState returns a state that knows nothing. changed, if not nil, is told of
 // each new view, one at a time.
-func NewState(now func() time.Time, changed func(*View)) *State {
+func NewState(now func() time.Time, changed func(*View, WorkerUpdate)) *State {
 	state := &State{
-		now: now, changed: changed, news: make(chan struct{}),
-		workers: make(map[string]Worker), lives: make(lives), lapsed: make(map[string]lapsedWorker), heard: make(map[string]time.Time),
+		now: now, after: func(wait time.Duration, run func()) { time.AfterFunc(wait, run) }, changed: changed, news: make(chan struct{}),
+		workers: make(map[string]*listing), lives: make(lives), lapsed: make(map[string]lapsedWorker),
+		usable: newWorkerTrees(), touched: make(map[string]*Listed),
 	}
 	state.view.Store(&View{})
 	return state
@@ -150,46 +184,53 @@
 // OfferWorkers takes a whole list if its revision is later than what is known. unusable are
 // the instances whose entries name no worker to use.
 func (s *State) OfferWorkers(workers []Worker, revision int64, unusable ...Unusable) {
+	s.offerWorkers(slices.Values(workers), revision, unusable)
+}
+
+func (s *State) offerWorkers(workers iter.Seq[Worker], revision int64, unusable []Unusable) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if revision <= s.workersRevision {
 		return
 	}
-	listed, now := make(map[string]Worker, len(workers)), s.now()
-	for _, worker := range workers {
-		if !s.lives.admits(worker, now) {
-			known, found := s.workers[worker.Instance]
-			if !found {
-				continue
-			}
-			worker = known
-		}
-		listed[worker.Instance] = worker
-	}
-	var changes []Change
+	s.listings++
+	now := s.now()
+	changes := s.takeListed(workers, now)
 	for _, entry := range unusable {
-		if known, found := s.workers[entry.Name]; found {
-			s.drop(known)
+		if _, found := s.workers[entry.Name]; found {
+			s.drop(entry.Name)
 			changes = append(changes, Change{Object: Object{Name: entry.Name}, Gone: true})
 		}
 	}
-	for instance, worker := range s.workers {
-		if _, found := listed[instance]; !found {
-			s.lapse(worker)
+	for instance, known := range s.workers {
+		if known.inList != s.listings {
+			s.drop(instance)
+			s.lapse(known.Worker)
 			changes = append(changes, Change{Object: Object{Name: instance}, Gone: true})
 		}
 	}
-	clear(s.heard)
-	for instance, worker := range listed {
-		s.heard[worker.ID] = now
-		if known, found := s.workers[instance]; !found || known != worker {
-			changes = append(changes, Change{Object: Object{Name: instance, Worker: &worker}})
+	s.noteChanges(revision, changes)
+	s.lives.forget(func(instance string) bool { return s.workers[instance] != nil })
+	s.publishWorkers(now)
+}
+
+// takeListed takes the entries of a whole list and returns those that differ from what was known.
+func (s *State) takeListed(workers iter.Seq[Worker], now time.Time) (changes []Change) {
+	for worker := range workers {
+		known := s.workers[worker.Instance]
+		if !s.lives.admits(worker, now) {
+			if known != nil {
+				known.inList = s.listings
+			}
+			continue
+		}
+		if known == nil || known.Worker != worker {
+			known = s.list(worker, now)
+			changes = append(changes, Change{Object: Object{Name: worker.Instance, Worker: &known.Worker}})
 		}
+		known.inList = s.listings
 	}
-	s.history.add(s.workersRevision, revision, changes)
-	s.workers, s.workersRevision = listed, revision
-	s.lives.forget(listed)
-	s.rebuild()
+	return changes
 }
 
 // ChangeWorkers takes the changes of a watch and the revision they lead to.
@@ -206,9 +247,15 @@
 		}
 	}
 	// What was not taken is not passed on: it would stand in place of what was.
-	s.history.add(s.workersRevision, revision, taken)
+	s.noteChanges(revision, taken)
+	s.publishWorkers(s.view.Load().WorkersListed)
+}
+
+// noteChanges remembers what has led to a revision.
+func (s *State) noteChanges(revision int64, changes []Change) {
+	s.history.add(s.workersRevision, revision, changes, len(s.workers))
 	s.workersRevision = revision
-	s.rebuild()
+	s.encoded = make(map[int64]*replicav1.WorkerList)
 }
 
 // takeChange takes one change of a worker's entry and reports whether it says anything.
@@ -216,79 +263,139 @@
 	known, found := s.workers[change.Object.Name]
 	switch {
 	case change.Unusable != nil:
-		s.drop(known)
+		s.drop(change.Object.Name)
 	case change.Gone && found:
-		s.drop(known)
-		s.lapse(known)
+		s.drop(change.Object.Name)
+		s.lapse(known.Worker)
 	case change.Gone:
 		// It may be listed where this is passed on to.
 	case change.Object.Worker == nil || !s.lives.admits(*change.Object.Worker, s.now()):
 		return false
 	default:
-		s.drop(known)
-		s.workers[change.Object.Name] = *change.Object.Worker
-		s.heard[change.Object.Worker.ID] = s.now()
+		s.list(*change.Object.Worker, s.now())
 	}
 	return true
 }
 
-// drop takes a worker off the list, with its life.
-func (s *State) drop(worker Worker) {
-	delete(s.workers, worker.Instance)
-	delete(s.heard, worker.ID)
+// list puts a worker on the list, in place of the one of its instance. What is kept of many
+// workers is kept once.
+func (s *State) list(worker Worker, heard time.Time) *listing {
+	s.drop(worker.Instance)
+	worker.Service, worker.Zone = unique.Make(worker.Service).Value(), unique.Make(worker.Zone).Value()
+	entry := &listing{Listed: NewListed(worker, heard)}
+	s.workers[worker.Instance] = entry
+	// It is back, or has started again: then its former life has ended.
+	s.forgetLapsed(worker.Instance)
+	if !worker.Draining {
+		s.touch(worker.ID)
+		s.usable.put(entry.Listed)
+	}
+	return entry
+}
+
+// drop takes an instance off the list, with its life.
+func (s *State) drop(instance string) {
+	known, found := s.workers[instance]
+	if !found {
+		return
+	}
+	delete(s.workers, instance)
+	s.touch(known.ID)
+	s.usable.remove(known.ID)
 }
 
 // lapse remembers a worker whose entry went while it was not leaving.
 func (s *State) lapse(worker Worker) {
-	if !worker.Draining {
-		s.lapsed[worker.ID] = lapsedWorker{worker: worker, until: s.now().Add(lapseGrace)}
-		time.AfterFunc(lapseGrace, s.expire)
+	if worker.Draining {
+		return
+	}
+	s.lapsed[worker.Instance] = lapsedWorker{id: worker.ID, until: s.now().Add(lapseGrace)}
+	s.touch(worker.ID)
+	last := NewListed(worker, time.Time{})
+	last.Lapsed = true
+	s.usable.put(last)
+	s.expireAfter(lapseGrace)
+}
+
+// forgetLapsed takes the lapsed worker of an instance off, if there is one.
+func (s *State) forgetLapsed(instance string) {
+	if lapsed, found := s.lapsed[instance]; found {
+		delete(s.lapsed, instance)
+		s.touch(lapsed.id)
+		s.usable.remove(lapsed.id)
+	}
+}
+
+// expireAfter looks for lapsed workers whose time is over, once for all that lapse meanwhile.
+func (s *State) expireAfter(wait time.Duration) {
+	if !s.expiring {
+		s.expiring = true
+		s.after(wait, s.expire)
 	}
 }
 
 func (s *State) expire() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now, dropped := s.now(), false
-	for id, lapsed := range s.lapsed {
-		if !now.Before(lapsed.until) {
-			delete(s.lapsed, id)
-			dropped = true
+	s.expiring = false
+	now, next, dropped := s.now(), lapseGrace, false
+	for instance, lapsed := range s.lapsed {
+		if left := lapsed.until.Sub(now); left > 0 {
+			next = min(next, left)
+			continue
 		}
+		s.forgetLapsed(instance)
+		dropped = true
+	}
+	if len(s.lapsed) > 0 {
+		s.expireAfter(next)
 	}
 	if dropped {
-		s.rebuild()
+		s.publishWorkers(s.view.Load().WorkersListed)
 	}
 }
 
-// rebuild publishes the workers that may take work.
-func (s *State) rebuild() {
-	next := *s.view.Load()
-	next.Workers, next.Heard = make(map[string][]Listed), maps.Clone(s.heard)
-	for id, lapsed := range s.lapsed {
-		if _, again := s.workers[lapsed.worker.Instance]; again {
-			// It is back, or has started again: then its former life has ended.
-			delete(s.lapsed, id)
-		}
+// touch remembers how a worker stood in the last view, before it is changed.
+func (s *State) touch(id string) {
+	if _, found := s.touched[id]; !found {
+		s.touched[id] = s.usable.find(id)
 	}
-	for _, worker := range s.workers {
-		if !worker.Draining {
-			next.Workers[worker.Service] = append(next.Workers[worker.Service], Listed{Worker: worker})
+}
+
+// publishWorkers publishes the workers that may take work.
+func (s *State) publishWorkers(listed time.Time) {
+	next := *s.view.Load()
+	next.Workers, next.WorkersListed = s.usable.snapshot(), listed
+	s.publishUpdate(&next, s.takeUpdate())
+}
+
+// takeUpdate returns what has changed since the last view.
+func (s *State) takeUpdate() (update WorkerUpdate) {
+	for id, before := range s.touched {
+		now := s.usable.find(id)
+		switch {
+		case now == nil && before != nil:
+			update.Out = append(update.Out, id)
+		case now == nil:
+		case now.Lapsed && (before == nil || !before.Lapsed):
+			update.Lapsed = append(update.Lapsed, id)
+		case !now.Lapsed && (before == nil || before.Lapsed):
+			update.In = append(update.In, id)
 		}
 	}
-	for _, lapsed := range s.lapsed {
-		service := lapsed.worker.Service
-		next.Workers[service] = append(next.Workers[service], Listed{Worker: lapsed.worker, Lapsed: true})
-	}
-	s.publish(&next)
+	s.touched = make(map[string]*Listed)
+	return update
 }
 
-func (s *State) publish(next *View) {
+// publish publishes a view with the same workers.
+func (s *State) publish(next *View) { s.publishUpdate(next, WorkerUpdate{}) }
+
+func (s *State) publishUpdate(next *View, update WorkerUpdate) {
 	s.view.Store(next)
 	close(s.news)
 	s.news = make(chan struct{})
 	if s.changed != nil {
-		s.changed(next)
+		s.changed(next, update)
 	}
 }
 
--- a/internal/directory/workers_test.go
+++ b/internal/directory/workers_test.go
@@ -12,7 +12,7 @@
 
 // idsOf returns the ids that a state's service has, lapsed ones left out.
 func idsOf(state *State) (ids []string) {
-	for _, worker := range state.View().Workers["s"] {
+	for _, worker := range state.View().Workers.All("s") {
 		if !worker.Lapsed {
 			ids = append(ids, worker.ID)
 		}
@@ -82,7 +82,11 @@
 func TestAnEntryIsHeardAnewOnlyWhenItComes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	state := NewState(func() time.Time { return now }, nil)
-	heard := func(id string) time.Time { return state.View().Heard[id] }
+	heard := func(id string) time.Time {
+		listed, found := state.View().Workers.Find(id)
+		require.True(t, found)
+		return state.View().Heard(listed)
+	}
 	state.OfferWorkers([]Worker{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, 10)
 	first := now
 	now = now.Add(time.Second)
--- a/internal/eligibility/bench_test.go
+++ b/internal/eligibility/bench_test.go
@@ -14,9 +14,9 @@
 // drained zones; "filter" is the part that asks which workers may get the request.
 func BenchmarkChoice(b *testing.B) {
 	const workers, zones = 11000, 17
-	listed := make([]directory.Listed, workers)
+	listed := make([]*directory.Listed, workers)
 	for i := range listed {
-		listed[i].Worker = directory.Worker{ID: fmt.Sprintf("worker-%05d", i), Zone: fmt.Sprintf("zone-%02d", i%zones)}
+		listed[i] = &directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("worker-%05d", i), Zone: fmt.Sprintf("zone-%02d", i%zones)}}
 	}
 	for _, example := range []struct {
 		name     string
--- a/internal/eligibility/eligibility_test.go
+++ b/internal/eligibility/eligibility_test.go
@@ -61,9 +61,9 @@
 		if rapid.Bool().Draw(t, "confined") {
 			request.Regions = rapid.SliceOfDistinct(rapid.SampledFrom([]string{"north", "south"}), rapid.ID[string]).Draw(t, "regions")
 		}
-		var workers, want []directory.Listed
+		var workers, want []*directory.Listed
 		for _, zone := range rapid.SliceOf(rapid.SampledFrom(zones)).Draw(t, "workers") {
-			each := directory.Listed{Worker: directory.Worker{Zone: zone, Slots: len(workers)}}
+			each := &directory.Listed{Worker: directory.Worker{Zone: zone, Slots: len(workers)}}
 			workers = append(workers, each)
 			kept := !followed || (known && !slices.Contains(drains, zone))
 			permitted := request.Regions == nil || slices.Contains(request.Regions, regions[zone])
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,11 +135,22 @@
 	return r.choose()
 }
 
+// choose returns a worker of the service's subset, or where that has none one of all.
 func (r *request) choose() (directory.Worker, bool) {
+	subset := r.gateway.subset(r.service.Name)
+	chosen, found := r.chooseFrom(subset)
+	workers := r.gateway.directory.View().Workers
+	if found || workers.Count(r.service.Name) <= len(subset) {
+		return chosen, found
+	}
+	return r.chooseFrom(workers.All(r.service.Name))
+}
+
+func (r *request) chooseFrom(workers []*directory.Listed) (directory.Worker, bool) {
 	wanted := r.gateway.balanceRequest(r)
-	listed := r.gateway.reached(r.eligibleWorkers())
+	listed := r.gateway.reached(r.eligibleOf(workers))
 	if r.gateway.disabled(mechanism.LapsedWorkers) {
-		listed = slices.DeleteFunc(slices.Clone(listed), func(each directory.Listed) bool { return each.Lapsed })
+		listed = slices.DeleteFunc(slices.Clone(listed), func(each *directory.Listed) bool { return each.Lapsed })
 	}
 	listed = r.withoutRefused(listed)
 	wanted.Partial = r.coldRefused > 0 || r.confinement().Confined()
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -29,7 +29,7 @@
 // once too often is not taken to be busy for ever.
 func TestARequestThatIsGivenUpCountsAtNoWorker(t *testing.T) {
 	g := &Gateway{
-		options: Options{Dialect: silentDialect{}}, balancer: balance.New(time.Now, ""), waits: balance.NewWaits(),
+		options: Options{Dialect: silentDialect{}}, balancer: balance.New(time.Now, ""), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
 		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
 		rooms: newRooms(), fastest: newFastestAnswers(),
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -52,6 +52,7 @@
 	if g.disabled(mechanism.Ejection) && verdict != balance.TurnedAway {
 		verdict = balance.Served
 	}
+	g.subsets.Note(r.service.Name, verdict, g.directory.View().Workers.Count(r.service.Name))
 	if g.balancer.Done(chosen.ID, verdict) {
 		eventEjected.Log("worker", chosen.ID, "address", chosen.Address, "request", r.envelope.RequestID, "why", verdict.String())
 	}
--- a/internal/gateway/coldpass.go
+++ b/internal/gateway/coldpass.go
@@ -201,7 +201,7 @@
 
 // withoutRefused leaves out the cold workers for which members have just said that they
 // have nothing to grant: asking again would keep the request from another one.
-func (r *request) withoutRefused(listed []directory.Listed) []directory.Listed {
+func (r *request) withoutRefused(listed []*directory.Listed) []*directory.Listed {
 	r.coldRefused = 0
 	if !r.mayBeCold() {
 		return listed
@@ -210,7 +210,7 @@
 	if int64(now.Sub(cold.began)) >= cold.refusedUntil.Load() {
 		return listed
 	}
-	refused := func(each directory.Listed) bool {
+	refused := func(each *directory.Listed) bool {
 		allowance := cold.allowances.known(each.ID)
 		if allowance == nil {
 			return false
--- a/internal/gateway/coldpass_bench_test.go
+++ b/internal/gateway/coldpass_bench_test.go
@@ -17,11 +17,11 @@
 	for _, workers := range []int{40, 11000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			g := &Gateway{
-				balancer: balance.New(time.Now, ""), metrics: newMetrics(telemetry.NewRegistry()),
+				balancer: balance.New(time.Now, ""), subsets: balance.NewSubsetSizes(time.Now), metrics: newMetrics(telemetry.NewRegistry()),
 				cold: newColdWorkers(func() bool { return false }),
 			}
 			g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
-			g.directory = directory.NewState(time.Now, g.cold.tracker.Take)
+			g.directory = directory.NewState(time.Now, func(view *directory.View, _ directory.WorkerUpdate) { g.cold.tracker.Take(view) })
 			var listed []directory.Worker
 			for i := range workers {
 				listed = append(listed, directory.Worker{ID: fmt.Sprint("worker-", i), Instance: fmt.Sprint("worker-", i), Service: "s"})
--- a/internal/gateway/coldpass_test.go
+++ b/internal/gateway/coldpass_test.go
@@ -83,14 +83,14 @@
 func coldGateway(granter granter, workers ...directory.Worker) *Gateway {
 	now := time.Now().Add(-time.Hour)
 	g := &Gateway{
-		options: Options{Dialect: rejectingDialect{}}, balancer: balance.New(time.Now, ""), waits: balance.NewWaits(),
+		options: Options{Dialect: rejectingDialect{}}, balancer: balance.New(time.Now, ""), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
 		metrics: newMetrics(telemetry.NewRegistry()), rooms: newRooms(), fastest: newFastestAnswers(), granter: granter,
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 		cold: newColdWorkers(func() bool { return false }),
 	}
 	g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
 	g.cold.tracker = coldstart.NewTracker(func() time.Time { return now }, nil)
-	g.directory = directory.NewState(func() time.Time { return now }, g.cold.tracker.Take)
+	g.directory = directory.NewState(func() time.Time { return now }, func(view *directory.View, _ directory.WorkerUpdate) { g.cold.tracker.Take(view) })
 	g.directory.OfferConfiguration(&route.Configuration{Version: 3, Services: map[string]route.Service{
 		"s": {Name: "s", Cold: &route.Cold{For: time.Minute, PerSecond: 20}},
 	}})
--- a/internal/gateway/eligible.go
+++ b/internal/gateway/eligible.go
@@ -51,12 +51,23 @@
 }
 
 // eligibleWorkers returns the workers that the request may go to now.
-func (r *request) eligibleWorkers() []directory.Listed {
-	eligible, barred := r.gateway.beliefs().Filter(r.gateway.directory.View().Workers[r.service.Name], r.confinement())
+func (r *request) eligibleWorkers() []*directory.Listed {
+	return r.eligibleOf(r.gateway.subset(r.service.Name))
+}
+
+// eligibleOf returns those workers that the request may go to now.
+func (r *request) eligibleOf(workers []*directory.Listed) []*directory.Listed {
+	eligible, barred := r.gateway.beliefs().Filter(workers, r.confinement())
 	r.noteBarred(len(eligible), barred)
 	return eligible
 }
 
+// subset returns the workers of a service that requests choose from first: some of each zone, so
+// that a zone of which none may be chosen shows as it does among all.
+func (g *Gateway) subset(service string) []*directory.Listed {
+	return g.directory.View().Workers.Subset(service, g.subsets.Of(service))
+}
+
 // checkPlaces fails where the request may go to no worker because of where it may rest, or
 // of drained zones, before anything is reserved for it.
 func (r *request) checkPlaces() error {
@@ -125,8 +136,8 @@
 	if len(policy.Permitted) == 0 {
 		return policy.Refusal(placement.Request)
 	}
-	listed := r.gateway.directory.View().Workers[r.service.Name]
-	if len(listed) == 0 || slices.ContainsFunc(listed, func(each directory.Listed) bool { return policy.Permits(each.Zone) }) {
+	listed := r.gateway.subset(r.service.Name)
+	if len(listed) == 0 || slices.ContainsFunc(listed, func(each *directory.Listed) bool { return policy.Permits(each.Zone) }) {
 		return nil
 	}
 	return policy.Refusal(placement.Request)
--- a/internal/gateway/eligible_test.go
+++ b/internal/gateway/eligible_test.go
@@ -28,7 +28,7 @@
 // some zones, named as its zone; none answers.
 func gatewayWithWorkers(zones ...string) *Gateway {
 	g := &Gateway{
-		options: Options{Dialect: silentDialect{}, DrainsFollowed: true}, balancer: balance.New(time.Now, zones[0]), waits: balance.NewWaits(),
+		options: Options{Dialect: silentDialect{}, DrainsFollowed: true}, balancer: balance.New(time.Now, zones[0]), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
 		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
 		rooms: newRooms(), fastest: newFastestAnswers(),
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,9 @@
 	lent       *recentPrograms
 	pool       *worker.Pool
 	balancer   *balance.Balancer
-	waits      *balance.Waits
+	// subsets are of how many workers requests choose.
+	subsets *balance.SubsetSizes
+	waits   *balance.Waits
 	// places tells how far zones are, ways what connections to workers have shown of that.
 	places   distance.Places
 	ways     *distance.Times
@@ -158,6 +160,7 @@
 		options: options, waits: balance.NewWaits(), splitter: route.NewSplitter(),
 		places: places, ways: ways,
 		balancer:    balance.NewAmong(time.Now, workersZone(options), ways, places),
+		subsets:     balance.NewSubsetSizes(time.Now),
 		retries:     limit.NewRetryBudget(time.Now(), retryRatio, retrySteady),
 		connections: newConnections(time.Now),
 		answerBytes: flowcontrol.NewAccount(heldBytes(options), time.Now),
@@ -169,8 +172,8 @@
 	g.grace.Store(int64(options.Grace))
 	g.cold = newColdWorkers(g.newsAreOld)
 	logChanges := directory.LogChanges()
-	g.directory = directory.NewState(time.Now, func(view *directory.View) {
-		logChanges(view)
+	g.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
+		logChanges(view, update)
 		g.cold.tracker.Take(view)
 	})
 	g.registry = telemetry.NewRegistry()
@@ -307,19 +310,18 @@
 // sweep closes idle connections and forgets workers that are gone.
 func (g *Gateway) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepEvery) {
-		addresses, ids := make(map[string]bool), make(map[string]bool)
-		for _, workers := range g.directory.View().Workers {
-			for _, each := range workers {
-				addresses[each.Address], ids[each.ID] = true, true
-			}
+		workers := g.directory.View().Workers
+		listed := func(id string) bool {
+			_, found := workers.Find(id)
+			return found
 		}
 		g.spent.sweep()
 		g.programs.sweep()
 		g.lent.sweep()
 		g.allowances.sweep(time.Now())
 		g.cold.allowances.sweep(time.Now())
-		g.pool.Sweep(func(address string) bool { return addresses[address] })
-		g.balancer.Forget(func(id string) bool { return ids[id] })
+		g.pool.Sweep(listed)
+		g.balancer.Forget(listed)
 		g.forgetUndeclared()
 	}
 }
@@ -337,8 +339,10 @@
 		routes[each.Name] = true
 	}
 	g.fastest.forget(func(route string) bool { return routes[route] })
-	g.rooms.forget(func(service string) bool {
-		_, declared := configuration.Services[service]
-		return declared
-	})
+	declared := func(service string) bool {
+		_, found := configuration.Services[service]
+		return found
+	}
+	g.rooms.forget(declared)
+	g.subsets.Forget(declared)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,12 +129,11 @@
 
 // listed finds a worker that is still in the service.
 func (r *request) listed(id string) (directory.Worker, bool) {
-	for _, each := range r.gateway.directory.View().Workers[r.service.Name] {
-		if each.ID == id {
-			return each.Worker, true
-		}
+	known, found := r.gateway.directory.View().Workers.Find(id)
+	if !found || known.Service != r.service.Name {
+		return directory.Worker{}, false
 	}
-	return directory.Worker{}, false
+	return known.Worker, true
 }
 
 // pass passes the events of one attempt on, each whole and at once.
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -27,6 +27,9 @@
 	// workersProbed is how many workers a probe of a suspected zone asks: one may be away by
 	// itself.
 	workersProbed = 2
+	// workersDrawn is from how many of each service they are drawn, so that not all gateways
+	// ask the same ones.
+	workersDrawn = 64
 	// entryLag is within what time of the begin of a cut the entry gives a zone's clients
 	// other gateways: it asks for readiness once a second and believes two misses.
 	entryLag = 3 * time.Second
@@ -152,11 +155,9 @@
 
 // workersIn returns some workers of a zone.
 func (w *zoneWatch) workersIn(name string) (there []directory.Worker) {
-	for _, workers := range w.gateway.directory.View().Workers {
-		for _, each := range workers {
-			if each.Zone == name && !each.Lapsed {
-				there = append(there, each.Worker)
-			}
+	for _, each := range w.gateway.directory.View().Workers.InZone(name, workersDrawn) {
+		if !each.Lapsed {
+			there = append(there, each.Worker)
 		}
 	}
 	rand.Shuffle(len(there), func(i, j int) { there[i], there[j] = there[j], there[i] })
@@ -228,11 +229,11 @@
 }
 
 // reached leaves out workers of zones that are not reached, as long as others are left.
-func (g *Gateway) reached(workers []directory.Listed) []directory.Listed {
+func (g *Gateway) reached(workers []*directory.Listed) []*directory.Listed {
 	if g.zones.sight.UnreachedZones() == 0 {
 		return workers
 	}
-	var left []directory.Listed
+	var left []*directory.Listed
 	for _, each := range workers {
 		if !g.zones.sight.Unreached(each.Zone) {
 			left = append(left, each)
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -67,7 +67,7 @@
 	known := directory.NewState(time.Now, nil)
 	dialer := transport.NewDialer(transport.Options{DialTimeout: workerDialTimeout, UserTimeout: time.Second})
 	g := &Gateway{
-		options: Options{Dialect: silentDialect{}, Zone: "a"}, directory: known, balancer: balance.New(time.Now, "a"),
+		options: Options{Dialect: silentDialect{}, Zone: "a"}, directory: known, balancer: balance.New(time.Now, "a"), subsets: balance.NewSubsetSizes(time.Now),
 		waits: balance.NewWaits(), metrics: newMetrics(telemetry.NewRegistry()), rooms: newRooms(),
 		fastest: newFastestAnswers(), spent: newSpentTokens(time.Now), pool: worker.NewPool(dialer), state: &stateHealth{},
 		quorum: quorum.NewClient(known, "a", transport.NewPeerClient(transport.Options{DialTimeout: 100 * time.Millisecond, UserTimeout: time.Second}, 4)),
@@ -105,13 +105,13 @@
 	require.ErrorAs(t, zoneLost(attempt), &lost)
 	require.Equal(t, "b", lost.Zone)
 	require.NoError(t, other.Err())
-	listed := g.directory.View().Workers["s"]
+	listed := g.directory.View().Workers.All("s")
 	require.Len(t, listed, 3)
 	for _, each := range g.reached(listed) {
 		require.NotEqual(t, "b", each.Zone)
 	}
 	require.Len(t, g.reached(listed), 2)
-	only := []directory.Listed{{Worker: directory.Worker{ID: "b", Zone: "b"}}}
+	only := []*directory.Listed{{Worker: directory.Worker{ID: "b", Zone: "b"}}}
 	require.Equal(t, only, g.reached(only), "nothing else is left")
 	require.True(t, g.Ready())
 }
@@ -138,7 +138,7 @@
 	require.Less(t, time.Since(began), comeBackAfter)
 	require.Positive(t, refused.ComeBack)
 	require.LessOrEqual(t, refused.ComeBack, entryLag)
-	require.Len(t, g.reached(g.directory.View().Workers["s"]), 1, "its own workers")
+	require.Len(t, g.reached(g.directory.View().Workers.All("s")), 1, "its own workers")
 	g.zones.answered("b")
 	require.True(t, g.Ready(), "another zone answers")
 }
--- a/internal/replica/compact_test.go
+++ b/internal/replica/compact_test.go
@@ -54,7 +54,7 @@
 	require.Equal(t, uint64(4), again.partition(0).group.Epoch)
 	require.Equal(t, uint64(33), again.partition(0).seen[2])
 	require.Equal(t, uint64(5), again.configuration.Version)
-	require.Equal(t, int64(9), again.workers.Revision)
+	require.Equal(t, int64(9), again.workers.revision)
 	require.Equal(t, int64(12), again.drainedZones.Revision)
 	require.Equal(t, []string{"z"}, again.drainedZones.Zones)
 }
--- /dev/null
+++ b/internal/replica/keptworkers_test.go
@@ -0,0 +1,79 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+func workerChange(id string, slots int) directory.Change {
+	worker := directory.Worker{ID: id, Instance: id, Service: "s", Address: id + ":1", Zone: "z", Slots: slots}
+	return directory.Change{Object: directory.Object{Name: id, Worker: &worker}}
+}
+
+// TestWhatIsKeptOfWorkersIsTheNewestList plays changes and lists, with steps that are written or
+// left out, and reads the disk's records again.
+func TestWhatIsKeptOfWorkersIsTheNewestList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := directory.NewState(time.Now, nil)
+		var kept keptWorkers
+		var disk []*replicav1.WorkerList
+		state.OfferWorkers([]directory.Worker{{ID: "a", Instance: "a", Service: "s"}}, 1)
+		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "instance")
+			change := workerChange(name, step+1)
+			if rapid.Bool().Draw(t, "goes") {
+				change = directory.Change{Object: directory.Object{Name: name}, Gone: true}
+			}
+			state.ChangeWorkers([]directory.Change{change}, int64(step+2))
+			if rapid.Bool().Draw(t, "written") {
+				list := state.WorkerChanges(kept.revision)
+				disk = append(disk, list)
+				require.True(t, kept.take(list))
+			}
+		}
+		var read keptWorkers
+		for _, list := range disk {
+			read.take(list)
+			read.take(list)
+		}
+		require.Equal(t, kept.revision, read.revision)
+		require.Len(t, read.byID, len(kept.byID))
+		if kept.revision != state.WorkersRevision() {
+			return
+		}
+		want := make(map[string]uint32)
+		for _, worker := range state.WorkerList().Workers {
+			want[worker.Instance] = worker.Slots
+		}
+		got := make(map[string]uint32)
+		for _, worker := range read.list().GetWorkers() {
+			got[worker.Instance] = worker.Slots
+		}
+		require.Equal(t, want, got)
+	})
+}
+
+// TestAChangeOfAWorkerWritesNoMoreAmongMore compares what the disk is given for one change.
+func TestAChangeOfAWorkerWritesNoMoreAmongMore(t *testing.T) {
+	written := func(workers int) int {
+		state := directory.NewState(time.Now, nil)
+		var listed []directory.Worker
+		for i := range workers {
+			listed = append(listed, *workerChange(fmt.Sprintf("worker-%05d", i), 1).Object.Worker)
+		}
+		state.OfferWorkers(listed, 5)
+		var kept keptWorkers
+		require.True(t, kept.take(state.WorkerChanges(kept.revision)))
+		state.ChangeWorkers([]directory.Change{workerChange("worker-00000", 2)}, 6)
+		return proto.Size(state.WorkerChanges(kept.revision))
+	}
+	require.Equal(t, written(100), written(1000))
+}
--- a/internal/replica/observations.go
+++ b/internal/replica/observations.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// suspects returns the workers that were found slow or failing.
-func (o *observations) suspects(workers map[string][]directory.Listed) (found []string) {
+// suspects returns the workers that were found slow or failing, of those that are listed. It looks
+// at those alone that something was seen of: it is asked by each gateway, some times a second.
+func (o *observations) suspects(workers *directory.Workers) (found []string) {
 	o.mutex.Lock()
 	o.expire()
 	sums := make(map[string]balance.Observation)
@@ -89,11 +90,17 @@
 		}
 	}
 	o.mutex.Unlock()
-	for _, listed := range workers {
-		typical := typicalPace(listed, sums)
-		for _, worker := range listed {
-			if suspect(sums[worker.ID], typical) {
-				found = append(found, worker.ID)
+	services := make(map[string][]balance.Observation)
+	for id, seen := range sums {
+		if listed, found := workers.Find(id); found {
+			services[listed.Service] = append(services[listed.Service], seen)
+		}
+	}
+	for _, seen := range services {
+		typical := typicalPace(seen)
+		for _, each := range seen {
+			if suspect(each, typical) {
+				found = append(found, each.Worker)
 			}
 		}
 	}
@@ -110,10 +117,10 @@
 
 // typicalPace returns the median pace of a service's workers, or 0 where too few are
 // known.
-func typicalPace(listed []directory.Listed, sums map[string]balance.Observation) float64 {
+func typicalPace(service []balance.Observation) float64 {
 	var paces []float64
-	for _, worker := range listed {
-		if seen := sums[worker.ID]; seen.Paced >= suspectSamples {
+	for _, seen := range service {
+		if seen.Paced >= suspectSamples {
 			paces = append(paces, seen.PaceSum/float64(seen.Paced))
 		}
 	}
--- a/internal/replica/observations_test.go
+++ b/internal/replica/observations_test.go
@@ -12,12 +12,15 @@
 )
 
 // watched are the workers of one service.
-func watched(count int) map[string][]directory.Listed {
-	var listed []directory.Listed
+func watched(count int) *directory.Workers {
+	var listed []directory.Worker
 	for i := range count {
-		listed = append(listed, directory.Listed{Worker: directory.Worker{ID: fmt.Sprintf("w%d", i)}})
+		id := fmt.Sprintf("w%d", i)
+		listed = append(listed, directory.Worker{ID: id, Instance: id, Service: "s"})
 	}
-	return map[string][]directory.Listed{"s": listed}
+	state := directory.NewState(time.Now, nil)
+	state.OfferWorkers(listed, 1)
+	return state.View().Workers
 }
 
 func paced(id string, pace float64) *replicav1.WorkerObservation {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -104,8 +104,8 @@
 		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver),
 	}
 	logChanges := directory.LogChanges()
-	replica.directory = directory.NewState(time.Now, func(view *directory.View) {
-		logChanges(view)
+	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
+		logChanges(view, update)
 		replica.grants.take(view.Groups)
 		replica.keep(view)
 		replica.keepZoneDrains(view)
@@ -182,7 +182,7 @@
 		r.directory.OfferGroup(group)
 	}
 	r.directory.OfferDrainedZoneList(r.state.drainedZones)
-	r.directory.OfferWorkerList(r.state.workers)
+	r.directory.OfferWorkerList(r.state.workers.list())
 	kept := r.state.configuration
 	if kept == nil {
 		return
@@ -234,7 +234,7 @@
 	}()
 }
 
-// keepWorkers writes the list of workers to the disk when it has changed, and drained zones
+// keepWorkers writes what has changed of the workers to the disk, and drained zones
 // that are not there yet: after a loss of power on all machines they are the only ones while
 // the platform's store is down.
 func (r *Replica) keepWorkers(ctx context.Context) {
@@ -242,12 +242,12 @@
 		// What the disk refused when it came is written now.
 		r.keepZoneDrains(r.directory.View())
 		r.state.mutex.Lock()
-		kept := r.state.workers.GetRevision()
+		kept := r.state.workers.revision
 		r.state.mutex.Unlock()
 		if r.directory.WorkersRevision() <= kept {
 			continue
 		}
-		record := &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: r.directory.WorkerList()}}
+		record := &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: r.directory.WorkerChanges(kept)}}
 		if err := r.state.write(record); err != nil {
 			eventWriteFailed.Log("cause", err.Error())
 		}
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -47,7 +47,7 @@
 	mutex         sync.Mutex
 	partitions    map[uint32]*partitionState
 	configuration *replicav1.Configuration
-	workers       *replicav1.WorkerList
+	workers       keptWorkers
 	drainedZones  *replicav1.DrainedZoneList
 }
 
@@ -94,10 +94,7 @@
 		}
 		s.configuration = kind.Configuration
 	case *replicav1.Record_Workers:
-		if s.workers != nil && s.workers.Revision >= kind.Workers.Revision {
-			return false
-		}
-		s.workers = kind.Workers
+		return s.workers.take(kind.Workers)
 	case *replicav1.Record_DrainedZones:
 		if s.drainedZones.GetRevision() >= kind.DrainedZones.Revision {
 			return false
@@ -299,8 +296,8 @@
 	if s.configuration != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Configuration{Configuration: s.configuration}})
 	}
-	if s.workers != nil {
-		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: s.workers}})
+	if list := s.workers.list(); list != nil {
+		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: list}})
 	}
 	if s.drainedZones != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_DrainedZones{DrainedZones: s.drainedZones}})
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -232,16 +232,16 @@
 	at.idle = append(at.idle, used)
 }
 
-// Sweep closes connections that have been idle for too long, and those to
-// addresses that are not listed.
-func (p *Pool) Sweep(listed func(address string) bool) {
+// Sweep closes connections that have been idle for too long, and those to lives of workers that
+// are not listed.
+func (p *Pool) Sweep(listed func(life string) bool) {
 	now := time.Now()
 	var closing []*connection
 	p.mutex.Lock()
-	for address, at := range p.hosts {
+	for _, at := range p.hosts {
 		kept := at.idle[:0]
 		for _, each := range at.idle {
-			if now.After(each.usableUntil) || !listed(address) {
+			if now.After(each.usableUntil) || !listed(each.life) {
 				closing = append(closing, each)
 				continue
 			}
