--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gateway"
@@ -17,14 +16,6 @@
 const (
 	storeDialTimeout = 600 * time.Millisecond
 	storeUserTimeout = 1200 * time.Millisecond
-	// heapShare is the part of the memory that the heap is kept under, if it can
-	// be: stacks, buffers of the system and the program itself take the rest.
-	heapShare = 0.65
-	// heapGrowth is how far the heap may grow between two collections, in percent of
-	// what is live. The roles live on a few megabytes and make short-lived garbage for
-	// each request: at the runtime's 100 a profile of BenchmarkTurnAndStall shows 9 to 18%
-	// of the processor time in collection.
-	heapGrowth = 300
 	// logCloseTimeout bounds the writing of the last log lines.
 	logCloseTimeout = 200 * time.Millisecond
 )
@@ -109,15 +100,6 @@
 	go watcher.Run(app.context, app.hangups)
 }
 
-// limitHeap makes the collector work harder before the process runs out of
-// memory. 0 is unknown.
-func limitHeap(memoryBytes int64) {
-	debug.SetGCPercent(heapGrowth)
-	if memoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(memoryBytes)))
-	}
-}
-
 func newStore(loaded settings.Role) *platform.Store {
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: storeDialTimeout, UserTimeout: storeUserTimeout})
 	return platform.NewStore(loaded.Store, client)
