News: a start asks for the workers once, from a replica of its zone; the configuration is encoded once

Cause: at the first start each gateway listed all workers at the store after half a second (10,000 entries, a megabyte, each), asked the three seeds for the whole list, and got it on two lanes; each asker's configuration was marshalled anew. Change: a gateway that hears replicas waits up to 4 s for them to pass the workers on; a process without groups asks seeds for the groups first; one lane asks for the list; replicas encode a configuration once. Test: what each lane asks for at a start.

--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -17,6 +17,11 @@
 	// machines answer after 200 ms; requests are held meanwhile (workersWait).
 	listAfter  = 250 * time.Millisecond
 	listSpread = 250 * time.Millisecond
+	// listPatience is for how long after its start a gateway that hears replicas waits for them
+	// to pass the workers on. When all machines start for the first time replicas know as little
+	// as gateways for a moment; each gateway's own list of a whole fleet would be tens of calls
+	// and a megabyte of the store's.
+	listPatience = 4 * time.Second
 	// fewGateways is up to how many gateways before the same replicas each watches the
 	// configuration by itself: that makes one path more, and costs a call for each
 	// change and gateway.
@@ -106,6 +111,10 @@
 // configuration, if no replica has told them soon after the start.
 func (g *Gateway) listOnce(ctx context.Context) {
 	pause.For(ctx, listAfter+rand.N(listSpread))
+	awaited := listPatience - rand.N(listPatience/2)
+	unknown := func() bool { return g.directory.WorkersRevision() == 0 && g.relay.HeardWithin(directory.FreshNews) }
+	for unknown() && time.Since(g.started) < awaited && pause.For(ctx, listSpread) {
+	}
 	if g.directory.WorkersRevision() == 0 {
 		g.feed.ListRest(ctx)
 	} else if !g.drainsKnown() {
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -42,6 +43,15 @@
 	// gatewaysMemory is how long a number of gateways that was heard is believed where
 	// smaller ones follow: replicas that have just started have heard few.
 	gatewaysMemory = 10 * time.Second
+	// groupsFirst is how long after its start a process that knows no group asks for all but the
+	// workers: the few replicas that every process asks first would pass the whole list on to
+	// each. With a group it asks replicas of its own zone.
+	groupsFirst = 2 * time.Second
+	// oneLaneFirst is how long after the start only the first lane asks for the workers, as long
+	// as none are known: two would bring the whole list twice.
+	oneLaneFirst = time.Second
+	// noWorkers is a revision that no list of workers is later than.
+	noWorkers = math.MaxInt64
 )
 
 // RelayOptions set up a Relay.
@@ -87,6 +97,8 @@
 	options RelayOptions
 	seeds   atomic.Pointer[[]string]
 	now     func() time.Time
+	// began is when Run was called.
+	began time.Time
 
 	mutex sync.Mutex
 	// staleUntil are the replicas that are passed over, by address.
@@ -147,6 +159,7 @@
 // Run asks replicas until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
 	first := rand.IntN(1 << 16)
+	r.began = r.now()
 	for lane := range relayAsked - 1 {
 		go r.runLane(ctx, first, lane+1)
 	}
@@ -159,7 +172,7 @@
 	for turn := 0; ctx.Err() == nil; turn++ {
 		began := time.Now()
 		if addresses := r.order(first+turn, lane); len(addresses) > 0 {
-			r.ask(ctx, r.next(addresses))
+			r.ask(ctx, r.next(addresses), lane)
 		}
 		if time.Since(began) < relayPause {
 			pause.For(ctx, relayPause)
@@ -244,12 +257,24 @@
 	r.staleUntil[address] = r.now().Add(passedOver)
 }
 
-func (r *Relay) ask(ctx context.Context, address string) {
+// workersKnown returns the revision from which on a lane asks for workers.
+func (r *Relay) workersKnown(lane int) int64 {
+	revision, age := r.state.WorkersRevision(), r.now().Sub(r.began)
+	if revision != 0 {
+		return revision
+	}
+	if len(r.state.Groups()) == 0 && age < groupsFirst || lane > 0 && age < oneLaneFirst {
+		return noWorkers
+	}
+	return 0
+}
+
+func (r *Relay) ask(ctx context.Context, address string, lane int) {
 	call, cancel := context.WithTimeout(ctx, relayWait+relayMargin)
 	defer cancel()
 	view := r.state.View()
 	request := &replicav1.DirectoryRequest{
-		WorkersRevision: r.state.WorkersRevision(), PatienceMs: uint32(relayWait.Milliseconds()), Epochs: view.Epochs(),
+		WorkersRevision: r.workersKnown(lane), PatienceMs: uint32(relayWait.Milliseconds()), Epochs: view.Epochs(),
 		Forwarder: r.options.Forwarder, ForwardersDigest: r.client.forwarders.digest(),
 		DrainedZonesRevision: view.Drains.Revision, Zone: r.client.zone,
 	}
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -94,3 +94,26 @@
 	relay.take(&replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 9}})
 	require.Empty(t, relay.state.View().Drains.Zones())
 }
+
+// TestAStartAsksForTheWorkersOnce holds that the replicas which all processes ask first are not
+// asked for the whole list by each, and that it comes from one replica, not from two.
+func TestAStartAsksForTheWorkersOnce(t *testing.T) {
+	relay := relayOf()
+	now := time.Unix(100, 0)
+	relay.now = func() time.Time { return now }
+	relay.began = now
+	require.EqualValues(t, noWorkers, relay.workersKnown(0), "seeds tell of the groups first")
+	relay.state.OfferGroup(&replicav1.Group{Epoch: 1})
+	require.Zero(t, relay.workersKnown(0))
+	require.EqualValues(t, noWorkers, relay.workersKnown(1), "one lane is enough")
+	now = now.Add(oneLaneFirst)
+	require.Zero(t, relay.workersKnown(1), "where the first one is late")
+	relay.state.OfferWorkers(nil, 7)
+	require.EqualValues(t, 7, relay.workersKnown(0))
+	require.EqualValues(t, 7, relay.workersKnown(1))
+
+	alone := relayOf()
+	alone.now, alone.began = relay.now, now
+	now = now.Add(groupsFirst)
+	require.Zero(t, alone.workersKnown(0), "where no group forms")
+}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
 // service answers gateways and other replicas. It implements
@@ -30,6 +32,8 @@
 	followers    *followed
 	observations *observations
 	grants       *grants
+	// configuration is the one in force, to be passed on.
+	configuration encodedConfiguration
 }
 
 // Append stores records and lists reservations. A replica without a seat stores nothing.
@@ -160,6 +164,26 @@
 	}
 }
 
+// encodedConfiguration keeps the configuration in force as it is passed on, made once for all who
+// ask.
+type encodedConfiguration struct {
+	last atomic.Pointer[replicav1.Configuration]
+}
+
+// of returns a table's configuration. It is shared and must stay as it is.
+func (e *encodedConfiguration) of(table *route.Table) (*replicav1.Configuration, error) {
+	if last := e.last.Load(); last.GetVersion() == table.Version() {
+		return last, nil
+	}
+	document, err := json.Marshal(table.Configuration())
+	if err != nil {
+		return nil, &failure.Internal{Cause: err}
+	}
+	made := &replicav1.Configuration{Version: table.Version(), Document: document}
+	e.last.Store(made)
+	return made, nil
+}
+
 // newerThan returns what the caller does not have.
 func (s *service) newerThan(known *replicav1.DirectoryRequest) (*replicav1.DirectoryResponse, error) {
 	view := s.directory.View()
@@ -168,11 +192,11 @@
 		response.Heard, response.AgeMs = true, uint32(age.Milliseconds())
 	}
 	if view.Table != nil && view.Table.Version() > known.Version {
-		document, err := json.Marshal(view.Table.Configuration())
+		encoded, err := s.configuration.of(view.Table)
 		if err != nil {
-			return nil, &failure.Internal{Cause: err}
+			return nil, err
 		}
-		response.Configuration = &replicav1.Configuration{Version: view.Table.Version(), Document: document}
+		response.Configuration = encoded
 	}
 	if s.directory.WorkersRevision() > known.WorkersRevision {
 		response.Workers = s.directory.WorkerChanges(known.WorkersRevision)
