--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,7 +213,7 @@
 
 // aheadOf has the body of an answer read ahead while the client is slow.
 func (r *request) aheadOf(answer *worker.Answer) *flowcontrol.ReadAhead {
-	if r.out == nil {
+	if r.out == nil || r.gateway.disabled(mechanism.ReadAhead) {
 		// Never begun, so that nothing is held.
 		return flowcontrol.NewReadAhead(answer.Body, 0, nil)
 	}
--- a/internal/gateway/eligible.go
+++ b/internal/gateway/eligible.go
@@ -9,6 +9,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/eligibility"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/placement"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
@@ -65,7 +66,11 @@
 // subset returns the workers of a service that requests choose from first: some of each zone, so
 // that a zone of which none may be chosen shows as it does among all.
 func (g *Gateway) subset(service string) []*directory.Listed {
-	return g.directory.View().Workers.Subset(service, g.subsets.Of(service))
+	workers := g.directory.View().Workers
+	if g.disabled(mechanism.Subsets) {
+		return workers.All(service)
+	}
+	return workers.Subset(service, g.subsets.Of(service))
 }
 
 // checkPlaces fails where the request may go to no worker because of where it may rest, or
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -58,13 +58,17 @@
 	LentBudgets Name = "lentBudgets"
 	// ColdGrants asks for a pass before a request goes to a cold worker.
 	ColdGrants Name = "coldGrants"
+	// ReadAhead takes answers off their workers while clients pause.
+	ReadAhead Name = "readAhead"
+	// Subsets chooses from a subset of each zone's workers first.
+	Subsets Name = "subsets"
 )
 
 // All are the parts, in the order of the page.
 var All = []Name{
 	Affinity, Paces, Ejection, RetryBudget, LapsedWorkers, ResumeAtSameWorker, KeptChains, NewsThroughReplicas, Forwarding,
 	OneRound, DeferredSettlements, HeldRequests, SilentStreams, SpentMemory, NearWorkers, SharedSight, FewWatchers,
-	GrantsAhead, LostZones, Distance, LentBudgets, ColdGrants,
+	GrantsAhead, LostZones, Distance, LentBudgets, ColdGrants, ReadAhead, Subsets,
 }
 
 // Optional are the parts that are left out unless they are asked for.
