--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -74,6 +74,16 @@
 	eventZoneDrains    = event.Define(2606, event.Info, "drained zones changed", "")
 )
 
+// Sources of a group that are no process.
+const (
+	// SourceStore is the platform's store.
+	SourceStore = "store"
+	// SourceDisk is this process's own data folder.
+	SourceDisk = "disk"
+	// SourceSelf is this process, whose proposal was accepted.
+	SourceSelf = "self"
+)
+
 // LogChanges returns a function that logs how each view differs from the one
 // before it.
 func LogChanges() func(*View, WorkerUpdate) {
@@ -82,11 +92,6 @@
 		if next.Table != before.Table {
 			eventConfiguration.Log("version", next.Table.Version(), "routes", len(next.Table.Configuration().Routes))
 		}
-		for partition, group := range next.Groups {
-			if group != before.Group(uint32(partition)) {
-				eventGroup.Log("partition", partition, "epoch", group.Epoch, "members", memberNodes(group))
-			}
-		}
 		logWorkers(update)
 		logZoneDrains(before.Drains, next.Drains)
 		before = next
@@ -244,10 +249,10 @@
 
 func (f *Feed) takeGroup(listing Listing, changes []Change, _ int64) {
 	for _, object := range listing.Objects {
-		f.state.OfferGroup(object.Group)
+		f.state.OfferGroup(object.Group, SourceStore)
 	}
 	for _, change := range changes {
-		f.state.OfferGroup(change.Object.Group)
+		f.state.OfferGroup(change.Object.Group, SourceStore)
 	}
 }
 
--- a/internal/directory/state_test.go
+++ b/internal/directory/state_test.go
@@ -23,9 +23,9 @@
 
 func TestAGroupNeverGoesBack(t *testing.T) {
 	state := NewState(time.Now, nil)
-	state.OfferGroup(&replicav1.Group{Epoch: 3})
-	state.OfferGroup(&replicav1.Group{Epoch: 2})
-	state.OfferGroup(nil)
+	state.OfferGroup(&replicav1.Group{Epoch: 3}, "")
+	state.OfferGroup(&replicav1.Group{Epoch: 2}, "")
+	state.OfferGroup(nil, "")
 	require.Equal(t, uint64(3), state.Group(0).Epoch)
 }
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -139,8 +139,9 @@
 	s.publish(&next)
 }
 
-// OfferGroup takes a partition's group if its epoch is higher than the one known.
-func (s *State) OfferGroup(group *replicav1.Group) {
+// OfferGroup takes a partition's group if its epoch is higher than the one known. source is who
+// told it, for the log.
+func (s *State) OfferGroup(group *replicav1.Group, source string) {
 	if group == nil {
 		return
 	}
@@ -158,6 +159,8 @@
 	next.Groups = make([]*replicav1.Group, partitions)
 	copy(next.Groups, current.Groups)
 	next.Groups[group.Partition] = group
+	eventGroup.Log("partition", group.Partition, "epoch", group.Epoch, "before", current.Group(group.Partition).GetEpoch(),
+		"source", source, "members", memberNodes(group))
 	s.publish(&next)
 }
 
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -81,8 +81,8 @@
 		return
 	}
 	for _, each := range lines {
-		pairs := append([]any{"request", r.envelope.RequestID, "program", r.envelope.Program, "tenant", r.tenantName(), "after_us", each.after.Microseconds()}, each.values...)
-		each.event.Log(pairs...)
+		pairs := append([]any{"request", r.envelope.RequestID, "after_us", each.after.Microseconds()}, each.values...)
+		each.event.Log(append(pairs, "program", r.envelope.Program, "tenant", r.tenantName())...)
 	}
 }
 
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -79,7 +79,7 @@
 		group.Members = append(group.Members, &replicav1.Member{Seat: uint32(len(group.Members)), Node: zone, Address: address, Zone: zone})
 		workers = append(workers, directory.Worker{ID: zone, Instance: zone, Service: "s", Address: address, Zone: zone})
 	}
-	known.OfferGroup(group)
+	known.OfferGroup(group, "")
 	known.OfferWorkers(workers, 1)
 	known.OfferConfiguration(&route.Configuration{Version: 1})
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -19,9 +19,9 @@
 // fakeGroup is a group that does not change.
 type fakeGroup struct{ group *replicav1.Group }
 
-func (g *fakeGroup) Group(uint32) *replicav1.Group { return g.group }
-func (g *fakeGroup) Groups() []*replicav1.Group    { return []*replicav1.Group{g.group} }
-func (*fakeGroup) OfferGroup(*replicav1.Group)     {}
+func (g *fakeGroup) Group(uint32) *replicav1.Group     { return g.group }
+func (g *fakeGroup) Groups() []*replicav1.Group        { return []*replicav1.Group{g.group} }
+func (*fakeGroup) OfferGroup(*replicav1.Group, string) {}
 
 // fakeMember answers appends over TCP and counts them.
 type fakeMember struct {
--- a/internal/quorum/chain_test.go
+++ b/internal/quorum/chain_test.go
@@ -49,7 +49,7 @@
 
 func (s fixedGroups) Group(partition uint32) *replicav1.Group { return s[partition] }
 func (s fixedGroups) Groups() []*replicav1.Group              { return s }
-func (fixedGroups) OfferGroup(*replicav1.Group)               {}
+func (fixedGroups) OfferGroup(*replicav1.Group, string)       {}
 
 // startTurnHolders starts three members for each of so many partitions, all of which have
 // the turns of their partition.
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -44,7 +44,8 @@
 	// Groups returns those of all partitions, by partition; nil for those that are
 	// not known.
 	Groups() []*replicav1.Group
-	OfferGroup(group *replicav1.Group)
+	// OfferGroup takes a group if it is newer; source is who told it.
+	OfferGroup(group *replicav1.Group, source string)
 }
 
 // Client talks to the replicas of the groups in force.
@@ -207,7 +208,7 @@
 	c.lives.note(group, member, standing)
 	switch {
 	case standing.Group != nil && standing.Group.Epoch > group.Epoch:
-		c.groups.OfferGroup(standing.Group)
+		c.groups.OfferGroup(standing.Group, member.Node)
 	case standing.Epoch < group.Epoch:
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -105,10 +105,10 @@
 		return nil
 	}
 	c.counts.forwarded.Add(1)
-	c.groups.OfferGroup(response.GetAppend().GetStanding().GetGroup())
-	c.groups.OfferGroup(response.GetReadChain().GetStanding().GetGroup())
-	c.groups.OfferGroup(response.GetGrant().GetStanding().GetGroup())
-	c.groups.OfferGroup(response.GetLoan().GetStanding().GetGroup())
+	c.groups.OfferGroup(response.GetAppend().GetStanding().GetGroup(), request.Address)
+	c.groups.OfferGroup(response.GetReadChain().GetStanding().GetGroup(), request.Address)
+	c.groups.OfferGroup(response.GetGrant().GetStanding().GetGroup(), request.Address)
+	c.groups.OfferGroup(response.GetLoan().GetStanding().GetGroup(), request.Address)
 	return response
 }
 
--- a/internal/quorum/meter_test.go
+++ b/internal/quorum/meter_test.go
@@ -30,9 +30,9 @@
 // oneGroup tells of one group.
 type oneGroup struct{ group *replicav1.Group }
 
-func (o oneGroup) Group(uint32) *replicav1.Group { return o.group }
-func (o oneGroup) Groups() []*replicav1.Group    { return []*replicav1.Group{o.group} }
-func (o oneGroup) OfferGroup(*replicav1.Group)   {}
+func (o oneGroup) Group(uint32) *replicav1.Group       { return o.group }
+func (o oneGroup) Groups() []*replicav1.Group          { return []*replicav1.Group{o.group} }
+func (o oneGroup) OfferGroup(*replicav1.Group, string) {}
 
 // addedBytes adds up by class and cause.
 type addedBytes struct {
--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -22,6 +22,8 @@
 	// returnInterest is for how long after a request was told of an outage its end is
 	// looked for: clients that were told to come back have done so twice.
 	returnInterest = 2 * maxComeBack
+	// awayToldEvery is how often an outage is logged in which the members say the same.
+	awayToldEvery = 10 * time.Second
 	// maxComeBack bounds the time after which a client is asked to come back: the end of
 	// an outage is not known before, and clients that wait longer than needed lose time.
 	maxComeBack = 2 * time.Second
@@ -60,19 +62,20 @@
 	since time.Time
 	// asked is when a request was last told of the outage.
 	asked time.Time
-	// why is what the members said last.
-	why string
+	// why is what the members said last, told when that was logged last.
+	why  string
+	told time.Time
 }
 
-// note logs what the members said where that has changed: an outage whose members begin to
-// answer, and still do not count, is another matter than one in which they are silent.
-func (o *outage) note(partition uint32, why Shortfall) {
+// note logs what the members said where that has changed, or has lasted: an outage whose members
+// begin to answer, and still do not count, is another matter than one in which they are silent.
+func (o *outage) note(now time.Time, partition uint32, why Shortfall) {
 	said := why.String()
-	if said == o.why {
+	if said == o.why && now.Sub(o.told) < awayToldEvery {
 		return
 	}
-	o.why = said
-	eventMajorityAway.Log("partition", partition, "members", said)
+	o.why, o.told = said, now
+	eventMajorityAway.Log("partition", partition, "members", said, "away_ms", now.Sub(o.since).Milliseconds())
 }
 
 func newOutages(now func() time.Time, look func(ctx context.Context, partition uint32) error) *outages {
@@ -109,14 +112,14 @@
 	defer o.mutex.Unlock()
 	now := o.now()
 	if known := o.away[partition]; known != nil {
-		known.note(partition, why)
+		known.note(now, partition, why)
 		return
 	}
 	if o.counted[partition].After(began) || now.Sub(began) < minOutage {
 		return
 	}
 	noted := &outage{since: began, asked: now}
-	noted.note(partition, why)
+	noted.note(now, partition, why)
 	o.away[partition] = noted
 	go o.awaitReturn(partition, noted)
 }
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -293,7 +293,7 @@
 	}
 	r.passOver(address, err != nil || !fresh(response.Msg))
 	if err == nil {
-		r.take(response.Msg)
+		r.take(address, response.Msg)
 	}
 }
 
@@ -302,7 +302,8 @@
 	return news.Heard && time.Duration(news.AgeMs)*time.Millisecond < oldWord
 }
 
-func (r *Relay) take(news *replicav1.DirectoryResponse) {
+// take takes what the replica at an address told.
+func (r *Relay) take(address string, news *replicav1.DirectoryResponse) {
 	if kept := news.Configuration; kept != nil {
 		configuration := &route.Configuration{}
 		if err := json.Unmarshal(kept.Document, configuration); err != nil {
@@ -315,7 +316,7 @@
 	r.state.OfferDrainedZoneList(news.DrainedZones)
 	r.state.OfferWorkerList(news.Workers)
 	for _, group := range news.Groups {
-		r.state.OfferGroup(group)
+		r.state.OfferGroup(group, address)
 	}
 	if len(news.Forwarders) > 0 {
 		r.client.forwarders.set(news.Forwarders)
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -86,12 +86,12 @@
 // TestARelayTakesDrainedZonesAndNeverAnOlderList hears two replicas, of which one is behind.
 func TestARelayTakesDrainedZonesAndNeverAnOlderList(t *testing.T) {
 	relay := relayOf()
-	relay.take(&replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 8, Zones: []string{"a"}}})
+	relay.take("", &replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 8, Zones: []string{"a"}}})
 	require.True(t, relay.state.View().Drains.Has("a"))
-	relay.take(&replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 7}})
-	relay.take(&replicav1.DirectoryResponse{})
+	relay.take("", &replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 7}})
+	relay.take("", &replicav1.DirectoryResponse{})
 	require.True(t, relay.state.View().Drains.Has("a"))
-	relay.take(&replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 9}})
+	relay.take("", &replicav1.DirectoryResponse{DrainedZones: &replicav1.DrainedZoneList{Revision: 9}})
 	require.Empty(t, relay.state.View().Drains.Zones())
 }
 
@@ -103,7 +103,7 @@
 	relay.now = func() time.Time { return now }
 	relay.began = now
 	require.EqualValues(t, noWorkers, relay.workersKnown(0), "seeds tell of the groups first")
-	relay.state.OfferGroup(&replicav1.Group{Epoch: 1})
+	relay.state.OfferGroup(&replicav1.Group{Epoch: 1}, "")
 	require.Zero(t, relay.workersKnown(0))
 	require.EqualValues(t, noWorkers, relay.workersKnown(1), "one lane is enough")
 	now = now.Add(oneLaneFirst)
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -77,7 +77,7 @@
 		return
 	}
 	standing := response.Msg.Standing
-	r.directory.OfferGroup(standing.Group)
+	r.directory.OfferGroup(standing.Group, member.Node)
 	if answering := response.Msg.Node; answering != "" && answering != member.Node {
 		// A node that has come to the address of one that is gone does not speak for it.
 		return
@@ -177,7 +177,7 @@
 		return
 	}
 	if found.Group.Epoch != group.Epoch {
-		r.directory.OfferGroup(found.Group)
+		r.directory.OfferGroup(found.Group, directory.SourceStore)
 		return
 	}
 	found.Group = next
@@ -185,5 +185,5 @@
 		return
 	}
 	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members))
-	r.directory.OfferGroup(next)
+	r.directory.OfferGroup(next, directory.SourceSelf)
 }
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -338,6 +338,6 @@
 	if err != nil {
 		return nil, err
 	}
-	r.directory.OfferGroup(response.Msg.Standing.Group)
+	r.directory.OfferGroup(response.Msg.Standing.Group, other.Node)
 	return response.Msg, r.state.write(response.Msg.Records...)
 }
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -105,7 +105,7 @@
 		}
 		standing := response.Msg.Standing
 		if !standing.Member || !standing.Recovered || standing.Epoch != group.Epoch {
-			r.directory.OfferGroup(standing.Group)
+			r.directory.OfferGroup(standing.Group, member.Node)
 			return false
 		}
 		if done.incarnation != standing.Incarnation {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -120,7 +120,7 @@
 	if err := s.state.write(records...); err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
-	s.directory.OfferGroup(s.state.currentGroup(partition))
+	s.directory.OfferGroup(s.state.currentGroup(partition), message.Node)
 	return connect.NewResponse(&replicav1.AnnounceResponse{Node: s.node, Stopping: s.stopping != nil && s.stopping(), Standing: s.state.standing(partition, 0)}), nil
 }
 
