Replicas: a seat in transfer that goes back to the node which still holds it is held at once

What callers would see: turns refused for good after one lost disk. Cause: a seat whose new holder fell silent before it had received anything was given back to the node before it, as to a new, empty holder. That node dropped the standing by which it could pass the seat on, and copied others: with one of them emptied meanwhile nobody held everything any more. Mend: it gets the seat back as it was, with its former claim: while a seat is in transfer nobody acknowledges anything in it. What was seen in the seat meanwhile is forgotten.

--- a/internal/replica/partition.go
+++ b/internal/replica/partition.go
@@ -50,7 +50,7 @@
 		if p.group != nil && p.group.Epoch >= kind.Group.Epoch {
 			return false
 		}
-		p.group = kind.Group
+		p.takeGroup(kind.Group)
 	case *replicav1.Record_Account:
 		return p.book.Apply(p.now(), kind.Account, time.Duration(record.RetentionMs)*time.Millisecond)
 	default:
@@ -59,6 +59,16 @@
 	return true
 }
 
+// takeGroup takes a newer group. Whoever was seen in a seat that this folder gets back has not
+// held it.
+func (p *partitionState) takeGroup(group *replicav1.Group) {
+	_, before := p.member()
+	p.group = group
+	if _, holds := p.member(); holds && !before {
+		delete(p.seen, p.identity.Seat)
+	}
+}
+
 // member returns this node's seat in the group, if it has one that its folder
 // was begun for.
 func (p *partitionState) member() (*replicav1.Member, bool) {
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -252,8 +252,13 @@
 // passSeat gives a seat to another node, which starts as an empty replica. The
 // node before it is named, because it still has what the seat held. A holder that
 // has not received that itself has nothing to pass on: then the one before it
-// stays named.
+// stays named, or gets back the seat that it holds.
 func passSeat(member *replicav1.Member, to directory.Replica, epoch uint64) {
+	if inTransfer(member) && member.Predecessor.Node == to.Node {
+		member.Node, member.Address, member.Zone = to.Node, to.Address, to.Zone
+		member.Claim, member.Predecessor = member.Predecessor.Claim, nil
+		return
+	}
 	if !inTransfer(member) {
 		member.Predecessor = &replicav1.Predecessor{Node: member.Node, Address: member.Address, Claim: member.Claim}
 	}
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -127,3 +127,17 @@
 	require.True(t, inTransfer(next.Members[0]), "the present group is not touched")
 	require.Equal(t, next.Epoch+1, received.Epoch)
 }
+
+// Made a new holder, it would drop what it holds for a copy of others that may have lost it.
+func TestANodeThatStillHoldsASeatInTransferGetsItBackAsItWas(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	seen := seenAll(group, nodes("a", "b", "c", "d"))
+	seen.alive, seen.settled = except("a"), except("a")
+	moved := nextGroup(seen)
+	require.Equal(t, "d", moved.Members[0].Node)
+	again := seenAll(moved, nodes("a", "b", "c", "d"))
+	again.alive, again.settled = except("d"), except("a", "d")
+	next := nextGroup(again)
+	require.Equal(t, group.Members[0], next.Members[0])
+	require.Equal(t, uint64(firstEpoch+2), next.Epoch)
+}
--- a/internal/replica/restart_test.go
+++ b/internal/replica/restart_test.go
@@ -51,3 +51,16 @@
 	require.True(t, standing.Recovered)
 	require.Equal(t, taken.Incarnation, standing.Incarnation)
 }
+
+// It would have contradicted itself for ever.
+func TestASeatThatComesBackForgetsWhoWasSeenInItMeanwhile(t *testing.T) {
+	opened, err := openState(recordlogtest.NewDisk())
+	require.NoError(t, err)
+	defer opened.log.Close()
+	held := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Seat: 1, Node: "a", Claim: 1}, {Seat: 2, Node: "c", Claim: 1}}}
+	passed := &replicav1.Group{Epoch: 2, Members: []*replicav1.Member{{Seat: 1, Node: "d", Claim: 2}, {Seat: 2, Node: "c", Claim: 1}}}
+	back := &replicav1.Group{Epoch: 3, Members: held.Members}
+	require.NoError(t, opened.write(groupRecord(held), identityRecord(0, &replicav1.Identity{Seat: 1, Claim: 1, Incarnation: 11, Recovered: true})))
+	require.NoError(t, opened.write(groupRecord(passed), incarnationRecord(0, 1, 22), groupRecord(back)))
+	require.True(t, quorum.Consistent(3, []*replicav1.Standing{opened.standing(0, 3)}))
+}
