Replicas: a member that is lost keeps no vote, so that the next lost disk is borne

What callers saw: after a closing fault that takes one disk of the replicas, 503 majority_away for every request with a program, at once, from all gateways, for good. Cause: a group of two (a third had been retired) got a third member while one of the two had gone for good and its silence was not noticed yet. The member that had gone kept its seat and its vote in the group of three, where nobody stood by to take it. Two members served. The next lost disk left one whole member, and an empty one that had to copy two. Mend: a member that has been silent for 4.1 s, without a successor, is removed, if two others hold everything. The group names it until they have exchanged what they hold; an empty member copies as many as before until then.

--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -87,7 +87,8 @@
 		// The holder before comes last and is enough alone; often it is gone.
 		return sources[len(sources)-1:], sources[:len(sources)-1]
 	}
-	return sources[:min(len(sources), quorum.RecoverSize(quorum.Voters(group)))], nil
+	needed, _ := sourcesNeeded(group)
+	return sources[:min(len(sources), needed)], nil
 }
 
 // attemptFailed notes an attempt that was not enough.
--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -11,15 +11,24 @@
 // to another one.
 const silentAfter = 2600 * time.Millisecond
 
+// lostAfter is how long a node may say nothing before its seat may be removed without a
+// successor. With the exchange that follows it stays within the time after which the next disk
+// may be lost.
+const lostAfter = silentAfter + 1500*time.Millisecond
+
 // heard keeps what other nodes said last.
 type heard struct {
-	now   func() time.Time
+	now func() time.Time
+	// began is since when words are heard.
+	began time.Time
 	mutex sync.Mutex
 	nodes map[string]lastWord
 }
 
 type lastWord struct {
 	at time.Time
+	// stopping is set where the word was that the node is to stop.
+	stopping bool
 	// standings are those of the node's seats, by partition.
 	standings map[uint32]heardStanding
 }
@@ -30,7 +39,7 @@
 }
 
 func newHeard(now func() time.Time) *heard {
-	return &heard{now: now, nodes: make(map[string]lastWord)}
+	return &heard{now: now, began: now(), nodes: make(map[string]lastWord)}
 }
 
 // note takes a sign of life.
@@ -38,7 +47,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	word := h.nodes[node]
-	word.at = h.now()
+	word.at, word.stopping = h.now(), false
 	h.nodes[node] = word
 }
 
@@ -47,7 +56,7 @@
 func (h *heard) leave(node string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	delete(h.nodes, node)
+	h.nodes[node] = lastWord{at: h.now(), stopping: true}
 }
 
 // noteStanding takes an answer that concerns a partition.
@@ -55,7 +64,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	word := h.nodes[node]
-	word.at = h.now()
+	word.at, word.stopping = h.now(), false
 	if word.standings == nil {
 		word.standings = make(map[uint32]heardStanding)
 	}
@@ -68,7 +77,18 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	word, found := h.nodes[node]
-	return found && h.now().Sub(word.at) < silentAfter
+	return found && !word.stopping && h.now().Sub(word.at) < silentAfter
+}
+
+// lost reports whether a node has said nothing for so long that it may be gone for good.
+func (h *heard) lost(node string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	last := h.began
+	if word, found := h.nodes[node]; found {
+		last = word.at
+	}
+	return h.now().Sub(last) >= lostAfter
 }
 
 // settled reports whether a member of a partition's group has lately shown the epoch
--- a/internal/replica/liveness_test.go
+++ b/internal/replica/liveness_test.go
@@ -66,10 +66,13 @@
 // announceAll makes every member tell every other one its group and incarnation, as the
 // product does each announceEvery.
 func (p *proof) announceAll() {
-	for _, from := range p.group.Members {
+	for _, from := range speaking(p.group) {
 		node := p.nodes[from.Node]
+		if node.gone {
+			continue
+		}
 		message := announcementOf(node.state(), p.group, node.name)
-		for _, member := range p.group.Members {
+		for _, member := range speaking(p.group) {
 			if other := p.nodes[member.Node]; other != node && !other.gone {
 				_, err := other.service.Announce(context.Background(), connect.NewRequest(message))
 				p.must(err)
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -40,6 +40,11 @@
 	// alive nodes were heard lately; settled members show the group's epoch and
 	// hold everything that their seat held.
 	alive, settled func(node string) bool
+	// lost nodes have been silent for so long that they may lose their seat without a
+	// successor; nil is none.
+	lost func(node string) bool
+	// exchanged is set once every member has all records of all members of this epoch.
+	exchanged bool
 }
 
 // partitionsFor returns how many partitions a system begins with that has so many
@@ -150,11 +155,21 @@
 			}
 		}
 		return next
+	case next.Removed != nil:
+		if !seen.exchanged {
+			return nil
+		}
+		next.Removed = nil
+		return next
 	case leaving != nil && seen.retiring[leaving.Node] && seen.settled(leaving.Node) && len(next.Members) > 1:
 		// A smaller group reads from fewer members: what the seat held must be
 		// there to be handed over to all of them.
 		removeSeat(next, leaving.Seat)
 		return next
+	case leaving != nil && mayBeRemoved(seen, leaving):
+		next.Removed = lastHolder(leaving)
+		removeSeat(next, leaving.Seat)
+		return next
 	case leaving == nil && standby != nil && len(next.Members) < int(next.Target):
 		addMember(next, *standby)
 		// It counts once it has received what the others hold.
@@ -296,12 +311,34 @@
 	return nil
 }
 
+// mayBeRemoved reports whether a member that is silent may lose its seat without a successor. It
+// would keep its vote: with the next lost disk no majority could be made up. Two must stay, which
+// hold together what counts.
+func mayBeRemoved(seen observation, leaving *replicav1.Member) bool {
+	if seen.lost == nil || !seen.lost(leaving.Node) {
+		return false
+	}
+	return quorum.Joining(leaving) || quorum.Voters(seen.group) > 2
+}
+
 func removeSeat(group *replicav1.Group, seat uint32) {
-	kept := group.Members[:0]
-	for _, member := range group.Members {
-		if member.Seat != seat {
-			kept = append(kept, member)
-		}
+	group.Members = slices.DeleteFunc(group.Members, func(member *replicav1.Member) bool { return member.Seat == seat })
+}
+
+// lastHolder returns the member that holds what counts of a seat, or nil where the seat has never
+// counted.
+func lastHolder(member *replicav1.Member) *replicav1.Member {
+	switch {
+	case quorum.Joining(member):
+		return nil
+	case inTransfer(member):
+		return holderBefore(member)
 	}
-	group.Members = kept
+	return member
+}
+
+// holderBefore returns the node that held a seat before, as the member that it was.
+func holderBefore(member *replicav1.Member) *replicav1.Member {
+	before := member.Predecessor
+	return &replicav1.Member{Seat: member.Seat, Node: before.Node, Address: before.Address, Claim: before.Claim}
 }
--- a/internal/replica/proof_groups_test.go
+++ b/internal/replica/proof_groups_test.go
@@ -25,7 +25,7 @@
 	from := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
 	to := p.nodes[p.order[p.announcements.IntN(len(p.order))]]
 	known := from.state().currentGroup(p.group.Partition)
-	if from == to || from.gone || to.gone || known == nil {
+	if from == to || from.gone || to.gone || known == nil || p.cut(from.name) || p.cut(to.name) {
 		return
 	}
 	_, err := to.service.Announce(context.Background(), connect.NewRequest(announcementOf(from.state(), known, from.name)))
@@ -88,10 +88,11 @@
 	}
 	next := nextGroup(observation{
 		group: p.proposedFrom(), nodes: nodes, retiring: map[string]bool{p.retiring: true}, seats: seatsHeld(p.groups()),
-		regions: p.regionOf,
-		alive:   func(name string) bool { return !p.nodes[name].gone },
+		regions: p.regionOf, exchanged: p.exchange(),
+		alive: func(name string) bool { return !p.nodes[name].gone && !p.cut(name) },
+		lost:  p.cut,
 		settled: func(name string) bool {
-			if p.nodes[name].gone {
+			if p.nodes[name].gone || p.cut(name) {
 				return false
 			}
 			if word, late := p.lateWords[name]; late && word.epoch == p.group.Epoch && p.steps < word.until {
@@ -110,6 +111,9 @@
 	if joined := len(next.Members); p.broken == countJoining && joined > len(p.group.Members) {
 		next.Members[joined-1].Predecessor = nil
 	}
+	if p.broken == forgetRemoved {
+		next.Removed = nil
+	}
 	p.group = p.proposed(next)
 }
 
@@ -139,6 +143,9 @@
 	if node.state().currentIdentity(p.group.Partition) == nil {
 		return true
 	}
+	if p.group.Removed.GetNode() == node.name {
+		return false
+	}
 	p.must(node.state().write(groupRecord(p.group)))
 	if p.broken == retireUnemptied || passedSeatOf(p.group, node.name) != nil {
 		return true
--- a/internal/replica/proof_recovery_test.go
+++ b/internal/replica/proof_recovery_test.go
@@ -49,11 +49,11 @@
 		p.markRecovered(node)
 		return
 	}
-	if p.copies[node.name] == nil {
+	if p.copies[node.name] == nil || p.copies[node.name].claim != member.Claim {
 		// It is drawn for a restart too, which keeps its own, so that found schedules stay.
 		incarnation := p.random.Uint64() | 1
 		if p.begun(node, member) {
-			p.copies[node.name] = newProofCopy()
+			p.copies[node.name] = newProofCopy(member.Claim)
 			return
 		}
 		identity := &replicav1.Identity{
@@ -64,7 +64,7 @@
 		if p.broken == keepOwnSeat && before != 0 {
 			p.must(node.state().write(incarnationRecord(p.group.Partition, member.Seat, before)))
 		}
-		p.copies[node.name] = newProofCopy()
+		p.copies[node.name] = newProofCopy(member.Claim)
 		return
 	}
 	p.pull(node)
@@ -146,7 +146,7 @@
 // pull copies one part of another member's records, from where the last one ended.
 func (p *proof) pull(node *proofNode) {
 	other := p.source(node)
-	if other == node || other.gone {
+	if other == node || other.gone || p.cut(node.name) || p.cut(other.name) {
 		return
 	}
 	p.must(other.state().write(groupRecord(p.group)))
@@ -210,6 +210,9 @@
 	if p.retiring != "" && len(p.group.Members) < proofReplicas {
 		return
 	}
+	if p.removedLost() {
+		return
+	}
 	lacking := p.unrecovered()
 	if lacking != nil && !p.passedOn(lacking) && !p.joins(lacking) {
 		return
--- a/internal/replica/proof_test.go
+++ b/internal/replica/proof_test.go
@@ -45,8 +45,11 @@
 	oldGroupRegion  breakage = "a group word from before regions is gone on from"
 	// These two were in the code once; the first loses nothing, but a group that grows
 	// bears no lost disk.
-	countJoining  breakage = "a new seat counts before it has received anything"
-	keepOwnSeat   breakage = "a node keeps whom it saw in a seat that it takes"
+	countJoining breakage = "a new seat counts before it has received anything"
+	keepOwnSeat  breakage = "a node keeps whom it saw in a seat that it takes"
+	// These concern members that are cut off, and lose their seat without a successor.
+	forgetRemoved breakage = "a removal counts as complete at once"
+	skipExchange  breakage = "a removal is complete before the members have exchanged anything"
 	proofBudget            = 100
 	proofMost              = 30
 	proofReplicas          = 3
@@ -76,12 +79,14 @@
 // proofCopy is the recovery of one seat that is under way.
 type proofCopy struct {
 	*seatCopy
+	// claim is that of the holder whose seat is filled.
+	claim uint64
 	// pulled are the standings of the sources that were copied whole, by node.
 	pulled map[string]*replicav1.Standing
 }
 
-func newProofCopy() *proofCopy {
-	return &proofCopy{seatCopy: newSeatCopy(), pulled: make(map[string]*replicav1.Standing)}
+func newProofCopy(claim uint64) *proofCopy {
+	return &proofCopy{seatCopy: newSeatCopy(), claim: claim, pulled: make(map[string]*replicav1.Standing)}
 }
 
 func (n *proofNode) state() *state { return n.service.state }
@@ -156,6 +161,8 @@
 	// lateWords are what nodes said of themselves before they lost their disks, which
 	// members believe for a while.
 	lateWords map[string]lateWord
+	// cuts is set where members are cut off from the others.
+	cuts *proofCuts
 	// regionOf names the region of each node's zone, which has the node's name.
 	regionOf map[string]string
 	// violation is the first promise that was broken.
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,26 +22,46 @@
 	shrinkAfter = 2*reconcileEvery + announceTimeout
 )
 
-// announce tells the other members of each group that this node has a seat in, again
+// announce tells the other members of each group that this node has a seat in, or lost one of, again
 // and again, that it is here and with which incarnation, and notes their answers.
 func (r *Replica) announce(ctx context.Context) {
 	for pause.For(ctx, announceEvery) {
-		for _, group := range r.ownGroups() {
-			r.announceGroup(ctx, group)
+		for _, group := range r.directory.Groups() {
+			if group != nil && speaksFor(group, r.options.Node) != nil {
+				r.announceGroup(ctx, group)
+			}
 		}
 	}
 }
 
+// speaksFor returns the member whose incarnation a node tells: its seat in the group, or the one
+// that it was removed from and that the others may still copy. It is nil where there is neither.
+func speaksFor(group *replicav1.Group, node string) *replicav1.Member {
+	if member := seatOf(group, node); member != nil || group.Removed.GetNode() != node {
+		return member
+	}
+	return group.Removed
+}
+
 // announceGroup tells the other members of a group once that this node is here.
 func (r *Replica) announceGroup(ctx context.Context, group *replicav1.Group) {
 	message := r.announcement(group)
-	for _, member := range group.Members {
+	for _, member := range speaking(group) {
 		if member.Node != r.options.Node {
 			go r.announceTo(ctx, member, message)
 		}
 	}
 }
 
+// speaking returns the members that tell each other their incarnations: those of the group, and
+// the one that was removed last, which an empty one may copy.
+func speaking(group *replicav1.Group) []*replicav1.Member {
+	if group.Removed == nil {
+		return group.Members
+	}
+	return append(slices.Clone(group.Members), group.Removed)
+}
+
 // ownGroups returns the groups that this node has a seat in.
 func (r *Replica) ownGroups() (own []*replicav1.Group) {
 	for _, group := range r.directory.Groups() {
@@ -54,7 +75,7 @@
 // announcementOf returns what a node tells the members of a group.
 func announcementOf(state *state, group *replicav1.Group, node string) *replicav1.AnnounceRequest {
 	message := &replicav1.AnnounceRequest{Group: group, Node: node}
-	if identity := state.currentIdentity(group.Partition); identity != nil && seatOf(group, node) != nil {
+	if identity := state.currentIdentity(group.Partition); identity != nil && speaksFor(group, node) != nil {
 		message.Seat, message.Incarnation = identity.Seat, identity.Incarnation
 	}
 	return message
@@ -109,29 +130,34 @@
 }
 
 // improve proposes a partition's next group, if there is a better one. A group that
-// shrinks reads from fewer members: the node that leaves it does so by itself,
-// after it has handed over what it holds. A seat that moves takes with it what
-// it held, and any member may propose that.
+// shrinks reads from fewer members: a node that is emptied leaves it by itself,
+// after it has handed over what it holds, and one that has fallen silent is removed
+// by the others once that has lasted. A seat that moves takes with it what it held,
+// and any member may propose that.
 func (r *Replica) improve(ctx context.Context, group *replicav1.Group) {
 	seen := r.observe(group)
+	seen.exchanged = r.exchangeAfterRemoval(ctx, seen)
 	r.lacking.note(seen, r.lookForStandbys(ctx, seen))
 	next := nextGroup(seen)
 	if next == nil {
-		r.proposals.settled(group.Partition)
+		if group.Removed == nil {
+			r.proposals.settled(group.Partition)
+		}
 		return
 	}
-	if len(next.Members) < len(group.Members) {
+	rank := proposalRank(seen, r.options.Node)
+	switch {
+	case len(next.Members) >= len(group.Members) || !seen.retiring[leavingMember(seen).Node]:
+		if r.proposals.due(group, rank) {
+			r.propose(ctx, group, next)
+		}
+	case seatOf(next, r.options.Node) == nil:
 		if !r.proposals.wantedFor(group, shrinkAfter) && len(standbys(seen)) > 0 {
 			return
 		}
-		if seatOf(next, r.options.Node) != nil || !r.handOver(ctx, group) {
-			return
+		if r.handOver(ctx, group) {
+			r.propose(ctx, group, next)
 		}
-		r.propose(ctx, group, next)
-		return
-	}
-	if r.proposals.due(group, proposalRank(seen, r.options.Node)) {
-		r.propose(ctx, group, next)
 	}
 }
 
@@ -159,6 +185,7 @@
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
 		regions: r.options.Regions,
 		alive:   func(node string) bool { return node == own || r.heard.alive(node) },
+		lost:    func(node string) bool { return node != own && r.heard.lost(node) },
 		settled: func(node string) bool {
 			if node != own {
 				return r.heard.settled(node, group.Partition, group.Epoch)
@@ -184,6 +211,10 @@
 	if err := r.objects.Replace(ctx, directory.KindGroup, found); err != nil {
 		return
 	}
-	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members))
+	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members), "removed", next.Removed.GetNode())
 	r.directory.OfferGroup(next, directory.SourceSelf)
+	if next.Removed != nil {
+		// What follows waits until every member shows the epoch.
+		r.announceGroup(ctx, next)
+	}
 }
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -201,8 +201,9 @@
 	if failed < firstWaitTold || bits.OnesCount(uint(failed)) != 1 {
 		return
 	}
+	needed, _ := sourcesNeeded(group)
 	eventSeatWaits.Log("partition", group.Partition, "seat", member.Seat, "epoch", group.Epoch, "attempts", failed,
-		"needed", quorum.RecoverSize(quorum.Voters(group)), "asked", nodesOf(wanted), "whole", seatsOf(standings))
+		"needed", needed, "asked", nodesOf(wanted), "whole", seatsOf(standings))
 }
 
 func nodesOf(members []*replicav1.Member) (nodes []string) {
@@ -229,12 +230,28 @@
 			sources = append(sources, other)
 		}
 	}
-	if before := member.Predecessor; inTransfer(member) && !quorum.Joining(member) {
-		sources = append(sources, &replicav1.Member{Seat: member.Seat, Node: before.Node, Address: before.Address, Claim: before.Claim})
+	if group.Removed != nil {
+		sources = append(sources, group.Removed)
+	}
+	if inTransfer(member) && !quorum.Joining(member) {
+		sources = append(sources, holderBefore(member))
 	}
 	return sources
 }
 
+// sourcesNeeded returns how many members an empty one must copy to hold everything that counts,
+// and how many sources where the member that was removed last is one of them. What counts may lie
+// with as few members as while that one had its seat, and what has counted since with the others alone.
+func sourcesNeeded(group *replicav1.Group) (members, withRemoved int) {
+	voters := quorum.Voters(group)
+	members = quorum.RecoverSize(voters)
+	if group.Removed == nil {
+		return members, members
+	}
+	before := quorum.RecoverSize(voters + 1)
+	return max(members, before), max(members+1, before)
+}
+
 // enoughToRecover returns those standings of nodes that were copied whole after
 // which no acknowledged record of the seat can be missing, or nil.
 func enoughToRecover(group *replicav1.Group, member *replicav1.Member, standings []*replicav1.Standing) []*replicav1.Standing {
@@ -247,15 +264,38 @@
 			others = append(others, standing)
 		}
 	}
-	chosen := quorum.Choose(group.Epoch, others, quorum.RecoverSize(quorum.Voters(group)))
-	if chosen == nil {
-		return nil
+	needed, withRemoved := sourcesNeeded(group)
+	if enough := chooseSources(group.Epoch, others, needed); enough != nil {
+		return enough
+	}
+	for _, standing := range standings {
+		if heldRemovedSeat(group, standing) {
+			return chooseSources(group.Epoch, append(others, asMember(group, standing)), withRemoved)
+		}
 	}
-	enough := make([]*replicav1.Standing, 0, len(chosen))
-	for _, i := range chosen {
-		enough = append(enough, others[i])
+	return nil
+}
+
+// chooseSources returns so many standings that count together, or nil.
+func chooseSources(epoch uint64, standings []*replicav1.Standing, needed int) (chosen []*replicav1.Standing) {
+	for _, i := range quorum.Choose(epoch, standings, needed) {
+		chosen = append(chosen, standings[i])
 	}
-	return enough
+	return chosen
+}
+
+// heldRemovedSeat reports whether a standing is that of the member that was removed last, with
+// everything that its seat held. Since it knows of that, it acknowledges nothing any more.
+func heldRemovedSeat(group *replicav1.Group, standing *replicav1.Standing) bool {
+	return group.Removed != nil && !standing.Member && standing.Recovered && standing.Epoch >= group.Epoch &&
+		standing.Seat == group.Removed.Seat && standing.Claim == group.Removed.Claim
+}
+
+// asMember returns a standing as if its node still had its seat.
+func asMember(group *replicav1.Group, standing *replicav1.Standing) *replicav1.Standing {
+	counted := proto.CloneOf(standing)
+	counted.Member, counted.Epoch = true, group.Epoch
+	return counted
 }
 
 // passesSeatOn reports whether a standing is that of the seat's holder before,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -90,6 +90,7 @@
 	proposals *proposals
 	standbys  *standbySearch
 	handOvers map[handOverKey]handOver
+	exchanges map[uint32]*exchange
 	retiring  bool
 	retired   bool
 }
@@ -103,7 +104,7 @@
 	replica := &Replica{
 		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
 		grants:  newGrants(options.Node, time.Now, options.Quota, options.ColdTolerance),
-		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver),
+		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver), exchanges: make(map[uint32]*exchange),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -44,6 +44,10 @@
 	if r.state.currentIdentity(group.Partition) == nil {
 		return true
 	}
+	if group.Removed.GetNode() == r.options.Node {
+		// A member that loses its disk before the others have exchanged what they hold needs this node.
+		return false
+	}
 	if passedSeatOf(group, r.options.Node) != nil {
 		return r.transferDone(ctx, group)
 	}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -127,7 +127,7 @@
 // holdsSeat reports whether the sender of an announcement holds the seat that it names
 // in a group. A word that comes late may be of a seat that has moved on.
 func holdsSeat(group *replicav1.Group, message *replicav1.AnnounceRequest) bool {
-	member := seatOf(group, message.Node)
+	member := speaksFor(group, message.Node)
 	return member != nil && member.Seat == message.Seat
 }
 
