Replicas: a group of two passes the seat of a lost member on, also where its successor comes late

What callers saw: 503 majority_away for good once one of two replicas had gone, with an empty one standing by that started more than 2.6 s later. Cause: a change of a group waits until a majority shows the present epoch and holds everything; of two members that is both. One that came before the other's silence was noticed got a third seat, and service went on. Why one is enough: of two members each has every record that counts, and nothing is acknowledged without it, under this epoch or the one before. That does not hold while a removal is not complete, or a node that was emptied still hands over; then it waits as before.

--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -45,6 +45,8 @@
 	lost func(node string) bool
 	// exchanged is set once every member has all records of all members of this epoch.
 	exchanged bool
+	// emptying is set while a node that has no seat of the group any more hands over what it held.
+	emptying bool
 }
 
 // partitionsFor returns how many partitions a system begins with that has so many
@@ -209,7 +211,24 @@
 			return false
 		}
 	}
-	return settled >= quorum.WriteSize(quorum.Voters(seen.group))
+	return settled >= changeSize(seen, leaving)
+}
+
+// changeSize is how many members must be settled for a change of their group. Of two members
+// each holds every record that counts, and no write succeeds without it, so that one is enough
+// once the other is lost; while a third still hands over what it held, or its removal is not
+// complete, that does not hold.
+func changeSize(seen observation, leaving *replicav1.Member) int {
+	voters := quorum.Voters(seen.group)
+	if voters == 2 && leaving != nil && isLost(seen, leaving) && seen.group.Removed == nil && !seen.emptying {
+		return 1
+	}
+	return quorum.WriteSize(voters)
+}
+
+// isLost reports whether a member has been silent for so long that it may have gone for good.
+func isLost(seen observation, member *replicav1.Member) bool {
+	return seen.lost != nil && seen.lost(member.Node)
 }
 
 // allSettled reports whether every member shows the present epoch and holds
@@ -315,10 +334,7 @@
 // would keep its vote: with the next lost disk no majority could be made up. Two must stay, which
 // hold together what counts.
 func mayBeRemoved(seen observation, leaving *replicav1.Member) bool {
-	if seen.lost == nil || !seen.lost(leaving.Node) {
-		return false
-	}
-	return quorum.Joining(leaving) || quorum.Voters(seen.group) > 2
+	return isLost(seen, leaving) && (quorum.Joining(leaving) || quorum.Voters(seen.group) > 2)
 }
 
 func removeSeat(group *replicav1.Group, seat uint32) {
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -183,9 +183,10 @@
 	}
 	return observation{
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
-		regions: r.options.Regions,
-		alive:   func(node string) bool { return node == own || r.heard.alive(node) },
-		lost:    func(node string) bool { return node != own && r.heard.lost(node) },
+		regions:  r.options.Regions,
+		alive:    func(node string) bool { return node == own || r.heard.alive(node) },
+		emptying: r.followers.emptying(group),
+		lost:     func(node string) bool { return node != own && r.heard.lost(node) },
 		settled: func(node string) bool {
 			if node != own {
 				return r.heard.settled(node, group.Partition, group.Epoch)
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -82,3 +82,11 @@
 		require.True(t, heard.lost(node))
 	}
 }
+
+// A group of two rested for good where a member had gone and its successor came later.
+func TestAGroupOfTwoPassesTheSeatOfALostMemberOn(t *testing.T) {
+	seen := lostMember(oneGroup(nodes("a", "b")), "b", "a", "b", "c")
+	require.Equal(t, []string{"a", "c"}, memberNames(nextGroup(seen)))
+	seen.emptying = true
+	require.Nil(t, nextGroup(seen), "a third may still hold what neither has")
+}
