Replicas: a group that was formed with fewer than three nodes grows to three

What callers saw: with the third replica started 2 s late, a group of two for good: each replica that was away for a moment rested service, and the next that went for good ended it (trial: not served within 20 s of its replacement). Cause: the number of seats a group goes back to was that of the nodes registered when it was formed. Mend: a group takes seats up to three where there are nodes. What a group counts as begun with stays as it was: a region with one replica serves with that one.

--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -17,6 +17,9 @@
 	// maxSeats bounds a group: five seats bear the loss of two disks at once, which is
 	// the most that the users ask for, and more replicas cost every write.
 	maxSeats = 5
+	// leastSeats is what a group grows to where there are nodes, however many there were when
+	// it was formed: with fewer, no write succeeds while one of them is away.
+	leastSeats = 3
 	// nodesPerPartition is how many nodes there are for each partition of a new
 	// system. With three a node holds five thirds of a seat in the mean and two at the
 	// most; fewer nodes a partition would spread load no better, and each partition has
@@ -172,7 +175,7 @@
 		next.Removed = lastHolder(leaving)
 		removeSeat(next, leaving.Seat)
 		return next
-	case leaving == nil && standby != nil && len(next.Members) < int(next.Target):
+	case leaving == nil && standby != nil && len(next.Members) < wantedSeats(seen.group):
 		addMember(next, *standby)
 		// It counts once it has received what the others hold.
 		next.Members[len(next.Members)-1].Predecessor = &replicav1.Predecessor{}
@@ -231,6 +234,9 @@
 	return seen.lost != nil && seen.lost(member.Node)
 }
 
+// wantedSeats returns how many seats a group is to have.
+func wantedSeats(group *replicav1.Group) int { return max(int(group.Target), leastSeats) }
+
 // allSettled reports whether every member shows the present epoch and holds
 // everything that its seat held.
 func allSettled(seen observation) bool {
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -164,7 +164,7 @@
 // lookForStandbys asks nodes that could take a seat whether they are there, if one is
 // wanted, and returns their names. Nodes without a seat announce nothing to the members.
 func (r *Replica) lookForStandbys(ctx context.Context, seen observation) (asked []string) {
-	if leavingMember(seen) == nil && len(seen.group.Members) >= int(seen.group.Target) {
+	if leavingMember(seen) == nil && len(seen.group.Members) >= wantedSeats(seen.group) {
 		r.standbys.end(seen.group.Partition)
 		return nil
 	}
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -90,3 +90,11 @@
 	seen.emptying = true
 	require.Nil(t, nextGroup(seen), "a third may still hold what neither has")
 }
+
+// A group that was formed before the third node came stayed one of two.
+func TestAGroupGrowsToThreeHoweverFewItWasFormedWith(t *testing.T) {
+	next := nextGroup(seenAll(oneGroup(nodes("a", "b")), nodes("a", "b", "c", "d")))
+	require.Equal(t, []string{"a", "b", "c"}, memberNames(next))
+	require.Equal(t, uint32(2), next.Target, "what gateways wait for at the start stays as it was")
+	require.Nil(t, nextGroup(seenAll(receivedGroup(next, next.Members[2].Seat, 5), nodes("a", "b", "c", "d"))))
+}
