Replicas and gateways: a group of another system is refused, whoever tells it

What callers would see: no turn served for good. Cause: a group was believed for its epoch alone. One announcement with a group of the same partition and node names and a higher epoch, to one replica, was written to the disk and passed on: a replica or gateway of another system does that where an address has changed hands. Mend: the first group of a system draws a name, which all its groups carry; what is of another one is refused before anything of it is taken, on the disk too, and told (event 2609). Systems that were formed before have no name and go on as they are. That this was the users' incident is not shown.

--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -71,6 +71,7 @@
 	eventConfiguration = event.Define(2603, event.Info, "configuration in force", "")
 	eventWorkers       = event.Define(2604, event.Info, "workers changed", "")
 	eventGroup         = event.Define(2605, event.Info, "a partition's group of replicas changed", "")
+	eventForeignGroup  = event.Define(2609, event.Error, "a group of replicas of another system is refused", "Look whose process is at the source's address: an address that another system had, or settings that lead to another platform's store.")
 	eventZoneDrains    = event.Define(2606, event.Info, "drained zones changed", "")
 )
 
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -9,6 +9,9 @@
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
+// foreignToldEvery is how often groups of another system are logged.
+const foreignToldEvery = 10 * time.Second
+
 // View is what is known at one moment. It is immutable.
 type View struct {
 	// Table is nil until a configuration is known.
@@ -72,6 +75,8 @@
 	mutex sync.Mutex
 	// news is closed, and replaced, with each new view.
 	news chan struct{}
+	// foreignTold is when a group of another system was logged last.
+	foreignTold time.Time
 	// workers are those that are listed, by instance.
 	workers map[string]*listing
 	// listings counts the whole lists that were taken.
@@ -139,8 +144,21 @@
 	s.publish(&next)
 }
 
-// OfferGroup takes a partition's group if its epoch is higher than the one known. source is who
-// told it, for the log.
+// SystemOf returns the system that groups belong to; 0 is not known.
+func SystemOf(groups []*replicav1.Group) uint64 {
+	for _, group := range groups {
+		if group.GetSystem() != 0 {
+			return group.System
+		}
+	}
+	return 0
+}
+
+// SameSystem reports whether two systems may be one: a group of a former release names none.
+func SameSystem(one, other uint64) bool { return one == other || one == 0 || other == 0 }
+
+// OfferGroup takes a partition's group if its epoch is higher than the one known. One of another
+// system is refused, whoever tells it: addresses change hands. source is who told it, for the log.
 func (s *State) OfferGroup(group *replicav1.Group, source string) {
 	if group == nil {
 		return
@@ -148,6 +166,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.view.Load()
+	if known := SystemOf(current.Groups); !SameSystem(known, group.System) {
+		s.tellForeign(group, known, source)
+		return
+	}
 	if current.Group(group.Partition).GetEpoch() >= group.Epoch {
 		return
 	}
@@ -164,6 +186,16 @@
 	s.publish(&next)
 }
 
+// tellForeign logs, now and then, that a group of another system was told. The mutex is held.
+func (s *State) tellForeign(group *replicav1.Group, known uint64, source string) {
+	now := s.now()
+	if now.Sub(s.foreignTold) < foreignToldEvery {
+		return
+	}
+	s.foreignTold = now
+	eventForeignGroup.Log("partition", group.Partition, "epoch", group.Epoch, "source", source, "system", group.System, "own", known)
+}
+
 // publish publishes a view with the same workers.
 func (s *State) publish(next *View) { s.publishUpdate(next, WorkerUpdate{}) }
 
--- a/internal/replica/confined.go
+++ b/internal/replica/confined.go
@@ -57,7 +57,7 @@
 func confinedGroup(layout *replicav1.Group, partition uint32, first directory.Replica, within int) *replicav1.Group {
 	group := &replicav1.Group{
 		Epoch: firstEpoch, Partition: partition, Partitions: layout.Partitions, Confined: layout.Confined,
-		Region: regionOfPartition(layout, partition), Target: uint32(min(maxSeats, within)),
+		System: layout.System, Region: regionOfPartition(layout, partition), Target: uint32(min(maxSeats, within)),
 	}
 	addMember(group, first)
 	return group
--- /dev/null
+++ b/internal/replica/foreign_test.go
@@ -0,0 +1,42 @@
+package replica
+
+import (
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/recordlog/recordlogtest"
+)
+
+func TestNothingIsTakenOfAnAnnouncementOfAnotherSystem(t *testing.T) {
+	disk := recordlogtest.NewDisk()
+	opened, err := openState(disk)
+	require.NoError(t, err)
+	group := oneGroup(nodes("a", "b", "c"))
+	group.System = 7
+	require.NoError(t, opened.write(groupRecord(group)))
+	hearing := &service{node: "a", state: opened, directory: directory.NewState(opened.now, nil), heard: newHeard(opened.now)}
+	foreign := oneGroup(nodes("a", "b", "c"))
+	foreign.System, foreign.Epoch = 8, group.Epoch+5
+	_, err = hearing.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Group: foreign, Node: "b", Seat: 1, Incarnation: 9}))
+	var refused *ForeignSystem
+	require.ErrorAs(t, err, &refused)
+	require.False(t, hearing.heard.alive("b"), "its word is of another node of that name")
+	require.Empty(t, opened.standing(0, group.Epoch).Seen)
+
+	// Neither by any other way to the disk.
+	require.NoError(t, opened.write(groupRecord(foreign)))
+	require.Equal(t, group, opened.currentGroup(0))
+	opened.log.Close()
+}
+
+func TestASystemIsNamedOnceForAllItsGroups(t *testing.T) {
+	require.NotZero(t, drawSystem())
+	layout := oneGroup(nodes("a", "b", "c"))
+	layout.System = drawSystem()
+	require.Equal(t, layout.System, nextGroup(lostMember(layout, "b", "a", "b", "c")).System)
+	require.Equal(t, layout.System, confinedGroup(layout, 1, nodes("a")[0], 1).System)
+}
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
@@ -90,7 +91,12 @@
 	if table := r.directory.View().Table; table != nil && table.Confines() {
 		founding = append(founding, wholeConfined(founding, nodes, r.options.Regions)...)
 	}
+	system := directory.SystemOf(known)
+	if system == 0 {
+		system = drawSystem()
+	}
 	for _, group := range founding {
+		group.System = system
 		if !sameLayout(group, anyKnown(r.directory.Groups())) || r.directory.Group(group.Partition) != nil {
 			continue
 		}
@@ -107,6 +113,9 @@
 	}
 }
 
+// drawSystem names a new system. It stays exact where a store reads numbers as floating-point ones.
+func drawSystem() uint64 { return rand.Uint64N(1<<53-1) + 1 }
+
 // rank returns how many registered nodes come before this one by name.
 func (r *Replica) rank() (before int) {
 	for _, node := range r.followers.nodes() {
--- a/internal/replica/partition.go
+++ b/internal/replica/partition.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/loan"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
@@ -47,7 +48,7 @@
 		}
 		p.seen[kind.Incarnation.Seat] = kind.Incarnation.Incarnation
 	case *replicav1.Record_Group:
-		if p.group != nil && p.group.Epoch >= kind.Group.Epoch {
+		if p.group != nil && (p.group.Epoch >= kind.Group.Epoch || !directory.SameSystem(p.group.System, kind.Group.System)) {
 			return false
 		}
 		p.takeGroup(kind.Group)
