Replicas and gateways: calls between two systems are refused at both ends

A gateway that called a replica of another system at an address which had changed hands had its turns stored and counted there (Append names an epoch and a partition alone), and took its configuration, workers and nodes as news. Mend: calls to replicas name the caller's system, answers that of the replica; each end refuses the other's, before a handler reads anything. A process that knows no system yet is let in and believes the first one that answers.

--- a/internal/directory/errors.go
+++ b/internal/directory/errors.go
@@ -82,3 +82,21 @@
 
 // Unwrap returns the cause.
 func (e *StoreUnreachable) Unwrap() error { return e.Cause }
+
+// ForeignSystem reports a word of another system, of which nothing was taken.
+type ForeignSystem struct {
+	Own, Told uint64
+}
+
+func (e *ForeignSystem) Error() string {
+	return fmt.Sprintf("the word is of system %d, and this is %d", e.Told, e.Own)
+}
+
+// Type returns "foreign_system".
+func (e *ForeignSystem) Type() failure.Type { return "foreign_system" }
+
+// Outcome returns NotRun.
+func (e *ForeignSystem) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry allows none: the address is another system's.
+func (e *ForeignSystem) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -143,7 +143,7 @@
 	defer c.mutex.Unlock()
 	found := c.calls[address]
 	if found == nil {
-		options := append(transport.ClientOptions(), connect.WithInterceptors(connect.UnaryInterceptorFunc(c.countCall)))
+		options := append(transport.ClientOptions(), connect.WithInterceptors(connect.UnaryInterceptorFunc(c.countCall), connect.UnaryInterceptorFunc(c.checkAnswer)))
 		found = replicav1connect.NewReplicaServiceClient(c.http, "http://"+address, options...)
 		c.calls[address] = found
 	}
--- a/internal/quorum/distance_test.go
+++ b/internal/quorum/distance_test.go
@@ -16,7 +16,7 @@
 
 // clientInA1 returns a client in zone a1 that has measured 40 ms to region c and 90 ms to b.
 func clientInA1() *Client {
-	client := NewClient(nil, "a1", http.DefaultClient)
+	client := NewClient(oneGroup{}, "a1", http.DefaultClient)
 	client.Locate(distance.NewPlaces("a1", threeRegions))
 	for zone, took := range map[string]time.Duration{"a1": 1, "a2": 3, "b1": 91, "c1": 41, "c2": 42} {
 		client.ways.Observe(time.Unix(1000, 0), zone, took*time.Millisecond)
@@ -61,7 +61,7 @@
 }
 
 func TestWithoutRegionsAllZonesButTheOwnOneAreAlike(t *testing.T) {
-	client := NewClient(nil, "a1", http.DefaultClient)
+	client := NewClient(oneGroup{}, "a1", http.DefaultClient)
 	second := make(map[string]bool)
 	for range 60 {
 		zones := zonesOf(client.preferred(groupIn("b1", "a2", "a1")))
--- /dev/null
+++ b/internal/quorum/system.go
@@ -0,0 +1,70 @@
+package quorum
+
+import (
+	"context"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+)
+
+// systemHeader names the system of a caller, and of what answers; neither is sent while it is not
+// known.
+const systemHeader = "Barleyshelf-System"
+
+// CheckCallers refuses calls of another system before a handler sees them, and names the own one
+// in each answer.
+func CheckCallers(groups Groups) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			own := directory.SystemOf(groups.Groups())
+			if told := systemIn(request.Header().Get(systemHeader)); !directory.SameSystem(own, told) {
+				return nil, foreign(own, told)
+			}
+			response, err := next(ctx, request)
+			if err == nil {
+				setSystem(response.Header().Set, own)
+			}
+			return response, err
+		}
+	}
+}
+
+// checkAnswer names the own system in a call, and takes an answer of another one for none: what is
+// at the address is no replica of this system.
+func (c *Client) checkAnswer(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		setSystem(request.Header().Set, directory.SystemOf(c.groups.Groups()))
+		response, err := next(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		own := directory.SystemOf(c.groups.Groups())
+		if told := systemIn(response.Header().Get(systemHeader)); !directory.SameSystem(own, told) {
+			return nil, foreign(own, told)
+		}
+		return response, nil
+	}
+}
+
+// foreign returns the error of a call between two systems. Its code is that of a process which
+// cannot be reached, so that calls are not sent again and again.
+func foreign(own, told uint64) error {
+	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Told: told})
+}
+
+func setSystem(set func(key, value string), system uint64) {
+	if system != 0 {
+		set(systemHeader, strconv.FormatUint(system, 36))
+	}
+}
+
+// systemIn returns the system that a header names; 0 is none, or nothing that could be one.
+func systemIn(value string) uint64 {
+	system, err := strconv.ParseUint(value, 36, 64)
+	if err != nil {
+		return 0
+	}
+	return system
+}
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -24,21 +24,3 @@
 
 // Retry allows a repeat under the newer group, which announcements tell.
 func (e *StaleGroup) Retry() failure.Retry { return failure.Retry{Allowed: true} }
-
-// ForeignSystem reports a word of another system, of which nothing was taken.
-type ForeignSystem struct {
-	Own, Told uint64
-}
-
-func (e *ForeignSystem) Error() string {
-	return fmt.Sprintf("the group is of system %d, and this is %d", e.Told, e.Own)
-}
-
-// Type returns "foreign_system".
-func (e *ForeignSystem) Type() failure.Type { return "foreign_system" }
-
-// Outcome returns NotRun.
-func (e *ForeignSystem) Outcome() failure.Outcome { return failure.NotRun }
-
-// Retry allows none: the address is another system's.
-func (e *ForeignSystem) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -22,7 +22,7 @@
 	foreign := oneGroup(nodes("a", "b", "c"))
 	foreign.System, foreign.Epoch = 8, group.Epoch+5
 	_, err = hearing.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Group: foreign, Node: "b", Seat: 1, Incarnation: 9}))
-	var refused *ForeignSystem
+	var refused *directory.ForeignSystem
 	require.ErrorAs(t, err, &refused)
 	require.False(t, hearing.heard.alive("b"), "its word is of another node of that name")
 	require.Empty(t, opened.standing(0, group.Epoch).Seen)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
@@ -294,7 +296,8 @@
 		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
-	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, transport.HandlerOptions(maxMessageBytes)...))
+	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory)))
+	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handling...))
 	server := &http.Server{Handler: bound, WriteTimeout: transport.PeerWriteTimeout}
 	go func() {
 		<-stop.Done()
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -105,7 +105,7 @@
 	own := directory.SystemOf([]*replicav1.Group{newest, anyKnown(s.directory.Groups())})
 	if !directory.SameSystem(own, message.Group.GetSystem()) {
 		s.directory.OfferGroup(message.Group, message.Node)
-		return nil, connect.NewError(connect.CodeFailedPrecondition, &ForeignSystem{Own: own, Told: message.Group.System})
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Told: message.Group.System})
 	}
 	if message.Group.GetEpoch() > newest.GetEpoch() {
 		newest = message.Group
