Replicas: one without records asks the platform's store which system it belongs to before it believes anybody

Mend: such a replica asks the store for the first group, for a second at the most, before it takes a group from others. Left: a gateway, which keeps nothing, still believes the first replica that answers its seeds.

--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -14,6 +14,7 @@
 	eventUnreadable  = event.Define(2710, event.Error, "a kept turn cannot be read here", "Check the disk; the other replicas are asked.")
 	eventCopyBroken  = event.Define(2711, event.Warning, "the copy of a seat's records from one source broke off; it goes on there", "Look at the source and the link to it if this repeats for seconds.")
 	eventSeatWaits   = event.Define(2712, event.Warning, "a seat's records cannot be received yet", "Bring back the sources that do not answer; a group with more lost disks than it bears waits for ever.")
+	eventFirstWord   = event.Define(2721, event.Warning, "the platform's store does not tell a replica without records its system; other replicas are believed", "If event 2609 follows, look whose processes the seeds in its settings lead to.")
 	eventStraySeat   = event.Define(2718, event.Error, "a seat is not taken: its group is confined to another region", "Look at zones in the settings of all replicas: they must agree.")
 	eventGroupLacks  = event.Define(2719, event.Warning, "a member does not hold its seat; the group bears one loss less", "Bring the member back, or add a replica; if standbys are named, look whether they answer.")
 	eventGroupWhole  = event.Define(2720, event.Info, "all members of a group hold their seats again", "")
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -40,3 +40,22 @@
 	require.Equal(t, layout.System, nextGroup(lostMember(layout, "b", "a", "b", "c")).System)
 	require.Equal(t, layout.System, confinedGroup(layout, 1, nodes("a")[0], 1).System)
 }
+
+// A replica without records took the group of whoever announced itself first, and refused its own system's after that.
+func TestAReplicaWithoutRecordsTakesNoGroupBeforeTheStoreWasAsked(t *testing.T) {
+	opened, err := openState(recordlogtest.NewDisk())
+	require.NoError(t, err)
+	t.Cleanup(opened.log.Close)
+	believing := false
+	hearing := &service{
+		node: "a", state: opened, directory: directory.NewState(opened.now, nil), heard: newHeard(opened.now),
+		believing: func() bool { return believing },
+	}
+	message := &replicav1.AnnounceRequest{Group: oneGroup(nodes("a", "b", "c")), Node: "b"}
+	for _, believing = range []bool{false, true} {
+		_, err = hearing.Announce(t.Context(), connect.NewRequest(message))
+		require.NoError(t, err)
+		require.Equal(t, believing, opened.currentGroup(0) != nil)
+		require.Equal(t, believing, len(hearing.directory.Groups()) > 0)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -82,8 +82,9 @@
 	grants    *grants
 	lacking   *lackingGroups
 	seeds     atomic.Pointer[[]string]
-	// stopping is set once this process is to stop.
-	stopping atomic.Bool
+	// stopping is set once this process is to stop, believing once it takes the word of other
+	// processes on which system this is.
+	stopping, believing atomic.Bool
 
 	// copies holds a token for each seat that is being filled.
 	copies chan struct{}
@@ -293,7 +294,7 @@
 		return err
 	}
 	handler := &service{
-		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
+		node: r.options.Node, stopping: r.stopping.Load, believing: r.believing.Load, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
 	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory)))
@@ -306,7 +307,10 @@
 		server.Close()
 	}()
 	go r.followStore(ctx)
-	go r.relay.Run(ctx)
+	go func() {
+		r.awaitFirstWord(ctx)
+		r.relay.Run(ctx)
+	}()
 	go r.keepWorkers(ctx)
 	go r.compact(ctx)
 	go r.grants.sweep(ctx)
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -21,7 +21,9 @@
 	// node is this replica's name.
 	node string
 	// stopping reports whether this replica is to stop; nil is no.
-	stopping  func() bool
+	stopping func() bool
+	// believing reports whether a group may be taken while none is known; nil is yes.
+	believing func() bool
 	state     *state
 	directory *directory.State
 	heard     *heard
@@ -103,6 +105,9 @@
 	partition := message.Group.GetPartition()
 	newest := s.state.currentGroup(partition)
 	own := directory.SystemOf([]*replicav1.Group{newest, anyKnown(s.directory.Groups())})
+	if newest == nil && s.believing != nil && !s.believing() {
+		message = &replicav1.AnnounceRequest{Node: message.Node, Stopping: message.Stopping}
+	}
 	if !directory.SameSystem(own, message.Group.GetSystem()) {
 		s.directory.OfferGroup(message.Group, message.Node)
 		return nil, connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Told: message.Group.System})
