Replicas: a member counts as lost after 3.4 s of silence

With 4.1 s a removal was complete 5.2 and 7.0 s after the loss where the successor had come 1 s after it: the users' next disk goes 4.4 s after that start.

--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -13,8 +13,8 @@
 
 // lostAfter is how long a node may say nothing before its seat may be removed without a
 // successor. With the exchange that follows it stays within the time after which the next disk
-// may be lost.
-const lostAfter = silentAfter + 1500*time.Millisecond
+// may be lost, also where a node has come to a new seat meanwhile.
+const lostAfter = silentAfter + 800*time.Millisecond
 
 // heard keeps what other nodes said last.
 type heard struct {
