Replicas: an empty member asks sources first that were heard lately

A copy asked as few sources as are enough, in the order of the group, and waited 0.7 s and more for one that had gone beside one that holds everything. The test was red before.

--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
@@ -76,9 +78,9 @@
 func (s *sourceCopy) timedOut() { s.partBytes = max(minPullBytes, s.partBytes/2) }
 
 // wanted returns the sources to ask in the next attempt: at first as few as are
-// enough, then, where that attempt was not enough, all. spare are asked too where the wanted
-// ones have brought nothing after spareSourceAfter.
-func (c *seatCopy) wanted(group *replicav1.Group, member *replicav1.Member) (wanted, spare []*replicav1.Member) {
+// enough, those that were heard lately first, then, where that attempt was not enough, all.
+// spare are asked too where the wanted ones have brought nothing after spareSourceAfter.
+func (c *seatCopy) wanted(group *replicav1.Group, member *replicav1.Member, alive func(node string) bool) (wanted, spare []*replicav1.Member) {
 	sources := recoverySources(group, member)
 	if c.failed > 0 {
 		return sources, nil
@@ -87,10 +89,21 @@
 		// The holder before comes last and is enough alone; often it is gone.
 		return sources[len(sources)-1:], sources[:len(sources)-1]
 	}
+	slices.SortStableFunc(sources, func(a, b *replicav1.Member) int {
+		return cmp.Compare(silence(alive, a), silence(alive, b))
+	})
 	needed, _ := sourcesNeeded(group)
 	return sources[:min(len(sources), needed)], nil
 }
 
+// silence is 1 for a source that was not heard lately, which may be gone, else 0.
+func silence(alive func(node string) bool, source *replicav1.Member) int {
+	if alive(source.Node) {
+		return 0
+	}
+	return 1
+}
+
 // attemptFailed notes an attempt that was not enough.
 func (c *seatCopy) attemptFailed(brought bool) {
 	c.failed++
--- a/internal/replica/copy_test.go
+++ b/internal/replica/copy_test.go
@@ -120,13 +120,13 @@
 		{Seat: 0, Node: "a"}, {Seat: 1, Node: "b"}, {Seat: 2, Node: "d", Claim: 2, Predecessor: &replicav1.Predecessor{Node: "c", Claim: 1}},
 	}}
 	fresh := newSeatCopy()
-	wanted, spare := fresh.wanted(group, group.Members[2])
+	wanted, spare := fresh.wanted(group, group.Members[2], except())
 	require.Len(t, spare, 2, "the others where it brings nothing soon")
 	require.Len(t, wanted, 1)
 	require.Equal(t, "c", wanted[0].Node)
 
 	fresh.attemptFailed(false)
-	wanted, _ = fresh.wanted(group, group.Members[2])
+	wanted, _ = fresh.wanted(group, group.Members[2], except())
 	require.Len(t, wanted, 3, "the others too once it was not enough")
 }
 
@@ -184,3 +184,11 @@
 		require.NotEmpty(t, source.sent)
 	}
 }
+
+// A copy waited 0.7 s and more for a member that had gone, beside one that holds everything.
+func TestASourceThatIsSilentIsNotAskedFirst(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c", "d"))
+	wanted, spare := newSeatCopy().wanted(group, group.Members[3], except("a"))
+	require.Equal(t, []string{"b", "c"}, nodesOf(wanted))
+	require.Empty(t, spare)
+}
