Replicas: a process that was paused itself takes nobody for lost

After a freeze of 3.4 s and more all others look silent at once; the first one that is late to answer would have been removed while it is there. Seen by reading; the test was red before.

--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -16,11 +16,14 @@
 // may be lost, also where a node has come to a new seat meanwhile.
 const lostAfter = silentAfter + 800*time.Millisecond
 
+// ownPause is how long this process must have done nothing to have been paused itself.
+const ownPause = 4 * reconcileEvery
+
 // heard keeps what other nodes said last.
 type heard struct {
 	now func() time.Time
-	// began is since when words are heard.
-	began time.Time
+	// began is since when words are heard without a pause, looked when this process last looked.
+	began, looked time.Time
 	mutex sync.Mutex
 	nodes map[string]lastWord
 }
@@ -84,13 +87,24 @@
 func (h *heard) lost(node string) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	last := h.began
-	if word, found := h.nodes[node]; found {
-		last = word.at
+	last := h.nodes[node].at
+	if last.Before(h.began) {
+		last = h.began
 	}
 	return h.now().Sub(last) >= lostAfter
 }
 
+// look notes that this process runs. After a pause of its own it knows of nobody's silence.
+func (h *heard) look() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.now()
+	if !h.looked.IsZero() && now.Sub(h.looked) > ownPause {
+		h.began = now
+	}
+	h.looked = now
+}
+
 // settled reports whether a member of a partition's group has lately shown the epoch
 // and that it is recovered.
 func (h *heard) settled(node string, partition uint32, epoch uint64) bool {
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -115,6 +115,7 @@
 func (r *Replica) reconcile(ctx context.Context) {
 	began := time.Now()
 	for pause.For(ctx, reconcileEvery) {
+		r.heard.look()
 		if r.options.Bootstrap && r.timeToForm(time.Since(began)) {
 			r.form(ctx)
 		}
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// One that had been frozen took the first member that was slow to answer it for lost.
+func TestAProcessThatWasPausedTakesNobodyForLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	heard := newHeard(func() time.Time { return now })
+	heard.note("a")
+	heard.look()
+	now = now.Add(lostAfter)
+	heard.look()
+	require.False(t, heard.lost("a"))
+	for range lostAfter / reconcileEvery {
+		now = now.Add(reconcileEvery)
+		heard.look()
+	}
+	now = now.Add(reconcileEvery)
+	require.True(t, heard.lost("a"))
+}
+
 // A group of two rested for good where a member had gone and its successor came later.
 func TestAGroupOfTwoPassesTheSeatOfALostMemberOn(t *testing.T) {
 	seen := lostMember(oneGroup(nodes("a", "b")), "b", "a", "b", "c")
