--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -24,8 +24,8 @@
 	now func() time.Time
 	// began is since when words are heard without a pause, looked when this process last looked.
 	began, looked time.Time
-	mutex sync.Mutex
-	nodes map[string]lastWord
+	mutex         sync.Mutex
+	nodes         map[string]lastWord
 }
 
 type lastWord struct {
