Replicas: one decision says which member leaves next, and one that has failed goes before one that retires

What callers saw: a replica that went for good while another one was being retired, or while it was being retired itself, kept its vote, its successor got no seat, and the retirement was never completed. The next lost disk, or the closing fault, ended service: 503 majority_away for good.

Cause: the choice of the member that leaves named the retiring one before a silent one, and a change waits until all others are settled, so the silent one blocked every change, also the one that would have replaced it. And a retiring member was left to propose the smaller group itself, also once it had gone.

Change: departure.go holds the decision. The order of reasons is failed, suspect, retiring, stopping; who has failed is removed by any member, retiring or not; who retires and works hands over and proposes its leave itself, which is a proof that all that stay are there at that moment. An order leaves two members: it may not put everything on one disk.

Tried and left: any member proposes the leave of a member that works, without a hand-over before it.

--- /dev/null
+++ b/internal/replica/departure.go
@@ -0,0 +1,113 @@
+package replica
+
+import (
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
+)
+
+// departureReason is why a member is to leave its group. A lower one goes first: a member that
+// does not answer leaves its group with one loss less to bear, and one that works can wait.
+type departureReason int
+
+const (
+	// memberFailed has been silent for so long that it may lose its seat without a successor.
+	memberFailed departureReason = iota
+	// memberSuspect has been silent for so long that its seat may be passed on.
+	memberSuspect
+	// memberRetiring is to be emptied by an operator's order.
+	memberRetiring
+	// memberStopping is the observer itself, whose process ends.
+	memberStopping
+	departureReasons
+)
+
+// departure is the member that leaves a group next, and why.
+type departure struct {
+	member *replicav1.Member
+	reason departureReason
+}
+
+// concerns reports whether a member is the one that leaves. None leaves where the departure is nil.
+func (d *departure) concerns(member *replicav1.Member) bool {
+	return d != nil && d.member.Seat == member.Seat
+}
+
+// nextDeparture returns which member leaves a group next, or nil.
+func nextDeparture(seen observation) *departure {
+	for reason := range departureReasons {
+		for _, member := range seen.group.Members {
+			if seen.leavesFor(reason, member.Node) {
+				return &departure{member: member, reason: reason}
+			}
+		}
+	}
+	return nil
+}
+
+// leavesFor reports whether a node is to give its seat up for a reason.
+func (o *observation) leavesFor(reason departureReason, node string) bool {
+	switch reason {
+	case memberFailed:
+		return o.lost != nil && o.lost(node)
+	case memberSuspect:
+		return !o.alive(node)
+	case memberRetiring:
+		return o.retiring[node]
+	default:
+		return o.stopping == node
+	}
+}
+
+// othersSettled reports whether the members that stay hold everything, and are enough.
+func othersSettled(seen observation, leaving *departure) bool {
+	settled := 0
+	for _, member := range seen.group.Members {
+		switch {
+		case seen.settled(member.Node):
+			settled++
+		case !leaving.concerns(member):
+			return false
+		}
+	}
+	return settled >= changeSize(seen, leaving)
+}
+
+// changeSize is how many members must be settled for a change of their group. Of two members
+// each holds every record that counts, and no write succeeds without it, so that one is enough
+// once the other has failed; while a third still hands over what it held, or its removal is not
+// complete, that does not hold.
+func changeSize(seen observation, leaving *departure) int {
+	voters := quorum.Voters(seen.group)
+	if voters == 2 && leaving != nil && leaving.reason == memberFailed && seen.group.Removed == nil && !seen.emptying {
+		return 1
+	}
+	return quorum.WriteSize(voters)
+}
+
+// mayBeRemoved reports whether a member may lose its seat without a successor. One that has failed
+// would keep its vote: with the next lost disk no majority could be made up. One that retires
+// leaves the others what it holds. Two must stay, which hold together what counts: an order may
+// not leave everything on one disk.
+func mayBeRemoved(seen observation, leaving departure) bool {
+	switch leaving.reason {
+	case memberFailed:
+	case memberRetiring:
+		if !seen.settled(leaving.member.Node) {
+			return false
+		}
+	default:
+		return false
+	}
+	return quorum.Joining(leaving.member) || quorum.Voters(seen.group) > 2
+}
+
+// handsOver returns the member that leaves with the next group and works, or nil. It proposes that
+// group alone, once each member that stays has taken what it holds: one that has just failed
+// without anybody knowing would leave the group without a majority.
+func handsOver(seen observation, next *replicav1.Group) *replicav1.Member {
+	leaving := nextDeparture(seen)
+	if leaving == nil || leaving.reason != memberRetiring || len(next.Members) >= len(seen.group.Members) {
+		return nil
+	}
+	return leaving.member
+}
--- /dev/null
+++ b/internal/replica/departure_test.go
@@ -0,0 +1,99 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// give adds a reason for a node to leave its group to what is seen.
+func give(seen *observation, reason departureReason, node string) {
+	alive, settled, lost := seen.alive, seen.settled, seen.lost
+	switch reason {
+	case memberFailed, memberSuspect:
+		seen.alive = func(each string) bool { return each != node && alive(each) }
+		seen.settled = func(each string) bool { return each != node && settled(each) }
+		seen.lost = func(each string) bool {
+			return reason == memberFailed && each == node || lost != nil && lost(each)
+		}
+	case memberRetiring:
+		seen.retiring[node] = true
+	case memberStopping:
+		seen.stopping = node
+	}
+}
+
+// Of two members with a reason to leave, the one that works must not stand in the way of the other.
+func TestAMemberThatDoesNotAnswerLeavesBeforeOneThatWorks(t *testing.T) {
+	for first := range departureReasons {
+		for second := range departureReasons {
+			for _, names := range [][2]string{{"a", "b"}, {"b", "a"}} {
+				if first == second || first == memberFailed && second == memberSuspect || first == memberSuspect && second == memberFailed {
+					// Two that do not answer leave one of three.
+					continue
+				}
+				seen := seenAll(oneGroup(nodes("a", "b", "c")), nodes("a", "b", "c", "spare"))
+				give(&seen, first, names[0])
+				give(&seen, second, names[1])
+				leaving := names[0]
+				if second < first {
+					leaving = names[1]
+				}
+				next := nextGroup(seen)
+				require.NotNil(t, next, "%d of %s, %d of %s", first, names[0], second, names[1])
+				require.Nil(t, seatOf(next, leaving))
+				require.NotNil(t, seatOf(next, "spare"))
+			}
+		}
+	}
+}
+
+// One that went for good while another was emptied kept its vote, and the next lost disk ended service.
+func TestAFailedMemberLosesItsSeatWhileAnotherOneRetires(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	for _, retiring := range []string{"a", "c"} {
+		seen := lostMember(group, "b", "a", "b", "c")
+		seen.retiring[retiring] = true
+		next := nextGroup(seen)
+		require.Equal(t, []string{"a", "c"}, memberNames(next))
+		require.Nil(t, handsOver(seen, next), "any member may propose it")
+		next.Removed = nil
+		require.Nil(t, nextGroup(seenRetiring(next, retiring, "a", "c")), "two stay")
+		replaced := nextGroup(seenRetiring(next, retiring, "a", "c", "d"))
+		require.Nil(t, seatOf(replaced, retiring))
+		require.NotNil(t, seatOf(replaced, "d"))
+	}
+}
+
+// A machine that went for good while it was emptied was left to remove itself, and kept its vote.
+func TestARetiringMemberThatFailsIsRemovedByTheOthers(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	seen := lostMember(group, "b", "a", "b", "c")
+	seen.retiring["b"] = true
+	next := nextGroup(seen)
+	require.Equal(t, []string{"a", "c"}, memberNames(next))
+	require.Equal(t, group.Members[1], next.Removed)
+	require.Nil(t, handsOver(seen, next))
+}
+
+func TestTwoRetirementsAtOnceLeaveTwoMembers(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	seen := seenRetiring(group, "a", "a", "b", "c")
+	seen.retiring["b"] = true
+	next := nextGroup(seen)
+	require.Equal(t, []string{"b", "c"}, memberNames(next))
+	next.Removed = nil
+	seen.group = next
+	require.Nil(t, nextGroup(seen))
+	withdrawn := seenAll(next, nodes("a", "b", "c"))
+	require.Equal(t, []string{"b", "c", "a"}, memberNames(nextGroup(withdrawn)), "a retirement that is withdrawn gives the seat back")
+}
+
+// seenRetiring is an observation in which a node is to be emptied and every node is well.
+func seenRetiring(group *replicav1.Group, node string, registered ...string) observation {
+	seen := seenAll(group, nodes(registered...))
+	seen.retiring[node] = true
+	return seen
+}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -145,7 +145,7 @@
 // shows the present epoch, so that no write can succeed under an epoch before
 // it, and until the members that stay hold everything.
 func nextGroup(seen observation) *replicav1.Group {
-	leaving := leavingMember(seen)
+	leaving := nextDeparture(seen)
 	if !othersSettled(seen, leaving) {
 		return nil
 	}
@@ -154,11 +154,7 @@
 	next.Epoch++
 	switch {
 	case leaving != nil && standby != nil:
-		for _, member := range next.Members {
-			if member.Seat == leaving.Seat {
-				passSeat(member, *standby, next.Epoch)
-			}
-		}
+		passSeat(seatOf(next, leaving.member.Node), *standby, next.Epoch)
 		return next
 	case next.Removed != nil:
 		if !seen.exchanged {
@@ -166,14 +162,11 @@
 		}
 		next.Removed = nil
 		return next
-	case leaving != nil && seen.retiring[leaving.Node] && seen.settled(leaving.Node) && len(next.Members) > 1:
-		// A smaller group reads from fewer members: what the seat held must be
-		// there to be handed over to all of them.
-		removeSeat(next, leaving.Seat)
-		return next
-	case leaving != nil && mayBeRemoved(seen, leaving):
-		next.Removed = lastHolder(leaving)
-		removeSeat(next, leaving.Seat)
+	case leaving != nil && mayBeRemoved(seen, *leaving):
+		if leaving.reason == memberFailed {
+			next.Removed = lastHolder(leaving.member)
+		}
+		removeSeat(next, leaving.member.Seat)
 		return next
 	case leaving == nil && standby != nil && len(next.Members) < wantedSeats(seen.group):
 		addMember(next, *standby)
@@ -184,56 +177,6 @@
 	return nil
 }
 
-// leavingMember returns a member that is to be emptied, else the observer where it is to
-// stop, else one that is silent.
-func leavingMember(seen observation) *replicav1.Member {
-	for _, member := range seen.group.Members {
-		if seen.retiring[member.Node] {
-			return member
-		}
-	}
-	if stopping := seatOf(seen.group, seen.stopping); stopping != nil {
-		return stopping
-	}
-	for _, member := range seen.group.Members {
-		if !seen.alive(member.Node) {
-			return member
-		}
-	}
-	return nil
-}
-
-func othersSettled(seen observation, leaving *replicav1.Member) bool {
-	settled := 0
-	for _, member := range seen.group.Members {
-		if seen.settled(member.Node) {
-			settled++
-			continue
-		}
-		if leaving == nil || member.Seat != leaving.Seat {
-			return false
-		}
-	}
-	return settled >= changeSize(seen, leaving)
-}
-
-// changeSize is how many members must be settled for a change of their group. Of two members
-// each holds every record that counts, and no write succeeds without it, so that one is enough
-// once the other is lost; while a third still hands over what it held, or its removal is not
-// complete, that does not hold.
-func changeSize(seen observation, leaving *replicav1.Member) int {
-	voters := quorum.Voters(seen.group)
-	if voters == 2 && leaving != nil && isLost(seen, leaving) && seen.group.Removed == nil && !seen.emptying {
-		return 1
-	}
-	return quorum.WriteSize(voters)
-}
-
-// isLost reports whether a member has been silent for so long that it may have gone for good.
-func isLost(seen observation, member *replicav1.Member) bool {
-	return seen.lost != nil && seen.lost(member.Node)
-}
-
 // wantedSeats returns how many seats a group is to have.
 func wantedSeats(group *replicav1.Group) int { return max(int(group.Target), leastSeats) }
 
@@ -262,9 +205,9 @@
 func standbys(seen observation) []directory.Replica {
 	// The zone of a member that leaves is free again.
 	staying := &replicav1.Group{}
-	leaving := leavingMember(seen)
+	leaving := nextDeparture(seen)
 	for _, member := range seen.group.Members {
-		if leaving == nil || member.Seat != leaving.Seat {
+		if !leaving.concerns(member) {
 			staying.Members = append(staying.Members, member)
 		}
 	}
@@ -336,13 +279,6 @@
 	return nil
 }
 
-// mayBeRemoved reports whether a member that is silent may lose its seat without a successor. It
-// would keep its vote: with the next lost disk no majority could be made up. Two must stay, which
-// hold together what counts.
-func mayBeRemoved(seen observation, leaving *replicav1.Member) bool {
-	return isLost(seen, leaving) && (quorum.Joining(leaving) || quorum.Voters(seen.group) > 2)
-}
-
 func removeSeat(group *replicav1.Group, seat uint32) {
 	group.Members = slices.DeleteFunc(group.Members, func(member *replicav1.Member) bool { return member.Seat == seat })
 }
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -130,11 +130,8 @@
 	}
 }
 
-// improve proposes a partition's next group, if there is a better one. A group that
-// shrinks reads from fewer members: a node that is emptied leaves it by itself,
-// after it has handed over what it holds, and one that has fallen silent is removed
-// by the others once that has lasted. A seat that moves takes with it what it held,
-// and any member may propose that.
+// improve proposes a partition's next group, if there is a better one. Any member may propose a
+// change, but one that works and leaves without a successor hands over what it holds and does so itself.
 func (r *Replica) improve(ctx context.Context, group *replicav1.Group) {
 	seen := r.observe(group)
 	seen.exchanged = r.exchangeAfterRemoval(ctx, seen)
@@ -146,26 +143,31 @@
 		}
 		return
 	}
-	rank := proposalRank(seen, r.options.Node)
-	switch {
-	case len(next.Members) >= len(group.Members) || !seen.retiring[leavingMember(seen).Node]:
-		if r.proposals.due(group, rank) {
-			r.propose(ctx, group, next)
-		}
-	case seatOf(next, r.options.Node) == nil:
-		if !r.proposals.wantedFor(group, shrinkAfter) && len(standbys(seen)) > 0 {
-			return
-		}
-		if r.handOver(ctx, group) {
+	switch leaving := handsOver(seen, next); {
+	case leaving == nil:
+		if r.proposals.due(group, proposalRank(seen, r.options.Node)) {
 			r.propose(ctx, group, next)
 		}
+	case leaving.Node == r.options.Node:
+		r.leaveGroup(ctx, seen, next)
+	}
+}
+
+// leaveGroup proposes a group without this node, once nodes that could take its seat have had
+// their time and the others hold what it holds.
+func (r *Replica) leaveGroup(ctx context.Context, seen observation, next *replicav1.Group) {
+	if !r.proposals.wantedFor(seen.group, shrinkAfter) && len(standbys(seen)) > 0 {
+		return
+	}
+	if r.handOver(ctx, seen.group) {
+		r.propose(ctx, seen.group, next)
 	}
 }
 
 // lookForStandbys asks nodes that could take a seat whether they are there, if one is
 // wanted, and returns their names. Nodes without a seat announce nothing to the members.
 func (r *Replica) lookForStandbys(ctx context.Context, seen observation) (asked []string) {
-	if leavingMember(seen) == nil && len(seen.group.Members) >= wantedSeats(seen.group) {
+	if nextDeparture(seen) == nil && len(seen.group.Members) >= wantedSeats(seen.group) {
 		r.standbys.end(seen.group.Partition)
 		return nil
 	}
@@ -184,10 +186,9 @@
 	}
 	return observation{
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
-		regions:  r.options.Regions,
-		alive:    func(node string) bool { return node == own || r.heard.alive(node) },
-		emptying: r.followers.emptying(group),
-		lost:     func(node string) bool { return node != own && r.heard.lost(node) },
+		regions: r.options.Regions,
+		alive:   func(node string) bool { return node == own || r.heard.alive(node) },
+		lost:    func(node string) bool { return node != own && r.heard.lost(node) },
 		settled: func(node string) bool {
 			if node != own {
 				return r.heard.settled(node, group.Partition, group.Epoch)
