Replicas: a retired member's seat is removed like that of one that has failed, so that nobody waits for its word

What callers saw: a replica that was being retired left its group of three, and its machine went before it had told that it was empty. When one of the two that stayed failed later, its successor got no seat, for good: no turn was served.

Cause: what the retired one might still hold was known from its order alone. As long as that was not completed, a group of two waited for both its members before any change, and nobody but the machine that had gone could complete it.

Change: the smaller group names the retired member as removed, as it does one that has failed; the members that stay exchange what they hold, and then nothing of the one that left is needed. It goes after that, without handing over once more. The flag that a node is being emptied is gone, and with it a guard that rested on reasoning alone.

--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -74,11 +74,10 @@
 
 // changeSize is how many members must be settled for a change of their group. Of two members
 // each holds every record that counts, and no write succeeds without it, so that one is enough
-// once the other has failed; while a third still hands over what it held, or its removal is not
-// complete, that does not hold.
+// once the other has failed; while the removal of a third is not complete, that does not hold.
 func changeSize(seen observation, leaving *departure) int {
 	voters := quorum.Voters(seen.group)
-	if voters == 2 && leaving != nil && leaving.reason == memberFailed && seen.group.Removed == nil && !seen.emptying {
+	if voters == 2 && leaving != nil && leaving.reason == memberFailed && seen.group.Removed == nil {
 		return 1
 	}
 	return quorum.WriteSize(voters)
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -78,6 +78,23 @@
 	require.Nil(t, handsOver(seen, next))
 }
 
+// Of a machine that went after it had left its group, and before it was told to have, the others waited for a word.
+func TestARetiredMembersSeatIsRemovedLikeThatOfAFailedOne(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	seen := seenRetiring(group, "b", "a", "b", "c")
+	next := nextGroup(seen)
+	require.Equal(t, group.Members[1], next.Removed)
+	require.Equal(t, group.Members[1], handsOver(seen, next))
+	seen = seenRetiring(next, "b", "a", "b", "c")
+	require.Nil(t, nextGroup(seen), "the others exchange what they hold first")
+	seen.exchanged = true
+	complete := nextGroup(seen)
+	require.Nil(t, complete.Removed)
+	gone := lostMember(complete, "c", "a", "c", "d")
+	gone.retiring["b"] = true
+	require.Equal(t, []string{"a", "d"}, memberNames(nextGroup(gone)))
+}
+
 func TestTwoRetirementsAtOnceLeaveTwoMembers(t *testing.T) {
 	group := oneGroup(nodes("a", "b", "c"))
 	seen := seenRetiring(group, "a", "a", "b", "c")
--- a/internal/replica/followers.go
+++ b/internal/replica/followers.go
@@ -166,15 +166,3 @@
 	found, asked := f.retirements[node]
 	return found, asked
 }
-
-// emptying reports whether a node that has no seat of a group is to be emptied, and is not yet.
-func (f *followed) emptying(group *replicav1.Group) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for node, retirement := range f.retirements {
-		if !retirement.Completed && seatOf(group, node) == nil {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -48,8 +48,6 @@
 	lost func(node string) bool
 	// exchanged is set once every member has all records of all members of this epoch.
 	exchanged bool
-	// emptying is set while a node that has no seat of the group any more hands over what it held.
-	emptying bool
 }
 
 // partitionsFor returns how many partitions a system begins with that has so many
@@ -163,9 +161,7 @@
 		next.Removed = nil
 		return next
 	case leaving != nil && mayBeRemoved(seen, *leaving):
-		if leaving.reason == memberFailed {
-			next.Removed = lastHolder(leaving.member)
-		}
+		next.Removed = lastHolder(leaving.member)
 		removeSeat(next, leaving.member.Seat)
 		return next
 	case leaving == nil && standby != nil && len(next.Members) < wantedSeats(seen.group):
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -42,7 +42,7 @@
 
 // emptied reports whether this node, which holds no seat of a group, may go: it never
 // held one, or the node that took its seat holds everything that the seat held, or
-// every member has all records of this one.
+// the members have exchanged what they hold since its seat was removed.
 func (r *Replica) emptied(ctx context.Context, group *replicav1.Group) bool {
 	if r.state.currentIdentity(group.Partition) == nil {
 		return true
@@ -54,7 +54,7 @@
 	if passedSeatOf(group, r.options.Node) != nil {
 		return r.transferDone(ctx, group)
 	}
-	return r.handOver(ctx, group)
+	return true
 }
 
 // transferDone asks the members of a group that this node has left whether each holds
