Replicas: a member that fails before a removal is complete is made up for by the one that was removed, or left out of the exchange

What callers saw: a replica was retired, and another one went for good within the tenth of a second in which the smaller group was in force and its members had not exchanged what they held yet. No turn was served from then on, also once a successor had come.

Cause: the exchange needs every member that stays, and until it is done nothing may change. A member that fails in that moment is never there.

Change: of two that stay, the failed one's seat goes back to the member that was removed last, which is still there and holds it, and the failed one is removed instead. What counted before lies with two of the three, and what counted since with both that stayed, so that these two hold it together. Of three or four that stay, those that are left hold everything between them: the exchange goes on without the failed one, which is removed next.

--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
@@ -100,6 +102,39 @@
 	return quorum.Joining(leaving.member) || quorum.Voters(seen.group) > 2
 }
 
+// mayBeReinstated reports whether the member that was removed last is to have its seat back for one
+// that failed before the removal was complete. What counted before the removal lies with two of
+// the three, and what has counted since with both that stayed, so that the one that is left and
+// the one that comes back hold it together; for a larger group that does not hold.
+func mayBeReinstated(seen observation, leaving *departure) bool {
+	if seen.group.Removed == nil || !seen.removedHolds || leaving == nil || leaving.reason != memberFailed {
+		return false
+	}
+	for _, member := range seen.group.Members {
+		if !leaving.concerns(member) && !seen.settled(member.Node) {
+			return false
+		}
+	}
+	return len(seen.group.Members) == 2 && quorum.Voters(seen.group) == 2
+}
+
+// reinstate returns the group in which the member that was removed last has its seat again, and a
+// failed one is removed instead.
+func reinstate(seen observation, failed *replicav1.Member) *replicav1.Group {
+	next := proto.CloneOf(seen.group)
+	next.Epoch++
+	removeSeat(next, failed.Seat)
+	back := next.Removed
+	for _, node := range seen.nodes {
+		if node.Node == back.Node {
+			back.Address, back.Zone = node.Address, node.Zone
+		}
+	}
+	next.Members = append(next.Members, back)
+	next.Removed = lastHolder(failed)
+	return next
+}
+
 // handsOver returns the member that leaves with the next group and works, or nil. It proposes that
 // group alone, once each member that stays has taken what it holds: one that has just failed
 // without anybody knowing would leave the group without a majority.
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -95,6 +95,37 @@
 	require.Equal(t, []string{"a", "d"}, memberNames(nextGroup(gone)))
 }
 
+// The group of two that was left could replace nobody for as long as the removal was under way.
+func TestTheMemberRemovedLastStandsInForOneThatFailsMeanwhile(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	removing := nextGroup(seenRetiring(group, "b", "a", "b", "c"))
+	seen := lostMember(removing, "c", "a", "b", "c")
+	seen.retiring["b"] = true
+	require.Nil(t, nextGroup(seen), "it does not show that it holds anything")
+	seen.removedHolds = true
+	next := nextGroup(seen)
+	require.Equal(t, []string{"a", "b"}, memberNames(next))
+	require.Equal(t, group.Members[1], next.Members[1], "it counts as it did before")
+	require.Equal(t, group.Members[2], next.Removed)
+	seen.settled = except("a", "c")
+	require.Nil(t, nextGroup(seen), "the one that is left has what counted meanwhile")
+}
+
+func TestAnExchangeGoesOnWithoutAMemberThatFailsMeanwhile(t *testing.T) {
+	partners := func(members ...string) []string {
+		group := oneGroup(nodes(members...))
+		removing := nextGroup(seenRetiring(group, "a", members...))
+		seen := lostMember(removing, "b", members...)
+		return memberNames(&replicav1.Group{Members: exchangePartners(seen)})
+	}
+	require.Empty(t, partners("a", "b", "c"), "what counted may lie with the removed one and the one that failed")
+	require.Equal(t, []string{"c", "d"}, partners("a", "b", "c", "d"))
+	require.Equal(t, []string{"c", "d", "e"}, partners("a", "b", "c", "d", "e"))
+	suspect := seenAll(nextGroup(seenRetiring(oneGroup(nodes("a", "b", "c", "d")), "a", "a", "b", "c", "d")), nil)
+	suspect.settled = except("b")
+	require.Empty(t, exchangePartners(suspect), "one that has not failed may have acknowledged what the others lack")
+}
+
 func TestTwoRetirementsAtOnceLeaveTwoMembers(t *testing.T) {
 	group := oneGroup(nodes("a", "b", "c"))
 	seen := seenRetiring(group, "a", "a", "b", "c")
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 // exchangeTimeout bounds one attempt to exchange what members hold; the next one goes on where it
@@ -16,9 +17,28 @@
 // in one epoch.
 type exchange struct {
 	epoch uint64
-	// copies are what has come of each member, by node.
-	copies map[string]*sourceCopy
-	done   bool
+	// copy is what has come of each member.
+	copy *seatCopy
+	done bool
+}
+
+// exchangePartners returns the members that exchange what they hold after a removal, or nil while
+// they are too few. That is all of them; without one that has failed meanwhile it is those that
+// together hold everything that counted before the removal, and make up a majority since.
+func exchangePartners(seen observation) (partners []*replicav1.Member) {
+	for _, member := range seen.group.Members {
+		switch {
+		case seen.settled(member.Node):
+			partners = append(partners, member)
+		case !seen.leavesFor(memberFailed, member.Node):
+			return nil
+		}
+	}
+	voters := quorum.Voters(seen.group)
+	if len(partners) < max(quorum.RecoverSize(voters+1), quorum.WriteSize(voters)) {
+		return nil
+	}
+	return partners
 }
 
 // exchangeAfterRemoval brings all records to all members of a group from which one was removed,
@@ -32,33 +52,29 @@
 	}
 	known := r.exchanges[group.Partition]
 	if known == nil || known.epoch != group.Epoch {
-		known = &exchange{epoch: group.Epoch, copies: make(map[string]*sourceCopy)}
+		known = &exchange{epoch: group.Epoch, copy: newSeatCopy()}
 		r.exchanges[group.Partition] = known
 	}
 	turn := time.Duration(proposalRank(seen, r.options.Node)) * exchangeTimeout
-	if known.done || !allSettled(seen) || !r.proposals.wantedFor(group, turn) {
+	partners := exchangePartners(seen)
+	if known.done || partners == nil || !r.proposals.wantedFor(group, turn) {
 		return known.done
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	known.done = r.copyAll(ctx, group, known) && r.handOver(ctx, group)
+	known.done = r.copyAll(ctx, group, partners, known.copy) && r.handOver(ctx, group, partners)
 	return known.done
 }
 
-// copyAll copies the records of every other member and reports whether that is complete: each
+// copyAll copies the records of every other partner and reports whether that is complete: each
 // shows the epoch, and so has acknowledged nothing since under the one before.
-func (r *Replica) copyAll(ctx context.Context, group *replicav1.Group, known *exchange) bool {
+func (r *Replica) copyAll(ctx context.Context, group *replicav1.Group, partners []*replicav1.Member, copied *seatCopy) bool {
 	identity := r.state.currentIdentity(group.Partition)
-	for _, member := range group.Members {
+	for _, member := range partners {
 		if member.Node == r.options.Node {
 			continue
 		}
-		copied := known.copies[member.Node]
-		if copied == nil {
-			copied = &sourceCopy{partBytes: maxPullBytes}
-			known.copies[member.Node] = copied
-		}
-		standing := r.pullAll(ctx, group, member, identity, copied, nil).standing
+		standing := r.pullAll(ctx, group, member, identity, copied.of(member.Node), nil).standing
 		if standing == nil || !standing.Member || standing.Epoch != group.Epoch {
 			return false
 		}
--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -114,3 +114,12 @@
 	return found && h.now().Sub(last.at) < silentAfter &&
 		last.standing.Epoch == epoch && last.standing.Member && last.standing.Recovered
 }
+
+// holdsRemovedSeat reports whether the member that a group has removed last has lately shown
+// that it knows of that and still holds everything that its seat held.
+func (h *heard) holdsRemovedSeat(group *replicav1.Group) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	last, found := h.nodes[group.Removed.GetNode()].standings[group.Partition]
+	return found && h.now().Sub(last.at) < silentAfter && heldRemovedSeat(group, last.standing)
+}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -46,8 +46,11 @@
 	// lost nodes have been silent for so long that they may lose their seat without a
 	// successor; nil is none.
 	lost func(node string) bool
-	// exchanged is set once every member has all records of all members of this epoch.
+	// exchanged is set once the exchange's partners have all records of all of them, in this epoch.
 	exchanged bool
+	// removedHolds is set while the member that was removed last shows that it knows the group
+	// and still holds everything that its seat held.
+	removedHolds bool
 }
 
 // partitionsFor returns how many partitions a system begins with that has so many
@@ -144,6 +147,9 @@
 // it, and until the members that stay hold everything.
 func nextGroup(seen observation) *replicav1.Group {
 	leaving := nextDeparture(seen)
+	if mayBeReinstated(seen, leaving) {
+		return reinstate(seen, leaving.member)
+	}
 	if !othersSettled(seen, leaving) {
 		return nil
 	}
--- a/internal/replica/proof_groups_test.go
+++ b/internal/replica/proof_groups_test.go
@@ -86,9 +86,9 @@
 			nodes = append(nodes, directory.Replica{Node: name, Zone: name})
 		}
 	}
-	next := nextGroup(observation{
+	seen := observation{
 		group: p.proposedFrom(), nodes: nodes, retiring: map[string]bool{p.retiring: true}, seats: seatsHeld(p.groups()),
-		regions: p.regionOf, exchanged: p.exchange(),
+		regions: p.regionOf, removedHolds: p.removedHolds(),
 		alive: func(name string) bool { return !p.nodes[name].gone && !p.cut(name) },
 		lost:  p.cut,
 		settled: func(name string) bool {
@@ -104,7 +104,9 @@
 			standing := p.nodes[name].state().standing(p.group.Partition, p.group.Epoch)
 			return standing.Member && standing.Recovered && standing.Epoch == p.group.Epoch
 		},
-	})
+	}
+	seen.exchanged = p.exchange(seen)
+	next := nextGroup(seen)
 	if next == nil {
 		return
 	}
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -159,7 +159,7 @@
 	if !r.proposals.wantedFor(seen.group, shrinkAfter) && len(standbys(seen)) > 0 {
 		return
 	}
-	if r.handOver(ctx, seen.group) {
+	if r.handOver(ctx, seen.group, seen.group.Members) {
 		r.propose(ctx, seen.group, next)
 	}
 }
@@ -186,9 +186,10 @@
 	}
 	return observation{
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
-		regions: r.options.Regions,
-		alive:   func(node string) bool { return node == own || r.heard.alive(node) },
-		lost:    func(node string) bool { return node != own && r.heard.lost(node) },
+		regions:      r.options.Regions,
+		removedHolds: r.heard.holdsRemovedSeat(group),
+		alive:        func(node string) bool { return node == own || r.heard.alive(node) },
+		lost:         func(node string) bool { return node != own && r.heard.lost(node) },
 		settled: func(node string) bool {
 			if node != own {
 				return r.heard.settled(node, group.Partition, group.Epoch)
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -81,13 +81,13 @@
 	position uint64
 }
 
-// handOver writes all records that this node has of a partition to every member. An
+// handOver writes all records that this node has of a partition to members of its group. An
 // attempt goes on where the one before it stopped.
-func (r *Replica) handOver(ctx context.Context, group *replicav1.Group) bool {
+func (r *Replica) handOver(ctx context.Context, group *replicav1.Group, members []*replicav1.Member) bool {
 	if err := r.state.write(groupRecord(group)); err != nil {
 		return false
 	}
-	for _, member := range group.Members {
+	for _, member := range members {
 		if member.Node != r.options.Node && !r.handOverTo(ctx, group, member) {
 			return false
 		}
