Replicas and gateways: a system that has a name takes no group without one, and one of a former release gets its name

What callers saw: one announcement of a group without a system's name, with a higher epoch and other addresses, to one replica of a healthy system: no turn served from then on, also after a loss of all power.

Cause: a group without a name was taken for one of a former release by every process, also by those of a system that has a name, and so cannot be one.

Change: a process that knows its system's name takes groups with that name alone, from peers, from the store and from its disk. A system that was formed without a name gets one by one conditional write of its first group, once each member has shown, in the answers that it gives anyway, that it keeps names; the other partitions take the same.

TestAGroupOfAnotherSystemIsRefusedHoweverNewItIs held that a named system takes a group without a name. That was the fault: it asks that it is refused now, and a test of its own holds that a system without a name takes one.

--- a/internal/directory/foreign_test.go
+++ b/internal/directory/foreign_test.go
@@ -16,7 +16,14 @@
 	state.OfferGroup(&replicav1.Group{Epoch: 9, Partitions: 2, System: 8}, "b")
 	state.OfferGroup(&replicav1.Group{Epoch: 9, Partition: 1, Partitions: 2, System: 8}, SourceStore)
 	require.Equal(t, []*replicav1.Group{own, nil}, state.Groups())
-	unnamed := &replicav1.Group{Epoch: 4, Partitions: 2}
-	state.OfferGroup(unnamed, "of a former release")
-	require.Equal(t, unnamed, state.Group(0))
+	state.OfferGroup(&replicav1.Group{Epoch: 4, Partitions: 2}, "without a system")
+	require.Equal(t, []*replicav1.Group{own, nil}, state.Groups())
+}
+
+func TestASystemOfAFormerReleaseTakesItsName(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferGroup(&replicav1.Group{Epoch: 3}, "a")
+	named := &replicav1.Group{Epoch: 4, System: 7}
+	state.OfferGroup(named, SourceStore)
+	require.Equal(t, named, state.Group(0))
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -154,9 +154,13 @@
 	return 0
 }
 
-// SameSystem reports whether two systems may be one: a group of a former release names none.
+// SameSystem reports whether two systems may be one, as far as both processes know theirs.
 func SameSystem(one, other uint64) bool { return one == other || one == 0 || other == 0 }
 
+// TakesGroup reports whether a process that knows its system may take a group. Once a system has a
+// name, a group without one is of another system.
+func TakesGroup(own uint64, group *replicav1.Group) bool { return own == 0 || own == group.GetSystem() }
+
 // OfferGroup takes a partition's group if its epoch is higher than the one known. One of another
 // system is refused, whoever tells it: addresses change hands. source is who told it, for the log.
 func (s *State) OfferGroup(group *replicav1.Group, source string) {
@@ -166,7 +170,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.view.Load()
-	if known := SystemOf(current.Groups); !SameSystem(known, group.System) {
+	if known := SystemOf(current.Groups); !TakesGroup(known, group) {
 		s.tellForeign(group, known, source)
 		return
 	}
--- a/internal/quorum/system.go
+++ b/internal/quorum/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 
 	"connectrpc.com/connect"
@@ -9,8 +10,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 )
 
-// systemHeader names the system of a caller, and of what answers; neither is sent while it is not
-// known.
+// systemHeader names the system of a caller, while it is known, and of what answers, 0 while it is
+// not known.
 const systemHeader = "Barleyshelf-System"
 
 // CheckCallers refuses calls of another system before a handler sees them, and names the own one
@@ -24,7 +25,7 @@
 			}
 			response, err := next(ctx, request)
 			if err == nil {
-				setSystem(response.Header().Set, own)
+				response.Header().Set(systemHeader, formatSystem(directory.SystemOf(groups.Groups())))
 			}
 			return response, err
 		}
@@ -54,12 +55,18 @@
 	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Told: told})
 }
 
+// KeepsSystem reports whether an answer is of a process that keeps the name of its system. One of a
+// former release names none and drops it from each group that it changes.
+func KeepsSystem(answer http.Header) bool { return answer.Get(systemHeader) != "" }
+
 func setSystem(set func(key, value string), system uint64) {
 	if system != 0 {
-		set(systemHeader, strconv.FormatUint(system, 36))
+		set(systemHeader, formatSystem(system))
 	}
 }
 
+func formatSystem(system uint64) string { return strconv.FormatUint(system, 36) }
+
 // systemIn returns the system that a header names; 0 is none, or nothing that could be one.
 func systemIn(value string) uint64 {
 	system, err := strconv.ParseUint(value, 36, 64)
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -20,16 +20,18 @@
 	require.NoError(t, opened.write(groupRecord(group)))
 	hearing := &service{node: "a", state: opened, directory: directory.NewState(opened.now, nil), heard: newHeard(opened.now)}
 	foreign := oneGroup(nodes("a", "b", "c"))
-	foreign.System, foreign.Epoch = 8, group.Epoch+5
-	_, err = hearing.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Group: foreign, Node: "b", Seat: 1, Incarnation: 9}))
-	var refused *directory.ForeignSystem
-	require.ErrorAs(t, err, &refused)
-	require.False(t, hearing.heard.alive("b"), "its word is of another node of that name")
-	require.Empty(t, opened.standing(0, group.Epoch).Seen)
-
-	// Neither by any other way to the disk.
-	require.NoError(t, opened.write(groupRecord(foreign)))
-	require.Equal(t, group, opened.currentGroup(0))
+	foreign.Epoch = group.Epoch + 5
+	for _, foreign.System = range []uint64{8, 0} {
+		_, err = hearing.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Group: foreign, Node: "b", Seat: 1, Incarnation: 9}))
+		var refused *directory.ForeignSystem
+		require.ErrorAs(t, err, &refused)
+		require.False(t, hearing.heard.alive("b"), "its word is of another node of that name")
+		require.Empty(t, opened.standing(0, group.Epoch).Seen)
+
+		// Neither by any other way to the disk.
+		require.NoError(t, opened.write(groupRecord(foreign)))
+		require.Equal(t, group, opened.currentGroup(0))
+	}
 	opened.log.Close()
 }
 
@@ -59,3 +61,18 @@
 		require.Equal(t, believing, len(hearing.directory.Groups()) > 0)
 	}
 }
+
+func TestASystemOfAFormerReleaseIsNamedOnceEachMemberKeepsNames(t *testing.T) {
+	group := oneGroup(nodes("a", "b", "c"))
+	seen := seenAll(group, nodes("a", "b", "c"))
+	seen.keepsSystem = func(string) bool { return true }
+	named := namedGroup(seen, 7)
+	require.Equal(t, uint64(7), named.System)
+	require.Equal(t, group.Epoch+1, named.Epoch)
+	require.Equal(t, memberNames(group), memberNames(named))
+	require.Nil(t, namedGroup(seenAll(named, nodes("a", "b", "c")), 8), "it has a name")
+	seen.keepsSystem = except("b")
+	require.Nil(t, namedGroup(seen, 7), "a process of a former release would drop it")
+	seen.keepsSystem, seen.settled = except(), except("c")
+	require.Nil(t, namedGroup(seen, 7), "one that is not there may be of a former release")
+}
--- a/internal/replica/heard.go
+++ b/internal/replica/heard.go
@@ -32,6 +32,8 @@
 	at time.Time
 	// stopping is set where the word was that the node is to stop.
 	stopping bool
+	// keepsSystem is set where the node's process keeps the name of its system.
+	keepsSystem bool
 	// standings are those of the node's seats, by partition.
 	standings map[uint32]heardStanding
 }
@@ -123,3 +125,19 @@
 	last, found := h.nodes[group.Removed.GetNode()].standings[group.Partition]
 	return found && h.now().Sub(last.at) < silentAfter && heldRemovedSeat(group, last.standing)
 }
+
+// noteKeepsSystem takes whether a node's process keeps the name of its system.
+func (h *heard) noteKeepsSystem(node string, keeps bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	word := h.nodes[node]
+	word.keepsSystem = keeps
+	h.nodes[node] = word
+}
+
+// keepsSystem reports whether a node's process has shown that it keeps the name of its system.
+func (h *heard) keepsSystem(node string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.nodes[node].keepsSystem
+}
--- a/internal/replica/partition.go
+++ b/internal/replica/partition.go
@@ -48,7 +48,7 @@
 		}
 		p.seen[kind.Incarnation.Seat] = kind.Incarnation.Incarnation
 	case *replicav1.Record_Group:
-		if p.group != nil && (p.group.Epoch >= kind.Group.Epoch || !directory.SameSystem(p.group.System, kind.Group.System)) {
+		if p.group != nil && (p.group.Epoch >= kind.Group.Epoch || !directory.TakesGroup(p.group.System, kind.Group)) {
 			return false
 		}
 		p.takeGroup(kind.Group)
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -46,6 +46,8 @@
 	// lost nodes have been silent for so long that they may lose their seat without a
 	// successor; nil is none.
 	lost func(node string) bool
+	// keepsSystem reports whether a node's process keeps the name of its system.
+	keepsSystem func(node string) bool
 	// exchanged is set once the exchange's partners have all records of all of them, in this epoch.
 	exchanged bool
 	// removedHolds is set while the member that was removed last shows that it knows the group
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -10,6 +10,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 const (
@@ -107,6 +108,7 @@
 		r.heard.leave(member.Node)
 		return
 	}
+	r.heard.noteKeepsSystem(member.Node, quorum.KeepsSystem(response.Header()))
 	r.heard.noteStanding(member.Node, message.Group.GetPartition(), standing)
 }
 
@@ -137,6 +139,9 @@
 	seen.exchanged = r.exchangeAfterRemoval(ctx, seen)
 	r.lacking.note(seen, r.lookForStandbys(ctx, seen))
 	next := nextGroup(seen)
+	if next == nil {
+		next = namedGroup(seen, systemFor(group.Partition, r.directory.Groups()))
+	}
 	if next == nil {
 		if group.Removed == nil {
 			r.proposals.settled(group.Partition)
@@ -187,6 +192,7 @@
 	return observation{
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
 		regions:      r.options.Regions,
+		keepsSystem:  func(node string) bool { return node == own || r.heard.keepsSystem(node) },
 		removedHolds: r.heard.holdsRemovedSeat(group),
 		alive:        func(node string) bool { return node == own || r.heard.alive(node) },
 		lost:         func(node string) bool { return node != own && r.heard.lost(node) },
@@ -215,7 +221,7 @@
 	if err := r.objects.Replace(ctx, directory.KindGroup, found); err != nil {
 		return
 	}
-	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members), "removed", next.Removed.GetNode())
+	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members), "removed", next.Removed.GetNode(), "system", next.System)
 	r.directory.OfferGroup(next, directory.SourceSelf)
 	if next.Removed != nil {
 		// What follows waits until every member shows the epoch.
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -108,7 +108,7 @@
 	if newest == nil && s.believing != nil && !s.believing() {
 		message = &replicav1.AnnounceRequest{Node: message.Node, Stopping: message.Stopping}
 	}
-	if !directory.SameSystem(own, message.Group.GetSystem()) {
+	if message.Group != nil && !directory.TakesGroup(own, message.Group) {
 		s.directory.OfferGroup(message.Group, message.Node)
 		return nil, connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Told: message.Group.System})
 	}
