Gateways: the platform's store is asked which system this is before the replicas at the seeds are believed

What callers saw: a gateway whose seeds are all stale, one of them an address that a replica of another system has taken up, served through that system until its next start: its turns, its budgets, its configuration.

Cause: a gateway keeps nothing, and took the first group that a replica told it. The store was asked only where no replica was heard.

If the store then names another system than the one that is followed, all that the process knows is the other's, and it ends with that cause; the next start asks the store first. One call to the store for each start of a gateway.

Left: a replica that lost its disk while the store is silent still believes the first that answers after a second, and keeps that on its disk.

--- /dev/null
+++ b/internal/directory/discovery_test.go
@@ -0,0 +1,40 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// groupObjects has one group, or does not answer.
+type groupObjects struct {
+	Objects
+	group *replicav1.Group
+	err   error
+}
+
+func (g *groupObjects) Get(context.Context, Kind, string) (Object, bool, error) {
+	return Object{Group: g.group}, g.group != nil && g.err == nil, g.err
+}
+
+func TestAProcessThatKnowsNoGroupAsksTheStoreForItsSystemFirst(t *testing.T) {
+	state := NewState(time.Now, nil)
+	require.NoError(t, DiscoverSystem(t.Context(), &groupObjects{group: &replicav1.Group{Epoch: 2, System: 7}}, state, time.Minute))
+	require.Equal(t, uint64(7), SystemOf(state.Groups()))
+	require.NoError(t, DiscoverSystem(t.Context(), &groupObjects{}, NewState(time.Now, nil), time.Minute), "no system is formed yet")
+	silent := &groupObjects{err: &StoreRefused{Status: 503}}
+	require.Error(t, DiscoverSystem(t.Context(), silent, NewState(time.Now, nil), time.Millisecond))
+	require.NoError(t, DiscoverSystem(t.Context(), silent, state, time.Minute), "it is known")
+}
+
+func TestAProcessThatFollowedAnotherSystemIsToldSo(t *testing.T) {
+	state := NewState(time.Now, nil)
+	state.OfferGroup(&replicav1.Group{Epoch: 2, System: 7}, "a")
+	require.NoError(t, VerifySystem(t.Context(), &groupObjects{group: &replicav1.Group{Epoch: 5, System: 7}}, state))
+	var foreign *ForeignSystem
+	require.ErrorAs(t, VerifySystem(t.Context(), &groupObjects{group: &replicav1.Group{Epoch: 1, System: 8}}, state), &foreign)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	directory *directory.State
 	feed      *directory.Feed
 	relay     *quorum.Relay
+	objects   directory.Objects
 	quorum    *quorum.Client
 	chains    *chainCache
 	spent     *spentTokens
@@ -157,7 +158,7 @@
 	places := placesOf(options)
 	ways := distance.NewTimes(places)
 	g := &Gateway{
-		options: options, waits: balance.NewWaits(), splitter: route.NewSplitter(),
+		options: options, objects: objects, waits: balance.NewWaits(), splitter: route.NewSplitter(),
 		places: places, ways: ways,
 		balancer:    balance.NewAmong(time.Now, workersZone(options), ways, places),
 		subsets:     balance.NewSubsetSizes(time.Now),
@@ -243,7 +244,6 @@
 	working, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	g.followStore(working)
-	go g.relay.Run(working)
 	go g.quorum.RunDeferred(working)
 	go g.sweep(working)
 	go func() {
@@ -278,8 +278,13 @@
 		ConnState: g.connections.changed, ConnContext: g.connections.remember,
 	}
 	eventStarted.Log("node", g.options.Node, "ingress", g.options.Ingress)
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- server.Serve(ingress) }()
+	go func() {
+		if err := g.followReplicas(working); err != nil {
+			failed <- err
+		}
+	}()
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -308,7 +308,7 @@
 	}()
 	go r.followStore(ctx)
 	go func() {
-		r.awaitFirstWord(ctx)
+		r.discoverSystem(ctx)
 		r.relay.Run(ctx)
 	}()
 	go r.keepWorkers(ctx)
