--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -60,6 +60,7 @@
 		return
 	}
 	if reason != http.ErrAbortHandler {
+		g.metrics.panics.WithLabelValues().Inc()
 		eventPanicked.Log("method", incoming.Method, "path", incoming.URL.Path, "reason", fmt.Sprint(reason), "stack", string(debug.Stack()))
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,14 @@
 		Name: "gateway_broken_total", Kind: telemetry.KindCounter, Unit: "requests",
 		Help: "Answers that were begun and broken off.",
 	})
+	metricPanics = telemetry.Define(telemetry.Definition{
+		Name: "gateway_panics_total", Kind: telemetry.KindCounter, Unit: "requests",
+		Help: "Requests that ended in a panic: their clients got no answer.",
+	})
+	metricCrossed = telemetry.Define(telemetry.Definition{
+		Name: "gateway_crossed_closes_total", Kind: telemetry.KindCounter, Unit: "requests",
+		Help: "Requests that crossed the close of their connection and went no further.",
+	})
 	metricAttempts = telemetry.Define(telemetry.Definition{
 		Name: "gateway_attempts_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"verdict"},
 		Help: "Attempts at workers, by how they ended.",
@@ -132,6 +140,8 @@
 	loans      *prometheus.CounterVec
 	cold       *prometheus.CounterVec
 	slowPeers  *prometheus.CounterVec
+	panics     *prometheus.CounterVec
+	crossed    *prometheus.CounterVec
 
 	// labelled are the tenants that have a label of their own, labels how many.
 	labelled sync.Map
@@ -151,6 +161,7 @@
 		attempts: registry.Counter(metricAttempts), waits: registry.Histogram(metricHeld),
 		tenants: registry.Counter(metricTenants), aside: registry.Counter(metricTurnedAside), traffic: traffic.New(registry),
 		loans: registry.Counter(metricLent), cold: registry.Counter(metricColdRequests), slowPeers: registry.Counter(metricCutOff),
+		panics: registry.Counter(metricPanics), crossed: registry.Counter(metricCrossed),
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -90,6 +90,7 @@
 	defer g.underWay.Add(-1)
 	defer g.tellPanic(incoming)
 	if !g.connections.served(incoming) {
+		g.metrics.crossed.WithLabelValues().Inc()
 		eventCrossed.Log("request", g.options.Dialect.Envelope(incoming.Header).RequestID, "client", incoming.RemoteAddr)
 		panic(http.ErrAbortHandler)
 	}
