--- a/internal/replica/address_test.go
+++ b/internal/replica/address_test.go
@@ -17,7 +17,7 @@
 func TestANodeAtTheAddressOfOneThatIsGoneDoesNotSpeakForIt(t *testing.T) {
 	answering, group, _ := copier(t, 3)
 	_, handler := replicav1connect.NewReplicaServiceHandler(&service{
-		node: "successor", state: answering.state, directory: answering.directory, heard: newHeard(answering.heard.now),
+		node: "successor", state: answering.state, directory: answering.directory, peers: newFailureDetector(answering.peers.now),
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -25,12 +25,12 @@
 	at := strings.TrimPrefix(server.URL, "http://")
 	message := announcementOf(asking.state, group, "n2")
 	asking.announceTo(t.Context(), &replicav1.Member{Node: "gone", Address: at}, message)
-	require.False(t, asking.heard.alive("gone"))
+	require.False(t, asking.peers.healthy("gone"))
 	asking.announceTo(t.Context(), &replicav1.Member{Node: "successor", Address: at}, message)
-	require.True(t, asking.heard.alive("successor"))
+	require.True(t, asking.peers.healthy("successor"))
 
 	// A node of a release that does not tell its name is believed.
-	response, err := (&service{state: answering.state, directory: answering.directory, heard: newHeard(answering.heard.now)}).Announce(t.Context(), connect.NewRequest(message))
+	response, err := (&service{state: answering.state, directory: answering.directory, peers: newFailureDetector(answering.peers.now)}).Announce(t.Context(), connect.NewRequest(message))
 	require.NoError(t, err)
 	require.Empty(t, response.Msg.Node)
 }
--- a/internal/replica/attempt.go
+++ b/internal/replica/attempt.go
@@ -27,7 +27,7 @@
 func (s *seat) beginAttempt(ctx context.Context, group *replicav1.Group, member *replicav1.Member, identity *replicav1.Identity) *copyAttempt {
 	attempt := &copyAttempt{seat: s, group: group, member: member, identity: identity, first: make(chan struct{}, 1)}
 	attempt.ctx, attempt.stop = context.WithCancel(ctx)
-	wanted, spare := s.copy.wanted(group, member, s.replica.heard.alive)
+	wanted, spare := s.copy.wanted(group, member, s.replica.peers.healthy)
 	attempt.results, attempt.spare = make(chan pulled, len(wanted)+len(spare)), spare
 	attempt.ask(wanted)
 	return attempt
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -24,7 +24,7 @@
 	b.Cleanup(opened.log.Close)
 	group := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Node: "a", Claim: 1}}}
 	require.NoError(b, opened.write(groupRecord(group), identityRecord(0, &replicav1.Identity{Claim: 1, Incarnation: 3, Recovered: true})))
-	return &service{state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now)}
+	return &service{state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now)}
 }
 
 func keptTurn(n int) *replicav1.Record {
--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -50,9 +50,9 @@
 func (o *observation) leavesFor(reason departureReason, node string) bool {
 	switch reason {
 	case memberFailed:
-		return o.lost != nil && o.lost(node)
+		return o.failed != nil && o.failed(node)
 	case memberSuspect:
-		return !o.alive(node)
+		return !o.healthy(node)
 	case memberRetiring:
 		return o.retiring[node]
 	default:
--- a/internal/replica/departure_test.go
+++ b/internal/replica/departure_test.go
@@ -10,13 +10,13 @@
 
 // give adds a reason for a node to leave its group to what is seen.
 func give(seen *observation, reason departureReason, node string) {
-	alive, settled, lost := seen.alive, seen.settled, seen.lost
+	healthy, settled, failed := seen.healthy, seen.settled, seen.failed
 	switch reason {
 	case memberFailed, memberSuspect:
-		seen.alive = func(each string) bool { return each != node && alive(each) }
+		seen.healthy = func(each string) bool { return each != node && healthy(each) }
 		seen.settled = func(each string) bool { return each != node && settled(each) }
-		seen.lost = func(each string) bool {
-			return reason == memberFailed && each == node || lost != nil && lost(each)
+		seen.failed = func(each string) bool {
+			return reason == memberFailed && each == node || failed != nil && failed(each)
 		}
 	case memberRetiring:
 		seen.retiring[node] = true
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -18,14 +18,14 @@
 	group := oneGroup(nodes("a", "b", "c"))
 	group.System = 7
 	require.NoError(t, opened.write(groupRecord(group)))
-	hearing := &service{node: "a", state: opened, directory: directory.NewState(opened.now, nil), heard: newHeard(opened.now)}
+	hearing := &service{node: "a", state: opened, directory: directory.NewState(opened.now, nil), peers: newFailureDetector(opened.now)}
 	foreign := oneGroup(nodes("a", "b", "c"))
 	foreign.Epoch = group.Epoch + 5
 	for _, foreign.System = range []uint64{8, 0} {
 		_, err = hearing.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Group: foreign, Node: "b", Seat: 1, Incarnation: 9}))
 		var refused *directory.ForeignSystem
 		require.ErrorAs(t, err, &refused)
-		require.False(t, hearing.heard.alive("b"), "its word is of another node of that name")
+		require.False(t, hearing.peers.healthy("b"), "its word is of another node of that name")
 		require.Empty(t, opened.standing(0, group.Epoch).Seen)
 
 		// Neither by any other way to the disk.
@@ -50,7 +50,7 @@
 	t.Cleanup(opened.log.Close)
 	believing := false
 	hearing := &service{
-		node: "a", state: opened, directory: directory.NewState(opened.now, nil), heard: newHeard(opened.now),
+		node: "a", state: opened, directory: directory.NewState(opened.now, nil), peers: newFailureDetector(opened.now),
 		believing: func() bool { return believing },
 	}
 	message := &replicav1.AnnounceRequest{Group: oneGroup(nodes("a", "b", "c")), Node: "b"}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -51,7 +51,7 @@
 	registry.GaugeFunc(metricCallsRefused, func() float64 { return float64(bound.refused.Load()) })
 	registry.GaugeFunc(metricDrainsRevision, func() float64 { return float64(r.directory.View().Drains.Revision) })
 	registry.GaugeFunc(metricLoans, func() float64 { return float64(r.state.loans()) })
-	registry.GaugeFunc(metricLacking, func() float64 { return float64(r.lacking.count()) })
+	registry.GaugeFunc(metricLacking, func() float64 { return float64(r.underReplicated.count()) })
 	registry.GaugeFunc(metricSeats, func() float64 { return float64(len(r.ownGroups())) })
 	registry.GaugeFunc(metricStraySeats, func() float64 { return float64(r.straySeats()) })
 	registry.GaugeFunc(metricRecords, func() float64 {
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -40,12 +40,12 @@
 	seats map[string]int
 	// regions names the region of each zone.
 	regions map[string]string
-	// alive nodes were heard lately; settled members show the group's epoch and
+	// healthy nodes were in contact lately; settled members show the group's epoch and
 	// hold everything that their seat held.
-	alive, settled func(node string) bool
-	// lost nodes have been silent for so long that they may lose their seat without a
+	healthy, settled func(node string) bool
+	// failed nodes have been silent for so long that they may lose their seat without a
 	// successor; nil is none.
-	lost func(node string) bool
+	failed func(node string) bool
 	// keepsSystem reports whether a node's process keeps the name of its system.
 	keepsSystem func(node string) bool
 	// exchanged is set once the exchange's partners have all records of all of them, in this epoch.
@@ -198,14 +198,14 @@
 // standbyNode returns a node that can take a seat.
 func standbyNode(seen observation) *directory.Replica {
 	for _, node := range standbys(seen) {
-		if seen.alive(node.Node) {
+		if seen.healthy(node.Node) {
 			return &node
 		}
 	}
 	return nil
 }
 
-// standbys returns the nodes that could take a seat if they are alive, the best first.
+// standbys returns the nodes that could take a seat if they are healthy, the best first.
 func standbys(seen observation) []directory.Replica {
 	// The zone of a member that leaves is free again.
 	staying := &replicav1.Group{}
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -21,7 +21,7 @@
 func seenAll(group *replicav1.Group, registered []directory.Replica) observation {
 	return observation{
 		group: group, nodes: registered, retiring: map[string]bool{},
-		alive: func(string) bool { return true }, settled: func(string) bool { return true },
+		healthy: func(string) bool { return true }, settled: func(string) bool { return true },
 	}
 }
 
@@ -64,7 +64,7 @@
 func TestASilentMembersSeatGoesToANodeThatStandsBy(t *testing.T) {
 	group := oneGroup(nodes("a", "b", "c"))
 	seen := seenAll(group, nodes("a", "b", "c", "spare"))
-	seen.alive, seen.settled = except("b"), except("b")
+	seen.healthy, seen.settled = except("b"), except("b")
 	next := nextGroup(seen)
 	require.Equal(t, []string{"a", "spare", "c"}, memberNames(next))
 	require.Equal(t, group.Members[1].Seat, next.Members[1].Seat)
@@ -81,7 +81,7 @@
 func TestNothingChangesUntilTheOthersHoldEverything(t *testing.T) {
 	group := oneGroup(nodes("a", "b", "c"))
 	seen := seenAll(group, nodes("a", "b", "c", "spare"))
-	seen.alive, seen.settled = except("b"), except("b", "c")
+	seen.healthy, seen.settled = except("b"), except("b", "c")
 	require.Nil(t, nextGroup(seen))
 }
 
@@ -118,7 +118,7 @@
 	require.Equal(t, "d", moved.Members[0].Node)
 	require.True(t, inTransfer(moved.Members[0]))
 	again := seenAll(moved, nodes("b", "c", "d", "e"))
-	again.alive, again.settled = except("d"), except("d")
+	again.healthy, again.settled = except("d"), except("d")
 	next := nextGroup(again)
 	require.Equal(t, "e", next.Members[0].Node)
 	require.Equal(t, "a", next.Members[0].Predecessor.Node, "d had received nothing")
@@ -132,11 +132,11 @@
 func TestANodeThatStillHoldsASeatInTransferGetsItBackAsItWas(t *testing.T) {
 	group := oneGroup(nodes("a", "b", "c"))
 	seen := seenAll(group, nodes("a", "b", "c", "d"))
-	seen.alive, seen.settled = except("a"), except("a")
+	seen.healthy, seen.settled = except("a"), except("a")
 	moved := nextGroup(seen)
 	require.Equal(t, "d", moved.Members[0].Node)
 	again := seenAll(moved, nodes("a", "b", "c", "d"))
-	again.alive, again.settled = except("d"), except("a", "d")
+	again.healthy, again.settled = except("d"), except("a", "d")
 	next := nextGroup(again)
 	require.Equal(t, group.Members[0], next.Members[0])
 	require.Equal(t, uint64(firstEpoch+2), next.Epoch)
--- a/internal/replica/proof_departures_test.go
+++ b/internal/replica/proof_departures_test.go
@@ -265,8 +265,8 @@
 	seen := observation{
 		group: d.proposedFrom(), nodes: d.registered(), retiring: d.retirements, stopping: stopping,
 		seats: seatsHeld(d.groups()), removedHolds: d.removedHolds(),
-		alive: func(name string) bool { return silent(name) < suspectRounds && !d.awaits(name) },
-		lost:  func(name string) bool { return silent(name) >= failedRounds },
+		healthy: func(name string) bool { return silent(name) < suspectRounds && !d.awaits(name) },
+		failed:  func(name string) bool { return silent(name) >= failedRounds },
 		settled: func(name string) bool {
 			shown := d.shown[name]
 			return silent(name) < suspectRounds && shown.GetMember() && shown.GetRecovered() && shown.GetEpoch() == d.group.Epoch
--- a/internal/replica/proof_groups_test.go
+++ b/internal/replica/proof_groups_test.go
@@ -89,8 +89,8 @@
 	seen := observation{
 		group: p.proposedFrom(), nodes: nodes, retiring: map[string]bool{p.retiring: true}, seats: seatsHeld(p.groups()),
 		regions: p.regionOf, removedHolds: p.removedHolds(),
-		alive: func(name string) bool { return !p.nodes[name].gone && !p.cut(name) },
-		lost:  p.cut,
+		healthy: func(name string) bool { return !p.nodes[name].gone && !p.cut(name) },
+		failed:  p.cut,
 		settled: func(name string) bool {
 			if p.nodes[name].gone || p.cut(name) {
 				return false
--- a/internal/replica/proof_incident_test.go
+++ b/internal/replica/proof_incident_test.go
@@ -17,7 +17,7 @@
 	// incidentSteps is how many steps lie between two of its faults, at most.
 	incidentSteps = 40
 	// lateWordSteps is for how many steps, at most, members believe what a node said
-	// before it lost its disk, as they do for silentAfter in the product.
+	// before it lost its disk, as they do for suspectAfter in the product.
 	lateWordSteps = 60
 )
 
--- a/internal/replica/proof_regions_test.go
+++ b/internal/replica/proof_regions_test.go
@@ -162,7 +162,7 @@
 				down, retiring := someNodes(random, nodes), someNodes(random, nodes)
 				next := nextGroup(observation{
 					group: group, nodes: nodes, retiring: retiring, regions: regionOf,
-					alive: func(node string) bool { return !down[node] }, settled: func(node string) bool { return !down[node] },
+					healthy: func(node string) bool { return !down[node] }, settled: func(node string) bool { return !down[node] },
 				})
 				if next == nil {
 					continue
--- a/internal/replica/proof_test.go
+++ b/internal/replica/proof_test.go
@@ -230,7 +230,7 @@
 	opened, err := openStateAt(node.disk, f.now)
 	f.must(err)
 	node.service = &service{
-		state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now),
+		state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now),
 		roster: newRoster(time.Now),
 	}
 	if f.broken == forgetClosing {
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -47,7 +47,7 @@
 // settled notes that no change of a partition's group is wanted.
 func (p *proposals) settled(partition uint32) { delete(p.wanted, partition) }
 
-// proposalRank returns how many members propose before a node: those that are alive,
+// proposalRank returns how many members propose before a node: those that are healthy,
 // in the order of the group. None does before one that is to stop, which they do not know.
 func proposalRank(seen observation, node string) int {
 	if seen.stopping == node {
@@ -58,7 +58,7 @@
 		if member.Node == node {
 			break
 		}
-		if seen.alive(member.Node) {
+		if seen.healthy(member.Node) {
 			rank++
 		}
 	}
--- a/internal/replica/proposals_test.go
+++ b/internal/replica/proposals_test.go
@@ -29,6 +29,6 @@
 	group := oneGroup(nodes("a", "b", "c", "d"))
 	seen := seenAll(group, nodes("a", "b", "c", "d"))
 	require.Equal(t, 2, proposalRank(seen, "c"))
-	seen.alive = except("a")
+	seen.healthy = except("a")
 	require.Equal(t, 1, proposalRank(seen, "c"))
 }
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -105,11 +105,11 @@
 		return
 	}
 	if response.Msg.Stopping {
-		r.heard.leave(member.Node)
+		r.peers.observeStopping(member.Node)
 		return
 	}
-	r.heard.noteKeepsSystem(member.Node, quorum.KeepsSystem(response.Header()))
-	r.heard.noteStanding(member.Node, message.Group.GetPartition(), standing)
+	r.peers.observeKeepsSystem(member.Node, quorum.KeepsSystem(response.Header()))
+	r.peers.observeStanding(member.Node, message.Group.GetPartition(), standing)
 }
 
 // reconcile brings the groups in line with the nodes that are there, again and
@@ -117,7 +117,7 @@
 func (r *Replica) reconcile(ctx context.Context) {
 	began := time.Now()
 	for pause.For(ctx, reconcileEvery) {
-		r.heard.look()
+		r.peers.observeSelf()
 		if r.options.Bootstrap && r.timeToForm(time.Since(began)) {
 			r.form(ctx)
 		}
@@ -137,7 +137,7 @@
 func (r *Replica) improve(ctx context.Context, group *replicav1.Group) {
 	seen := r.observe(group)
 	seen.exchanged = r.exchangeAfterRemoval(ctx, seen)
-	r.lacking.note(seen, r.lookForStandbys(ctx, seen))
+	r.underReplicated.observe(seen, r.lookForStandbys(ctx, seen))
 	next := nextGroup(seen)
 	if next == nil {
 		next = namedGroup(seen, systemFor(group.Partition, r.directory.Groups()))
@@ -177,7 +177,7 @@
 		return nil
 	}
 	message := &replicav1.AnnounceRequest{Group: seen.group, Node: r.options.Node, Stopping: r.stopping.Load()}
-	for _, node := range r.standbys.next(seen.group.Partition, standbys(seen), seen.alive) {
+	for _, node := range r.standbys.next(seen.group.Partition, standbys(seen), seen.healthy) {
 		asked = append(asked, node.Node)
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
 	}
@@ -192,13 +192,13 @@
 	return observation{
 		group: group, stopping: stopping, nodes: r.followers.nodes(), retiring: r.followers.retiring(), seats: seatsHeld(r.directory.Groups()),
 		regions:      r.options.Regions,
-		keepsSystem:  func(node string) bool { return node == own || r.heard.keepsSystem(node) },
-		removedHolds: r.heard.holdsRemovedSeat(group),
-		alive:        func(node string) bool { return node == own || r.heard.alive(node) },
-		lost:         func(node string) bool { return node != own && r.heard.lost(node) },
+		keepsSystem:  func(node string) bool { return node == own || r.peers.keepsSystem(node) },
+		removedHolds: r.peers.holdsRemovedSeat(group),
+		healthy:      func(node string) bool { return node == own || r.peers.healthy(node) },
+		failed:       func(node string) bool { return node != own && r.peers.failed(node) },
 		settled: func(node string) bool {
 			if node != own {
-				return r.heard.settled(node, group.Partition, group.Epoch)
+				return r.peers.settled(node, group.Partition, group.Epoch)
 			}
 			standing := r.state.standing(group.Partition, group.Epoch)
 			return standing.Member && standing.Recovered && standing.Epoch == group.Epoch
--- a/internal/replica/recover_test.go
+++ b/internal/replica/recover_test.go
@@ -83,7 +83,7 @@
 	moved := &replicav1.Group{Epoch: 2, Members: []*replicav1.Member{{Seat: 1, Node: "d", Claim: 2}, {Seat: 2, Node: "c", Claim: 1}}}
 	before := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Seat: 1, Node: "a", Claim: 1}, {Seat: 2, Node: "c", Claim: 1}}}
 	require.NoError(t, opened.write(groupRecord(moved), identityRecord(0, &replicav1.Identity{Seat: 1, Claim: 2, Incarnation: 33, Recovered: true})))
-	holder := &service{state: opened, directory: directory.NewState(time.Now, nil), heard: newHeard(time.Now), roster: newRoster(time.Now)}
+	holder := &service{state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now), roster: newRoster(time.Now)}
 
 	late := &replicav1.AnnounceRequest{Group: before, Node: "a", Seat: 1, Incarnation: 11}
 	_, err = holder.Announce(context.Background(), connect.NewRequest(late))
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -13,8 +13,8 @@
 // lostMember is an observation in which one node has been silent for long.
 func lostMember(group *replicav1.Group, node string, registered ...string) observation {
 	seen := seenAll(group, nodes(registered...))
-	seen.alive, seen.settled = except(node), except(node)
-	seen.lost = func(each string) bool { return each == node }
+	seen.healthy, seen.settled = except(node), except(node)
+	seen.failed = func(each string) bool { return each == node }
 	return seen
 }
 
@@ -69,35 +69,35 @@
 
 func TestANodeIsLostOnceItHasBeenSilentForLong(t *testing.T) {
 	now := time.Unix(1000, 0)
-	heard := newHeard(func() time.Time { return now })
-	heard.note("a")
-	heard.leave("b")
-	now = now.Add(lostAfter - 1)
-	require.False(t, heard.lost("a"))
-	require.False(t, heard.lost("b"), "one that has stopped may start again")
-	require.False(t, heard.alive("b"))
-	require.False(t, heard.lost("c"), "nothing was heard of it since this process began")
+	peers := newFailureDetector(func() time.Time { return now })
+	peers.observe("a")
+	peers.observeStopping("b")
+	now = now.Add(failedAfter - 1)
+	require.False(t, peers.failed("a"))
+	require.False(t, peers.failed("b"), "one that has stopped may start again")
+	require.False(t, peers.healthy("b"))
+	require.False(t, peers.failed("c"), "nothing was heard of it since this process began")
 	now = now.Add(1)
 	for _, node := range []string{"a", "b", "c"} {
-		require.True(t, heard.lost(node))
+		require.True(t, peers.failed(node))
 	}
 }
 
 // One that had been frozen took the first member that was slow to answer it for lost.
 func TestAProcessThatWasPausedTakesNobodyForLost(t *testing.T) {
 	now := time.Unix(1000, 0)
-	heard := newHeard(func() time.Time { return now })
-	heard.note("a")
-	heard.look()
-	now = now.Add(lostAfter)
-	heard.look()
-	require.False(t, heard.lost("a"))
-	for range lostAfter / reconcileEvery {
+	peers := newFailureDetector(func() time.Time { return now })
+	peers.observe("a")
+	peers.observeSelf()
+	now = now.Add(failedAfter)
+	peers.observeSelf()
+	require.False(t, peers.failed("a"))
+	for range failedAfter / reconcileEvery {
 		now = now.Add(reconcileEvery)
-		heard.look()
+		peers.observeSelf()
 	}
 	now = now.Add(reconcileEvery)
-	require.True(t, heard.lost("a"))
+	require.True(t, peers.failed("a"))
 }
 
 // A group of two rested for good where a member had gone and its successor came later.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -70,18 +70,18 @@
 
 // Replica is a running replica.
 type Replica struct {
-	options   Options
-	objects   directory.Objects
-	directory *directory.State
-	feed      *directory.Feed
-	followers *followed
-	heard     *heard
-	quorum    *quorum.Client
-	relay     *quorum.Relay
-	state     *state
-	grants    *grants
-	lacking   *lackingGroups
-	seeds     atomic.Pointer[[]string]
+	options         Options
+	objects         directory.Objects
+	directory       *directory.State
+	feed            *directory.Feed
+	followers       *followed
+	peers           *failureDetector
+	quorum          *quorum.Client
+	relay           *quorum.Relay
+	state           *state
+	grants          *grants
+	underReplicated *underReplicatedGroups
+	seeds           atomic.Pointer[[]string]
 	// stopping is set once this process is to stop, believing once it takes the word of other
 	// processes on which system this is.
 	stopping, believing atomic.Bool
@@ -105,9 +105,9 @@
 		return nil, err
 	}
 	replica := &Replica{
-		options: options, objects: objects, state: opened, followers: newFollowed(), heard: newHeard(time.Now),
-		grants:  newGrants(options.Node, time.Now, options.Quota, options.ColdTolerance),
-		lacking: newLackingGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver), exchanges: make(map[uint32]*exchange),
+		options: options, objects: objects, state: opened, followers: newFollowed(), peers: newFailureDetector(time.Now),
+		grants:          newGrants(options.Node, time.Now, options.Quota, options.ColdTolerance),
+		underReplicated: newUnderReplicatedGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver), exchanges: make(map[uint32]*exchange),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
@@ -294,7 +294,7 @@
 		return err
 	}
 	handler := &service{
-		node: r.options.Node, stopping: r.stopping.Load, believing: r.believing.Load, state: r.state, directory: r.directory, heard: r.heard, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
+		node: r.options.Node, stopping: r.stopping.Load, believing: r.believing.Load, state: r.state, directory: r.directory, peers: r.peers, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
 	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory)))
--- a/internal/replica/restart_test.go
+++ b/internal/replica/restart_test.go
@@ -22,7 +22,7 @@
 	known := directory.NewState(time.Now, nil)
 	return &seat{replica: &Replica{
 		options: Options{Node: "d"}, state: opened, directory: known, copies: make(chan struct{}, maxCopies),
-		quorum: quorum.NewClient(known, "zone-d", http.DefaultClient), heard: newHeard(time.Now),
+		quorum: quorum.NewClient(known, "zone-d", http.DefaultClient), peers: newFailureDetector(time.Now),
 	}}
 }
 
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -26,7 +26,7 @@
 	believing func() bool
 	state     *state
 	directory *directory.State
-	heard     *heard
+	peers     *failureDetector
 	roster    *roster
 	// age returns how old this replica's word of the platform's store is, or false
 	// if it has heard nothing of it.
@@ -123,9 +123,9 @@
 		records = append(records, incarnationRecord(partition, message.Seat, message.Incarnation))
 	}
 	if message.Stopping {
-		s.heard.leave(message.Node)
+		s.peers.observeStopping(message.Node)
 	} else {
-		s.heard.note(message.Node)
+		s.peers.observe(message.Node)
 	}
 	if err := s.state.write(records...); err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
--- a/internal/replica/stop.go
+++ b/internal/replica/stop.go
@@ -23,7 +23,7 @@
 
 // handSeatsOver lets nodes that stand by take this node's seats before it stops, and returns
 // once they hold them, or where none stands by. A member that merely fell silent would be
-// replaced after silentAfter: whoever replaces replicas one after another, each once the one
+// replaced after suspectAfter: whoever replaces replicas one after another, each once the one
 // before had its time to catch up, would take the second disk before the first seat is held.
 func (r *Replica) handSeatsOver(ctx context.Context) {
 	r.stopping.Store(true)
--- a/internal/replica/stop_test.go
+++ b/internal/replica/stop_test.go
@@ -31,14 +31,14 @@
 
 func TestANodeThatIsToStopCountsAsGoneUntilItStartsAgain(t *testing.T) {
 	now := time.Unix(100, 0)
-	heard := newHeard(func() time.Time { return now })
+	peers := newFailureDetector(func() time.Time { return now })
 	opened, err := openState(recordlogtest.NewDisk())
 	require.NoError(t, err)
 	t.Cleanup(opened.log.Close)
-	answering := &service{state: opened, directory: directory.NewState(time.Now, nil), heard: heard}
+	answering := &service{state: opened, directory: directory.NewState(time.Now, nil), peers: peers}
 	for _, stopping := range []bool{false, true, false} {
 		_, err := answering.Announce(t.Context(), connect.NewRequest(&replicav1.AnnounceRequest{Node: "a", Stopping: stopping}))
 		require.NoError(t, err)
-		require.Equal(t, !stopping, heard.alive("a"))
+		require.Equal(t, !stopping, peers.healthy("a"))
 	}
 }
--- a/internal/replica/watchers_test.go
+++ b/internal/replica/watchers_test.go
@@ -80,7 +80,7 @@
 	left := group.Members[0]
 	seen := seenAll(group, nodes)
 	seen.seats = seatsHeld(groups)
-	seen.alive, seen.settled = except(left.Node), except(left.Node)
+	seen.healthy, seen.settled = except(left.Node), except(left.Node)
 	next := nextGroup(seen)
 	taken := next.Members[0]
 	require.Equal(t, 1, seen.seats[taken.Node], "not one of those that hold two")
