Names: deleted objects, log intervals and reports instead of what is gone and told

directory.Change.Gone is Deleted; tell… is log…, announce…, recover… or notify… by what each does; …Told is …LogInterval, Reported or Other. No behaviour changes; wire names and event numbers stay.

--- a/internal/coldstart/tracker_test.go
+++ b/internal/coldstart/tracker_test.go
@@ -54,7 +54,7 @@
 
 func (h *heardOf) loses(id string) {
 	h.revision++
-	h.state.ChangeWorkers([]directory.Change{{Object: directory.Object{Name: id}, Gone: true}}, h.revision)
+	h.state.ChangeWorkers([]directory.Change{{Object: directory.Object{Name: id}, Deleted: true}}, h.revision)
 }
 
 func (h *heardOf) drain(zones ...string) {
--- a/internal/directory/discovery.go
+++ b/internal/directory/discovery.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		if !TakesGroup(own, found.Group) {
-			return &ForeignSystem{Own: own, Told: found.Group.GetSystem()}
+			return &ForeignSystem{Own: own, Other: found.Group.GetSystem()}
 		}
 		return nil
 	}
--- a/internal/directory/drains.go
+++ b/internal/directory/drains.go
@@ -52,7 +52,7 @@
 		drained = make(map[string]bool)
 	}
 	for _, change := range changes {
-		if change.Gone {
+		if change.Deleted {
 			delete(drained, change.Object.Name)
 		} else {
 			drained[change.Object.Name] = true
--- a/internal/directory/drains_test.go
+++ b/internal/directory/drains_test.go
@@ -15,7 +15,7 @@
 
 // drainChange is a change of one zone.
 func drainChange(zone string, gone bool) Change {
-	return Change{Object: Object{Name: zone, ZoneDrain: &ZoneDrain{Zone: zone}}, Gone: gone}
+	return Change{Object: Object{Name: zone, ZoneDrain: &ZoneDrain{Zone: zone}}, Deleted: gone}
 }
 
 func TestAnOlderListOfDrainedZonesNeverFillsAZone(t *testing.T) {
--- a/internal/directory/errors.go
+++ b/internal/directory/errors.go
@@ -83,13 +83,13 @@
 // Unwrap returns the cause.
 func (e *StoreUnreachable) Unwrap() error { return e.Cause }
 
-// ForeignSystem reports a word of another system, of which nothing was taken.
+// ForeignSystem reports a message of another system, of which nothing was taken.
 type ForeignSystem struct {
-	Own, Told uint64
+	Own, Other uint64
 }
 
 func (e *ForeignSystem) Error() string {
-	return fmt.Sprintf("the word is of system %d, and this is %d", e.Told, e.Own)
+	return fmt.Sprintf("the message is of system %d, and this is %d", e.Other, e.Own)
 }
 
 // Type returns "foreign_system".
--- a/internal/directory/growth_test.go
+++ b/internal/directory/growth_test.go
@@ -241,7 +241,7 @@
 			case 2:
 				instance := draw().Instance
 				plain.gone(instance)
-				state.ChangeWorkers([]Change{{Object: Object{Name: instance}, Gone: true}}, int64(revision+1))
+				state.ChangeWorkers([]Change{{Object: Object{Name: instance}, Deleted: true}}, int64(revision+1))
 			case 3:
 				plain.expire()
 				state.expire()
--- a/internal/directory/life_test.go
+++ b/internal/directory/life_test.go
@@ -68,7 +68,7 @@
 		state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 7)
 		late(state)
 		require.Equal(t, []string{"a@2"}, ids(state), name)
-		state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 9)
+		state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}}, 9)
 		state.ChangeWorkers([]Change{entryOf(life("a", 1))}, 10)
 		require.NotContains(t, ids(state), "a@1", "%s, after the newer life's entry went", name)
 	}
@@ -77,7 +77,7 @@
 func TestALapsedLifeEndsWithTheNext(t *testing.T) {
 	state := NewState(time.Now, nil)
 	state.OfferWorkers([]Worker{life("a", 1)}, 5)
-	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 6)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}}, 6)
 	require.Equal(t, []string{"a@1"}, ids(state), "a last resort")
 	state.ChangeWorkers([]Change{entryOf(life("a", 2))}, 7)
 	require.Equal(t, []string{"a@2"}, ids(state))
@@ -121,7 +121,7 @@
 	for name, spoil := range map[string]func(state *State){
 		"a listing": func(state *State) { state.OfferWorkers([]Worker{life("b", 1)}, 6, bad) },
 		"a change": func(state *State) {
-			state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true, Unusable: &bad}}, 6)
+			state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true, Unusable: &bad}}, 6)
 		},
 	} {
 		first, second := NewState(time.Now, nil), NewState(time.Now, nil)
@@ -153,11 +153,11 @@
 	bad := Unusable{Name: "w", Field: "Slots", Reason: FieldMissing}
 	entries.takeListing(KindWorker, Listing{Unusable: []Unusable{bad}})
 	for range 3 {
-		entries.takeChanges(KindWorker, []Change{{Gone: true, Unusable: &bad}})
+		entries.takeChanges(KindWorker, []Change{{Deleted: true, Unusable: &bad}})
 	}
 	require.Equal(t, map[UnusableReason]int{FieldMissing: 1}, entries.count())
 	worse := Unusable{Name: "v", Field: "State", Reason: FieldUnknown}
-	entries.takeChanges(KindReplica, []Change{{Gone: true, Unusable: &worse}})
+	entries.takeChanges(KindReplica, []Change{{Deleted: true, Unusable: &worse}})
 	require.Equal(t, map[UnusableReason]int{FieldMissing: 1, FieldUnknown: 1}, entries.count())
 	entries.takeChanges(KindWorker, []Change{{Object: Object{Name: "w"}}})
 	entries.takeListing(KindReplica, Listing{})
--- a/internal/directory/objects.go
+++ b/internal/directory/objects.go
@@ -90,11 +90,11 @@
 	Unusable []Unusable
 }
 
-// Change is one event of a watch. Of a gone object only the name is set.
+// Change is one event of a watch. Of a deleted object only the name is set.
 type Change struct {
-	Object Object
-	Gone   bool
-	// Unusable is why the entry names no object to use any more; such a change is Gone.
+	Object  Object
+	Deleted bool
+	// Unusable is why the entry names no object to use any more; such a change is Deleted.
 	Unusable *Unusable
 }
 
--- a/internal/directory/state_test.go
+++ b/internal/directory/state_test.go
@@ -50,7 +50,7 @@
 	}
 	state := NewState(clock, nil)
 	state.OfferWorkers([]Worker{{ID: "a", Instance: "a", Service: "s"}, {ID: "b", Instance: "b", Service: "s", Draining: true}}, 1)
-	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}, {Object: Object{Name: "b"}, Gone: true}}, 2)
+	state.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}, {Object: Object{Name: "b"}, Deleted: true}}, 2)
 	last := state.View().Workers.All("s")
 	require.Len(t, last, 1)
 	require.Equal(t, Worker{ID: "a", Instance: "a", Service: "s"}, last[0].Worker)
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -9,8 +9,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
-// foreignToldEvery is how often groups of another system are logged.
-const foreignToldEvery = 10 * time.Second
+// foreignLogInterval is how often groups of another system are logged.
+const foreignLogInterval = 10 * time.Second
 
 // View is what is known at one moment. It is immutable.
 type View struct {
@@ -75,8 +75,8 @@
 	mutex sync.Mutex
 	// news is closed, and replaced, with each new view.
 	news chan struct{}
-	// foreignTold is when a group of another system was logged last.
-	foreignTold time.Time
+	// foreignLogged is when a group of another system was logged last.
+	foreignLogged time.Time
 	// workers are those that are listed, by instance.
 	workers map[string]*listing
 	// listings counts the whole lists that were taken.
@@ -171,7 +171,7 @@
 	defer s.mutex.Unlock()
 	current := s.view.Load()
 	if known := SystemOf(current.Groups); !TakesGroup(known, group) {
-		s.tellForeign(group, known, source)
+		s.logForeign(group, known, source)
 		return
 	}
 	if current.Group(group.Partition).GetEpoch() >= group.Epoch {
@@ -190,13 +190,13 @@
 	s.publish(&next)
 }
 
-// tellForeign logs, now and then, that a group of another system was told. The mutex is held.
-func (s *State) tellForeign(group *replicav1.Group, known uint64, source string) {
+// logForeign logs, now and then, that a group of another system was told. The mutex is held.
+func (s *State) logForeign(group *replicav1.Group, known uint64, source string) {
 	now := s.now()
-	if now.Sub(s.foreignTold) < foreignToldEvery {
+	if now.Sub(s.foreignLogged) < foreignLogInterval {
 		return
 	}
-	s.foreignTold = now
+	s.foreignLogged = now
 	eventForeignGroup.Log("partition", group.Partition, "epoch", group.Epoch, "source", source, "system", group.System, "own", known)
 }
 
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -111,7 +111,7 @@
 	}
 	for name, change := range last {
 		switch {
-		case change.Gone:
+		case change.Deleted:
 			list.Gone = append(list.Gone, name)
 		case change.Object.Worker != nil:
 			list.Workers = append(list.Workers, encodeWorker(*change.Object.Worker))
@@ -136,7 +136,7 @@
 	}
 	changes := make([]Change, 0, len(list.Workers)+len(list.Gone))
 	for _, id := range list.Gone {
-		changes = append(changes, Change{Object: Object{Name: id}, Gone: true})
+		changes = append(changes, Change{Object: Object{Name: id}, Deleted: true})
 	}
 	for _, worker := range list.Workers {
 		decoded := decodeWorker(worker)
--- a/internal/directory/workers_test.go
+++ b/internal/directory/workers_test.go
@@ -34,7 +34,7 @@
 
 	draining := ready("w1")
 	draining.Draining = true
-	from.ChangeWorkers([]Change{{Object: Object{Name: "w0"}, Gone: true}, {Object: Object{Name: "w1", Worker: &draining}}}, 7)
+	from.ChangeWorkers([]Change{{Object: Object{Name: "w0"}, Deleted: true}, {Object: Object{Name: "w1", Worker: &draining}}}, 7)
 	added := ready("added")
 	from.ChangeWorkers([]Change{{Object: Object{Name: "added", Worker: &added}}}, 9)
 	changes := from.WorkerChanges(to.WorkersRevision())
@@ -50,9 +50,9 @@
 	from.OfferWorkers([]Worker{ready("a"), ready("b")}, 5)
 	to.OfferWorkers([]Worker{ready("a"), ready("b")}, 5)
 	added := ready("c")
-	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}, {Object: Object{Name: "c", Worker: &added}}}, 9)
+	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}, {Object: Object{Name: "c", Worker: &added}}}, 9)
 	// This one heard of the first change from elsewhere.
-	to.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 7)
+	to.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}}, 7)
 	to.OfferWorkerList(from.WorkerChanges(7))
 	require.ElementsMatch(t, []string{"b", "c"}, idsOf(to))
 }
@@ -60,7 +60,7 @@
 func TestChangesThatFollowOnALaterRevisionAreLeft(t *testing.T) {
 	from, to := NewState(time.Now, nil), NewState(time.Now, nil)
 	from.OfferWorkers([]Worker{ready("a")}, 5)
-	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Gone: true}}, 8)
+	from.ChangeWorkers([]Change{{Object: Object{Name: "a"}, Deleted: true}}, 8)
 	late := from.WorkerChanges(5)
 	to.OfferWorkers([]Worker{ready("a"), ready("b")}, 3)
 	to.OfferWorkerList(late)
--- a/internal/directory/workerstate.go
+++ b/internal/directory/workerstate.go
@@ -44,14 +44,14 @@
 	for _, entry := range unusable {
 		if _, found := s.workers[entry.Name]; found {
 			s.drop(entry.Name)
-			changes = append(changes, Change{Object: Object{Name: entry.Name}, Gone: true})
+			changes = append(changes, Change{Object: Object{Name: entry.Name}, Deleted: true})
 		}
 	}
 	for instance, known := range s.workers {
 		if known.inList != s.listings {
 			s.drop(instance)
 			s.lapse(known.Worker)
-			changes = append(changes, Change{Object: Object{Name: instance}, Gone: true})
+			changes = append(changes, Change{Object: Object{Name: instance}, Deleted: true})
 		}
 	}
 	s.noteChanges(revision, changes)
@@ -109,10 +109,10 @@
 	switch {
 	case change.Unusable != nil:
 		s.drop(change.Object.Name)
-	case change.Gone && found:
+	case change.Deleted && found:
 		s.drop(change.Object.Name)
 		s.lapse(known.Worker)
-	case change.Gone:
+	case change.Deleted:
 		// It may be listed where this is passed on to.
 	case change.Object.Worker == nil || !s.lives.admits(*change.Object.Worker, s.now()):
 		return false
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -192,7 +192,7 @@
 		r.count(chosen, answer)
 	}
 	if err == nil && answer.Status != http.StatusMisdirectedRequest {
-		r.coldToldBy(chosen, answer.Told, sent)
+		r.observeColdness(chosen, answer.Reported, sent)
 	}
 	if err == nil && answer.NotExecuted {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, smallAnswerBytes))
--- a/internal/gateway/coldpass.go
+++ b/internal/gateway/coldpass.go
@@ -230,9 +230,9 @@
 	return left
 }
 
-// coldToldBy takes what a worker's answer says of itself, to a request sent at a time.
-func (r *request) coldToldBy(chosen directory.Worker, told worker.Head, sent time.Time) {
-	if told.ColdTold && r.mayBeCold() {
+// observeColdness takes what a worker's answer says of itself, to a request sent at a time.
+func (r *request) observeColdness(chosen directory.Worker, told worker.Head, sent time.Time) {
+	if told.ColdReported && r.mayBeCold() {
 		r.gateway.cold.tracker.Said(chosen.ID, sent, told.ColdLeft)
 	}
 }
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -52,9 +52,9 @@
 	values []any
 }
 
-// tellPanic writes why a request ended without an answer, which the library would only close the
+// recoverPanic writes why a request ended without an answer, which the library would only close the
 // connection for.
-func (g *Gateway) tellPanic(incoming *http.Request) {
+func (g *Gateway) recoverPanic(incoming *http.Request) {
 	reason := recover()
 	if reason == nil {
 		return
--- a/internal/gateway/eligible_test.go
+++ b/internal/gateway/eligible_test.go
@@ -286,7 +286,7 @@
 		r.awaitWorkers(t.Context())
 		done <- r.checkPlaces()
 	}()
-	time.Sleep(2 * minHoldTold)
+	time.Sleep(2 * minLoggedHold)
 	require.Empty(t, done)
 	g.directory.OfferZoneDrains([]string{"b"}, 1)
 	require.NoError(t, <-done)
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -20,16 +20,16 @@
 	heldForQuota         holdReason = "quota"
 )
 
-// minHoldTold is the time from which a wait is told in a request's story and counted:
+// minLoggedHold is the time from which a wait is told in a request's story and counted:
 // everything shorter is the way to a replica and back.
-const minHoldTold = 5 * time.Millisecond
+const minLoggedHold = 5 * time.Millisecond
 
 // hold begins a wait and returns what ends it.
 func (r *request) hold(reason holdReason) (end func()) {
 	began := time.Now()
 	return func() {
 		took := time.Since(began)
-		if took < minHoldTold {
+		if took < minLoggedHold {
 			return
 		}
 		if r.held == nil {
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -84,7 +84,7 @@
 			if err == nil {
 				continue
 			}
-			if !mayBeToldSoon(err) || time.Now().Add(wait).After(until) || !pause.For(ctx, wait/2+rand.N(wait)) {
+			if !mayBeKnownSoon(err) || time.Now().Add(wait).After(until) || !pause.For(ctx, wait/2+rand.N(wait)) {
 				return err
 			}
 			wait = min(2*wait, lastQuotaPause)
@@ -102,10 +102,10 @@
 	return nil
 }
 
-// mayBeToldSoon reports whether the replicas that did not tell of a limit have been silent for a
+// mayBeKnownSoon reports whether the replicas that did not tell of a limit have been silent for a
 // moment only. One call that takes longer than usual has a replica count as silent until it answers
 // a probe, so that a request within its limit must not be refused for it.
-func mayBeToldSoon(err error) bool {
+func mayBeKnownSoon(err error) bool {
 	var silent *quorum.Unavailable
 	if errors.As(err, &silent) {
 		return silent.SilentFor > 0 && silent.SilentFor < quorum.BriefSilence
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -344,8 +344,8 @@
 // refuse gives a request its final answer.
 func refuse(w http.ResponseWriter, err error) {
 	status := statusOf(err)
-	tellsWhen := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-	if retry := failure.Classify(err).Retry(); tellsWhen && retry.Allowed {
+	mayReturn := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if retry := failure.Classify(err).Retry(); mayReturn && retry.Allowed {
 		after := spread(max(retry.After, comeBackAfter))
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -88,7 +88,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
 	g.underWay.Add(1)
 	defer g.underWay.Add(-1)
-	defer g.tellPanic(incoming)
+	defer g.recoverPanic(incoming)
 	if !g.connections.served(incoming) {
 		g.metrics.crossed.WithLabelValues().Inc()
 		eventCrossed.Log("request", g.options.Dialect.Envelope(incoming.Header).RequestID, "client", incoming.RemoteAddr)
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -84,7 +84,7 @@
 		for _, name := range w.sight.Due(now) {
 			w.probe(ctx, name, members[name])
 		}
-		w.tellCutOff()
+		w.logCutOff()
 	}
 }
 
@@ -188,8 +188,8 @@
 	return w.sight.Unreached(name)
 }
 
-// tellCutOff logs when the own zone is cut off, and when it is not any more.
-func (w *zoneWatch) tellCutOff() {
+// logCutOff logs when the own zone is cut off, and when it is not any more.
+func (w *zoneWatch) logCutOff() {
 	_, cutOff := w.sight.CutOff()
 	w.mutex.Lock()
 	changed := w.cutOff != cutOff
--- a/internal/journal/step.go
+++ b/internal/journal/step.go
@@ -74,7 +74,7 @@
 func (r *Replica) dispatch(from MemberID, m *journalv1.Message) {
 	switch m.Type {
 	case journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE:
-		r.tellRemoved(from)
+		r.notifyRemoved(from)
 		r.stepPreVote(from, m)
 	case journalv1.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER:
 		r.stepVoteAnswer(from, m, PreCandidate)
@@ -83,7 +83,7 @@
 	case journalv1.MessageType_MESSAGE_TYPE_VOTE_ANSWER:
 		r.stepVoteAnswer(from, m, Candidate)
 	case journalv1.MessageType_MESSAGE_TYPE_PROBE:
-		r.tellRemoved(from)
+		r.notifyRemoved(from)
 		r.stepProbe(from)
 	case journalv1.MessageType_MESSAGE_TYPE_PROBE_ANSWER:
 		r.stepProbeAnswer(from, m)
@@ -127,9 +127,9 @@
 	}
 }
 
-// tellRemoved tells a sender that the committed membership known here does not
+// notifyRemoved tells a sender that the committed membership known here does not
 // name it. A sender that was admitted since then ignores it.
-func (r *Replica) tellRemoved(from MemberID) {
+func (r *Replica) notifyRemoved(from MemberID) {
 	committed := r.membershipAt(r.commit)
 	if _, member := committed.find(from); member || committed.index == 0 {
 		return
--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -22,8 +22,8 @@
 	// returnInterest is for how long after a request was told of an outage its end is
 	// looked for: clients that were told to come back have done so twice.
 	returnInterest = 2 * maxComeBack
-	// awayToldEvery is how often an outage is logged in which the members say the same.
-	awayToldEvery = 10 * time.Second
+	// awayLogInterval is how often an outage is logged in which the members say the same.
+	awayLogInterval = 10 * time.Second
 	// maxComeBack bounds the time after which a client is asked to come back: the end of
 	// an outage is not known before, and clients that wait longer than needed lose time.
 	maxComeBack = 2 * time.Second
@@ -71,7 +71,7 @@
 // begin to answer, and still do not count, is another matter than one in which they are silent.
 func (o *outage) note(now time.Time, partition uint32, why Shortfall) {
 	said := why.String()
-	if said == o.why && now.Sub(o.told) < awayToldEvery {
+	if said == o.why && now.Sub(o.told) < awayLogInterval {
 		return
 	}
 	o.why, o.told = said, now
--- a/internal/quorum/outage_told_test.go
+++ b/internal/quorum/outage_log_test.go
@@ -11,8 +11,8 @@
 	noted, began := &outage{}, time.Unix(1000, 0)
 	noted.note(began, 0, Shortfall{})
 	require.Equal(t, began, noted.told)
-	noted.note(began.Add(awayToldEvery-1), 0, Shortfall{})
+	noted.note(began.Add(awayLogInterval-1), 0, Shortfall{})
 	require.Equal(t, began, noted.told, "the members say the same")
-	noted.note(began.Add(awayToldEvery), 0, Shortfall{})
-	require.Equal(t, began.Add(awayToldEvery), noted.told)
+	noted.note(began.Add(awayLogInterval), 0, Shortfall{})
+	require.Equal(t, began.Add(awayLogInterval), noted.told)
 }
--- a/internal/quorum/system.go
+++ b/internal/quorum/system.go
@@ -52,7 +52,7 @@
 // foreign returns the error of a call between two systems. Its code is that of a process which
 // cannot be reached, so that calls are not sent again and again.
 func foreign(own, told uint64) error {
-	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Told: told})
+	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Other: told})
 }
 
 // KeepsSystem reports whether an answer is of a process that keeps the name of its system. One of a
--- a/internal/replica/followers.go
+++ b/internal/replica/followers.go
@@ -76,7 +76,7 @@
 		known[object.Name] = of(object)
 	}
 	for _, change := range changes {
-		if change.Gone {
+		if change.Deleted {
 			delete(known, change.Object.Name)
 			continue
 		}
--- a/internal/replica/keptworkers_test.go
+++ b/internal/replica/keptworkers_test.go
@@ -30,7 +30,7 @@
 			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "instance")
 			change := workerChange(name, step+1)
 			if rapid.Bool().Draw(t, "goes") {
-				change = directory.Change{Object: directory.Object{Name: name}, Gone: true}
+				change = directory.Change{Object: directory.Object{Name: name}, Deleted: true}
 			}
 			state.ChangeWorkers([]directory.Change{change}, int64(step+2))
 			if rapid.Bool().Draw(t, "written") {
--- a/internal/replica/loans.go
+++ b/internal/replica/loans.go
@@ -30,14 +30,14 @@
 				eventWriteFailed.Log("cause", err.Error())
 				continue
 			}
-			r.tellMajority(ctx, partition)
+			r.settleAtMajority(ctx, partition)
 		}
 	}
 }
 
-// tellMajority writes what the closed accounts of a partition give back. What fails is
+// settleAtMajority writes what the closed accounts of a partition give back. What fails is
 // written the next time.
-func (r *Replica) tellMajority(ctx context.Context, partition uint32) {
+func (r *Replica) settleAtMajority(ctx context.Context, partition uint32) {
 	var records []*replicav1.Record
 	accounts := r.state.unreturned(partition)
 	if len(accounts) == 0 {
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -24,10 +24,10 @@
 	// pullTimeout bounds the copy of one part, which takes some ten milliseconds
 	// between machines that are well.
 	pullTimeout = 1500 * time.Millisecond
-	// firstWaitTold is the number of attempts in a row, a power of two, from which a
+	// firstLoggedWait is the number of attempts in a row, a power of two, from which a
 	// copy that is not enough yet is told in the log: a copy between machines that are
 	// well succeeds before.
-	firstWaitTold = 4
+	firstLoggedWait = 4
 )
 
 // takeSeats brings this node's identities in line with the groups, again and again:
@@ -183,7 +183,7 @@
 	standings, enough, brought := attempt.collect()
 	if enough == nil {
 		s.copy.attemptFailed(brought)
-		s.tellWaiting(group, member, attempt.asked, standings)
+		s.logWaiting(group, member, attempt.asked, standings)
 		return false
 	}
 	if err := r.state.write(seenBy(enough, group.Partition, member.Seat)...); err != nil {
@@ -195,10 +195,10 @@
 	return true
 }
 
-// tellWaiting logs, ever less often, what a copy that is not enough yet waits for.
-func (s *seat) tellWaiting(group *replicav1.Group, member *replicav1.Member, wanted []*replicav1.Member, standings []*replicav1.Standing) {
+// logWaiting logs, ever less often, what a copy that is not enough yet waits for.
+func (s *seat) logWaiting(group *replicav1.Group, member *replicav1.Member, wanted []*replicav1.Member, standings []*replicav1.Standing) {
 	failed := s.copy.failed
-	if failed < firstWaitTold || bits.OnesCount(uint(failed)) != 1 {
+	if failed < firstLoggedWait || bits.OnesCount(uint(failed)) != 1 {
 		return
 	}
 	needed, _ := sourcesNeeded(group)
--- a/internal/replica/retire.go
+++ b/internal/replica/retire.go
@@ -33,7 +33,7 @@
 	}
 	// It would be taken for one that stands by for as long as its last word counts.
 	r.stopping.Store(true)
-	r.tellStopping(ctx)
+	r.announceStopping(ctx)
 	if err := r.objects.SetRetirement(ctx, r.options.Node, true); err == nil {
 		r.retired = true
 		eventRetired.Log("node", r.options.Node)
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -110,7 +110,7 @@
 	}
 	if message.Group != nil && !directory.TakesGroup(own, message.Group) {
 		s.directory.OfferGroup(message.Group, message.Node)
-		return nil, connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Told: message.Group.System})
+		return nil, connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Other: message.Group.System})
 	}
 	if message.Group.GetEpoch() > newest.GetEpoch() {
 		newest = message.Group
--- a/internal/replica/stop.go
+++ b/internal/replica/stop.go
@@ -29,7 +29,7 @@
 	r.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, handSeatsOverWithin)
 	defer cancel()
-	r.tellStopping(ctx)
+	r.announceStopping(ctx)
 	began := time.Now()
 	for _, group := range r.ownGroups() {
 		for r.seatToHandOver(ctx, group.Partition, time.Since(began)) && pause.For(ctx, stopPause) {
@@ -37,10 +37,10 @@
 	}
 }
 
-// tellStopping tells every node that has a seat anywhere that this one is to stop, also where
+// announceStopping tells every node that has a seat anywhere that this one is to stop, also where
 // it has none itself: one that has just stopped would be given a seat for as long as its last
 // word counts, and the seat would be empty for that long.
-func (r *Replica) tellStopping(ctx context.Context) {
+func (r *Replica) announceStopping(ctx context.Context) {
 	message := &replicav1.AnnounceRequest{Node: r.options.Node, Stopping: true}
 	var telling sync.WaitGroup
 	for _, node := range directory.Members(r.directory.Groups()) {
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -57,10 +57,10 @@
 	RequestID string
 	// NotExecuted is the worker's word that it did not run the request.
 	NotExecuted bool
-	// ColdTold is set where the worker tells for how long it bears few requests, ColdLeft
+	// ColdReported is set where the worker tells for how long it bears few requests, ColdLeft
 	// that time; 0 is not at all.
-	ColdTold bool
-	ColdLeft time.Duration
+	ColdReported bool
+	ColdLeft     time.Duration
 }
 
 // ReadHead reads the head of an answer; the platform's adapter implements it.
@@ -74,8 +74,8 @@
 	Body   io.Reader
 	// NotExecuted is the worker's word that it did not run the request.
 	NotExecuted bool
-	// Told is what the head says.
-	Told Head
+	// Reported is what the head says.
+	Reported Head
 
 	pool     *Pool
 	used     *connection
@@ -208,7 +208,7 @@
 		if head.RequestID == request.ID || (head.NotExecuted && head.RequestID == "") {
 			whole := &wholeReader{from: response.Body}
 			return &Answer{
-				Status: response.StatusCode, Header: response.Header, Body: whole, NotExecuted: head.NotExecuted, Told: head,
+				Status: response.StatusCode, Header: response.Header, Body: whole, NotExecuted: head.NotExecuted, Reported: head,
 				used: c, response: response, whole: whole,
 			}, nil
 		}
