--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -3,7 +3,6 @@
 package replica
 
 import (
-	"errors"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -14,7 +13,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
-	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
 const (
@@ -215,36 +213,6 @@
 	return s.partition(partition).standing(epoch)
 }
 
-// compact drops what has expired. While the log holds much more than what is
-// live, it writes what is live in its oldest segment anew.
-func (s *state) compact(now time.Time) error {
-	s.mutex.Lock()
-	for _, each := range s.partitions {
-		each.store.Expire(now)
-	}
-	s.mutex.Unlock()
-	for range maxCompacted {
-		size, live := s.log.Size(), s.liveBytes()
-		if size < s.compactFrom || size < compactFactor*live {
-			return nil
-		}
-		if err := s.compactSegment(s.log.Oldest()); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// liveBytes returns the size of the records of all partitions.
-func (s *state) liveBytes() (live int64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, each := range s.partitions {
-		live += each.store.Bytes()
-	}
-	return live
-}
-
 // records returns how many kept turns, reservations and settlements there are.
 func (s *state) records() (count int) {
 	s.mutex.Lock()
@@ -255,38 +223,6 @@
 	return count
 }
 
-// compactSegment writes what is live in a segment, and everything that is not
-// a store's, to the end of the log, and gives the segment's space back.
-func (s *state) compactSegment(segment uint64) error {
-	var places []recordlog.Place
-	var written []placedRecord
-	s.mutex.Lock()
-	for partition, each := range s.partitions {
-		for _, live := range each.store.In(segment) {
-			places = append(places, live.Place)
-			written = append(written, placedRecord{partition: partition, position: live.Position()})
-		}
-	}
-	s.mutex.Unlock()
-	encoded, err := s.log.ReadAll(places)
-	if err != nil {
-		return err
-	}
-	s.mutex.Lock()
-	for _, record := range s.ownRecords() {
-		data, err := proto.Marshal(record)
-		if err != nil {
-			s.mutex.Unlock()
-			return &failure.Internal{Cause: err}
-		}
-		encoded = append(encoded, data)
-		written = append(written, placedRecord{position: noPosition})
-	}
-	wait := s.log.Replace(segment, s.placed(written), encoded...)
-	s.mutex.Unlock()
-	return wait()
-}
-
 // ownRecords returns what this replica knows of itself, the groups, the
 // configuration, the workers and the drained zones.
 func (s *state) ownRecords() (records []*replicav1.Record) {
@@ -305,105 +241,6 @@
 	return records
 }
 
-// chain returns a turn and those before it, whole, the newest first, as far as
-// they are here. It fails where the turn is here and cannot be read: that is no
-// proof that it does not exist. A turn before it that cannot be read ends the
-// chain.
-func (s *state) chain(partition uint32, id string) ([]*replicav1.Turn, error) {
-	s.mutex.Lock()
-	kept := s.partition(partition).store.Chain(id)
-	s.mutex.Unlock()
-	turns := make([]*replicav1.Turn, 0, len(kept))
-	for _, each := range kept {
-		whole, err := s.load(partition, each)
-		if err != nil {
-			eventUnreadable.Log("turn", each.Id, "cause", err.Error())
-			if len(turns) == 0 {
-				return nil, err
-			}
-			break
-		}
-		turns = append(turns, whole)
-	}
-	return turns, nil
-}
-
-// load reads what a turn says. One whose segment was given back lies elsewhere.
-func (s *state) load(partition uint32, kept turn.Kept) (*replicav1.Turn, error) {
-	for try := 1; ; try++ {
-		if kept.Place.IsZero() {
-			return kept.Turn, nil
-		}
-		data, err := s.log.Read(kept.Place)
-		if err == nil {
-			record, err := decodeTurn(data, kept.Place)
-			return record.GetTurn(), err
-		}
-		var moved *recordlog.Moved
-		if !errors.As(err, &moved) || try == maxReads {
-			return nil, err
-		}
-		s.mutex.Lock()
-		if found := s.partition(partition).store.Chain(kept.Id); len(found) > 0 {
-			kept = found[0]
-		}
-		s.mutex.Unlock()
-	}
-}
-
-// decodeTurn reads a turn's record as the log has it.
-func decodeTurn(data []byte, at recordlog.Place) (*replicav1.Record, error) {
-	record := &replicav1.Record{}
-	if err := proto.Unmarshal(data, record); err != nil || record.GetTurn() == nil {
-		return nil, &recordlog.Damaged{Offset: at.Offset}
-	}
-	return record, nil
-}
-
-// after returns whole records of a partition from a position on, up to about limit
-// bytes.
-func (s *state) after(partition uint32, position uint64, limit int) (records []*replicav1.Record, next uint64, more bool, err error) {
-	for try := 1; ; try++ {
-		s.mutex.Lock()
-		found, next, more := s.partition(partition).store.After(position, limit)
-		s.mutex.Unlock()
-		records, err := s.loadAll(found)
-		if err == nil {
-			return records, next, more, nil
-		}
-		var moved *recordlog.Moved
-		if !errors.As(err, &moved) || try == maxReads {
-			return nil, position, true, err
-		}
-	}
-}
-
-// loadAll returns records with what their turns say.
-func (s *state) loadAll(found []turn.Stored) ([]*replicav1.Record, error) {
-	var places []recordlog.Place
-	for _, each := range found {
-		if each.GetTurn() != nil && !each.Place.IsZero() {
-			places = append(places, each.Place)
-		}
-	}
-	encoded, err := s.log.ReadAll(places)
-	if err != nil {
-		return nil, err
-	}
-	records := make([]*replicav1.Record, 0, len(found))
-	for _, each := range found {
-		record := each.Record
-		if record.GetTurn() != nil && !each.Place.IsZero() {
-			if record, err = decodeTurn(encoded[0], each.Place); err != nil {
-				return nil, err
-			}
-			encoded = encoded[1:]
-		}
-		records = append(records, record)
-	}
-	return records, nil
-}
-
 // currentGroup returns the newest group that is known of a partition, or nil.
 func (s *state) currentGroup(partition uint32) *replicav1.Group {
 	s.mutex.Lock()
