Replicas: two members of five that fail at once are replaced or removed, one after the other

What callers saw: nothing at first. On sites that bear the loss of two machines, two replicas that went for good within the same seconds kept their seats and votes, also with their successors there; the next lost disk ended service.

Cause: a change waits until all members but the one that leaves are settled. Of two that have failed each waited for the other, for good. The class of the faults before: a lost member that nobody expects back stands in the way.

Change: one that has failed too is not waited for, as long as the others are a majority. A seat that is passed on is filled from a majority's worth of the others, and a removed member's records lie with all but one of each majority that stays, whatever the other failed one holds; its own turn comes next.

Evidence: TestTwoOfFiveMembersThatFailAtOnceAreReplacedOrRemoved, red before ("lose n1 at 3, lose n3 at 3": n1, which has gone, is a member in epoch 1), green since, with none, one and two that stand by, the closing fault on each machine.

--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -60,14 +60,15 @@
 	}
 }
 
-// othersSettled reports whether the members that stay hold everything, and are enough.
+// othersSettled reports whether the members that stay hold everything, and are enough. One that
+// has failed too is not waited for: its turn comes.
 func othersSettled(seen observation, leaving *departure) bool {
 	settled := 0
 	for _, member := range seen.group.Members {
 		switch {
 		case seen.settled(member.Node):
 			settled++
-		case !leaving.concerns(member):
+		case !leaving.concerns(member) && !seen.leavesFor(memberFailed, member.Node):
 			return false
 		}
 	}
--- a/internal/replica/proof_departures_test.go
+++ b/internal/replica/proof_departures_test.go
@@ -351,3 +351,23 @@
 		})
 	}
 }
+
+// Neither of two that failed within the same seconds was replaced: each waited for the other to be settled.
+func TestTwoOfFiveMembersThatFailAtOnceAreReplacedOrRemoved(t *testing.T) {
+	additions := [][]departureEvent{
+		nil, {{what: "add", node: "spare", round: 4}}, {{what: "add", node: "spare", round: 9}},
+		{{what: "add", node: "spare", round: 0}, {what: "add", node: "other", round: 9}},
+		{{what: "add", node: "spare", round: 4}, {what: "add", node: "other", round: 4}},
+	}
+	for gap := range 4 {
+		for _, added := range additions {
+			for last := range maxSeats {
+				events := append([]departureEvent{{what: "lose", node: "n1", round: 3}, {what: "lose", node: "n3", round: 3 + gap}}, added...)
+				d := newDepartures(t, maxSeats)
+				found := d.play(events, last)
+				d.close()
+				require.Empty(t, found, fmt.Sprint(events, ", closing ", last))
+			}
+		}
+	}
+}
