--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -9,7 +9,8 @@
 
 // discoveryTimeout is how long a gateway waits for the platform's store to name its system before
 // it believes the replicas at its seeds: these may be stale, and what answers another system's.
-const discoveryTimeout = 500 * time.Millisecond
+// Requests are held from the start until replicas pass the workers on.
+const discoveryTimeout = 200 * time.Millisecond
 
 // followReplicas asks replicas for news, once this gateway knows whose replicas are its own. It
 // returns an error where it has followed those of another system: what it knows is theirs.
--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -55,9 +55,10 @@
 		return !o.healthy(node)
 	case memberRetiring:
 		return o.retiring[node]
-	default:
+	case memberStopping:
 		return o.stopping == node
 	}
+	return false
 }
 
 // othersSettled reports whether the members that stay hold everything, and are enough. One that
