Names: slot queues, requests in flight and ineligible workers instead of rooms, what is under way and what is barred

room is slotQueue, roomPlace slotTicket, awaitRoom awaitSlot; underWay inFlight, barred ineligible. Names of metrics, events and JSON stay. No behaviour changes.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -89,7 +89,7 @@
 }
 
 type record struct {
-	underWay int
+	inFlight int
 	// failing is the share of failures of the last attempts, the newest first.
 	failing float64
 	ejects  int
@@ -132,7 +132,7 @@
 func (b *Balancer) Begin(worker string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.of(worker).underWay++
+	b.of(worker).inFlight++
 }
 
 // UnderWay returns how many requests of this process a worker has.
@@ -140,7 +140,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if known := b.record[worker]; known != nil {
-		return known.underWay
+		return known.inFlight
 	}
 	return 0
 }
@@ -175,7 +175,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.of(worker)
-	known.underWay--
+	known.inFlight--
 	b.observe(worker, verdict)
 	b.observeRegion(known, verdict)
 	switch verdict {
@@ -220,7 +220,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for id, known := range b.record {
-		if known.underWay == 0 && !listed(id) {
+		if known.inFlight == 0 && !listed(id) {
 			delete(b.record, id)
 		}
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -203,7 +203,7 @@
 	b.Begin("w0")
 	require.False(t, b.Silent("w0"))
 	require.True(t, b.Silent("w0"))
-	require.Equal(t, 2, b.record["w0"].underWay)
+	require.Equal(t, 2, b.record["w0"].inFlight)
 }
 
 func TestAServiceIsNeverEmptiedByEjections(t *testing.T) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -97,7 +97,7 @@
 	best := b.pick(&choice, candidates)
 	chosen := choice.at(&best).Worker
 	known := b.of(chosen.ID)
-	known.underWay++
+	known.inFlight++
 	known.service, known.region = request.Service, b.places.Region(chosen.Zone)
 	return Decision{Worker: chosen, Distance: b.places.Class(chosen.Zone), Load: load}, true
 }
@@ -144,7 +144,7 @@
 		if known == nil {
 			known = &unseen
 		}
-		each := candidate{index: i, load: known.underWay}
+		each := candidate{index: i, load: known.inFlight}
 		if known.pace.known(choice.now) {
 			each.pace = known.pace.value
 			b.paces = append(b.paces, each.pace)
--- a/internal/balance/reference_test.go
+++ b/internal/balance/reference_test.go
@@ -34,7 +34,7 @@
 		candidates = near
 	}
 	best := pickOfList(candidates, request)
-	b.of(best.worker.ID).underWay++
+	b.of(best.worker.ID).inFlight++
 	return best.worker.Worker, true
 }
 
@@ -77,7 +77,7 @@
 			continue
 		}
 		known := b.of(worker.ID)
-		each := listedCandidate{worker: worker, load: known.underWay, rank: b.listRank(request.Affinity, worker.ID)}
+		each := listedCandidate{worker: worker, load: known.inFlight, rank: b.listRank(request.Affinity, worker.ID)}
 		switch {
 		case worker.Lapsed:
 			lapsed = append(lapsed, each)
--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -27,7 +27,7 @@
 		Labels:  []string{"method"},
 		Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
 	})
-	metricUnderWay = telemetry.Define(telemetry.Definition{
+	metricInFlight = telemetry.Define(telemetry.Definition{
 		Name: "caller_requests_under_way", Kind: telemetry.KindGauge, Unit: "requests",
 		Help: "Requests of callers whose response has not ended.",
 	})
@@ -39,7 +39,7 @@
 	requests *prometheus.CounterVec
 	failures *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
-	underWay prometheus.Gauge
+	inFlight prometheus.Gauge
 }
 
 // NewMetrics makes the metrics in the registry, once.
@@ -48,7 +48,7 @@
 		requests: registry.Counter(metricRequests),
 		failures: registry.Counter(metricFailures),
 		seconds:  registry.Histogram(metricSeconds),
-		underWay: registry.Gauge(metricUnderWay).WithLabelValues(),
+		inFlight: registry.Gauge(metricInFlight).WithLabelValues(),
 	}
 }
 
@@ -59,9 +59,9 @@
 	}
 	began := time.Now()
 	method = knownMethod(method)
-	m.underWay.Inc()
+	m.inFlight.Inc()
 	return func(status int) {
-		m.underWay.Dec()
+		m.inFlight.Dec()
 		m.requests.WithLabelValues(method, strconv.Itoa(status)).Inc()
 		m.seconds.WithLabelValues(method).Observe(time.Since(began).Seconds())
 	}
--- a/internal/coldstart/compare_test.go
+++ b/internal/coldstart/compare_test.go
@@ -89,7 +89,7 @@
 // under way at each of the others, a gateway sends it n - 2 at one moment, and n - 1 at
 // least where its hash ranks first: 68 x 6 = 408 for n = 8.
 func TestTheChoiceAloneSendsAHerdToAWorkerThatReturns(t *testing.T) {
-	const gateways, underWay, workers = 68, 8, 6
+	const gateways, inFlight, workers = 68, 8, 6
 	now := time.Unix(1000, 0)
 	var listed []*directory.Listed
 	for i := range workers {
@@ -100,11 +100,11 @@
 	for range gateways {
 		chooses := balance.New(func() time.Time { return now }, "")
 		for _, each := range listed {
-			for range underWay {
+			for range inFlight {
 				chooses.Begin(each.ID)
 			}
 		}
-		for number := range underWay - 2 {
+		for number := range inFlight - 2 {
 			chosen, found := chooses.Choose(append([]*directory.Listed{back}, listed...), balance.Request{Affinity: fmt.Sprint("program-", number), Service: "model"})
 			require.True(t, found)
 			if chosen.ID == back.ID {
@@ -113,7 +113,7 @@
 		}
 	}
 	require.Greater(t, sent, 39, "39.5 in a second is what the worker bears")
-	require.Equal(t, gateways*(underWay-2), sent)
+	require.Equal(t, gateways*(inFlight-2), sent)
 }
 
 func TestNoSecondHoldsMoreThanAColdWorkerBears(t *testing.T) {
--- a/internal/coldstart/tracker_test.go
+++ b/internal/coldstart/tracker_test.go
@@ -273,22 +273,22 @@
 			arrives, coldUntil time.Time
 			left               time.Duration
 		}
-		var underWay []written
+		var inFlight []written
 		var heardUntil time.Time
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			if rapid.IntRange(0, 3).Draw(t, "action") == 0 {
 				left := time.Duration(rapid.IntRange(0, 6000).Draw(t, "left")) * time.Millisecond
 				arrives := h.now.Add(time.Duration(rapid.IntRange(0, int(EntryAge.Milliseconds())).Draw(t, "way")) * time.Millisecond)
-				if last := len(underWay) - 1; last >= 0 && arrives.Before(underWay[last].arrives) {
-					arrives = underWay[last].arrives
+				if last := len(inFlight) - 1; last >= 0 && arrives.Before(inFlight[last].arrives) {
+					arrives = inFlight[last].arrives
 				}
-				underWay = append(underWay, written{arrives: arrives, coldUntil: h.now.Add(left), left: left})
+				inFlight = append(inFlight, written{arrives: arrives, coldUntil: h.now.Add(left), left: left})
 			}
 			h.pass(time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond)
-			for len(underWay) > 0 && !h.now.Before(underWay[0].arrives) {
-				h.hear(entry("a", underWay[0].left))
-				heardUntil = underWay[0].coldUntil
-				underWay = underWay[1:]
+			for len(inFlight) > 0 && !h.now.Before(inFlight[0].arrives) {
+				h.hear(entry("a", inFlight[0].left))
+				heardUntil = inFlight[0].coldUntil
+				inFlight = inFlight[1:]
 			}
 			if h.now.Before(heardUntil) {
 				require.NotEqual(t, Warm, h.reason("a"))
--- a/internal/coldstart/ways_test.go
+++ b/internal/coldstart/ways_test.go
@@ -54,7 +54,7 @@
 	crowd       int
 	bucket      limit.Bucket
 	pausedUntil time.Time
-	underWay    []answer
+	inFlight    []answer
 }
 
 type answer struct {
@@ -109,7 +109,7 @@
 	w.now = w.now.Add(by)
 	for _, each := range w.processes {
 		each.now = w.now
-		each.underWay = slices.DeleteFunc(each.underWay, func(arriving answer) bool {
+		each.inFlight = slices.DeleteFunc(each.inFlight, func(arriving answer) bool {
 			if w.now.Before(arriving.arrives) || w.now.Before(each.pausedUntil) {
 				return false
 			}
@@ -174,7 +174,7 @@
 	if w.broken == grantOutlives {
 		asked = asked.Add(time.Hour)
 	}
-	from.underWay = append(from.underWay, answer{asked: asked, arrives: w.now.Add(delay), grant: granted})
+	from.inFlight = append(from.inFlight, answer{asked: asked, arrives: w.now.Add(delay), grant: granted})
 }
 
 // parts is the way in which each gateway takes the same part of what the worker bears,
--- a/internal/daemon/inspect.go
+++ b/internal/daemon/inspect.go
@@ -26,12 +26,12 @@
 		}
 		response.Shards = append(response.Shards, state)
 	}
-	for key, underWay := range running.executor.UnderWay() {
+	for key, inFlight := range running.executor.UnderWay() {
 		response.Programs = append(response.Programs, &peerv1.ProgramCount{
 			Shard:    uint32(key.Shard),
 			Program:  string(key.Program),
 			Tenant:   string(key.Tenant),
-			UnderWay: uint32(underWay),
+			UnderWay: uint32(inFlight),
 		})
 	}
 	return response
--- a/internal/daemon/operator_backend.go
+++ b/internal/daemon/operator_backend.go
@@ -99,8 +99,8 @@
 
 func useOf(counts map[plan.ProgramCount]int, known bool) plan.Use {
 	use := plan.Use{Known: known}
-	for key, underWay := range counts {
-		key.UnderWay = underWay
+	for key, inFlight := range counts {
+		key.UnderWay = inFlight
 		use.Counts = append(use.Counts, key)
 	}
 	return use
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -69,8 +69,8 @@
 }
 
 // Filter returns the workers that a request may go to. Where that is all of them it returns
-// the list itself; barred counts the others by the reason why the request may not go there.
-func (b Beliefs) Filter(workers []*directory.Listed, request Request) (eligible []*directory.Listed, barred map[Reason]int) {
+// the list itself; ineligible counts the others by the reason why the request may not go there.
+func (b Beliefs) Filter(workers []*directory.Listed, request Request) (eligible []*directory.Listed, ineligible map[Reason]int) {
 	if b.everywhere(request) {
 		return workers, nil
 	}
@@ -78,14 +78,14 @@
 	if first < 0 {
 		return workers, nil
 	}
-	barred = make(map[Reason]int)
+	ineligible = make(map[Reason]int)
 	eligible = append(make([]*directory.Listed, 0, len(workers)), workers[:first]...)
 	for _, each := range workers[first:] {
 		if reason := b.Check(each.Zone, request); reason != Eligible {
-			barred[reason]++
+			ineligible[reason]++
 			continue
 		}
 		eligible = append(eligible, each)
 	}
-	return eligible, barred
+	return eligible, ineligible
 }
--- a/internal/eligibility/eligibility_test.go
+++ b/internal/eligibility/eligibility_test.go
@@ -72,11 +72,11 @@
 			}
 		}
 		before := slices.Clone(workers)
-		eligible, barred := beliefs.Filter(workers, request)
+		eligible, ineligible := beliefs.Filter(workers, request)
 		require.ElementsMatch(t, want, eligible)
 		require.Equal(t, before, workers, "the list is shared and must stay as it is")
 		count := 0
-		for reason, each := range barred {
+		for reason, each := range ineligible {
 			require.NotEqual(t, Eligible, reason)
 			count += each
 		}
--- a/internal/emulator/tool.go
+++ b/internal/emulator/tool.go
@@ -69,7 +69,7 @@
 	mutex      sync.Mutex
 	executions []Execution
 	outcomes   map[toolKey]toolOutcome
-	underWay   map[toolKey]int
+	inFlight   map[toolKey]int
 }
 
 type toolKey struct {
@@ -84,7 +84,7 @@
 
 // NewTool returns a tool service that is not yet started.
 func NewTool(config ToolConfig) *Tool {
-	return &Tool{config: config, dice: newDice(config.Seed), outcomes: map[toolKey]toolOutcome{}, underWay: map[toolKey]int{}}
+	return &Tool{config: config, dice: newDice(config.Seed), outcomes: map[toolKey]toolOutcome{}, inFlight: map[toolKey]int{}}
 }
 
 // Start opens the port. The error is a *ListenFailed.
@@ -156,13 +156,13 @@
 func (t *Tool) begin(key toolKey) func() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.underWay[key]++
+	t.inFlight[key]++
 	return func() {
 		t.mutex.Lock()
 		defer t.mutex.Unlock()
-		t.underWay[key]--
-		if t.underWay[key] == 0 {
-			delete(t.underWay, key)
+		t.inFlight[key]--
+		if t.inFlight[key] == 0 {
+			delete(t.inFlight, key)
 		}
 	}
 }
@@ -173,7 +173,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	outcome, ran = t.outcomes[key]
-	return outcome, ran, t.underWay[key] > 0
+	return outcome, ran, t.inFlight[key] > 0
 }
 
 // toolHandler serves the API of the tool service.
--- a/internal/gateway/allowances.go
+++ b/internal/gateway/allowances.go
@@ -66,12 +66,12 @@
 // that another request has asked for.
 func (a *sharedAllowance) askOrWait(ctx context.Context, ask func(ctx context.Context, waiting int) error) error {
 	a.mutex.Lock()
-	if underWay := a.asked; underWay != nil {
+	if inFlight := a.asked; inFlight != nil {
 		a.waiting++
 		a.mutex.Unlock()
 		defer a.leave()
 		select {
-		case <-underWay:
+		case <-inFlight:
 			return nil
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,7 +47,7 @@
 // that did not run it are passed over; an attempt that may have run ends the
 // search with its error, a *worker.Lost.
 func (r *request) send(ctx context.Context, lastEvent string) (begun *attempt, err error) {
-	defer func() { r.leaveRoom(begun != nil) }()
+	defer func() { r.leaveSlotQueue(begun != nil) }()
 	if err := r.checkPlace(); err != nil {
 		return nil, err
 	}
@@ -66,7 +66,7 @@
 			if err := r.checkEligible(); err != nil {
 				return nil, err
 			}
-			if err := r.mayAwaitRoom(ctx); err != nil {
+			if err := r.mayAwaitSlot(ctx); err != nil {
 				return nil, err
 			}
 			try = 0
@@ -83,13 +83,13 @@
 	}
 }
 
-// mayAwaitRoom waits for a place where workers are full; where they cannot be reached
+// mayAwaitSlot waits for a place where workers are full; where they cannot be reached
 // waiting is in vain.
-func (r *request) mayAwaitRoom(ctx context.Context) error {
+func (r *request) mayAwaitSlot(ctx context.Context) error {
 	if r.gateway.disabled(mechanism.HeldRequests) || len(r.full) == 0 && r.coldRefused == 0 {
 		return r.noWorker(comeBackAfter)
 	}
-	return r.awaitRoom(ctx)
+	return r.awaitSlot(ctx)
 }
 
 // checkTime fails where no worker has lately answered as fast as the request's time
@@ -265,9 +265,9 @@
 		}
 		verdict := balance.Unreachable
 		var full *worker.TooManyConnections
-		var barred *NotEligible
+		var ineligible *NotEligible
 		var lost *ZoneLost
-		if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &barred) || errors.As(err, &lost) {
+		if ctx.Err() != nil || errors.As(err, &full) || errors.As(err, &ineligible) || errors.As(err, &lost) {
 			verdict = balance.Abandoned
 		}
 		r.pass(chosen, verdict, err)
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -31,7 +31,7 @@
 	g := &Gateway{
 		options: Options{Dialect: silentDialect{}}, balancer: balance.New(time.Now, ""), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
 		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
-		rooms: newRooms(), fastest: newFastestAnswers(),
+		slotQueues: newSlotQueues(), fastest: newFastestAnswers(),
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 	}
 	g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -47,7 +47,7 @@
 		g.zones.answered(chosen.Zone)
 	}
 	if verdict != balance.TurnedAway && verdict != balance.Unreachable {
-		g.rooms.freed(r.service.Name)
+		g.slotQueues.freed(r.service.Name)
 	}
 	if g.disabled(mechanism.Ejection) && verdict != balance.TurnedAway {
 		verdict = balance.Served
--- a/internal/gateway/coldpass_test.go
+++ b/internal/gateway/coldpass_test.go
@@ -84,7 +84,7 @@
 	now := time.Now().Add(-time.Hour)
 	g := &Gateway{
 		options: Options{Dialect: rejectingDialect{}}, balancer: balance.New(time.Now, ""), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
-		metrics: newMetrics(telemetry.NewRegistry()), rooms: newRooms(), fastest: newFastestAnswers(), granter: granter,
+		metrics: newMetrics(telemetry.NewRegistry()), slotQueues: newSlotQueues(), fastest: newFastestAnswers(), granter: granter,
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 		cold: newColdWorkers(func() bool { return false }),
 	}
@@ -162,7 +162,7 @@
 	r, err := sendOne(t, g, time.Minute)
 	require.NoError(t, err)
 	require.EqualValues(t, 1, cold.got.Load())
-	require.Positive(t, r.held[heldForRoom])
+	require.Positive(t, r.held[heldForSlot])
 }
 
 func TestARequestThatOnlyColdWorkersCouldTakeIsRefusedWithThatReason(t *testing.T) {
--- a/internal/gateway/connections_race_test.go
+++ b/internal/gateway/connections_race_test.go
@@ -167,5 +167,5 @@
 	g := New(Options{Node: "gateway-0", Dialect: brokenDialect{}}, nil)
 	request := httptest.NewRequest(http.MethodGet, "/a", nil)
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { g.ServeHTTP(httptest.NewRecorder(), request) })
-	require.Zero(t, g.underWay.Load())
+	require.Zero(t, g.inFlight.Load())
 }
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -31,7 +31,7 @@
 	eventKept         = event.Define(2816, event.Info, "turn kept", "")
 	eventAnswered     = event.Define(2817, event.Info, "request answered", "")
 	eventHeld         = event.Define(2820, event.Info, "request waited", "")
-	eventBarred       = event.Define(2821, event.Info, "workers passed over", "")
+	eventIneligible   = event.Define(2821, event.Info, "workers passed over", "")
 	eventConfined     = event.Define(2825, event.Info, "request confined to regions", "")
 	eventPanicked     = event.Define(2823, event.Error, "a request ended in a panic; its client got no answer, and a worker may have run it", "Report it with the stack.")
 	eventCrossed      = event.Define(2824, event.Info, "a request crossed the close of its connection and went no further", "")
--- a/internal/gateway/eligible.go
+++ b/internal/gateway/eligible.go
@@ -58,8 +58,8 @@
 
 // eligibleOf returns those workers that the request may go to now.
 func (r *request) eligibleOf(workers []*directory.Listed) []*directory.Listed {
-	eligible, barred := r.gateway.beliefs().Filter(workers, r.confinement())
-	r.noteBarred(len(eligible), barred)
+	eligible, ineligible := r.gateway.beliefs().Filter(workers, r.confinement())
+	r.noteIneligible(len(eligible), ineligible)
 	return eligible
 }
 
@@ -88,16 +88,16 @@
 	return r.noneEligible()
 }
 
-// noteBarred keeps what a choice passed over, and tells it once in the request's story.
-func (r *request) noteBarred(eligible int, barred map[eligibility.Reason]int) {
-	first := len(r.barred) == 0
-	r.eligible, r.barred = eligible, barred
-	if !first || len(barred) == 0 {
+// noteIneligible keeps what a choice passed over, and tells it once in the request's story.
+func (r *request) noteIneligible(eligible int, ineligible map[eligibility.Reason]int) {
+	first := len(r.ineligible) == 0
+	r.eligible, r.ineligible = eligible, ineligible
+	if !first || len(ineligible) == 0 {
 		return
 	}
 	drains := r.gateway.directory.View().Drains
-	for reason, workers := range barred {
-		r.note(eventBarred, "reason", string(reason), "workers", workers, "eligible", eligible,
+	for reason, workers := range ineligible {
+		r.note(eventIneligible, "reason", string(reason), "workers", workers, "eligible", eligible,
 			"drained_zones", drains.Zones(), "revision", drains.Revision)
 		r.gateway.metrics.aside.WithLabelValues(string(reason)).Inc()
 	}
@@ -109,9 +109,9 @@
 	switch {
 	case r.eligible > 0:
 		return nil
-	case r.barred[eligibility.ZonesUnknown] > 0:
+	case r.ineligible[eligibility.ZonesUnknown] > 0:
 		return &DrainsUnknown{Service: r.service.Name}
-	case r.barred[eligibility.ZoneDrained] > 0:
+	case r.ineligible[eligibility.ZoneDrained] > 0:
 		return &ZonesDrained{Service: r.service.Name, Zones: r.gateway.directory.View().Drains.Zones()}
 	}
 	return nil
--- a/internal/gateway/eligible_test.go
+++ b/internal/gateway/eligible_test.go
@@ -30,7 +30,7 @@
 	g := &Gateway{
 		options: Options{Dialect: silentDialect{}, DrainsFollowed: true}, balancer: balance.New(time.Now, zones[0]), subsets: balance.NewSubsetSizes(time.Now), waits: balance.NewWaits(),
 		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
-		rooms: newRooms(), fastest: newFastestAnswers(),
+		slotQueues: newSlotQueues(), fastest: newFastestAnswers(),
 		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 	}
 	g.zones, g.ways = newZoneWatch(g), distance.NewTimes(g.places)
@@ -116,9 +116,9 @@
 	require.True(t, found)
 	g.directory.OfferZoneDrains([]string{chosen.Zone}, 5)
 	_, err := r.sendTo(t.Context(), chosen, "")
-	var barred *NotEligible
-	require.ErrorAs(t, err, &barred)
-	require.Equal(t, eligibility.ZoneDrained, barred.Reason)
+	var ineligible *NotEligible
+	require.ErrorAs(t, err, &ineligible)
+	require.Equal(t, eligibility.ZoneDrained, ineligible.Reason)
 	requireUnharmed(t, g, chosen.ID)
 }
 
@@ -155,8 +155,8 @@
 	}})
 	g.balancer.Begin("a")
 	_, err = toolRequest(t, g).sendTo(t.Context(), directory.Worker{ID: "a", Zone: "a", Address: listener.Addr().String()}, "")
-	var barred *NotEligible
-	require.ErrorAs(t, err, &barred)
+	var ineligible *NotEligible
+	require.ErrorAs(t, err, &ineligible)
 	// The connection is kept for other requests until it is closed here.
 	g.pool.Sweep(func(string) bool { return false })
 	require.Zero(t, <-got, "not a byte")
@@ -189,7 +189,7 @@
 			refused <- err
 		}()
 	}
-	require.Eventually(t, func() bool { return g.rooms.waiting() >= waiting-1 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return g.slotQueues.waiting() >= waiting-1 }, time.Minute, time.Millisecond)
 	require.Empty(t, refused)
 	began := time.Now()
 	g.directory.OfferZoneDrains([]string{"a"}, 5)
@@ -198,7 +198,7 @@
 		require.ErrorAs(t, <-refused, &drained)
 	}
 	require.Less(t, time.Since(began), time.Minute/2)
-	require.Zero(t, g.rooms.waiting())
+	require.Zero(t, g.slotQueues.waiting())
 }
 
 func TestOneThatFindsAllZonesDrainedTellsTheNextThatWaits(t *testing.T) {
@@ -206,13 +206,13 @@
 	g.directory.OfferZoneDrains([]string{"a"}, 5)
 	first, next := toolRequest(t, g), toolRequest(t, g)
 	for _, each := range []*request{first, next} {
-		each.place = g.rooms.of("s").join(0, each.deadline)
+		each.place = g.slotQueues.of("s").join(0, each.deadline)
 	}
-	first.leaveRoom(false)
+	first.leaveSlotQueue(false)
 	require.Empty(t, next.place.wake, "one that is refused for another reason tells nobody")
-	first.place = g.rooms.of("s").join(0, first.deadline)
+	first.place = g.slotQueues.of("s").join(0, first.deadline)
 	require.Error(t, first.checkPlaces())
-	first.leaveRoom(false)
+	first.leaveSlotQueue(false)
 	require.Len(t, next.place.wake, 1)
 }
 
@@ -249,7 +249,7 @@
 	}
 	var told []string
 	for _, each := range r.decisions {
-		if each.event == eventBarred {
+		if each.event == eventIneligible {
 			told = append(told, fmt.Sprint(each.values...))
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,9 +140,9 @@
 	started time.Time
 	// grace is how long a planned stop may take, in nanoseconds.
 	grace    atomic.Int64
-	underWay atomic.Int64
-	// rooms are the requests that wait for full workers.
-	rooms *rooms
+	inFlight atomic.Int64
+	// slotQueues are the requests that wait for full workers.
+	slotQueues *slotQueues
 	// cold are the workers that bear few requests for a while; nil knows of none.
 	cold *coldWorkers
 	// fastest is how fast each service has lately begun to answer each route.
@@ -167,7 +167,7 @@
 		answerBytes: flowcontrol.NewAccount(heldBytes(options), time.Now),
 		bodyBytes:   flowcontrol.NewAccount(heldBytes(options), time.Now),
 		started:     time.Now(),
-		rooms:       newRooms(),
+		slotQueues:  newSlotQueues(),
 		fastest:     newFastestAnswers(),
 	}
 	g.grace.Store(int64(options.Grace))
@@ -291,7 +291,7 @@
 		return &failure.Internal{Cause: err}
 	}
 	g.stop(server, ingress)
-	eventStopped.Log("node", g.options.Node, "under_way", g.underWay.Load())
+	eventStopped.Log("node", g.options.Node, "under_way", g.inFlight.Load())
 	return nil
 }
 
@@ -348,6 +348,6 @@
 		_, found := configuration.Services[service]
 		return found
 	}
-	g.rooms.forget(declared)
+	g.slotQueues.forget(declared)
 	g.subsets.Forget(declared)
 }
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -16,7 +16,7 @@
 	heldForWorkers       holdReason = "workers"
 	heldForState         holdReason = "state"
 	heldForBudget        holdReason = "budget"
-	heldForRoom          holdReason = "room"
+	heldForSlot          holdReason = "room"
 	heldForQuota         holdReason = "quota"
 )
 
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -59,7 +59,7 @@
 func (g *Gateway) stop(server *http.Server, ingress net.Listener) {
 	began := time.Now()
 	g.stopping.Store(true)
-	eventStopping.Log("node", g.options.Node, "under_way", g.underWay.Load())
+	eventStopping.Log("node", g.options.Node, "under_way", g.inFlight.Load())
 	time.Sleep(unreadyFor)
 	ingress.Close()
 	time.Sleep(lingerFor)
@@ -69,7 +69,7 @@
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		server.Close()
 	}
-	for g.underWay.Load() > 0 && time.Now().Before(end) {
+	for g.inFlight.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(stopPoll)
 	}
 	settling, stopSettling := context.WithDeadline(context.Background(), end.Add(stopMargin-exitMargin))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,7 +45,7 @@
 		Name: "gateway_attempts_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"verdict"},
 		Help: "Attempts at workers, by how they ended.",
 	})
-	metricUnderWay = telemetry.Define(telemetry.Definition{
+	metricInFlight = telemetry.Define(telemetry.Definition{
 		Name: "gateway_requests_under_way", Kind: telemetry.KindGauge, Unit: "requests",
 		Help: "Requests that this gateway works on.",
 	})
@@ -69,7 +69,7 @@
 		Name: "gateway_unreached_zones", Kind: telemetry.KindGauge, Unit: "zones",
 		Help: "Zones from which nobody answers this gateway.",
 	})
-	metricAwaitingRoom = telemetry.Define(telemetry.Definition{
+	metricAwaitingSlot = telemetry.Define(telemetry.Definition{
 		Name: "gateway_requests_awaiting_room", Kind: telemetry.KindGauge, Unit: "requests",
 		Help: "Requests that wait for full workers.",
 	})
@@ -169,7 +169,7 @@
 func (g *Gateway) defineGauges(registry *telemetry.Registry) {
 	registry.GaugeFunc(metricHeldAnswers, func() float64 { return float64(g.answerBytes.Held()) })
 	registry.GaugeFunc(metricHeldBodies, func() float64 { return float64(g.bodyBytes.Held()) })
-	registry.GaugeFunc(metricUnderWay, func() float64 { return float64(g.underWay.Load()) })
+	registry.GaugeFunc(metricInFlight, func() float64 { return float64(g.inFlight.Load()) })
 	registry.GaugeFunc(metricVersion, func() float64 {
 		if table := g.directory.View().Table; table != nil {
 			return float64(table.Version())
@@ -188,7 +188,7 @@
 	registry.GaugeFunc(metricForwarded, func() float64 { return float64(g.quorum.Forwarded()) })
 	registry.GaugeFunc(metricUnreachedZones, func() float64 { return float64(g.zones.sight.UnreachedZones()) })
 	registry.GaugeFunc(metricColdWorkers, func() float64 { return float64(g.cold.tracker.Count()) })
-	registry.GaugeFunc(metricAwaitingRoom, func() float64 { return float64(g.rooms.waiting()) })
+	registry.GaugeFunc(metricAwaitingSlot, func() float64 { return float64(g.slotQueues.waiting()) })
 	registry.GaugeFunc(metricDrainedZones, func() float64 { return float64(g.directory.View().Drains.Count()) })
 	registry.GaugeFunc(metricDrainsRevision, func() float64 { return float64(g.directory.View().Drains.Revision) })
 	registry.GaugeFunc(metricDropped, func() float64 {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -40,10 +40,10 @@
 }
 
 func TestOneRequestAsksForAllThatWait(t *testing.T) {
-	var underWay, most, granted atomic.Int64
+	var inFlight, most, granted atomic.Int64
 	g := limitedGateway(func(wanted int, _ bool) (quorum.Granted, error) {
-		most.Store(max(most.Load(), underWay.Add(1)))
-		defer underWay.Add(-1)
+		most.Store(max(most.Load(), inFlight.Add(1)))
+		defer inFlight.Add(-1)
 		time.Sleep(5 * time.Millisecond)
 		granted.Add(int64(wanted))
 		return quorum.Granted{Grant: quota.Grant{Requests: wanted}}, nil
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,10 +17,10 @@
 	// comeBackAfter is the time after which a request that no worker could take
 	// may come back.
 	comeBackAfter = 150 * time.Millisecond
-	// lastRoomComeBack bounds the time after which a client is asked to come back to a
+	// lastSlotComeBack bounds the time after which a client is asked to come back to a
 	// full service: clients wait a third of what they have left at most, and places
 	// become free all the time.
-	lastRoomComeBack = time.Second
+	lastSlotComeBack = time.Second
 	// comeBackSpread is the part of the time to come back by which that is prolonged at
 	// random at most, so that clients which were refused together come back apart.
 	comeBackSpread = 0.5
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,14 +55,14 @@
 	// full are those of the tried ones that turned the request away because they
 	// are full; place is its own among those that wait for them, nil while it does not.
 	full  []string
-	place *roomPlace
+	place *slotTicket
 	// coldRefused counts the workers that were passed over because they have just started
 	// and may not get a request now.
 	coldRefused int
-	// barred counts the workers that the request may not go to, by reason, as of its last
+	// ineligible counts the workers that the request may not go to, by reason, as of its last
 	// choice; eligible is how many it may go to.
-	barred   map[eligibility.Reason]int
-	eligible int
+	ineligible map[eligibility.Reason]int
+	eligible   int
 	// turnedAway counts workers that are known not to have run it.
 	turnedAway int
 	// workerID is the worker of the last attempt.
@@ -86,8 +86,8 @@
 
 // ServeHTTP serves one client attempt.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
-	g.underWay.Add(1)
-	defer g.underWay.Add(-1)
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
 	defer g.recoverPanic(incoming)
 	if !g.connections.served(incoming) {
 		g.metrics.crossed.WithLabelValues().Inc()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,8 +102,8 @@
 		}
 		// A worker that is cold, or may not get the request now, has not ended: the request may
 		// still run there.
-		var barred *NotEligible
-		if !errors.As(err, &cold) && !errors.As(err, &barred) {
+		var ineligible *NotEligible
+		if !errors.As(err, &cold) && !errors.As(err, &ineligible) {
 			r.gone[same.ID] = true
 		}
 	}
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -72,18 +72,18 @@
 }
 
 func TestWhatWasLearnedOfRoutesThatAreGoneIsForgotten(t *testing.T) {
-	g := gatewayWithRooms()
+	g := gatewayWithSlotQueues()
 	g.fastest.of(routeOfService{route: "gone"}).Observe(time.Second)
 	kept := g.fastest.of(routeOfService{route: "kept"})
-	waits := g.rooms.of("waits").join(0, time.Now().Add(time.Minute))
+	waits := g.slotQueues.of("waits").join(0, time.Now().Add(time.Minute))
 	none := func(string) bool { return false }
 	g.fastest.forget(func(route string) bool { return route == "kept" })
-	g.rooms.forget(none)
+	g.slotQueues.forget(none)
 	require.Same(t, kept, g.fastest.of(routeOfService{route: "kept"}))
-	require.Equal(t, 1, g.rooms.waiting(), "something waits for it")
+	require.Equal(t, 1, g.slotQueues.waiting(), "something waits for it")
 	waits.end(false)
-	g.rooms.forget(none)
-	require.NotSame(t, waits.room, g.rooms.of("waits"))
+	g.slotQueues.forget(none)
+	require.NotSame(t, waits.queue, g.slotQueues.of("waits"))
 }
 
 func TestAClientThatLeavesIsNotHeld(t *testing.T) {
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -68,7 +68,7 @@
 	dialer := transport.NewDialer(transport.Options{DialTimeout: workerDialTimeout, UserTimeout: time.Second})
 	g := &Gateway{
 		options: Options{Dialect: silentDialect{}, Zone: "a"}, directory: known, balancer: balance.New(time.Now, "a"), subsets: balance.NewSubsetSizes(time.Now),
-		waits: balance.NewWaits(), metrics: newMetrics(telemetry.NewRegistry()), rooms: newRooms(),
+		waits: balance.NewWaits(), metrics: newMetrics(telemetry.NewRegistry()), slotQueues: newSlotQueues(),
 		fastest: newFastestAnswers(), spent: newSpentTokens(time.Now), pool: worker.NewPool(dialer), state: &stateHealth{},
 		quorum: quorum.NewClient(known, "a", transport.NewPeerClient(transport.Options{DialTimeout: 100 * time.Millisecond, UserTimeout: time.Second}, 4)),
 	}
--- a/internal/limit/admitter.go
+++ b/internal/limit/admitter.go
@@ -76,7 +76,7 @@
 type Admitter struct {
 	config   Config
 	limit    atomic.Int64
-	underWay atomic.Int64
+	inFlight atomic.Int64
 	// opened counts openings that ended in this window and still hold a place.
 	opened atomic.Int64
 	// callsBack is when the last refused call was told to come back, in
@@ -100,7 +100,7 @@
 
 // tenantLoad is what one tenant has under way.
 type tenantLoad struct {
-	underWay atomic.Int64
+	inFlight atomic.Int64
 	// asked counts requests since the last window's end, refused ones too.
 	asked  atomic.Int64
 	weight atomic.Uint64 // thousandths
@@ -127,7 +127,7 @@
 func (a *Admitter) Limit() int { return int(a.limit.Load()) }
 
 // UnderWay returns how many admitted requests have not ended.
-func (a *Admitter) UnderWay() int { return int(a.underWay.Load()) }
+func (a *Admitter) UnderWay() int { return int(a.inFlight.Load()) }
 
 // Admit lets a request in, or refuses it with a *failure.Overloaded. The caller
 // must give the ticket back by Done.
@@ -135,21 +135,21 @@
 	a.roll(now)
 	tenant := a.load(request)
 	tenant.asked.Add(1)
-	underWay := a.underWay.Add(1)
-	held := tenant.underWay.Add(1)
+	inFlight := a.inFlight.Add(1)
+	held := tenant.inFlight.Add(1)
 	seen := standing{
 		limit:    float64(a.limit.Load()),
-		underWay: float64(underWay),
+		inFlight: float64(inFlight),
 		tenant:   float64(held),
 		weight:   float64(tenant.weight.Load()),
 		weights:  float64(a.weights.Load()),
 	}
 	if !seen.admits(request) || a.callsComeBack(now, request) || a.tooLate(now, request, seen) {
-		a.underWay.Add(-1)
-		tenant.underWay.Add(-1)
+		a.inFlight.Add(-1)
+		tenant.inFlight.Add(-1)
 		return nil, &failure.Overloaded{Resource: "calls under way", Wait: a.wait(now, request.Class)}
 	}
-	storeMax(&a.peak, underWay)
+	storeMax(&a.peak, inFlight)
 	return &Ticket{admitter: a, tenant: tenant, class: request.Class, admitted: now}, nil
 }
 
@@ -170,7 +170,7 @@
 	if left <= 0 {
 		return true
 	}
-	if seen.underWay < inUse*seen.limit {
+	if seen.inFlight < inUse*seen.limit {
 		return false
 	}
 	a.mutex.Lock()
--- a/internal/limit/standing.go
+++ b/internal/limit/standing.go
@@ -3,7 +3,7 @@
 // standing is what a decision to admit looks at, the request itself included.
 type standing struct {
 	limit    float64
-	underWay float64
+	inFlight float64
 	// tenant counts the tenant's own requests under way.
 	tenant float64
 	// weight is the tenant's, weights the sum over tenants that ask now.
@@ -39,9 +39,9 @@
 func (s standing) admits(request Request) bool {
 	room := s.room(request)
 	switch {
-	case s.underWay > room:
+	case s.inFlight > room:
 		return false
-	case s.underWay <= contested*room:
+	case s.inFlight <= contested*room:
 		return true
 	}
 	return s.tenant <= max(room*s.weight/max(s.weights, s.weight), 1)
--- a/internal/limit/ticket.go
+++ b/internal/limit/ticket.go
@@ -41,7 +41,7 @@
 		return
 	}
 	a := t.admitter
-	t.tenant.underWay.Add(-1)
+	t.tenant.inFlight.Add(-1)
 	if t.class == ClassOpening {
 		// The program's first call comes soon: its place is kept until the
 		// window ends, or all who come in a quiet moment would be let in.
@@ -49,7 +49,7 @@
 		a.roll(now)
 		return
 	}
-	a.underWay.Add(-1)
+	a.inFlight.Add(-1)
 	switch outcome {
 	case Finished:
 		a.done.Add(1)
@@ -69,7 +69,7 @@
 	if now.Before(a.windowEnd) {
 		return
 	}
-	a.underWay.Add(-a.opened.Swap(0))
+	a.inFlight.Add(-a.opened.Swap(0))
 	elapsed := now.Sub(a.windowEnd) + windowLength
 	done := a.done.Swap(0)
 	// The rate of ends, averaged over about five windows.
@@ -87,7 +87,7 @@
 	a.seen.samples += int(a.samples.Swap(0))
 	a.seen.late += int(a.late.Swap(0))
 	a.seen.overloads += int(a.overloads.Swap(0))
-	a.seen.peak = max(a.seen.peak, int(a.peak.Swap(a.underWay.Load())))
+	a.seen.peak = max(a.seen.peak, int(a.peak.Swap(a.inFlight.Load())))
 	a.seen.length++
 	if a.seen.samples+a.seen.overloads < fewestSamples && a.seen.length < mostWindows {
 		return
@@ -102,7 +102,7 @@
 	sum := uint64(0)
 	a.tenants.Range(func(id, found any) bool {
 		load := found.(*tenantLoad)
-		if load.asked.Swap(0) > 0 || load.underWay.Load() > 0 {
+		if load.asked.Swap(0) > 0 || load.inFlight.Load() > 0 {
 			sum += load.weight.Load()
 		} else {
 			a.tenants.Delete(id)
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -37,7 +37,7 @@
 type forwarders struct {
 	http *http.Client
 
-	underWay atomic.Int64
+	inFlight atomic.Int64
 	mutex    sync.Mutex
 	// addresses are in the order in which they are tried: one that worked comes
 	// first, one that failed last.
@@ -79,10 +79,10 @@
 // answer.
 func (f *forwarders) call(ctx context.Context, request *replicav1.ForwardRequest) *replicav1.ForwardResponse {
 	address, found := f.first()
-	if !found || f.underWay.Add(1) > maxForwards {
+	if !found || f.inFlight.Add(1) > maxForwards {
 		return nil
 	}
-	defer f.underWay.Add(-1)
+	defer f.inFlight.Add(-1)
 	call, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	client := replicav1connect.NewForwardServiceClient(f.http, "http://"+address, transport.ClientOptions()...)
@@ -125,7 +125,7 @@
 // replicav1connect.ForwardServiceHandler.
 type Forwarder struct {
 	client   *Client
-	underWay atomic.Int64
+	inFlight atomic.Int64
 }
 
 // NewForwarder returns a forwarder that calls members as the client does.
@@ -133,8 +133,8 @@
 
 // Forward makes one call to a member of a group in force.
 func (f *Forwarder) Forward(ctx context.Context, request *connect.Request[replicav1.ForwardRequest]) (*connect.Response[replicav1.ForwardResponse], error) {
-	defer f.underWay.Add(-1)
-	if f.underWay.Add(1) > maxForwarded {
+	defer f.inFlight.Add(-1)
+	if f.inFlight.Add(1) > maxForwarded {
 		return nil, connect.NewError(connect.CodeResourceExhausted, &TooManyForwarded{Limit: maxForwarded})
 	}
 	address := request.Msg.Address
--- a/internal/quorum/forward_test.go
+++ b/internal/quorum/forward_test.go
@@ -81,7 +81,7 @@
 func TestAForwarderTakesNoMoreThanItsLimit(t *testing.T) {
 	members, group := startMembers(t, 1)
 	forwarder := NewForwarder(NewClient(group, "", http.DefaultClient))
-	forwarder.underWay.Store(maxForwarded)
+	forwarder.inFlight.Store(maxForwarded)
 	_, err := forwarder.Forward(t.Context(), connect.NewRequest(&replicav1.ForwardRequest{Address: members[0].address}))
 	require.Equal(t, connect.CodeResourceExhausted, connect.CodeOf(err))
 }
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -77,8 +77,8 @@
 	heard map[string]bool
 	// needed is how many must answer before it is known that nothing is granted.
 	needed int
-	// underWay counts calls, answered those that a member answered.
-	underWay, answered int
+	// inFlight counts calls, answered those that a member answered.
+	inFlight, answered int
 	// grant is the one that was granted; its After is the shortest of all.
 	grant quota.Grant
 }
@@ -135,20 +135,20 @@
 // over reports whether no answer is awaited, and none is worth asking for: all members were
 // asked, or enough have answered and the others are not reached.
 func (r *grantRound) over() bool {
-	return r.underWay == 0 && (len(r.waiting) == 0 || r.answered >= r.needed && r.client.allDown(r.waiting))
+	return r.inFlight == 0 && (len(r.waiting) == 0 || r.answered >= r.needed && r.client.allDown(r.waiting))
 }
 
 // askNext asks the member that comes next.
 func (r *grantRound) askNext(ctx context.Context) {
 	member := r.waiting[0]
 	r.waiting = r.waiting[1:]
-	r.underWay++
+	r.inFlight++
 	go func() { r.answers <- grantAnswer{member, r.client.askForGrant(ctx, r.group, member, r.request)} }()
 }
 
 // take takes one call's answer.
 func (r *grantRound) take(one grantAnswer) {
-	r.underWay--
+	r.inFlight--
 	answer := one.response
 	if !answer.GetStanding().GetMember() {
 		return
--- a/internal/quorum/reserve_test.go
+++ b/internal/quorum/reserve_test.go
@@ -16,7 +16,7 @@
 	const limit = OneRoundLimit
 	own := &replicav1.Entry{Id: "own", Most: 10}
 	settled := &replicav1.Entry{Id: "settled", Most: 10, Settled: true, Used: 3}
-	underWay := &replicav1.Entry{Id: "under way", Most: 10}
+	inFlight := &replicav1.Entry{Id: "under way", Most: 10}
 	ledger := func(entries ...*replicav1.Entry) turn.Ledger {
 		merged := make(turn.Ledger)
 		merged.Merge(entries)
@@ -25,7 +25,7 @@
 	require.True(t, OneRound(ledger(own), time.Millisecond, limit, "own"))
 	require.True(t, OneRound(ledger(own, settled), limit, limit, "own"))
 	require.False(t, OneRound(ledger(own, settled), limit+1, limit, "own"))
-	require.False(t, OneRound(ledger(own, underWay), time.Millisecond, limit, "own"))
+	require.False(t, OneRound(ledger(own, inFlight), time.Millisecond, limit, "own"))
 	require.GreaterOrEqual(t, SettleDelay, 2*OneRoundLimit, "the invariant at OneRound")
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -42,8 +42,8 @@
 	pausedUntil time.Time
 	// limit is the one that this gateway knows, which may be an older one.
 	limit Limit
-	// underWay are answers on their way to it.
-	underWay []answer
+	// inFlight are answers on their way to it.
+	inFlight []answer
 }
 
 type answer struct {
@@ -111,9 +111,9 @@
 	if f.broken == grantNeverExpires {
 		asked = asked.Add(time.Hour)
 	}
-	from.underWay = append(from.underWay, answer{asked: asked, arrives: f.now.Add(way), grant: grant})
+	from.inFlight = append(from.inFlight, answer{asked: asked, arrives: f.now.Add(way), grant: grant})
 	if f.broken == grantCountedTwice {
-		from.underWay = append(from.underWay, answer{asked: f.now, arrives: f.now.Add(way), grant: grant})
+		from.inFlight = append(from.inFlight, answer{asked: f.now, arrives: f.now.Add(way), grant: grant})
 	}
 }
 
@@ -121,7 +121,7 @@
 func (f *fleet) step(by time.Duration) {
 	f.now = f.now.Add(by)
 	for _, each := range f.gateways {
-		each.underWay = slices.DeleteFunc(each.underWay, func(arriving answer) bool {
+		each.inFlight = slices.DeleteFunc(each.inFlight, func(arriving answer) bool {
 			if f.now.Before(arriving.arrives) || f.now.Before(each.pausedUntil) {
 				return false
 			}
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -7,16 +7,16 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 )
 
-// maxUnderWay is how many calls a replica works on at a time. More are refused
+// maxInFlight is how many calls a replica works on at a time. More are refused
 // before they are read: after a loss of power all gateways call at once, and what
 // waits takes memory without getting done sooner.
-const maxUnderWay = 256
+const maxInFlight = 256
 
-// admission refuses calls beyond maxUnderWay. Questions for news wait by design
+// admission refuses calls beyond maxInFlight. Questions for news wait by design
 // and are left out.
 type admission struct {
 	next     http.Handler
-	underWay atomic.Int64
+	inFlight atomic.Int64
 	refused  atomic.Int64
 }
 
@@ -28,8 +28,8 @@
 		a.next.ServeHTTP(w, r)
 		return
 	}
-	defer a.underWay.Add(-1)
-	if a.underWay.Add(1) > maxUnderWay {
+	defer a.inFlight.Add(-1)
+	if a.inFlight.Add(1) > maxInFlight {
 		a.refused.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/replica/admission_test.go
+++ b/internal/replica/admission_test.go
@@ -32,8 +32,8 @@
 		return recorder.Code
 	}
 	appends, news := replicav1connect.ReplicaServiceAppendProcedure, replicav1connect.ReplicaServiceDirectoryProcedure
-	begun.Add(maxUnderWay)
-	for range maxUnderWay {
+	begun.Add(maxInFlight)
+	for range maxInFlight {
 		ended.Go(func() { call(appends, true) })
 	}
 	begun.Wait()
--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -21,7 +21,7 @@
 // time to its deadline is let in anywhere.
 func admitting(now time.Time, snapshot *Snapshot, request *Request, drawn []int) []int {
 	limit := time.Duration(admissionShare * float64(request.Deadline.Sub(request.Started)))
-	if request.underWay() || request.Deadline.IsZero() || now.Sub(request.Started) >= limit {
+	if request.isUnderWay() || request.Deadline.IsZero() || now.Sub(request.Started) >= limit {
 		return drawn
 	}
 	var found []int
--- a/internal/schedule/belief.go
+++ b/internal/schedule/belief.go
@@ -35,7 +35,7 @@
 	return longest
 }
 
-// underWay reports whether the program or its parent has been served before.
-func (r *Request) underWay() bool {
+// isUnderWay reports whether the program or its parent has been served before.
+func (r *Request) isUnderWay() bool {
 	return r.Received > 0 || r.ParentEngine != "" || len(r.Cached) > 0
 }
