--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -4,7 +4,6 @@
 	"os"
 	"time"
 
-	"github.com/barleyshelf/barleyshelf/internal/event"
 	"github.com/barleyshelf/barleyshelf/internal/gateway"
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/reload"
@@ -21,16 +20,6 @@
 	logCloseTimeout = 200 * time.Millisecond
 )
 
-var eventEnded = event.Define(2913, event.Error, "the process ends without being told to", "Look at the cause; a process that a panic ends writes its stack to standard error.")
-
-// endedBy logs why a role ends by itself; nil is a planned stop.
-func endedBy(err error) error {
-	if err != nil {
-		eventEnded.Log("cause", err.Error())
-	}
-	return err
-}
-
 // roleFile is what both roles take on the command line.
 type roleFile struct {
 	File string `long:"settings" env:"BARLEYSHELF_CONFIG" value-name:"FILE" required:"true" description:"settings file of the role"`
@@ -57,7 +46,7 @@
 	c.follow(c.app, loaded, settings.Role.ValidateGateway, func(changed settings.Role) {
 		running.Reload(changed.Seeds, changed.Grace())
 	})
-	return endedBy(running.Run(c.app.context))
+	return running.Run(c.app.context)
 }
 
 type replicaCommand struct {
@@ -83,7 +72,7 @@
 	c.follow(c.app, loaded, settings.Role.ValidateReplica, func(changed settings.Role) {
 		running.Reload(changed.Seeds)
 	})
-	return endedBy(running.Run(c.app.context))
+	return running.Run(c.app.context)
 }
 
 // begin reads and checks the settings file, and puts the bound of the heap and the
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -18,6 +18,7 @@
 	eventStarted      = event.Define(2801, event.Info, "gateway started", "")
 	eventStopping     = event.Define(2802, event.Info, "planned stop of the gateway begun", "")
 	eventUndiscovered = event.Define(2865, event.Warning, "the platform's store does not tell a gateway its system; replicas are believed until it does", "Look at the store and the path to it. If the process ends for a foreign system, look whose processes its seeds lead to.")
+	eventEnded        = event.Define(2866, event.Error, "the gateway ends without being told to", "Look at the cause; a process that a panic ends writes its stack to standard error.")
 	eventStopped      = event.Define(2803, event.Info, "gateway stopped", "")
 	eventRefused      = event.Define(2804, event.Info, "request refused", "Look at the type: docs/operations/refusals.md.")
 	eventAborted      = event.Define(2805, event.Info, "answer broken off", "Look at the worker named; a turn is sent again by its program.")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,6 +241,14 @@
 
 // Run serves until ctx ends, and then stops as planned.
 func (g *Gateway) Run(ctx context.Context) error {
+	err := g.run(ctx)
+	if err != nil {
+		eventEnded.Log("cause", err.Error())
+	}
+	return err
+}
+
+func (g *Gateway) run(ctx context.Context) error {
 	working, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	g.followStore(working)
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -4,6 +4,7 @@
 
 var (
 	eventStarted      = event.Define(2701, event.Info, "replica started", "")
+	eventEnded        = event.Define(2722, event.Error, "the replica ends without being told to", "Look at the cause; a process that a panic ends writes its stack to standard error.")
 	eventStopped      = event.Define(2702, event.Info, "replica stopped", "")
 	eventSeatTaken    = event.Define(2703, event.Info, "replica begins a new incarnation in a seat of the group", "")
 	eventRecovered    = event.Define(2704, event.Info, "replica holds what its seat held before", "")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -279,6 +279,14 @@
 
 // Run serves until stop ends, and then until others hold its seats, where any stand by.
 func (r *Replica) Run(stop context.Context) error {
+	err := r.run(stop)
+	if err != nil {
+		eventEnded.Log("cause", err.Error())
+	}
+	return err
+}
+
+func (r *Replica) run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	listener, err := transport.Listen(ctx, r.options.Address, userTimeout)
