Replicas: one without records takes no group that a peer offers without a proof that it is its own

What callers saw: three replicas lose power, one of them its disk, while the platform's store is silent, and the emptied one's seeds lead to replicas of another system whose nodes have the same names. It joins that system. One lost disk and a loss of all power later its own system serves nothing for 60 s, and does not come back.

Cause: after a second without the store, a replica without records believed whoever answered first, wrote that group to its disk and began an incarnation in the seat of the node of its name there. Its own system's group was refused from then on.

The emptied replica's log: event 2605 source=127.0.0.1:45455 (a seed, of the other system), 2703 after 87 ms, 2709 with two of the other system's sources, 2609 against the store's group for as long as it ran, and again from disk after its restart.

Change: while no group is known, one that a peer offers is held. It is taken if it names this node at an address where a call arrives at this very process, by a name that each process draws; else the store is asked. A replica that no group names at its present address gets no seat before the store answers anyhow, since groups change there alone, so that nothing waits longer than it must. The relay, which also brings workers and a configuration, begins once the system is known. The second without the store is no bound any more, only the time after which 2721 is logged.

The test of a replica that takes no group before the store was asked becomes one that takes none without a proof, whatever the store does: the same calls, the same two looks.

--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -81,8 +82,15 @@
 	SourceDisk = "disk"
 	// SourceSelf is this process, whose proposal was accepted.
 	SourceSelf = "self"
+	// SourceProven is a peer whose group has been shown to be this process's own.
+	SourceProven = "proven peer"
 )
 
+// fromPeer reports whether the source of a group is another process, whose system may be another one.
+func fromPeer(source string) bool {
+	return !slices.Contains([]string{SourceStore, SourceDisk, SourceSelf, SourceProven}, source)
+}
+
 // Feed follows kinds of objects in the platform's store into a State.
 type Feed struct {
 	objects Objects
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -77,6 +77,8 @@
 	news chan struct{}
 	// foreignLogged is when a group of another system was logged last.
 	foreignLogged time.Time
+	// unproven, if not nil, is called with each group that a peer offers while none is known.
+	unproven func(*replicav1.Group)
 	// workers are those that are listed, by instance.
 	workers map[string]*listing
 	// listings counts the whole lists that were taken.
@@ -111,6 +113,24 @@
 	return state
 }
 
+// HoldUnproven makes the state take the first group from the store, the own disk or this process
+// only: a peer may be of another system. What peers offer before that is passed to unproven, which
+// must not block. It is called before the state is shared.
+func (s *State) HoldUnproven(unproven func(*replicav1.Group)) { s.unproven = unproven }
+
+// KnowsSystem reports whether groups that peers offer are taken.
+func (s *State) KnowsSystem() bool { return s.unproven == nil || AnyGroup(s.Groups()) != nil }
+
+// AnyGroup returns one of the groups that are known, or nil.
+func AnyGroup(groups []*replicav1.Group) *replicav1.Group {
+	for _, group := range groups {
+		if group != nil {
+			return group
+		}
+	}
+	return nil
+}
+
 // View returns the newest view.
 func (s *State) View() *View { return s.view.Load() }
 
@@ -167,6 +187,10 @@
 	if group == nil {
 		return
 	}
+	if fromPeer(source) && !s.KnowsSystem() {
+		s.unproven(group)
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	current := s.view.Load()
--- a/internal/replica/confined.go
+++ b/internal/replica/confined.go
@@ -77,7 +77,7 @@
 // after another; the group that is created first stands.
 func (r *Replica) formConfined(ctx context.Context) {
 	view := r.directory.View()
-	layout := anyKnown(view.Groups)
+	layout := directory.AnyGroup(view.Groups)
 	if view.Table == nil || !view.Table.Confines() || layout == nil {
 		return
 	}
@@ -117,7 +117,7 @@
 // missing reports whether a group of a partition that every system has from its begin is
 // not known. Those of confined partitions come later, or never.
 func missing(groups []*replicav1.Group) bool {
-	layout := anyKnown(groups)
+	layout := directory.AnyGroup(groups)
 	for partition, group := range groups {
 		if group == nil && regionOfPartition(layout, uint32(partition)) == "" {
 			return true
@@ -157,13 +157,3 @@
 func sameLayout(group, known *replicav1.Group) bool {
 	return known == nil || max(1, known.Partitions) == group.Partitions && slices.Equal(known.Confined, group.Confined)
 }
-
-// anyKnown returns one of the groups that are known, or nil.
-func anyKnown(groups []*replicav1.Group) *replicav1.Group {
-	for _, group := range groups {
-		if group != nil {
-			return group
-		}
-	}
-	return nil
-}
--- a/internal/replica/copy_test.go
+++ b/internal/replica/copy_test.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 )
@@ -78,7 +79,7 @@
 	copying, err := New(Options{Node: fmt.Sprintf("n%d", seats-1), Folder: t.TempDir()}, nil)
 	require.NoError(t, err)
 	t.Cleanup(func() { copying.state.log.Close() })
-	copying.directory.OfferGroup(group, "")
+	copying.directory.OfferGroup(group, directory.SourceStore)
 	return copying, group, sources
 }
 
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -1,14 +1,21 @@
 package replica
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog/recordlogtest"
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 func TestNothingIsTakenOfAnAnnouncementOfAnotherSystem(t *testing.T) {
@@ -44,22 +51,61 @@
 }
 
 // A replica without records took the group of whoever announced itself first, and refused its own system's after that.
-func TestAReplicaWithoutRecordsTakesNoGroupBeforeTheStoreWasAsked(t *testing.T) {
+func TestAReplicaWithoutRecordsTakesNoGroupOfAPeerThatIsNotProven(t *testing.T) {
 	opened, err := openState(recordlogtest.NewDisk())
 	require.NoError(t, err)
 	t.Cleanup(opened.log.Close)
-	believing := false
-	hearing := &service{
-		node: "a", state: opened, directory: directory.NewState(opened.now, nil), peers: newFailureDetector(opened.now),
-		believing: func() bool { return believing },
-	}
+	hearing := &service{node: "a", state: opened, directory: directory.NewState(opened.now, nil), peers: newFailureDetector(opened.now)}
+	var held []*replicav1.Group
+	hearing.directory.HoldUnproven(func(group *replicav1.Group) { held = append(held, group) })
 	message := &replicav1.AnnounceRequest{Group: oneGroup(nodes("a", "b", "c")), Node: "b"}
-	for _, believing = range []bool{false, true} {
+	for _, proven := range []bool{false, true} {
+		if proven {
+			require.Equal(t, []*replicav1.Group{message.Group}, held)
+			hearing.directory.OfferGroup(held[0], directory.SourceProven)
+		}
 		_, err = hearing.Announce(t.Context(), connect.NewRequest(message))
 		require.NoError(t, err)
-		require.Equal(t, believing, opened.currentGroup(0) != nil)
-		require.Equal(t, believing, len(hearing.directory.Groups()) > 0)
+		require.Equal(t, proven, opened.currentGroup(0) != nil)
+		require.Equal(t, proven, len(hearing.directory.Groups()) > 0)
+	}
+}
+
+// A group is this replica's own where the address that it gives for the node leads to this process, directly or not.
+func TestAGroupIsProvenByAnAddressThatLeadsToThisProcess(t *testing.T) {
+	serve := func(process string) string {
+		opened, err := openState(recordlogtest.NewDisk())
+		require.NoError(t, err)
+		t.Cleanup(opened.log.Close)
+		answering := &service{node: "a", state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now)}
+		mux := http.NewServeMux()
+		mux.Handle(replicav1connect.NewReplicaServiceHandler(answering, connect.WithInterceptors(identifyProcess(process))))
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
 	}
+	const process = "own"
+	own, ofSameName := serve(process), serve("another")
+	behindProxy, err := transporttest.NewProxy(own)
+	require.NoError(t, err)
+	t.Cleanup(behindProxy.Close)
+	for address, proven := range map[string]bool{own: true, behindProxy.Address(): true, ofSameName: false, "127.0.0.1:1": false} {
+		state := directory.NewState(time.Now, nil)
+		r := &Replica{options: Options{Node: "a"}, process: process, directory: state, objects: silentObjects{}}
+		state.HoldUnproven(r.holdUnproven)
+		r.quorum = quorum.NewClient(state, "z", http.DefaultClient)
+		group := oneGroup(nodes("a", "b", "c"))
+		group.Members[0].Address = address
+		r.prove(t.Context(), group)
+		require.Equal(t, proven, state.KnowsSystem(), address)
+	}
+}
+
+// silentObjects is a platform's store that does not answer.
+type silentObjects struct{ directory.Objects }
+
+func (silentObjects) Get(context.Context, directory.Kind, string) (directory.Object, bool, error) {
+	return directory.Object{}, false, context.DeadlineExceeded
 }
 
 func TestASystemOfAFormerReleaseIsNamedOnceEachMemberKeepsNames(t *testing.T) {
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -97,7 +97,7 @@
 	}
 	for _, group := range founding {
 		group.System = system
-		if !sameLayout(group, anyKnown(r.directory.Groups())) || r.directory.Group(group.Partition) != nil {
+		if !sameLayout(group, directory.AnyGroup(r.directory.Groups())) || r.directory.Group(group.Partition) != nil {
 			continue
 		}
 		err := r.objects.Create(ctx, directory.KindGroup, directory.Object{Name: directory.GroupName(group.Partition), Group: group})
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -82,9 +83,12 @@
 	grants          *grants
 	underReplicated *underReplicatedGroups
 	seeds           atomic.Pointer[[]string]
-	// stopping is set once this process is to stop, believing once it takes the word of other
-	// processes on which system this is.
-	stopping, believing atomic.Bool
+	// stopping is set once this process is to stop.
+	stopping atomic.Bool
+	// process names this process apart from all others.
+	process string
+	// unproven holds groups that peers offered while the own system is not known.
+	unproven chan *replicav1.Group
 
 	// copies holds a token for each seat that is being filled.
 	copies chan struct{}
@@ -108,6 +112,7 @@
 		options: options, objects: objects, state: opened, followers: newFollowed(), peers: newFailureDetector(time.Now),
 		grants:          newGrants(options.Node, time.Now, options.Quota, options.ColdTolerance),
 		underReplicated: newUnderReplicatedGroups(time.Now), copies: make(chan struct{}, maxCopies), proposals: newProposals(time.Now), standbys: newStandbySearch(), handOvers: make(map[handOverKey]handOver), exchanges: make(map[uint32]*exchange),
+		process: rand.Text(), unproven: make(chan *replicav1.Group, maxUnproven),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
@@ -116,6 +121,7 @@
 		replica.keep(view)
 		replica.keepZoneDrains(view)
 	})
+	replica.directory.HoldUnproven(replica.holdUnproven)
 	replica.feed = directory.NewFeed(objects, replica.directory, directory.PassingOn)
 	if options.DrainsFollowed {
 		// The watch of the configuration is short, and cuts this one short where it fails.
@@ -302,10 +308,10 @@
 		return err
 	}
 	handler := &service{
-		node: r.options.Node, stopping: r.stopping.Load, believing: r.believing.Load, state: r.state, directory: r.directory, peers: r.peers, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
+		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
-	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory)))
+	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory), identifyProcess(r.process)))
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handling...))
 	server := &http.Server{Handler: bound, WriteTimeout: transport.PeerWriteTimeout}
 	go func() {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -21,9 +21,7 @@
 	// node is this replica's name.
 	node string
 	// stopping reports whether this replica is to stop; nil is no.
-	stopping func() bool
-	// believing reports whether a group may be taken while none is known; nil is yes.
-	believing func() bool
+	stopping  func() bool
 	state     *state
 	directory *directory.State
 	peers     *failureDetector
@@ -104,8 +102,9 @@
 	message := request.Msg
 	partition := message.Group.GetPartition()
 	newest := s.state.currentGroup(partition)
-	own := directory.SystemOf([]*replicav1.Group{newest, anyKnown(s.directory.Groups())})
-	if newest == nil && s.believing != nil && !s.believing() {
+	own := directory.SystemOf([]*replicav1.Group{newest, directory.AnyGroup(s.directory.Groups())})
+	if newest == nil && !s.directory.KnowsSystem() {
+		s.directory.OfferGroup(message.Group, message.Node)
 		message = &replicav1.AnnounceRequest{Node: message.Node, Stopping: message.Stopping}
 	}
 	if message.Group != nil && !directory.TakesGroup(own, message.Group) {
