Tests: addresses of daemons lie on a loopback address of their own

Cause: the test asked the system for ports, gave them back and started its daemons on them later; meanwhile the stand-ins of the same test and other processes' listeners, which name no port, get theirs from the same range.

--- a/cmd/barleyshelf/cluster_test.go
+++ b/cmd/barleyshelf/cluster_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -16,19 +15,20 @@
 	"github.com/barleyshelf/barleyshelf/internal/plan"
 	"github.com/barleyshelf/barleyshelf/internal/settings"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 // convergence bounds the waits for daemons; it decides no verdict on speed.
 const convergence = 30 * time.Second
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// freeAddresses returns addresses for daemons to listen on.
 func freeAddresses(t *testing.T, count int) []string {
+	addresses := transporttest.NewAddresses()
 	var found []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := addresses.Next()
 		require.NoError(t, err)
-		defer listener.Close()
-		found = append(found, listener.Addr().String())
+		found = append(found, address)
 	}
 	return found
 }
