Names: zone detectors, views and updates of the store and last answers instead of sights, words and what was heard

Whole files of internal/quorum, internal/zonehealth and the rosters and watchers of internal/replica. No behaviour, wire name or event changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,7 +194,7 @@
 	g.state = newStateHealth(g.quorum, g.quorum.AnsweredWithin)
 	g.zones = newZoneWatch(g)
 	g.relay = quorum.NewRelay(g.quorum, g.directory, quorum.RelayOptions{
-		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerNews(g.balancer, options),
+		Seeds: options.Seeds, Forwarder: options.Forwarder, Workers: workerReports(g.balancer, options),
 	})
 	g.granter = g.quorum
 	g.spent = newSpentTokens(time.Now)
@@ -224,8 +224,8 @@
 	return options.Zone
 }
 
-// workerNews returns what tells others of workers and hears of them.
-func workerNews(balancer *balance.Balancer, options Options) quorum.WorkerNews {
+// workerReports returns what passes reports on workers on and takes those of others.
+func workerReports(balancer *balance.Balancer, options Options) quorum.WorkerReports {
 	if options.Disabled.Has(mechanism.SharedSight) {
 		return nil
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -186,7 +186,7 @@
 	})
 	registry.GaugeFunc(metricReplicaCalls, func() float64 { return float64(g.quorum.Calls()) })
 	registry.GaugeFunc(metricForwarded, func() float64 { return float64(g.quorum.Forwarded()) })
-	registry.GaugeFunc(metricUnreachedZones, func() float64 { return float64(g.zones.sight.UnreachedZones()) })
+	registry.GaugeFunc(metricUnreachedZones, func() float64 { return float64(g.zones.detector.UnreachedZones()) })
 	registry.GaugeFunc(metricColdWorkers, func() float64 { return float64(g.cold.tracker.Count()) })
 	registry.GaugeFunc(metricAwaitingSlot, func() float64 { return float64(g.slotQueues.waiting()) })
 	registry.GaugeFunc(metricDrainedZones, func() float64 { return float64(g.directory.View().Drains.Count()) })
--- a/internal/gateway/news.go
+++ b/internal/gateway/news.go
@@ -46,7 +46,7 @@
 		if g.disabled(mechanism.NewsThroughReplicas) {
 			return true
 		}
-		g.feed.SetLastRetry(g.lastRetry(g.relay.HeardWithin(directory.FreshNews)))
+		g.feed.SetLastRetry(g.lastRetry(g.relay.AnsweredWithin(directory.FreshNews)))
 		start := directory.FirstNews + time.Duration(late*float64(startSpread))
 		return time.Since(began) > start && !g.relay.FreshWithin(patience)
 	}
@@ -112,7 +112,7 @@
 func (g *Gateway) listOnce(ctx context.Context) {
 	pause.For(ctx, listAfter+rand.N(listSpread))
 	awaited := listPatience - rand.N(listPatience/2)
-	unknown := func() bool { return g.directory.WorkersRevision() == 0 && g.relay.HeardWithin(directory.FreshNews) }
+	unknown := func() bool { return g.directory.WorkersRevision() == 0 && g.relay.AnsweredWithin(directory.FreshNews) }
 	for unknown() && time.Since(g.started) < awaited && pause.For(ctx, listSpread) {
 	}
 	if g.directory.WorkersRevision() == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,7 +93,7 @@
 	r.resumes++
 	r.note(eventResumed, "worker", r.workerID, "after_event", s.resumeAt(), "cause", broken.Error())
 	same, listed := r.listed(r.workerID)
-	if listed && !r.gone[same.ID] && !r.gateway.zones.sight.Unreached(same.Zone) && !r.gateway.disabled(mechanism.ResumeAtSameWorker) {
+	if listed && !r.gone[same.ID] && !r.gateway.zones.detector.Unreached(same.Zone) && !r.gateway.disabled(mechanism.ResumeAtSameWorker) {
 		one, err := r.sendToSame(ctx, same, s.resumeAt())
 		var notSent *worker.NotSent
 		var cold *WorkerCold
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -45,8 +45,8 @@
 // zoneWatch knows which zones this gateway reaches. It gives up attempts that may be repeated
 // when the zone of their worker is lost.
 type zoneWatch struct {
-	gateway *Gateway
-	sight   *zonehealth.Sight
+	gateway  *Gateway
+	detector *zonehealth.Detector
 
 	mutex sync.Mutex
 	// attempts are those that end when their zone is lost, by zone.
@@ -61,7 +61,7 @@
 
 func newZoneWatch(g *Gateway) *zoneWatch {
 	return &zoneWatch{
-		gateway: g, sight: zonehealth.NewSight(g.options.Zone),
+		gateway: g, detector: zonehealth.NewDetector(g.options.Zone),
 		attempts: make(map[string]map[*zoneAttempt]bool), probing: make(map[string]bool),
 	}
 }
@@ -75,13 +75,13 @@
 			names = append(names, name)
 		}
 		now := time.Now()
-		w.sight.Keep(now, names)
+		w.detector.Keep(now, names)
 		for name, addresses := range members {
 			for _, address := range addresses {
-				w.told(name, w.sight.ReplicaAnswered(name, w.gateway.quorum.HeardAt(address)))
+				w.logReturn(name, w.detector.ReplicaAnswered(name, w.gateway.quorum.LastAnswer(address)))
 			}
 		}
-		for _, name := range w.sight.Due(now) {
+		for _, name := range w.detector.Due(now) {
 			w.probe(ctx, name, members[name])
 		}
 		w.logCutOff()
@@ -89,10 +89,10 @@
 }
 
 // answered notes that a worker of a zone answered a request.
-func (w *zoneWatch) answered(name string) { w.told(name, w.sight.Answered(name, time.Now())) }
+func (w *zoneWatch) answered(name string) { w.logReturn(name, w.detector.Answered(name, time.Now())) }
 
-// told logs that a zone answers again, if it does.
-func (w *zoneWatch) told(name string, returned bool) {
+// logReturn logs that a zone answers again, if it does.
+func (w *zoneWatch) logReturn(name string, returned bool) {
 	if returned {
 		eventZoneBack.Log("zone", name)
 	}
@@ -116,10 +116,10 @@
 		byReplica, byWorker := w.ask(ctx, name, replicas)
 		switch {
 		case byReplica:
-			w.told(name, w.sight.ReplicaAnswered(name, time.Now()))
+			w.logReturn(name, w.detector.ReplicaAnswered(name, time.Now()))
 		case byWorker:
-			w.told(name, w.sight.Refuted(name, time.Now()))
-		case ctx.Err() == nil && w.sight.Unanswered(name, began):
+			w.logReturn(name, w.detector.Refuted(name, time.Now()))
+		case ctx.Err() == nil && w.detector.Unanswered(name, began):
 			w.lost(name)
 		}
 	}()
@@ -131,7 +131,7 @@
 func (w *zoneWatch) ask(ctx context.Context, name string, replicas []string) (byReplica, byWorker bool) {
 	call, cancel := context.WithTimeout(ctx, zonehealth.ProbeTimeout)
 	defer cancel()
-	if !w.sight.Suspected(name) {
+	if !w.detector.Suspected(name) {
 		return w.gateway.quorum.Reaches(call, replicas[rand.IntN(len(replicas))]), false
 	}
 	workers := w.workersIn(name)
@@ -179,18 +179,18 @@
 // judgedLost reports whether a zone is out of reach, and waits for the judgement where the
 // zone is suspected: the next probe takes no longer.
 func (w *zoneWatch) judgedLost(name string) bool {
-	for until := time.Now().Add(zonehealth.ProbeTimeout + 2*zonesLooked); w.sight.Suspected(name) && time.Now().Before(until); {
-		if w.sight.Unreached(name) {
+	for until := time.Now().Add(zonehealth.ProbeTimeout + 2*zonesLooked); w.detector.Suspected(name) && time.Now().Before(until); {
+		if w.detector.Unreached(name) {
 			return true
 		}
 		time.Sleep(judgementPoll)
 	}
-	return w.sight.Unreached(name)
+	return w.detector.Unreached(name)
 }
 
 // logCutOff logs when the own zone is cut off, and when it is not any more.
 func (w *zoneWatch) logCutOff() {
-	_, cutOff := w.sight.CutOff()
+	_, cutOff := w.detector.CutOff()
 	w.mutex.Lock()
 	changed := w.cutOff != cutOff
 	w.cutOff = cutOff
@@ -224,18 +224,18 @@
 // cutOffComeBack returns after what time the entry sends clients to other zones, where this
 // one is cut off.
 func (g *Gateway) cutOffComeBack() (after time.Duration, cutOff bool) {
-	since, cutOff := g.zones.sight.CutOff()
+	since, cutOff := g.zones.detector.CutOff()
 	return max(comeBackAfter, entryLag-time.Since(since)), cutOff
 }
 
 // reached leaves out workers of zones that are not reached, as long as others are left.
 func (g *Gateway) reached(workers []*directory.Listed) []*directory.Listed {
-	if g.zones.sight.UnreachedZones() == 0 {
+	if g.zones.detector.UnreachedZones() == 0 {
 		return workers
 	}
 	var left []*directory.Listed
 	for _, each := range workers {
-		if !g.zones.sight.Unreached(each.Zone) {
+		if !g.zones.detector.Unreached(each.Zone) {
 			left = append(left, each)
 		}
 	}
--- a/internal/gateway/zones_test.go
+++ b/internal/gateway/zones_test.go
@@ -120,7 +120,7 @@
 func TestAZoneWhoseReplicasAloneAreAwayKeepsItsWorkers(t *testing.T) {
 	g := gatewayAmongZones(t, map[string]string{"a": answeringAddress(t), "b": darkAddress(t), "c": answeringAddress(t)})
 	g.directory.OfferWorkers([]directory.Worker{{ID: "b", Instance: "b", Service: "s", Address: answeringAddress(t), Zone: "b"}}, 2)
-	require.Never(t, func() bool { return g.zones.sight.Unreached("b") }, 2*time.Second, zonePolls)
+	require.Never(t, func() bool { return g.zones.detector.Unreached("b") }, 2*time.Second, zonePolls)
 }
 
 // TestAGatewayWhoseZoneIsCutOffIsNotReady: it refuses turns at once, and tells when the entry
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -56,7 +56,7 @@
 	}
 	round := &grantRound{
 		client: c, group: group, waiting: c.preferred(group), needed: WriteSize(len(group.Members)),
-		answers: make(chan grantAnswer, len(group.Members)), heard: make(map[string]bool),
+		answers: make(chan grantAnswer, len(group.Members)), answeredBy: make(map[string]bool),
 		request: &replicav1.GrantRequest{
 			Epoch: group.Epoch, Partition: group.Partition, Tenant: subject.Name, Version: limit.Version, Rate: limit.Rate,
 			Burst: limit.Burst, Wanted: uint32(wanted), Opening: opening, Kind: subject.Kind,
@@ -73,8 +73,8 @@
 	// waiting are the members that were not asked yet.
 	waiting []*replicav1.Member
 	answers chan grantAnswer
-	// heard are the addresses of the members that answered.
-	heard map[string]bool
+	// answeredBy are the addresses of the members that answered.
+	answeredBy map[string]bool
 	// needed is how many must answer before it is known that nothing is granted.
 	needed int
 	// inFlight counts calls, answered those that a member answered.
@@ -121,7 +121,7 @@
 func (r *grantRound) unavailable() error {
 	failed := &Unavailable{Needed: r.needed, Answered: r.answered}
 	for _, member := range r.group.Members {
-		if r.heard[member.Address] {
+		if r.answeredBy[member.Address] {
 			continue
 		}
 		silent := max(time.Nanosecond, r.client.reach.silentFor(member.Address))
@@ -154,7 +154,7 @@
 		return
 	}
 	r.answered++
-	r.heard[one.member.Address] = true
+	r.answeredBy[one.member.Address] = true
 	after := time.Duration(answer.AfterMs) * time.Millisecond
 	if r.answered > 1 {
 		after = min(after, r.grant.After)
--- a/internal/quorum/grant_test.go
+++ b/internal/quorum/grant_test.go
@@ -115,7 +115,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	})}
-	round := &grantRound{client: client, group: &replicav1.Group{Members: members}, needed: 2, heard: map[string]bool{}}
+	round := &grantRound{client: client, group: &replicav1.Group{Members: members}, needed: 2, answeredBy: map[string]bool{}}
 	silentFor := func() time.Duration { return round.unavailable().(*Unavailable).SilentFor }
 	require.Equal(t, time.Nanosecond, silentFor(), "all answer as far as is known")
 	for _, member := range members {
@@ -123,6 +123,6 @@
 		passed.Add(int64(time.Second))
 	}
 	require.Equal(t, time.Second, silentFor(), "since the last of them")
-	round.heard["c"] = true
+	round.answeredBy["c"] = true
 	require.Equal(t, 2*time.Second, silentFor(), "what has answered is not silent")
 }
--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -19,7 +19,7 @@
 	minOutage = 200 * time.Millisecond
 	// returnRound bounds one round that looks whether a majority is back.
 	returnRound = 2 * time.Second
-	// returnInterest is for how long after a request was told of an outage its end is
+	// returnInterest is for how long after a request asked about an outage its end is
 	// looked for: clients that were told to come back have done so twice.
 	returnInterest = 2 * maxComeBack
 	// awayLogInterval is how often an outage is logged in which the members say the same.
@@ -60,21 +60,21 @@
 
 type outage struct {
 	since time.Time
-	// asked is when a request was last told of the outage.
+	// asked is when a request last asked about the outage.
 	asked time.Time
 	// why is what the members said last, told when that was logged last.
-	why  string
-	told time.Time
+	why    string
+	logged time.Time
 }
 
 // note logs what the members said where that has changed, or has lasted: an outage whose members
 // begin to answer, and still do not count, is another matter than one in which they are silent.
 func (o *outage) note(now time.Time, partition uint32, why Shortfall) {
 	said := why.String()
-	if said == o.why && now.Sub(o.told) < awayLogInterval {
+	if said == o.why && now.Sub(o.logged) < awayLogInterval {
 		return
 	}
-	o.why, o.told = said, now
+	o.why, o.logged = said, now
 	eventMajorityAway.Log("partition", partition, "members", said, "away_ms", now.Sub(o.since).Milliseconds())
 }
 
--- a/internal/quorum/outage_log_test.go
+++ b/internal/quorum/outage_log_test.go
@@ -10,9 +10,9 @@
 func TestAnOutageThatLastsIsToldAgainNowAndThen(t *testing.T) {
 	noted, began := &outage{}, time.Unix(1000, 0)
 	noted.note(began, 0, Shortfall{})
-	require.Equal(t, began, noted.told)
+	require.Equal(t, began, noted.logged)
 	noted.note(began.Add(awayLogInterval-1), 0, Shortfall{})
-	require.Equal(t, began, noted.told, "the members say the same")
+	require.Equal(t, began, noted.logged, "the members say the same")
 	noted.note(began.Add(awayLogInterval), 0, Shortfall{})
-	require.Equal(t, began.Add(awayLogInterval), noted.told)
+	require.Equal(t, began.Add(awayLogInterval), noted.logged)
 }
--- a/internal/quorum/reach.go
+++ b/internal/quorum/reach.go
@@ -36,8 +36,8 @@
 
 	mutex sync.Mutex
 	down  map[string]*downMember
-	// heard is when each replica answered last.
-	heard map[string]time.Time
+	// answers are when each replica answered last.
+	answers map[string]time.Time
 }
 
 // downMember is a replica that does not answer.
@@ -53,7 +53,7 @@
 }
 
 func newReach(now func() time.Time, probe func(ctx context.Context, address string) error) *reach {
-	return &reach{now: now, probe: probe, down: make(map[string]*downMember), heard: make(map[string]time.Time)}
+	return &reach{now: now, probe: probe, down: make(map[string]*downMember), answers: make(map[string]time.Time)}
 }
 
 // failed notes a call without an answer. A refusal by the replica itself is an
@@ -104,7 +104,7 @@
 func (r *reach) answered(address string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.heard[address] = r.now()
+	r.answers[address] = r.now()
 	r.clear(address)
 }
 
@@ -112,8 +112,8 @@
 func (r *reach) anyAnsweredSince(moment time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, heard := range r.heard {
-		if heard.After(moment) {
+	for _, at := range r.answers {
+		if at.After(moment) {
 			return true
 		}
 	}
@@ -124,7 +124,7 @@
 func (r *reach) answeredSince(address string, moment time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.heard[address].After(moment)
+	return r.answers[address].After(moment)
 }
 
 // clear ends the time in which a replica does not answer. The mutex is held.
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// relayWait is how long a replica may wait for news before it answers. It is
+	// relayWait is how long a replica may wait for an update before it answers. It is
 	// short: a replica that the store does not answer keeps its callers back for
 	// this long.
 	relayWait = 700 * time.Millisecond
@@ -34,14 +34,14 @@
 	// relayAsked is how many replicas are asked at a time: each of them may be
 	// stale.
 	relayAsked = 2
-	// passedOver is how long a replica that did not answer, or whose word of the store
-	// is old, is not asked while there are others.
+	// passedOver is how long a replica that did not answer, or whose view of the store
+	// is stale, is not asked while there are others.
 	passedOver = 2 * time.Second
-	// oldWord is the age from which a replica's word of the store says nothing: two
+	// staleReport is the age from which a replica's view of the store is worth nothing: two
 	// questions in a row, of a replica that asks others itself, take no longer.
-	oldWord = 2 * relayWait
-	// gatewaysMemory is how long a number of gateways that was heard is believed where
-	// smaller ones follow: replicas that have just started have heard few.
+	staleReport = 2 * relayWait
+	// gatewaysMemory is how long a reported number of gateways holds where smaller ones
+	// follow: replicas that have just started know few.
 	gatewaysMemory = 10 * time.Second
 	// groupsFirst is how long after its start a process that knows no group asks for all but the
 	// workers: the few replicas that every process asks first would pass the whole list on to
@@ -60,36 +60,36 @@
 	// other is known.
 	Seeds []string
 	// Forwarder is the address at which this process makes calls for others; one that
-	// is empty makes none and hears of none.
+	// is empty makes none and learns of none.
 	Forwarder string
 	// Sources returns the replicas that are worth asking; nil takes the members of all
 	// groups.
 	Sources func() []directory.Replica
-	// Nodes takes what replicas tell of nodes; nil does not ask for that.
-	Nodes NodeNews
-	// Workers tells replicas what was seen of workers, and takes what all that tell
-	// them have seen together; nil does neither.
-	Workers WorkerNews
+	// Nodes takes what replicas report of nodes; nil does not ask for that.
+	Nodes NodeUpdates
+	// Workers reports to replicas what was observed of workers, and takes what all
+	// reports say together; nil does neither.
+	Workers WorkerReports
 }
 
-// WorkerNews is what a gateway sees of workers and hears of others' sight.
-type WorkerNews interface {
+// WorkerReports is what a gateway observes of workers, and takes of others' observations.
+type WorkerReports interface {
 	// TakeObservations returns what was seen since the last call.
 	TakeObservations() []balance.Observation
 	// Suspect takes the workers that were found slow or failing.
 	Suspect(workers []string)
 }
 
-// NodeNews keeps the nodes and retirements that replicas tell.
-type NodeNews interface {
+// NodeUpdates keeps the nodes and retirements that replicas report.
+type NodeUpdates interface {
 	// Revisions returns up to which revisions they are known.
 	Revisions() *replicav1.NodeRevisions
 	// Offer takes later lists; nil is none.
 	Offer(nodes *replicav1.NodeList, retirements *replicav1.RetirementList)
 }
 
-// Relay asks replicas for what the platform's store told them: one after
-// another, a few at a time, each of which answers as soon as there is news. Replicas of
+// Relay asks replicas for what they know of the platform's store: one after
+// another, a few at a time, each of which answers as soon as there is an update. Replicas of
 // the own zone come first, then those of its region.
 type Relay struct {
 	client  *Client
@@ -103,10 +103,10 @@
 	mutex sync.Mutex
 	// staleUntil are the replicas that are passed over, by address.
 	staleUntil map[string]time.Time
-	// heardAt is when a replica answered last, freshAt when a word of the store that is not
-	// old was heard last, and wordAt when the store gave the newest one.
-	heardAt, freshAt, wordAt time.Time
-	// gateways is how many are heard to ask the same replicas, at gatewaysAt.
+	// answeredAt is when a replica answered last, freshAt when one with a fresh view of
+	// the store did, and reportedAt when the store gave the newest update.
+	answeredAt, freshAt, reportedAt time.Time
+	// gateways is how many are reported to ask the same replicas, at gatewaysAt.
 	gateways   int
 	gatewaysAt time.Time
 }
@@ -124,28 +124,27 @@
 // SetSeeds replaces the addresses that are asked while no group is known.
 func (r *Relay) SetSeeds(seeds []string) { r.seeds.Store(&seeds) }
 
-// FreshWithin reports whether a replica whose word of the platform's store is not old
-// was heard within the given time.
+// FreshWithin reports whether a replica whose view of the platform's store is fresh
+// answered within the given time.
 func (r *Relay) FreshWithin(limit time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return !r.freshAt.IsZero() && r.now().Sub(r.freshAt) < limit
 }
 
-// HeardWithin reports whether any replica answered within the given time, whatever it knows
+// AnsweredWithin reports whether any replica answered within the given time, whatever it knows
 // of the platform's store.
-func (r *Relay) HeardWithin(limit time.Duration) bool {
+func (r *Relay) AnsweredWithin(limit time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return !r.heardAt.IsZero() && r.now().Sub(r.heardAt) < limit
+	return !r.answeredAt.IsZero() && r.now().Sub(r.answeredAt) < limit
 }
 
-// Age returns how old the newest word of the platform's store is, or false if none was
-// heard.
-func (r *Relay) Age() (age time.Duration, heard bool) {
+// Age returns how old the newest update of the platform's store is, or false if there was none.
+func (r *Relay) Age() (age time.Duration, known bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.now().Sub(r.wordAt), !r.wordAt.IsZero()
+	return r.now().Sub(r.reportedAt), !r.reportedAt.IsZero()
 }
 
 // Gateways returns how many gateways are known to ask the same replicas as this
@@ -297,14 +296,14 @@
 	}
 }
 
-// fresh reports whether a replica's word of the store is not old.
-func fresh(news *replicav1.DirectoryResponse) bool {
-	return news.Heard && time.Duration(news.AgeMs)*time.Millisecond < oldWord
+// fresh reports whether a replica's view of the store is fresh.
+func fresh(update *replicav1.DirectoryResponse) bool {
+	return update.Heard && time.Duration(update.AgeMs)*time.Millisecond < staleReport
 }
 
-// take takes what the replica at an address told.
-func (r *Relay) take(address string, news *replicav1.DirectoryResponse) {
-	if kept := news.Configuration; kept != nil {
+// take takes the update of the replica at an address.
+func (r *Relay) take(address string, update *replicav1.DirectoryResponse) {
+	if kept := update.Configuration; kept != nil {
 		configuration := &route.Configuration{}
 		if err := json.Unmarshal(kept.Document, configuration); err != nil {
 			eventNewsUnreadable.Log("version", kept.Version, "cause", err.Error())
@@ -313,21 +312,21 @@
 		}
 	}
 	// First the zones that are to get nothing: a worker that is new may be in one.
-	r.state.OfferDrainedZoneList(news.DrainedZones)
-	r.state.OfferWorkerList(news.Workers)
-	for _, group := range news.Groups {
+	r.state.OfferDrainedZoneList(update.DrainedZones)
+	r.state.OfferWorkerList(update.Workers)
+	for _, group := range update.Groups {
 		r.state.OfferGroup(group, address)
 	}
-	if len(news.Forwarders) > 0 {
-		r.client.forwarders.set(news.Forwarders)
+	if len(update.Forwarders) > 0 {
+		r.client.forwarders.set(update.Forwarders)
 	}
 	if r.options.Nodes != nil {
-		r.options.Nodes.Offer(news.Nodes, news.Retirements)
+		r.options.Nodes.Offer(update.Nodes, update.Retirements)
 	}
 	if r.options.Workers != nil {
-		r.options.Workers.Suspect(news.Suspects)
+		r.options.Workers.Suspect(update.Suspects)
 	}
-	r.note(news)
+	r.note(update)
 }
 
 func encodeObservations(seen []balance.Observation) []*replicav1.WorkerObservation {
@@ -341,20 +340,20 @@
 	return encoded
 }
 
-// note takes how old a replica's word of the store is, and how many gateways ask it.
-func (r *Relay) note(news *replicav1.DirectoryResponse) {
+// note takes how old a replica's view of the store is, and how many gateways ask it.
+func (r *Relay) note(update *replicav1.DirectoryResponse) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
-	r.heardAt = now
-	if fresh(news) {
+	r.answeredAt = now
+	if fresh(update) {
 		r.freshAt = now
 	}
-	word := now.Add(-time.Duration(news.AgeMs) * time.Millisecond)
-	if news.Heard && word.After(r.wordAt) {
-		r.wordAt = word
+	reported := now.Add(-time.Duration(update.AgeMs) * time.Millisecond)
+	if update.Heard && reported.After(r.reportedAt) {
+		r.reportedAt = reported
 	}
-	if gateways := int(news.Gateways); gateways >= r.gateways || now.Sub(r.gatewaysAt) > gatewaysMemory {
+	if gateways := int(update.Gateways); gateways >= r.gateways || now.Sub(r.gatewaysAt) > gatewaysMemory {
 		r.gateways, r.gatewaysAt = gateways, now
 	}
 }
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -55,7 +55,7 @@
 	_, heard := relay.Age()
 	require.False(t, heard)
 	require.False(t, relay.FreshWithin(time.Hour))
-	require.False(t, relay.HeardWithin(time.Hour))
+	require.False(t, relay.AnsweredWithin(time.Hour))
 
 	relay.note(&replicav1.DirectoryResponse{Heard: true, AgeMs: 500})
 	require.True(t, relay.FreshWithin(time.Second))
@@ -65,7 +65,7 @@
 	require.Equal(t, 1500*time.Millisecond, age, "the age goes on with the time")
 
 	relay.note(&replicav1.DirectoryResponse{Heard: true, AgeMs: uint32(age.Milliseconds())})
-	require.True(t, relay.HeardWithin(time.Millisecond), "the replica answered")
+	require.True(t, relay.AnsweredWithin(time.Millisecond), "the replica answered")
 	require.False(t, relay.FreshWithin(time.Second), "an old word does not become fresh by being told again")
 	relay.note(&replicav1.DirectoryResponse{})
 	require.False(t, relay.FreshWithin(time.Second))
--- a/internal/quorum/shortfall.go
+++ b/internal/quorum/shortfall.go
@@ -21,27 +21,27 @@
 	Members []MemberAnswer
 }
 
-// String tells each member's answer.
+// String returns each member's answer.
 func (s Shortfall) String() string {
-	told := make([]string, 0, len(s.Members))
+	answers := make([]string, 0, len(s.Members))
 	for _, member := range s.Members {
 		said := member.Doubt
 		if said == "" {
 			said = "counts"
 		}
-		told = append(told, member.Node+" "+said)
+		answers = append(answers, member.Node+" "+said)
 	}
-	return fmt.Sprintf("epoch %d: %s", s.Epoch, strings.Join(told, ", "))
+	return fmt.Sprintf("epoch %d: %s", s.Epoch, strings.Join(answers, ", "))
 }
 
 // shortfall explains the answers of a group's members, by seat; one without a standing is
 // silence.
 func shortfall(group *replicav1.Group, standings map[uint32]*replicav1.Standing) Shortfall {
-	told := Shortfall{Epoch: group.Epoch}
+	found := Shortfall{Epoch: group.Epoch}
 	for _, member := range group.Members {
-		told.Members = append(told.Members, MemberAnswer{Node: member.Node, Doubt: doubt(group, member, standings)})
+		found.Members = append(found.Members, MemberAnswer{Node: member.Node, Doubt: doubt(group, member, standings)})
 	}
-	return told
+	return found
 }
 
 // doubt returns why a member's answer does not count, or "".
--- a/internal/quorum/system.go
+++ b/internal/quorum/system.go
@@ -20,8 +20,8 @@
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			own := directory.SystemOf(groups.Groups())
-			if told := systemIn(request.Header().Get(systemHeader)); !directory.SameSystem(own, told) {
-				return nil, foreign(own, told)
+			if peer := systemIn(request.Header().Get(systemHeader)); !directory.SameSystem(own, peer) {
+				return nil, foreign(own, peer)
 			}
 			response, err := next(ctx, request)
 			if err == nil {
@@ -42,8 +42,8 @@
 			return nil, err
 		}
 		own := directory.SystemOf(c.groups.Groups())
-		if told := systemIn(response.Header().Get(systemHeader)); !directory.SameSystem(own, told) {
-			return nil, foreign(own, told)
+		if peer := systemIn(response.Header().Get(systemHeader)); !directory.SameSystem(own, peer) {
+			return nil, foreign(own, peer)
 		}
 		return response, nil
 	}
@@ -51,8 +51,8 @@
 
 // foreign returns the error of a call between two systems. Its code is that of a process which
 // cannot be reached, so that calls are not sent again and again.
-func foreign(own, told uint64) error {
-	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Other: told})
+func foreign(own, peer uint64) error {
+	return connect.NewError(connect.CodeUnavailable, &directory.ForeignSystem{Own: own, Other: peer})
 }
 
 // KeepsSystem reports whether an answer is of a process that keeps the name of its system. One of a
--- a/internal/quorum/zones.go
+++ b/internal/quorum/zones.go
@@ -29,8 +29,8 @@
 	return group != nil && here >= WriteSize(len(group.Members))
 }
 
-// HeardAt returns when a replica last answered any call; zero is never.
-func (c *Client) HeardAt(address string) time.Time { return c.reach.heardAt(address) }
+// LastAnswer returns when a replica last answered any call; zero is never.
+func (c *Client) LastAnswer(address string) time.Time { return c.reach.lastAnswer(address) }
 
 // Reaches reports whether a replica's machine answers one call: also one that refuses it
 // because its process does not run is reached.
@@ -43,9 +43,9 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// heardAt returns when a replica last answered any call.
-func (r *reach) heardAt(address string) time.Time {
+// lastAnswer returns when a replica last answered any call.
+func (r *reach) lastAnswer(address string) time.Time {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.heard[address]
+	return r.answers[address]
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -308,7 +308,7 @@
 		return err
 	}
 	handler := &service{
-		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, roster: newRoster(time.Now).among(r.regions()), age: r.wordAge, followers: r.followers,
+		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, roster: newRoster(time.Now).among(r.regions()), age: r.storeReportAge, followers: r.followers,
 		observations: newObservations(time.Now), grants: r.grants,
 	}
 	handling := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.CheckCallers(r.directory), identifyProcess(r.process)))
--- a/internal/replica/roster.go
+++ b/internal/replica/roster.go
@@ -13,32 +13,32 @@
 )
 
 const (
-	// rosterMemory is how long a gateway that no longer asks for news is passed on.
+	// rosterMemory is how long a gateway that no longer asks for updates is passed on.
 	rosterMemory = 6 * time.Second
-	// rosterShare is how many gateways each one is told of, whatever their number: one
+	// rosterShare is how many gateways each one learns of, whatever their number: one
 	// that works is enough, and four are rarely in trouble together.
 	rosterShare = 4
 )
 
-// roster knows which gateways ask for news, and tells each of a few others, through
+// roster knows which gateways ask for updates, and tells each of a few others, through
 // which it may call replicas that it does not reach.
 type roster struct {
 	now func() time.Time
 	// regions names the region of each zone; where it names one only, all gateways are alike.
 	regions map[string]string
 
-	mutex sync.Mutex
-	heard map[string]heardGateway
+	mutex    sync.Mutex
+	gateways map[string]listedGateway
 }
 
-// heardGateway is a gateway that asks for news.
-type heardGateway struct {
+// listedGateway is a gateway that asks for updates.
+type listedGateway struct {
 	at   time.Time
 	zone string
 }
 
 func newRoster(now func() time.Time) *roster {
-	return &roster{now: now, heard: make(map[string]heardGateway)}
+	return &roster{now: now, gateways: make(map[string]listedGateway)}
 }
 
 // among names the region of each zone. It is to be called before the roster is used.
@@ -54,18 +54,18 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.heard[forwarder] = heardGateway{at: r.now(), zone: zone}
+	r.gateways[forwarder] = listedGateway{at: r.now(), zone: zone}
 }
 
 // count returns how many gateways have asked lately.
 func (r *roster) count() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return len(r.heard)
+	return len(r.gateways)
 }
 
-// near returns the gateways that one is told of, in the order in which it should try them.
-// All replicas that hear the same gateways choose alike. Of several regions, one is of
+// near returns the gateways that one is to learn of, in the order in which it should try them.
+// All replicas that list the same gateways choose alike. Of several regions, one is of
 // another zone of its region, which rarely shares its trouble and is not far, one is of
 // another region, and the others are of its own region as far as there are any.
 func (r *roster) near(forwarder, zone string) []string {
@@ -77,7 +77,7 @@
 	var by [distance.OtherRegion + 1][]string
 	r.mutex.Lock()
 	for _, each := range others {
-		class := places.Class(r.heard[each].zone)
+		class := places.Class(r.gateways[each].zone)
 		by[class] = append(by[class], each)
 	}
 	r.mutex.Unlock()
@@ -87,8 +87,8 @@
 			first, by[class] = append(first, by[class][0]), by[class][1:]
 		}
 	}
-	told := slices.Concat(first, by[distance.OwnRegion], by[distance.OwnZone], by[distance.OtherRegion])
-	return told[:min(rosterShare, len(told))]
+	chosen := slices.Concat(first, by[distance.OwnRegion], by[distance.OwnZone], by[distance.OtherRegion])
+	return chosen[:min(rosterShare, len(chosen))]
 }
 
 // others returns the gateways that have asked lately but one, in an order that differs for
@@ -97,10 +97,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
-	ranks := make(map[string]uint64, len(r.heard))
-	for address, gateway := range r.heard {
+	ranks := make(map[string]uint64, len(r.gateways))
+	for address, gateway := range r.gateways {
 		if now.Sub(gateway.at) > rosterMemory {
-			delete(r.heard, address)
+			delete(r.gateways, address)
 			continue
 		}
 		if address != forwarder {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -26,9 +26,9 @@
 	directory *directory.State
 	peers     *failureDetector
 	roster    *roster
-	// age returns how old this replica's word of the platform's store is, or false
-	// if it has heard nothing of it.
-	age          func() (age time.Duration, heard bool)
+	// age returns how old this replica's view of the platform's store is, or false
+	// if it has none.
+	age          func() (age time.Duration, known bool)
 	followers    *followed
 	observations *observations
 	grants       *grants
@@ -134,7 +134,7 @@
 }
 
 // holdsSeat reports whether the sender of an announcement holds the seat that it names
-// in a group. A word that comes late may be of a seat that has moved on.
+// in a group. One that comes late may be of a seat that has moved on.
 func holdsSeat(group *replicav1.Group, message *replicav1.AnnounceRequest) bool {
 	member := speaksFor(group, message.Node)
 	return member != nil && member.Seat == message.Seat
@@ -197,7 +197,7 @@
 func (s *service) newerThan(known *replicav1.DirectoryRequest) (*replicav1.DirectoryResponse, error) {
 	view := s.directory.View()
 	response := &replicav1.DirectoryResponse{Gateways: uint32(s.roster.count())}
-	if age, heard := s.age(); heard {
+	if age, known := s.age(); known {
 		response.Heard, response.AgeMs = true, uint32(age.Milliseconds())
 	}
 	if view.Table != nil && view.Table.Version() > known.Version {
--- a/internal/replica/watchers.go
+++ b/internal/replica/watchers.go
@@ -16,9 +16,9 @@
 	// wantedWatchers is how many replicas follow the platform's store in all, at least:
 	// it may turn a third of the machines away, and each of the others asks two.
 	wantedWatchers = 4
-	// standInSpread is the time over which replicas that hear no watcher begin, each at
-	// a moment of its own, to follow the store themselves: the first of them is heard by
-	// the others before they do.
+	// standInSpread is the time over which replicas that no watcher answers begin, each at
+	// a moment of its own, to follow the store themselves: the first of them answers
+	// the others before they begin.
 	standInSpread = 1500 * time.Millisecond
 	// standInRetry is the longest time between failed calls of a replica that stands
 	// in for watchers: where they fail too, it is likely the store.
@@ -74,16 +74,15 @@
 	})
 }
 
-// wordAge returns how old this replica's word of the store is, or false if it has heard
-// nothing of it.
-func (r *Replica) wordAge() (age time.Duration, heard bool) {
+// storeReportAge returns how old this replica's view of the store is, or false if it has none.
+func (r *Replica) storeReportAge() (age time.Duration, known bool) {
 	if r.feed.Answering() {
 		return 0, true
 	}
 	return r.relay.Age()
 }
 
-// storeAnswers reports whether the store answers this replica, or one that it hears.
+// storeAnswers reports whether the store answers this replica, or one that answers it.
 func (r *Replica) storeAnswers() bool {
 	return r.feed.Answering() || r.relay.FreshWithin(directory.FreshNews)
 }
--- a/internal/zonehealth/sight.go
+++ b/internal/zonehealth/detector.go
@@ -28,8 +28,8 @@
 	enoughMisses = 2
 )
 
-// Sight is what one process sees of zones. It is safe for concurrent use.
-type Sight struct {
+// Detector is what one process sees of zones. It is safe for concurrent use.
+type Detector struct {
 	own string
 
 	mutex sync.Mutex
@@ -50,12 +50,12 @@
 	replica time.Time
 }
 
-// NewSight returns the sight of a process in a zone.
-func NewSight(own string) *Sight { return &Sight{own: own, zones: make(map[string]*zone)} }
+// NewDetector returns the detector of a process in a zone.
+func NewDetector(own string) *Detector { return &Detector{own: own, zones: make(map[string]*zone)} }
 
 // Keep forgets the zones that are not among those given, and begins to know the others, as
 // ones that have answered just now.
-func (s *Sight) Keep(now time.Time, names []string) {
+func (s *Detector) Keep(now time.Time, names []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name := range s.zones {
@@ -72,7 +72,7 @@
 
 // Answered notes that someone in a zone answered at a moment. It reports whether the zone
 // was taken to be out of reach.
-func (s *Sight) Answered(name string, at time.Time) (returned bool) {
+func (s *Detector) Answered(name string, at time.Time) (returned bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.zones[name]
@@ -91,7 +91,7 @@
 
 // Refuted notes that a probe of a zone whose replicas do not answer was answered by a worker,
 // and reports what Answered does. Probes that bring only this come less and less often.
-func (s *Sight) Refuted(name string, at time.Time) (returned bool) {
+func (s *Detector) Refuted(name string, at time.Time) (returned bool) {
 	returned = s.Answered(name, at)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -103,7 +103,7 @@
 
 // ReplicaAnswered notes that a replica of a zone answered at a moment, and reports what
 // Answered does.
-func (s *Sight) ReplicaAnswered(name string, at time.Time) (returned bool) {
+func (s *Detector) ReplicaAnswered(name string, at time.Time) (returned bool) {
 	s.mutex.Lock()
 	if known := s.zones[name]; known != nil && at.After(known.replica) {
 		known.replica, known.quiet = at, QuietFor
@@ -115,11 +115,11 @@
 // Unanswered notes a probe that nobody in a zone has answered, and when it began. It reports
 // whether the zone is taken to be out of reach from now on: that needs an answer from another
 // zone during the silence, for else it may be this process that nothing reaches.
-func (s *Sight) Unanswered(name string, began time.Time) (lost bool) {
+func (s *Detector) Unanswered(name string, began time.Time) (lost bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.zones[name]
-	if known == nil || known.answered.After(began) || !s.heardElsewhere(name, began.Add(-QuietFor)) {
+	if known == nil || known.answered.After(began) || !s.answeredElsewhere(name, began.Add(-QuietFor)) {
 		// Where no other zone was heard either, the probe says more of this process.
 		return false
 	}
@@ -127,15 +127,15 @@
 		known.silentSince = began
 	}
 	known.misses++
-	if known.unreached || known.misses < enoughMisses || !s.heardElsewhere(name, known.silentSince) {
+	if known.unreached || known.misses < enoughMisses || !s.answeredElsewhere(name, known.silentSince) {
 		return false
 	}
 	known.unreached = true
 	return true
 }
 
-// heardElsewhere reports whether another zone has answered since a moment. The mutex is held.
-func (s *Sight) heardElsewhere(name string, since time.Time) bool {
+// answeredElsewhere reports whether another zone has answered since a moment. The mutex is held.
+func (s *Detector) answeredElsewhere(name string, since time.Time) bool {
 	for other, known := range s.zones {
 		if other != name && known.answered.After(since) {
 			return true
@@ -145,7 +145,7 @@
 }
 
 // Due returns the zones that are to be probed.
-func (s *Sight) Due(now time.Time) (due []string) {
+func (s *Detector) Due(now time.Time) (due []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name, known := range s.zones {
@@ -158,7 +158,7 @@
 }
 
 // Unreached reports whether a zone is taken to be out of reach.
-func (s *Sight) Unreached(name string) bool {
+func (s *Detector) Unreached(name string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.zones[name]
@@ -166,7 +166,7 @@
 }
 
 // UnreachedZones returns how many zones are taken to be out of reach.
-func (s *Sight) UnreachedZones() (count int) {
+func (s *Detector) UnreachedZones() (count int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, known := range s.zones {
@@ -178,7 +178,7 @@
 }
 
 // Suspected reports whether a probe of a zone has found nobody since its last answer.
-func (s *Sight) Suspected(name string) bool {
+func (s *Detector) Suspected(name string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known := s.zones[name]
@@ -186,7 +186,7 @@
 }
 
 // CutOff reports whether no other zone is reached while the own one is, and since when.
-func (s *Sight) CutOff() (since time.Time, cutOff bool) {
+func (s *Detector) CutOff() (since time.Time, cutOff bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if own := s.zones[s.own]; own == nil || own.unreached || len(s.zones) < 2 {
