Replicas: groups of another system keep no replica without records from its own one

While the store is silent, each offered group that could not be proven held the next one back for the 300 ms of a question to the store. Members of another system that announce to an address which has changed hands do so about seven times a second, so that the queue stays full and the own members' groups wait for seconds, or are dropped. The store is asked beside the proof now, once in 300 ms at most.

TestGroupsThatCannotBeProvenKeepNoOwnOneWaiting has a store that blocks: red with the former discovery (never known), green since.

--- a/internal/replica/discovery.go
+++ b/internal/replica/discovery.go
@@ -83,12 +83,15 @@
 
 // proveGroups takes the groups of peers that can be shown to be of this replica's system.
 func (r *Replica) proveGroups(ctx context.Context) {
+	var asked time.Time
 	for {
 		select {
 		case group := <-r.unproven:
-			if !r.directory.KnowsSystem() {
-				r.prove(ctx, group)
+			if r.directory.KnowsSystem() || r.prove(ctx, group) || time.Since(asked) < unprovenPause {
+				continue
 			}
+			asked = time.Now()
+			go r.askOnce(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -98,17 +101,20 @@
 // prove takes a group that names this node at an address that leads to this process: another
 // system's member of the same name has an address of its own. Without a seat there, this node can
 // get one through the store alone, which then names the group as well.
-func (r *Replica) prove(ctx context.Context, group *replicav1.Group) {
-	if member := seatOf(group, r.options.Node); member != nil && r.reachesItself(ctx, member.Address) {
-		eventProven.Log("partition", group.Partition, "epoch", group.Epoch, "system", group.System, "address", member.Address)
-		r.directory.OfferGroup(group, directory.SourceProven)
-		return
+func (r *Replica) prove(ctx context.Context, group *replicav1.Group) bool {
+	member := seatOf(group, r.options.Node)
+	if member == nil || !r.reachesItself(ctx, member.Address) {
+		return false
 	}
-	if err := directory.DiscoverSystem(ctx, r.objects, r.directory, unprovenPause); err != nil {
-		// The store is asked again with the next group that is offered; askForSystem logs its silence.
-		return
-	}
-	pause.For(ctx, unprovenPause)
+	eventProven.Log("partition", group.Partition, "epoch", group.Epoch, "system", group.System, "address", member.Address)
+	r.directory.OfferGroup(group, directory.SourceProven)
+	return true
+}
+
+// askOnce asks the store for this replica's system: it may have been formed since the store
+// answered that it was not. askForSystem logs a silent store.
+func (r *Replica) askOnce(ctx context.Context) {
+	_ = directory.DiscoverSystem(ctx, r.objects, r.directory, unprovenPause)
 }
 
 // reachesItself reports whether a call to an address arrives at this process.
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -71,41 +71,71 @@
 	}
 }
 
+// serveProcess serves the calls of a replica process that holds nothing, and returns its address.
+func serveProcess(t *testing.T, process string) string {
+	opened, err := openState(recordlogtest.NewDisk())
+	require.NoError(t, err)
+	t.Cleanup(opened.log.Close)
+	answering := &service{node: "a", state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now)}
+	mux := http.NewServeMux()
+	mux.Handle(replicav1connect.NewReplicaServiceHandler(answering, connect.WithInterceptors(identifyProcess(process))))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// undiscovered is node a, in a process of that name, without records.
+func undiscovered(process string, store directory.Objects) *Replica {
+	state := directory.NewState(time.Now, nil)
+	r := &Replica{options: Options{Node: "a"}, process: process, directory: state, objects: store, unproven: make(chan *replicav1.Group, maxUnproven)}
+	state.HoldUnproven(r.holdUnproven)
+	r.quorum = quorum.NewClient(state, "z", http.DefaultClient)
+	return r
+}
+
+// groupAt returns a group that names node a at an address.
+func groupAt(address string) *replicav1.Group {
+	group := oneGroup(nodes("a", "b", "c"))
+	group.Members[0].Address = address
+	return group
+}
+
 // A group is this replica's own where the address that it gives for the node leads to this process, directly or not.
 func TestAGroupIsProvenByAnAddressThatLeadsToThisProcess(t *testing.T) {
-	serve := func(process string) string {
-		opened, err := openState(recordlogtest.NewDisk())
-		require.NoError(t, err)
-		t.Cleanup(opened.log.Close)
-		answering := &service{node: "a", state: opened, directory: directory.NewState(time.Now, nil), peers: newFailureDetector(time.Now)}
-		mux := http.NewServeMux()
-		mux.Handle(replicav1connect.NewReplicaServiceHandler(answering, connect.WithInterceptors(identifyProcess(process))))
-		server := httptest.NewServer(mux)
-		t.Cleanup(server.Close)
-		return server.Listener.Addr().String()
-	}
 	const process = "own"
-	own, ofSameName := serve(process), serve("another")
+	own, ofSameName := serveProcess(t, process), serveProcess(t, "another")
 	behindProxy, err := transporttest.NewProxy(own)
 	require.NoError(t, err)
 	t.Cleanup(behindProxy.Close)
 	for address, proven := range map[string]bool{own: true, behindProxy.Address(): true, ofSameName: false, "127.0.0.1:1": false} {
-		state := directory.NewState(time.Now, nil)
-		r := &Replica{options: Options{Node: "a"}, process: process, directory: state, objects: silentObjects{}}
-		state.HoldUnproven(r.holdUnproven)
-		r.quorum = quorum.NewClient(state, "z", http.DefaultClient)
-		group := oneGroup(nodes("a", "b", "c"))
-		group.Members[0].Address = address
-		r.prove(t.Context(), group)
-		require.Equal(t, proven, state.KnowsSystem(), address)
+		r := undiscovered(process, nil)
+		require.Equal(t, proven, r.prove(t.Context(), groupAt(address)), address)
+		require.Equal(t, proven, r.directory.KnowsSystem(), address)
 	}
 }
 
-// silentObjects is a platform's store that does not answer.
-type silentObjects struct{ directory.Objects }
+// blockedStore answers nobody before a test ends.
+type blockedStore struct {
+	directory.Objects
+	ended <-chan struct{}
+}
+
+func (s blockedStore) Get(context.Context, directory.Kind, string) (directory.Object, bool, error) {
+	<-s.ended
+	return directory.Object{}, false, context.Canceled
+}
 
-func (silentObjects) Get(context.Context, directory.Kind, string) (directory.Object, bool, error) {
-	return directory.Object{}, false, context.DeadlineExceeded
+// Groups of another system that came first would have kept a replica without its disk from its own one while the store is silent.
+func TestGroupsThatCannotBeProvenKeepNoOwnOneWaiting(t *testing.T) {
+	const process = "own"
+	r := undiscovered(process, blockedStore{ended: t.Context().Done()})
+	foreign := groupAt(serveProcess(t, "another"))
+	for range 3 {
+		r.directory.OfferGroup(foreign, "b")
+	}
+	r.directory.OfferGroup(groupAt(serveProcess(t, process)), "b")
+	go r.proveGroups(t.Context())
+	require.Eventually(t, r.directory.KnowsSystem, time.Minute, time.Millisecond)
 }
 
 func TestASystemOfAFormerReleaseIsNamedOnceEachMemberKeepsNames(t *testing.T) {
