Quorum: a turn waits for the writes of slow disks beside a usual outage

What callers saw: 503 state_unavailable after 700 ms of 4 s, and majority_away for the next ones, while all replicas run and their disks take 400 ms for a sync.

Cause: a turn waited for as long as an outage usually lasts, and not for the write after it. A write takes up to two syncs.

Change: how long calls that write take is learned and added to the wait, and to what is left of it while an outage is noted. It is the time of the calls, which go on to their end, not of the rounds, which may have been given up. The bound of one call, 900 ms, stays.

--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -219,6 +219,9 @@
 	took := r.client.now().Sub(began)
 	r.client.ways.Observe(r.client.now(), member.Zone, took)
 	r.client.latency.Observe(max(0, took-r.client.wayTo(member)))
+	if len(r.request.Records) > 0 {
+		r.client.outages.writes.Observe(took)
+	}
 	r.client.reach.answered(member.Address)
 	r.client.learn(r.group, member, response.Msg.Standing)
 	return response.Msg
--- a/internal/quorum/outage.go
+++ b/internal/quorum/outage.go
@@ -49,8 +49,8 @@
 	now func() time.Time
 	// look returns nil once a majority of a partition answers.
 	look func(ctx context.Context, partition uint32) error
-	// usual is how long outages took that have ended.
-	usual estimate.Latency
+	// usual is how long outages took that have ended, writes how long a replica takes to write.
+	usual, writes estimate.Latency
 
 	mutex sync.Mutex
 	away  map[uint32]*outage
@@ -124,20 +124,21 @@
 	go o.awaitReturn(partition, noted)
 }
 
-// outlook returns what is expected of a partition's majority.
+// outlook returns what is expected of a partition's majority. A request waits for as long as an
+// outage usually lasts, and for the write after it: replicas whose disks are slow are not away.
 func (o *outages) outlook(partition uint32) Outlook {
-	usual := o.usual.Typical()
+	usual, write := o.usual.Typical(), o.writes.Typical()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	known := o.away[partition]
 	if known == nil {
-		return Outlook{Wait: usual, ComeBack: usual}
+		return Outlook{Wait: usual + write, ComeBack: usual}
 	}
 	now := o.now()
 	known.asked = now
 	away := now.Sub(known.since)
-	if left := usual - away; left > 0 {
-		return Outlook{Wait: left, ComeBack: left, Away: away, Why: known.why}
+	if left := usual - away; left+write > 0 {
+		return Outlook{Wait: left + write, ComeBack: max(left, write), Away: away, Why: known.why}
 	}
 	// Past what is usual, nothing better is known than that it may last as long again.
 	return Outlook{ComeBack: min(maxComeBack, away), Away: away, Why: known.why}
--- a/internal/quorum/outage_test.go
+++ b/internal/quorum/outage_test.go
@@ -64,6 +64,24 @@
 	require.InDelta(t, 1500, outages.outlook(0).Wait.Milliseconds(), 150)
 }
 
+// Turns were refused as if their majority were away while its disks were slow.
+func TestARequestWaitsForTheWritesOfSlowDisks(t *testing.T) {
+	clock, outages := newTestOutages()
+	const write = 800 * time.Millisecond
+	for range 40 {
+		outages.writes.Observe(write)
+	}
+	require.InDelta(t, (firstReturn + write).Milliseconds(), outages.outlook(0).Wait.Milliseconds(), 20)
+	began := outages.now()
+	clock.advance(firstReturn)
+	outages.unanswered(0, began, Shortfall{})
+	outlook := outages.outlook(0)
+	require.InDelta(t, write.Milliseconds(), outlook.Wait.Milliseconds(), 20, "a write may still be under way")
+	require.Equal(t, outlook.Wait, outlook.ComeBack)
+	clock.advance(write + 20*time.Millisecond)
+	require.Zero(t, outages.outlook(0).Wait)
+}
+
 func TestARoundBesideOneThatWasAnsweredIsNoOutage(t *testing.T) {
 	clock, outages := newTestOutages()
 	began := outages.now()
