Loans: a draw outlasts two syncs of its holder where no majority answers

What callers saw (lent budgets on): 503 majority_away after 932 ms of 4 s, while the holder of the program's loan syncs for 400 ms.

Cause: a draw had the time of a call to one member of a majority, 900 ms. It waits for the sync in progress and for its own, and there is no other member that could answer instead.

Evidence: TestATurnGoesOnWithADrawThatComesLate/400ms was red once beside load, where two syncs and a busy machine take longer than 900 ms.

Change: calls of loans have twice the time of a call to a member; a turn waits for its late draw for what it has left itself. The holder is probed after the former time, so that one that is gone is known to be as soon as before.

--- a/internal/gateway/loans.go
+++ b/internal/gateway/loans.go
@@ -98,7 +98,7 @@
 	t.late = nil
 	asked := t.reservation
 	t.reservation = late.reservation
-	drawn, answered := t.awaitDraw(r.incoming.Context(), late.drawing, quorum.LoneDrawWait)
+	drawn, answered := t.awaitDraw(r.incoming.Context(), late.drawing, min(quorum.LoneDrawWait, r.timeToWait()))
 	if drawn {
 		r.gateway.quorum.AppendLater(withdrawn)
 		return true
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -107,14 +107,16 @@
 	if outlook.Wait <= 0 {
 		return outlook, &MajorityAway{For: outlook.Away, Why: outlook.Why, ComeBack: outlook.ComeBack}
 	}
-	// A worker must still be able to answer after the wait.
-	outlook.Wait = min(outlook.Wait, time.Until(r.deadline)-r.fastest().Value())
+	outlook.Wait = min(outlook.Wait, r.timeToWait())
 	if outlook.Wait <= 0 {
 		return outlook, r.checkTime()
 	}
 	return outlook, nil
 }
 
+// timeToWait is how long the request may wait so that a worker can still answer after it.
+func (r *request) timeToWait() time.Duration { return time.Until(r.deadline) - r.fastest().Value() }
+
 // outlook returns what is expected of the majorities that keep the program's budget and
 // the request's turn: the worse of the two.
 func (r *request) outlook() quorum.Outlook {
--- a/internal/quorum/loans.go
+++ b/internal/quorum/loans.go
@@ -22,11 +22,11 @@
 	// takes a few.
 	DrawWait = 30 * time.Millisecond
 	// LoneDrawWait is the same where no majority answers: the holder is all that there is,
-	// and the turn would be refused. It is as long as a majority has.
+	// and the turn would be refused.
 	LoneDrawWait = loanTimeout
-	// loanTimeout bounds one call of a loan: its holder syncs a disk before it answers, as a
-	// member of a majority does.
-	loanTimeout = callTimeout
+	// loanTimeout bounds one call of a loan: its holder waits for the sync in progress, and for
+	// its own, before it answers, and no other member answers instead.
+	loanTimeout = 2 * callTimeout
 	// settleDrawsFor is how long a draw's settlement is tried to be told to the holder. One
 	// that is not told costs its program budget.
 	settleDrawsFor = 3 * time.Second
@@ -294,6 +294,9 @@
 			Address: holder.member.Address, Call: &replicav1.ForwardRequest_Loan{Loan: request},
 		}).GetLoan()
 	}
+	// Probes tell a slow holder from one that is gone.
+	slow := time.AfterFunc(callTimeout, func() { c.reach.silent(holder.member.Address) })
+	defer slow.Stop()
 	return askDirectly(ctx, c, holder.group, holder.member, loanTimeout, connect.NewRequest(request), c.At(holder.member.Address).Loan)
 }
 
