Directory: groups of peers are offered, those from the own store, disk and process are taken

Which of the two a group was hung on the text of its source; a peer whose name is "store" or "disk" would have been trusted. No other behaviour changes.

--- a/internal/directory/discovery.go
+++ b/internal/directory/discovery.go
@@ -23,7 +23,7 @@
 	for wait := firstDiscoveryPause; len(state.Groups()) == 0; wait *= 2 {
 		found, exists, err := objects.Get(ctx, KindGroup, GroupName(0))
 		if err == nil && exists {
-			state.OfferGroup(found.Group, SourceStore)
+			state.TakeGroup(found.Group, SourceStore)
 		}
 		if err == nil {
 			return nil
--- a/internal/directory/feed.go
+++ b/internal/directory/feed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -74,7 +73,7 @@
 	eventZoneDrains    = event.Define(2606, event.Info, "drained zones changed", "")
 )
 
-// Sources of a group that are no process.
+// Sources of a group that is known to be of the own system.
 const (
 	// SourceStore is the platform's store.
 	SourceStore = "store"
@@ -86,11 +85,6 @@
 	SourceProven = "proven peer"
 )
 
-// fromPeer reports whether the source of a group is another process, whose system may be another one.
-func fromPeer(source string) bool {
-	return !slices.Contains([]string{SourceStore, SourceDisk, SourceSelf, SourceProven}, source)
-}
-
 // Feed follows kinds of objects in the platform's store into a State.
 type Feed struct {
 	objects Objects
@@ -215,10 +209,10 @@
 
 func (f *Feed) takeGroup(listing Listing, changes []Change, _ int64) {
 	for _, object := range listing.Objects {
-		f.state.OfferGroup(object.Group, SourceStore)
+		f.state.TakeGroup(object.Group, SourceStore)
 	}
 	for _, change := range changes {
-		f.state.OfferGroup(change.Object.Group, SourceStore)
+		f.state.TakeGroup(change.Object.Group, SourceStore)
 	}
 }
 
--- a/internal/directory/foreign_test.go
+++ b/internal/directory/foreign_test.go
@@ -14,7 +14,7 @@
 	own := &replicav1.Group{Epoch: 3, Partitions: 2, System: 7}
 	state.OfferGroup(own, "a")
 	state.OfferGroup(&replicav1.Group{Epoch: 9, Partitions: 2, System: 8}, "b")
-	state.OfferGroup(&replicav1.Group{Epoch: 9, Partition: 1, Partitions: 2, System: 8}, SourceStore)
+	state.TakeGroup(&replicav1.Group{Epoch: 9, Partition: 1, Partitions: 2, System: 8}, SourceStore)
 	require.Equal(t, []*replicav1.Group{own, nil}, state.Groups())
 	state.OfferGroup(&replicav1.Group{Epoch: 4, Partitions: 2}, "without a system")
 	require.Equal(t, []*replicav1.Group{own, nil}, state.Groups())
@@ -24,6 +24,6 @@
 	state := NewState(time.Now, nil)
 	state.OfferGroup(&replicav1.Group{Epoch: 3}, "a")
 	named := &replicav1.Group{Epoch: 4, System: 7}
-	state.OfferGroup(named, SourceStore)
+	state.TakeGroup(named, SourceStore)
 	require.Equal(t, named, state.Group(0))
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -113,9 +113,8 @@
 	return state
 }
 
-// HoldUnproven makes the state take the first group from the store, the own disk or this process
-// only: a peer may be of another system. What peers offer before that is passed to unproven, which
-// must not block. It is called before the state is shared.
+// HoldUnproven has groups that peers offer while none is known passed to unproven, which must not
+// block: a peer may be of another system. It is called before the state is shared.
 func (s *State) HoldUnproven(unproven func(*replicav1.Group)) { s.unproven = unproven }
 
 // KnowsSystem reports whether groups that peers offer are taken.
@@ -181,14 +180,20 @@
 // name, a group without one is of another system.
 func TakesGroup(own uint64, group *replicav1.Group) bool { return own == 0 || own == group.GetSystem() }
 
-// OfferGroup takes a partition's group if its epoch is higher than the one known. One of another
-// system is refused, whoever tells it: addresses change hands. source is who told it, for the log.
+// OfferGroup is TakeGroup for a group that another process, the source, offers: it may be of
+// another system.
 func (s *State) OfferGroup(group *replicav1.Group, source string) {
-	if group == nil {
+	if group != nil && !s.KnowsSystem() {
+		s.unproven(group)
 		return
 	}
-	if fromPeer(source) && !s.KnowsSystem() {
-		s.unproven(group)
+	s.TakeGroup(group, source)
+}
+
+// TakeGroup takes a partition's group if its epoch is higher than the one known. One of another
+// system is refused, whoever reports it: addresses change hands. source is for the log.
+func (s *State) TakeGroup(group *replicav1.Group, source string) {
+	if group == nil {
 		return
 	}
 	s.mutex.Lock()
--- a/internal/replica/confined.go
+++ b/internal/replica/confined.go
@@ -105,10 +105,10 @@
 	switch {
 	case err == nil:
 		eventProposed.Log("partition", group.Partition, "epoch", group.Epoch, "members", len(group.Members))
-		r.directory.OfferGroup(group, directory.SourceSelf)
+		r.directory.TakeGroup(group, directory.SourceSelf)
 	case errors.As(err, &taken):
 		if found, exists, err := r.objects.Get(ctx, directory.KindGroup, name); err == nil && exists {
-			r.directory.OfferGroup(found.Group, directory.SourceStore)
+			r.directory.TakeGroup(found.Group, directory.SourceStore)
 		}
 	}
 	// Any other failure is that of the store, which its feed tells; it is tried again.
--- a/internal/replica/confined_test.go
+++ b/internal/replica/confined_test.go
@@ -156,14 +156,14 @@
 	require.Len(t, objects.groups, 2)
 	for _, one := range all {
 		for _, group := range objects.groups {
-			one.directory.OfferGroup(group, directory.SourceStore)
+			one.directory.TakeGroup(group, directory.SourceStore)
 		}
 		one.directory.OfferConfiguration(&route.Configuration{Version: 1})
 		one.formConfined(t.Context())
 		require.False(t, missing(one.directory.Groups()), "a retirement waits for none of them")
 	}
 	require.Len(t, objects.groups, 2)
-	unaware.directory.OfferGroup(objects.groups[directory.GroupName(0)], directory.SourceStore)
+	unaware.directory.TakeGroup(objects.groups[directory.GroupName(0)], directory.SourceStore)
 	unaware.directory.OfferConfiguration(confining(2))
 	unaware.formConfined(t.Context())
 	require.Len(t, objects.groups, 2, "one whose settings name no regions forms none")
@@ -206,7 +206,7 @@
 	own := confined.Members[0].Node
 	home := former(t, &groupObjects{groups: make(map[string]*replicav1.Group)}, own, nodes)
 	home.options.Zone, home.options.Regions = confined.Members[0].Zone, regionOf
-	home.directory.OfferGroup(confined, directory.SourceStore)
+	home.directory.TakeGroup(confined, directory.SourceStore)
 	require.Zero(t, home.straySeats())
 	home.options.Zone = "z1"
 	require.Equal(t, 1, home.straySeats())
--- a/internal/replica/copy_test.go
+++ b/internal/replica/copy_test.go
@@ -79,7 +79,7 @@
 	copying, err := New(Options{Node: fmt.Sprintf("n%d", seats-1), Folder: t.TempDir()}, nil)
 	require.NoError(t, err)
 	t.Cleanup(func() { copying.state.log.Close() })
-	copying.directory.OfferGroup(group, directory.SourceStore)
+	copying.directory.TakeGroup(group, directory.SourceStore)
 	return copying, group, sources
 }
 
--- a/internal/replica/discovery.go
+++ b/internal/replica/discovery.go
@@ -16,7 +16,7 @@
 	// its system before it logs that it does not.
 	discoveryTimeout = time.Second
 	// lastDiscoveryPause is the longest pause between two rounds of questions to the store. Its
-	// watch tells the group too once it answers.
+	// watch brings the group too once it answers.
 	lastDiscoveryPause = 30 * time.Second
 	// maxUnproven bounds the groups that wait for a proof. Members offer theirs again.
 	maxUnproven = 16
@@ -40,12 +40,12 @@
 		r.askForSystem(asking)
 	}()
 	for {
-		news := r.directory.News()
+		changed := r.directory.News()
 		if r.directory.KnowsSystem() {
 			return
 		}
 		select {
-		case <-news:
+		case <-changed:
 		case <-answered:
 			return
 		case <-ctx.Done():
@@ -107,7 +107,7 @@
 		return false
 	}
 	eventProven.Log("partition", group.Partition, "epoch", group.Epoch, "system", group.System, "address", member.Address)
-	r.directory.OfferGroup(group, directory.SourceProven)
+	r.directory.TakeGroup(group, directory.SourceProven)
 	return true
 }
 
--- a/internal/replica/foreign_test.go
+++ b/internal/replica/foreign_test.go
@@ -62,7 +62,7 @@
 	for _, proven := range []bool{false, true} {
 		if proven {
 			require.Equal(t, []*replicav1.Group{message.Group}, held)
-			hearing.directory.OfferGroup(held[0], directory.SourceProven)
+			hearing.directory.TakeGroup(held[0], directory.SourceProven)
 		}
 		_, err = hearing.Announce(t.Context(), connect.NewRequest(message))
 		require.NoError(t, err)
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -104,7 +104,7 @@
 		var taken *directory.Conflict
 		switch {
 		case err == nil:
-			r.directory.OfferGroup(group, directory.SourceSelf)
+			r.directory.TakeGroup(group, directory.SourceSelf)
 		case group.Partition == 0 || !errors.As(err, &taken):
 			// Another node's first group, and with it the number of partitions, comes
 			// in with the watch.
@@ -130,7 +130,7 @@
 func (r *Replica) firstGroupMissing(ctx context.Context) bool {
 	found, exists, err := r.objects.Get(ctx, directory.KindGroup, directory.GroupName(0))
 	if exists {
-		r.directory.OfferGroup(found.Group, directory.SourceStore)
+		r.directory.TakeGroup(found.Group, directory.SourceStore)
 	}
 	return err == nil && !exists
 }
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -214,7 +214,7 @@
 		return
 	}
 	if found.Group.Epoch != group.Epoch {
-		r.directory.OfferGroup(found.Group, directory.SourceStore)
+		r.directory.TakeGroup(found.Group, directory.SourceStore)
 		return
 	}
 	found.Group = next
@@ -222,7 +222,7 @@
 		return
 	}
 	eventProposed.Log("partition", next.Partition, "epoch", next.Epoch, "members", len(next.Members), "removed", next.Removed.GetNode(), "system", next.System)
-	r.directory.OfferGroup(next, directory.SourceSelf)
+	r.directory.TakeGroup(next, directory.SourceSelf)
 	if next.Removed != nil {
 		// What follows waits until every member shows the epoch.
 		r.announceGroup(ctx, next)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -199,7 +199,7 @@
 // the platform tells newer ones.
 func (r *Replica) offerKept() {
 	for _, group := range r.state.currentGroups() {
-		r.directory.OfferGroup(group, directory.SourceDisk)
+		r.directory.TakeGroup(group, directory.SourceDisk)
 	}
 	r.directory.OfferDrainedZoneList(r.state.drainedZones)
 	r.directory.OfferWorkerList(r.state.workers.list())
