Gateway: a stream that was given up as silent is not begun, and one whose event lies unread is not silent

Cause: the watchdog's decision and its effect were two moments. Once it had decided, the reader went on until the cancellation had reached its connection, and forwarded the event that came meanwhile as the begin of a response that was already given up. And it decided by its clock alone, where the event might lie unread in a process that ran late. Change: one compare-and-swap decides between 'received' and 'overdue', so that nothing of an attempt that was given up is forwarded: its client gets a final response before any byte. The watchdog looks at the connection first and does not give up while something of the worker waits to be read.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -186,6 +186,7 @@
 	zoneContext, release := r.zoneContext(ctx, chosen)
 	attemptContext, watchdog := r.startFirstEventWatchdog(zoneContext)
 	outgoing := r.workerRequest(chosen, lastEventID)
+	outgoing.Probe = watchdog.connectionProbe()
 	outgoing.BeforeSend = r.checkBeforeSend(chosen, permit)
 	response, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.workerConnectionLimit(), outgoing, r.gateway.options.HeaderCodec.ReadResponse)
 	if err != nil || response.NotRun {
--- a/internal/gateway/firsteventwatchdog.go
+++ b/internal/gateway/firsteventwatchdog.go
@@ -11,21 +11,41 @@
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
-// minFirstEventTargets is the minimum time that a stream may wait for its first event, as a
-// multiple of the route's target latency.
-const minFirstEventTargets = 3
+const (
+	// minFirstEventTargets is the minimum time that a stream may wait for its first event, as a
+	// multiple of the route's target latency.
+	minFirstEventTargets = 3
+	// unreadRecheckInterval is how long this process gets to read what has arrived before the
+	// watchdog looks again.
+	unreadRecheckInterval = 20 * time.Millisecond
+)
+
+// firstEventState is the state of a wait for a first event. It changes once, from
+// firstEventPending; whoever changes it decides.
+type firstEventState int32
+
+const (
+	firstEventPending firstEventState = iota
+	// firstEventReceived means that the event may be forwarded.
+	firstEventReceived
+	// firstEventOverdue means that the attempt was given up: nothing of it may be forwarded.
+	firstEventOverdue
+	// firstEventStopped means that the attempt ended otherwise.
+	firstEventStopped
+)
 
 // firstEventWatchdog cancels an attempt that gets no first event for longer than is usual for
 // its service. The client then gets a final response and may retry, instead of waiting for a
-// silent worker. A nil watchdog does nothing.
+// silent worker. A worker whose bytes wait to be read is not silent: this process is late. A nil
+// watchdog does nothing.
 type firstEventWatchdog struct {
 	request   *request
 	startedAt time.Time
 	limit     time.Duration
 	timer     *time.Timer
 	cancel    context.CancelFunc
-	done      atomic.Bool
-	expired   atomic.Bool
+	probe     *worker.ConnectionProbe
+	state     atomic.Int32
 }
 
 // startFirstEventWatchdog starts the watchdog of one attempt. The returned context is canceled
@@ -35,7 +55,7 @@
 		return ctx, nil
 	}
 	watchdog := &firstEventWatchdog{
-		request: r, startedAt: time.Now(),
+		request: r, startedAt: time.Now(), probe: &worker.ConnectionProbe{},
 		limit: r.gateway.firstEventLatencies.Estimate(r.service.Name).UpperBound(minFirstEventTargets * r.route.TargetLatency),
 	}
 	ctx, watchdog.cancel = context.WithCancel(ctx)
@@ -43,21 +63,54 @@
 	return ctx, watchdog
 }
 
+// connectionProbe returns the probe for the request to the worker.
+func (w *firstEventWatchdog) connectionProbe() *worker.ConnectionProbe {
+	if w == nil {
+		return nil
+	}
+	return w.probe
+}
+
+// expire gives the attempt up once nothing of the worker waits to be read.
 func (w *firstEventWatchdog) expire() {
-	if w.done.CompareAndSwap(false, true) {
-		w.expired.Store(true)
+	for w.isPending() && w.probe.HasUnread() {
+		time.Sleep(unreadRecheckInterval)
+	}
+	if w.decide(firstEventOverdue) {
 		w.request.gateway.firstEventLatencies.Estimate(w.request.service.Name).Observe(w.limit)
 		w.cancel()
 	}
 }
 
-// eventReceived records the first event and disarms the watchdog.
-func (w *firstEventWatchdog) eventReceived() {
-	if w == nil || !w.done.CompareAndSwap(false, true) {
-		return
+// eventReceived records the first event and disarms the watchdog. It fails with a *SilentWorker if
+// the attempt was given up before: its connection is being closed, so that a response that began
+// with this event would break off.
+func (w *firstEventWatchdog) eventReceived() error {
+	if w == nil {
+		return nil
 	}
-	w.timer.Stop()
-	w.request.gateway.firstEventLatencies.Estimate(w.request.service.Name).Observe(time.Since(w.startedAt))
+	if w.decide(firstEventReceived) {
+		w.timer.Stop()
+		w.request.gateway.firstEventLatencies.Estimate(w.request.service.Name).Observe(time.Since(w.startedAt))
+	}
+	if w.isOverdue() {
+		return &SilentWorker{Waited: w.limit}
+	}
+	return nil
+}
+
+// decide changes the state if no other decision was made, and reports whether it did.
+func (w *firstEventWatchdog) decide(state firstEventState) bool {
+	return w.state.CompareAndSwap(int32(firstEventPending), int32(state))
+}
+
+func (w *firstEventWatchdog) isPending() bool {
+	return firstEventState(w.state.Load()) == firstEventPending
+}
+
+// isOverdue reports whether the watchdog gave the attempt up.
+func (w *firstEventWatchdog) isOverdue() bool {
+	return w != nil && firstEventState(w.state.Load()) == firstEventOverdue
 }
 
 // stop releases the resources of the watchdog.
@@ -65,13 +118,14 @@
 	if w == nil {
 		return
 	}
+	w.decide(firstEventStopped)
 	w.timer.Stop()
 	w.cancel()
 }
 
 // explainFailure returns err, or a SilentWorker error if the watchdog canceled the attempt.
 func (w *firstEventWatchdog) explainFailure(err error) error {
-	if w == nil || !w.expired.Load() {
+	if !w.isOverdue() {
 		return err
 	}
 	return replaceCause(err, &SilentWorker{Waited: w.limit})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -157,13 +157,12 @@
 			s.recordEventGap(attempt, time.Since(start), s.eventCount-eventsBefore-1)
 			return s.finish(attempt)
 		}
+		if err == nil {
+			err = attempt.watchdog.eventReceived()
+		}
 		if err != nil {
-			err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
-			r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
-			r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
-			return asResponseLost(err)
+			return s.attemptLost(ctx, attempt, err)
 		}
-		attempt.watchdog.eventReceived()
 		if err := s.forwardEvent(attempt, event); err != nil {
 			r.gateway.attemptDone(r, attempt.worker, balance.Canceled)
 			return &worker.ResponseLost{Cause: err}
@@ -178,6 +177,15 @@
 	}
 }
 
+// attemptLost ends an attempt whose stream broke off or that was given up, and returns its error.
+func (s *stream) attemptLost(ctx context.Context, attempt *attempt, err error) error {
+	r := s.request
+	err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
+	r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
+	r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
+	return asResponseLost(err)
+}
+
 // recordEventGap reports to the balancer how fast a worker sends events, as a ratio of the route's
 // target gap.
 func (s *stream) recordEventGap(attempt *attempt, elapsed time.Duration, eventCount int64) {
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/balance"
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/distance"
+	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
+)
+
+// streamHead is the header of a worker's stream.
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// heldWorker is a worker that accepts one request and responds as the test says.
+type heldWorker struct {
+	t          *testing.T
+	address    string
+	connection chan net.Conn
+}
+
+// newHeldWorker starts a worker that has read the head of its request once its connection can be
+// received.
+func newHeldWorker(t *testing.T) *heldWorker {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	held := &heldWorker{t: t, address: listener.Addr().String(), connection: make(chan net.Conn, 1)}
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			held.connection <- connection
+		}
+	}()
+	return held
+}
+
+// newStreamRequest returns a request for a stream, before a gateway that knows one worker, and
+// what its client gets.
+func newStreamRequest(t *testing.T, address string) (*request, directory.Worker, *httptest.ResponseRecorder) {
+	g := &Gateway{
+		options: Options{HeaderCodec: noopHeaderCodec{}}, balancer: balance.New(time.Now, ""), subsetSizes: balance.NewSubsetSizes(time.Now), firstEventLatencies: balance.NewServiceLatencies(),
+		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
+		slotQueues: newSlotQueues(), fastestResponses: newFastestResponses(),
+		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
+	}
+	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	listed := directory.Worker{ID: "i-1", Instance: "i-1", Service: "s", Address: address}
+	g.directory.ReplaceWorkers([]directory.Worker{listed}, 1)
+	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/p", nil)
+	require.NoError(t, err)
+	recorder := httptest.NewRecorder()
+	return &request{
+		gateway: g, incoming: incoming, writer: recorder, route: &route.Route{Kind: route.Streaming, TargetLatency: time.Minute}, service: route.Service{Name: "s"},
+		receivedAt: time.Now(), deadline: time.Now().Add(time.Minute),
+		tried: make(map[string]bool), mayHaveRun: make(map[string]bool), terminated: make(map[string]bool),
+	}, listed, recorder
+}
+
+// begunStream returns an attempt whose worker has sent the head of its stream and nothing else, the
+// worker's connection, and what the client gets.
+func begunStream(t *testing.T) (*request, *attempt, net.Conn, *httptest.ResponseRecorder) {
+	held := newHeldWorker(t)
+	r, listed, client := newStreamRequest(t, held.address)
+	go func() {
+		connection := <-held.connection
+		_, _ = io.WriteString(connection, streamHead)
+		held.connection <- connection
+	}()
+	begun, err := r.sendTo(t.Context(), listed, "")
+	require.NoError(t, err)
+	connection := <-held.connection
+	t.Cleanup(func() { connection.Close() })
+	return r, begun, connection, client
+}
+
+const lateEvent = "id: 1\ndata: late\n\n"
+
+// A stream that was given up as silent was begun with the event that came before its connection was closed, and then torn.
+func TestAStreamThatWasGivenUpAsSilentIsNotBegun(t *testing.T) {
+	r, attempt, connection, client := begunStream(t)
+	closeConnection := attempt.watchdog.cancel
+	defer closeConnection()
+	attempt.watchdog.cancel = func() {}
+	attempt.watchdog.expire()
+	_, err := io.WriteString(connection, lateEvent)
+	require.NoError(t, err)
+	require.NoError(t, connection.Close())
+
+	err = (&stream{request: r}).forwardEvents(t.Context(), attempt)
+	var silent *SilentWorker
+	require.ErrorAs(t, err, &silent)
+	require.Empty(t, client.Body.String())
+	require.False(t, client.Flushed, "no header was sent")
+}
+
+// A worker whose first event lay unread in a process that ran late was given up as silent.
+func TestAWorkerWhoseEventLiesUnreadIsNotSilent(t *testing.T) {
+	r, attempt, connection, client := begunStream(t)
+	_, err := io.WriteString(connection, lateEvent)
+	require.NoError(t, err)
+	require.NoError(t, connection.Close())
+	require.Eventually(t, attempt.watchdog.probe.HasUnread, time.Minute, time.Millisecond)
+	decided := make(chan struct{})
+	go func() {
+		attempt.watchdog.expire()
+		close(decided)
+	}()
+	time.Sleep(2 * unreadRecheckInterval)
+
+	require.NoError(t, (&stream{request: r}).forwardEvents(t.Context(), attempt))
+	<-decided
+	require.Equal(t, lateEvent, client.Body.String())
+}
--- a/internal/gateway/zonemonitor_test.go
+++ b/internal/gateway/zonemonitor_test.go
@@ -186,7 +186,7 @@
 	var notSent *worker.NotSent
 	require.ErrorAs(t, r.explainFailure(zoneContext, chosen, &worker.NotSent{Cause: context.Canceled}), &notSent)
 	watchdog := &firstEventWatchdog{}
-	watchdog.expired.Store(true)
+	require.True(t, watchdog.decide(firstEventOverdue))
 	require.ErrorAs(t, watchdog.explainFailure(&worker.NotSent{Cause: context.Canceled}), &notSent)
 	var lost *worker.ResponseLost
 	require.ErrorAs(t, watchdog.explainFailure(context.Canceled), &lost)
--- a/internal/worker/connected_test.go
+++ b/internal/worker/connected_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +40,33 @@
 	require.Len(t, durations, 1)
 	require.Positive(t, durations[0])
 }
+
+// A response that waits in the kernel is visible to the probe while nobody reads, and gone from it once read.
+func TestConnectionProbeSeesWhatWasNotRead(t *testing.T) {
+	const rest = "rest"
+	head := strings.TrimSuffix(encodeResponse("r", rest, ""), rest)
+	goOn, done := make(chan struct{}), make(chan struct{})
+	defer close(done)
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := readRequest(reader); err != nil {
+			return
+		}
+		io.WriteString(connection, head)
+		<-goOn
+		io.WriteString(connection, rest)
+		<-done
+	})
+	probe := &ConnectionProbe{}
+	require.False(t, probe.HasUnread())
+	request := &Request{ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), Probe: probe}
+	response, err := newPool().Send(context.Background(), address, 0, request, readMetadata)
+	require.NoError(t, err)
+	require.False(t, probe.HasUnread())
+	close(goOn)
+	require.Eventually(t, probe.HasUnread, time.Minute, time.Millisecond)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, rest, string(body))
+	require.False(t, probe.HasUnread())
+	response.Close()
+}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -49,6 +50,27 @@
 	// BeforeSend, if not nil, is called right before the request is written, after a connection has
 	// been opened, which may take long. If it fails, nothing is sent.
 	BeforeSend func(ctx context.Context) error
+	// Probe, if not nil, looks at the connection of the request from then on.
+	Probe *ConnectionProbe
+}
+
+// ConnectionProbe looks at the connection that a request was sent on. It is safe for concurrent use.
+type ConnectionProbe struct {
+	connection atomic.Pointer[connection]
+}
+
+// HasUnread reports whether something of the worker has arrived that this process has not read yet.
+// It is false before the request has a connection and after the connection was closed.
+func (p *ConnectionProbe) HasUnread() bool {
+	connection := p.connection.Load()
+	return connection != nil && connection.hasUnread()
+}
+
+// attach sets the connection that the probe looks at. A nil probe does nothing.
+func (p *ConnectionProbe) attach(connection *connection) {
+	if p != nil {
+		p.connection.Store(connection)
+	}
 }
 
 // ResponseMetadata is the part of a response header that this project interprets.
@@ -101,6 +123,7 @@
 			return nil, &NotSent{Cause: err}
 		}
 	}
+	request.Probe.attach(connection)
 	stopCancel := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
 	if request.SilenceTimeout > 0 && connection.reused {
 		startedAt := time.Now()
