Gateway: the time that a worker may take to begin does not end a response that is being forwarded

What callers saw: a client that paused, or read slowly, got a part of a safe request's long answer and the end of its connection: 770 KB, a route with a target of 50 ms, two workers, a pause of 1 s. Cause: an attempt that may be made again at another worker was canceled twice its target after its begin. That bound was meant for the begin of the response, and stood as a deadline in the context of the whole attempt, body included. A response of up to 128 KB is read completely before it is forwarded and was only made again; of a longer one the rest was cut off. Change: the bound is a timer that is disarmed right before a long response begins for the client; if it has fired by then, nothing is forwarded and the request goes to another worker.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,9 @@
 	// watchdog cancels the attempt if the worker sends no first event; nil if the attempt has no
 	// such limit.
 	watchdog *firstEventWatchdog
+	// limit cancels the attempt until its response is forwarded; nil if the attempt has no such
+	// limit.
+	limit *attemptTimer
 	// zoneContext is the context of the attempt. It is also canceled when the worker's zone is
 	// lost; release frees its resources.
 	zoneContext context.Context
@@ -45,6 +48,16 @@
 	a.release()
 }
 
+// checkNotGivenUp fails if the attempt was given up: its connection is closed or about to be, so that
+// a response that began now would break off. It is checked right before a response begins that is not
+// read completely. Afterwards the attempt is not given up for being slow.
+func (a *attempt) checkNotGivenUp() error {
+	if err := a.watchdog.eventReceived(); err != nil {
+		return err
+	}
+	return a.limit.disarm()
+}
+
 // send tries workers until one accepts the request and begins to respond. It skips workers that
 // did not run the request. If an attempt fails after the worker may have run the request, send
 // returns its error, a *worker.ResponseLost.
@@ -117,7 +130,7 @@
 	if len(r.mayHaveRun) == 0 {
 		return r.noWorkerError(defaultRetryAfter)
 	}
-	return &worker.ResponseLost{Cause: ctx.Err()}
+	return &worker.ResponseLost{Cause: context.Cause(ctx)}
 }
 
 // noWorkerError returns the reason why no worker could take the request: there was none, or all
@@ -287,7 +300,7 @@
 	r.addLogEntry(eventAttemptLost, "worker", chosen.ID, "cause", err.Error())
 	r.gateway.attemptDone(r, chosen, resultOfFailure(ctx, err))
 	if ctx.Err() != nil {
-		return &worker.ResponseLost{Cause: ctx.Err()}
+		return &worker.ResponseLost{Cause: context.Cause(ctx)}
 	}
 	return err
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,15 +37,16 @@
 // tryPlain sends the request and forwards its response. It cancels an attempt whose worker does
 // not respond in time if the request may be retried at another worker.
 func (r *request) tryPlain(ctx context.Context) error {
+	var limit *attemptTimer
 	if r.attemptsLeft() > 1 && r.gateway.hasRetryBudget() && r.hasSecondWorker() {
-		attemptContext, cancel := context.WithTimeout(ctx, r.responseStartTimeout()+retryTimeoutMargin)
-		defer cancel()
-		ctx = attemptContext
+		ctx, limit = startAttemptTimer(ctx, r.responseStartTimeout()+retryTimeoutMargin)
+		defer limit.release()
 	}
 	attempt, err := r.send(ctx, "")
 	if err != nil {
 		return err
 	}
+	attempt.limit = limit
 	return r.forwardResponse(attempt)
 }
 
@@ -89,13 +90,17 @@
 func (r *request) forwardResponse(attempt *attempt) error {
 	defer attempt.close()
 	body, err := r.readResponse(attempt)
+	isLong := len(body) == maxBufferedResponseBytes
+	if err == nil && isLong {
+		err = attempt.checkNotGivenUp()
+	}
 	if err != nil {
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error())
 		return asResponseLost(err)
 	}
-	if len(body) == maxBufferedResponseBytes {
+	if isLong {
 		r.forwardLongResponse(attempt, body)
 		return nil
 	}
--- /dev/null
+++ b/internal/gateway/plain_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
+)
+
+// longResponse returns an attempt at a response that is too long to be read completely before it is
+// forwarded, its request, and how many bytes its client has got.
+func longResponse(t *testing.T) (*request, *attempt, func() int) {
+	held := newHeldWorker(t)
+	r, listed, client := newStreamRequest(t, held.address)
+	r.route = &route.Route{Kind: route.Safe, MaxAttempts: 3}
+	go func() {
+		connection := <-held.connection
+		defer connection.Close()
+		const length = 2 * maxBufferedResponseBytes
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length)
+		_, _ = io.WriteString(connection, strings.Repeat("x", length))
+	}()
+	begun, err := r.sendTo(t.Context(), listed, "")
+	require.NoError(t, err)
+	return r, begun, client.Body.Len
+}
+
+// A long response was begun although its attempt was being canceled, and torn.
+func TestALongResponseIsNotBegunOnceItsAttemptIsCanceled(t *testing.T) {
+	r, attempt, received := longResponse(t)
+	canceled, limit := startAttemptTimer(t.Context(), 0)
+	defer limit.release()
+	attempt.limit = limit
+	<-canceled.Done()
+
+	err := r.forwardResponse(attempt)
+	var lost *worker.ResponseLost
+	require.ErrorAs(t, err, &lost)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Zero(t, received())
+}
