Gateway: a response that cannot come whole is not begun after its request's deadline

What callers would see: at the deadline of a request, 200, the first event or the first 128 KB, and the end of the connection, in the place of a 504 that is final. Cause: the end of a request's context and the end of its worker's connection are two moments; what came between them was forwarded as the begin of a response that could not go on. Change: right before a response begins that has not been read completely, the attempt's context is looked at once more. It includes the loss of the worker's zone. A short response that has been read completely is delivered, also late.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,7 +55,10 @@
 	if err := a.watchdog.eventReceived(); err != nil {
 		return err
 	}
-	return a.limit.disarm()
+	if err := a.limit.disarm(); err != nil {
+		return err
+	}
+	return context.Cause(a.zoneContext)
 }
 
 // send tries workers until one accepts the request and begins to respond. It skips workers that
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -45,3 +46,13 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.Zero(t, received())
 }
+
+// A long response was begun after the request's deadline, and torn.
+func TestALongResponseIsNotBegunAfterItsDeadline(t *testing.T) {
+	r, attempt, received := longResponse(t)
+	attempt.zoneContext = passedDeadline(t)
+
+	err := r.forwardResponse(attempt)
+	require.Equal(t, http.StatusGatewayTimeout, statusOf(err))
+	require.Zero(t, received())
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -158,7 +158,7 @@
 			return s.finish(attempt)
 		}
 		if err == nil {
-			err = attempt.watchdog.eventReceived()
+			err = s.checkForwardable(attempt)
 		}
 		if err != nil {
 			return s.attemptLost(ctx, attempt, err)
@@ -177,6 +177,15 @@
 	}
 }
 
+// checkForwardable fails if the next event of an attempt may not be forwarded because the attempt was
+// given up.
+func (s *stream) checkForwardable(attempt *attempt) error {
+	if s.headersSent {
+		return attempt.watchdog.eventReceived()
+	}
+	return attempt.checkNotGivenUp()
+}
+
 // attemptLost ends an attempt whose stream broke off or that was given up, and returns its error.
 func (s *stream) attemptLost(ctx context.Context, attempt *attempt, err error) error {
 	r := s.request
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -71,6 +72,13 @@
 	}, listed, recorder
 }
 
+// passedDeadline returns a context whose deadline has passed.
+func passedDeadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithDeadline(t.Context(), time.Unix(1, 0))
+	t.Cleanup(cancel)
+	return ctx
+}
+
 // begunStream returns an attempt whose worker has sent the head of its stream and nothing else, the
 // worker's connection, and what the client gets.
 func begunStream(t *testing.T) (*request, *attempt, net.Conn, *httptest.ResponseRecorder) {
@@ -126,3 +134,18 @@
 	<-decided
 	require.Equal(t, lateEvent, client.Body.String())
 }
+
+// A stream was begun with an event that came after the request's deadline, and torn at once.
+func TestAStreamIsNotBegunAfterItsDeadline(t *testing.T) {
+	r, attempt, connection, client := begunStream(t)
+	_, err := io.WriteString(connection, lateEvent)
+	require.NoError(t, err)
+	require.NoError(t, connection.Close())
+	attempt.zoneContext = passedDeadline(t)
+
+	err = (&stream{request: r}).forwardEvents(attempt.zoneContext, attempt)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, http.StatusGatewayTimeout, statusOf(err))
+	require.Empty(t, client.Body.String())
+	require.False(t, client.Flushed, "no header was sent")
+}
