--- a/internal/gateway/coldpermit_test.go
+++ b/internal/gateway/coldpermit_test.go
@@ -17,13 +17,10 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/coldstart"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
-	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/route"
-	"github.com/barleyshelf/barleyshelf/internal/telemetry"
-	"github.com/barleyshelf/barleyshelf/internal/transport"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
@@ -83,13 +80,8 @@
 // ColdRemaining have been known for long and are warm.
 func coldGateway(granter quotaGranter, workers ...directory.Worker) *Gateway {
 	now := time.Now().Add(-time.Hour)
-	g := &Gateway{
-		options: Options{HeaderCodec: rejectingHeaderCodec{}}, balancer: balance.New(time.Now, ""), subsetSizes: balance.NewSubsetSizes(time.Now), firstEventLatencies: balance.NewServiceLatencies(),
-		metrics: newMetrics(telemetry.NewRegistry()), slotQueues: newSlotQueues(), fastestResponses: newFastestResponses(), granter: granter,
-		pool:        worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
-		coldWorkers: newColdWorkers(func() bool { return false }),
-	}
-	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	g := gatewayWithOptions(Options{HeaderCodec: rejectingHeaderCodec{}})
+	g.granter = granter
 	g.coldWorkers.tracker = coldstart.NewTracker(func() time.Time { return now }, nil)
 	g.directory = directory.NewState(func() time.Time { return now }, func(view *directory.View, _ directory.WorkerUpdate) { g.coldWorkers.tracker.Update(view) })
 	g.directory.ApplyConfiguration(&route.Configuration{Version: 3, Services: map[string]route.Service{
--- a/internal/gateway/eligibility_test.go
+++ b/internal/gateway/eligibility_test.go
@@ -15,25 +15,16 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
-	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/eligibility"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
-	"github.com/barleyshelf/barleyshelf/internal/telemetry"
-	"github.com/barleyshelf/barleyshelf/internal/transport"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // gatewayWithUnreachableWorkers returns a gateway that watches zone drains and knows one
 // unreachable worker in each zone, with the zone's name as its id.
 func gatewayWithUnreachableWorkers(zones ...string) *Gateway {
-	g := &Gateway{
-		options: Options{HeaderCodec: noopHeaderCodec{}, WatchZoneDrains: true}, balancer: balance.New(time.Now, zones[0]), subsetSizes: balance.NewSubsetSizes(time.Now), firstEventLatencies: balance.NewServiceLatencies(),
-		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
-		slotQueues: newSlotQueues(), fastestResponses: newFastestResponses(),
-		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
-	}
-	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	g := gatewayWithOptions(Options{Zone: zones[0], WatchZoneDrains: true})
 	var listed []directory.Worker
 	for _, zone := range zones {
 		listed = append(listed, directory.Worker{ID: zone, Instance: zone, Service: "s", Zone: zone, Address: "127.0.0.1:1"})
@@ -44,13 +35,7 @@
 
 // newUnsafeRequest returns a request that may run only once.
 func newUnsafeRequest(t *testing.T, g *Gateway) *request {
-	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/p", nil)
-	require.NoError(t, err)
-	return &request{
-		gateway: g, incoming: incoming, route: &route.Route{Kind: route.Unsafe}, service: route.Service{Name: "s"},
-		receivedAt: time.Now(), deadline: time.Now().Add(time.Minute),
-		tried: make(map[string]bool), mayHaveRun: make(map[string]bool), terminated: make(map[string]bool),
-	}
+	return requestOnRoute(t, g, &route.Route{Kind: route.Unsafe})
 }
 
 func TestRequestIsRefusedWhileDrainsAreUnknown(t *testing.T) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -12,13 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
-	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/route"
-	"github.com/barleyshelf/barleyshelf/internal/telemetry"
-	"github.com/barleyshelf/barleyshelf/internal/transport"
-	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // streamHead is the header of a worker's stream.
@@ -53,23 +48,13 @@
 // newStreamRequest returns a request for a stream, before a gateway that knows one worker, and
 // what its client gets.
 func newStreamRequest(t *testing.T, address string) (*request, directory.Worker, *httptest.ResponseRecorder) {
-	g := &Gateway{
-		options: Options{HeaderCodec: noopHeaderCodec{}}, balancer: balance.New(time.Now, ""), subsetSizes: balance.NewSubsetSizes(time.Now), firstEventLatencies: balance.NewServiceLatencies(),
-		directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
-		slotQueues: newSlotQueues(), fastestResponses: newFastestResponses(),
-		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
-	}
-	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	g := gatewayWithOptions(Options{})
 	listed := directory.Worker{ID: "i-1", Instance: "i-1", Service: "s", Address: address}
 	g.directory.ReplaceWorkers([]directory.Worker{listed}, 1)
-	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/p", nil)
-	require.NoError(t, err)
-	recorder := httptest.NewRecorder()
-	return &request{
-		gateway: g, incoming: incoming, writer: recorder, route: &route.Route{Kind: route.Streaming, TargetLatency: time.Minute}, service: route.Service{Name: "s"},
-		receivedAt: time.Now(), deadline: time.Now().Add(time.Minute),
-		tried: make(map[string]bool), mayHaveRun: make(map[string]bool), terminated: make(map[string]bool),
-	}, listed, recorder
+	r := requestOnRoute(t, g, &route.Route{Kind: route.Streaming, TargetLatency: time.Minute})
+	client := httptest.NewRecorder()
+	r.writer = client
+	return r, listed, client
 }
 
 // passedDeadline returns a context whose deadline has passed.
--- a/internal/gateway/subset_test.go
+++ b/internal/gateway/subset_test.go
@@ -3,26 +3,17 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
-	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/route"
-	"github.com/barleyshelf/barleyshelf/internal/telemetry"
-	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // gatewayWithWorkers returns a gateway with the given number of workers of one service in six
 // zones.
 func gatewayWithWorkers(workers int) *Gateway {
-	g := &Gateway{
-		balancer: balance.New(time.Now, "zone-0"), subsetSizes: balance.NewSubsetSizes(time.Now), metrics: newMetrics(telemetry.NewRegistry()),
-		pool: worker.NewPool(nil), firstEventLatencies: balance.NewServiceLatencies(), coldWorkers: newColdWorkers(func() bool { return false }), directory: directory.NewState(time.Now, nil),
-	}
-	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	g := gatewayWithOptions(Options{Zone: "zone-0"})
 	var listed []directory.Worker
 	for i := range workers {
 		id := fmt.Sprintf("worker-%05d", i)
--- a/internal/gateway/zonemonitor_test.go
+++ b/internal/gateway/zonemonitor_test.go
@@ -21,7 +21,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
-	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
@@ -66,15 +65,11 @@
 // gatewayWithZones returns a gateway in zone "a" that knows a replica and a worker in each
 // zone, at the given addresses, and monitors the zones.
 func gatewayWithZones(t *testing.T, zones map[string]string) *Gateway {
-	state := directory.NewState(time.Now, nil)
-	dialer := transport.NewDialer(transport.Options{DialTimeout: workerDialTimeout, UserTimeout: time.Second})
-	g := &Gateway{
-		options: Options{HeaderCodec: noopHeaderCodec{}, Zone: "a"}, directory: state, balancer: balance.New(time.Now, "a"), subsetSizes: balance.NewSubsetSizes(time.Now),
-		firstEventLatencies: balance.NewServiceLatencies(), metrics: newMetrics(telemetry.NewRegistry()), slotQueues: newSlotQueues(),
-		fastestResponses: newFastestResponses(), spentTokens: newSpentTokens(time.Now), pool: worker.NewPool(dialer), replicaHealth: &replicaHealth{},
-		quorum: quorum.NewClient(state, "a", transport.NewPeerClient(transport.Options{DialTimeout: 100 * time.Millisecond, UserTimeout: time.Second}, 4)),
-	}
-	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
+	g := gatewayWithOptions(Options{Zone: "a"})
+	g.pool = worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: workerDialTimeout, UserTimeout: time.Second}))
+	g.spentTokens, g.replicaHealth = newSpentTokens(time.Now), &replicaHealth{}
+	state := g.directory
+	g.quorum = quorum.NewClient(state, "a", transport.NewPeerClient(transport.Options{DialTimeout: 100 * time.Millisecond, UserTimeout: time.Second}, 4))
 	group := &replicav1.Group{Epoch: 1}
 	var workers []directory.Worker
 	for zone, address := range zones {
