Gateway: a client that reads is not disconnected as stalled by a process that stood still

A goroutine that is late between the setting of the deadline and the write, or whose timer is looked at before its socket, is told that its peer has stalled. Change: connections of the clients' listener look at their socket when a write's time is over. If the client has accepted all that was written before, the write gets its time again; if older bytes lie there, it fails as before. A deadline that has passed when it is set (an eviction) is final. The look at unread bytes of worker connections moves to the same place.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -281,7 +281,7 @@
 	if err := g.serveForwarder(workContext); err != nil {
 		return err
 	}
-	ingress, err := transport.ListenBounded(workContext, g.options.IngressAddress, clientUserTimeout, clientSendBufferBytes)
+	ingress, err := transport.ListenForSlowPeers(workContext, g.options.IngressAddress, clientUserTimeout, clientSendBufferBytes)
 	if err != nil {
 		return &failure.Internal{Cause: err}
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -51,12 +51,22 @@
 
 // Listen opens a listener whose accepted connections notice a silent peer.
 func Listen(ctx context.Context, address string, userTimeout time.Duration) (net.Listener, error) {
-	return ListenBounded(ctx, address, userTimeout, 0)
+	return listen(ctx, address, userTimeout, 0)
 }
 
-// ListenBounded is Listen for peers that may read slowly: the system holds about twice
-// sendBuffer bytes for a connection; 0 leaves that to the system, which may hold megabytes.
-func ListenBounded(ctx context.Context, address string, userTimeout time.Duration, sendBuffer int) (net.Listener, error) {
+// ListenForSlowPeers is Listen for peers that may read slowly: the system holds about twice
+// sendBuffer bytes for a connection. Write deadlines bound how long a peer may leave data unread; a
+// write that this process makes too late gets its time again.
+func ListenForSlowPeers(ctx context.Context, address string, userTimeout time.Duration, sendBuffer int) (net.Listener, error) {
+	listener, err := listen(ctx, address, userTimeout, sendBuffer)
+	if err != nil {
+		return nil, err
+	}
+	return &slowPeerListener{Listener: listener}, nil
+}
+
+// listen opens a listener. A sendBuffer of 0 leaves its size to the system, which may hold megabytes.
+func listen(ctx context.Context, address string, userTimeout time.Duration, sendBuffer int) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -63,7 +63,7 @@
 // It is false before the request has a connection and after the connection was closed.
 func (p *ConnectionProbe) HasUnread() bool {
 	connection := p.connection.Load()
-	return connection != nil && connection.hasUnread()
+	return connection != nil && transport.HasUnread(connection.Conn)
 }
 
 // attach sets the connection that the probe looks at. A nil probe does nothing.
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -15,8 +15,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
@@ -273,30 +271,4 @@
 }
 
 // isIdle reports whether the worker has neither closed the connection nor sent data on it.
-func (c *connection) isIdle() bool {
-	idle := false
-	err := c.peek(func(peekErr error) { idle = peekErr == syscall.EAGAIN })
-	return err == nil && idle
-}
-
-// hasUnread reports whether the kernel holds data, the end or an error of the connection that was
-// not read. It may be called during a read by another goroutine.
-func (c *connection) hasUnread() bool {
-	unread := false
-	err := c.peek(func(peekErr error) { unread = peekErr != syscall.EAGAIN })
-	return err == nil && unread
-}
-
-// peek passes the result of looking for a byte in the kernel's receive buffer to report. It fails
-// if the connection was closed. Unlike a read it does not depend on the deadline.
-func (c *connection) peek(report func(peekErr error)) error {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		_, _, peekErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		report(peekErr)
-	})
-}
+func (c *connection) isIdle() bool { return transport.IsQuiet(c.Conn) }
