Gateway: a connection with an unread request is not closed as idle

What callers would see: the end of a kept connection without an answer, right after their gateway had been frozen. Change: a connection with unread data is not overdue.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/event"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -103,7 +104,8 @@
 	}
 }
 
-// takeOverdue removes and returns the connections that exceed the idle or the header timeout.
+// takeOverdue removes and returns the connections that exceed the idle or the header timeout. One
+// with unread data is not overdue: this process has not got to reading it.
 func (c *connectionTracker) takeOverdue(limits route.Limits) (idle, slow []net.Conn) {
 	idleLimit, headerLimit := limits.IdleTimeout, limits.HeaderTimeout
 	if idleLimit <= 0 {
@@ -117,13 +119,15 @@
 	now := c.now()
 	for connection, state := range c.states {
 		age := now.Sub(state.since)
-		switch {
-		case state.phase == phaseIdle && age > idleLimit:
+		isIdle := state.phase == phaseIdle && age > idleLimit
+		isSlow := state.phase == phaseReading && age > headerLimit
+		if !isIdle && !isSlow || transport.HasUnread(connection) {
+			continue
+		}
+		if isIdle {
 			idle = append(idle, connection)
-		case state.phase == phaseReading && age > headerLimit:
+		} else {
 			slow = append(slow, connection)
-		default:
-			continue
 		}
 		delete(c.states, connection)
 		c.closing[connection] = true
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // TestOverdueConnectionsAreClosed advances a clock over an idle, a reading and a busy
@@ -49,6 +50,35 @@
 	require.Empty(t, tracker.states)
 }
 
+// A request that lay unread while this process was stopped was lost with its connection, closed as idle.
+func TestAConnectionWithAnUnreadRequestIsNotOverdue(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	connection, err := listener.Accept()
+	require.NoError(t, err)
+	defer connection.Close()
+	now := time.Unix(100, 0)
+	tracker := newConnectionTracker(func() time.Time { return now })
+	tracker.stateChanged(connection, http.StateNew)
+	now = now.Add(time.Minute)
+	_, err = client.Write([]byte("G"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return transport.HasUnread(connection) }, time.Minute, time.Millisecond)
+
+	limits := route.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	idle, slow := tracker.takeOverdue(limits)
+	require.Empty(t, idle)
+	require.Empty(t, slow)
+	_, err = connection.Read(make([]byte, 1))
+	require.NoError(t, err)
+	idle, _ = tracker.takeOverdue(limits)
+	require.Equal(t, []net.Conn{connection}, idle)
+}
+
 func TestHeaderSizeMatchesWire(t *testing.T) {
 	request, err := http.NewRequest(http.MethodGet, "http://h/", nil)
 	require.NoError(t, err)
