Gateway: an answer is read ahead once a write to its client has waited 25 ms

Cause: what a worker may bear an answer unread for runs while the gateway waits to see whether its client is slow. 250 ms of it were spent before the first read, and a machine that stood still in them lost the answer. Change: slowWriteDelay is 25 ms. A client that takes its bytes at once costs nothing more; one on a long link costs a copy of what it leaves waiting.

--- a/internal/gateway/clientwriter.go
+++ b/internal/gateway/clientwriter.go
@@ -22,7 +22,7 @@
 	writeChunkBytes = 16 << 10
 	// slowWriteDelay is how long a write may take before the worker's response is read ahead.
 	// Workers abort a response that is not read for a few seconds.
-	slowWriteDelay = 250 * time.Millisecond
+	slowWriteDelay = 25 * time.Millisecond
 	// maxReadAheadBytes is how much of one response is buffered for a slow client, and
 	// minReadAheadBytes how much once more than half of the memory for all responses is taken.
 	// A response of up to maxReadAheadBytes is read from its worker completely, whatever the
