--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -21,7 +21,6 @@
 
 // heldWorker is a worker that accepts one request and responds as the test says.
 type heldWorker struct {
-	t          *testing.T
 	address    string
 	connection chan net.Conn
 }
@@ -32,7 +31,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	held := &heldWorker{t: t, address: listener.Addr().String(), connection: make(chan net.Conn, 1)}
+	held := &heldWorker{address: listener.Addr().String(), connection: make(chan net.Conn, 1)}
 	go func() {
 		connection, err := listener.Accept()
 		if err != nil {
