Gateway: a stream that was reset is not taken for a whole one after the watchdog has looked at it

What callers would see: 200 and a whole, empty stream in the place of a final 502, where a worker resets its connection after the head of a response that is ended by the connection alone. Cause: the watchdog looked at the connection by a peek. A peek takes a pending error (ECONNRESET) away as a read does, and the next read then reports the end, which ends such a response properly. Change: the look is a poll, which takes nothing.

--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // streamHead is the header of a worker's stream.
@@ -133,3 +135,17 @@
 	require.Empty(t, client.Body.String())
 	require.False(t, client.Flushed, "no header was sent")
 }
+
+// A stream whose connection was reset was taken for a whole, empty one once the watchdog had looked at the connection.
+func TestAStreamThatWasResetIsNotWholeOnceTheWatchdogHasLooked(t *testing.T) {
+	r, attempt, connection, client := begunStream(t)
+	require.NoError(t, connection.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, connection.Close())
+	require.Eventually(t, attempt.watchdog.probe.HasUnread, time.Minute, time.Millisecond)
+
+	err := (&stream{request: r}).forwardEvents(t.Context(), attempt)
+	var lost *worker.ResponseLost
+	require.ErrorAs(t, err, &lost)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.False(t, client.Flushed, "no header was sent")
+}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -12,24 +12,29 @@
 // not read. It does not depend on deadlines and may be called during a read by another goroutine. It
 // is false once the connection is closed here.
 func HasUnread(connection net.Conn) bool {
-	isEmpty, err := hasEmptyReceiveBuffer(connection)
-	return err == nil && !isEmpty
+	isReadable, err := pollReadable(connection)
+	return err == nil && isReadable
 }
 
 // IsQuiet reports whether a TCP connection is open and nothing of its peer waits to be read.
 func IsQuiet(connection net.Conn) bool {
-	isEmpty, err := hasEmptyReceiveBuffer(connection)
-	return err == nil && isEmpty
+	isReadable, err := pollReadable(connection)
+	return err == nil && !isReadable
 }
 
-// hasEmptyReceiveBuffer looks for a byte in the kernel's receive buffer and leaves it there.
-func hasEmptyReceiveBuffer(connection net.Conn) (isEmpty bool, err error) {
+// pollReadable reports whether a read would return at once. It leaves everything to the reader: a
+// peek would take a pending reset away, and the reader would see the proper end of the data.
+func pollReadable(connection net.Conn) (isReadable bool, err error) {
+	var pollErr error
 	err = withDescriptor(connection, func(descriptor int) {
-		var buffer [1]byte
-		_, _, peekErr := unix.Recvfrom(descriptor, buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isEmpty = peekErr == syscall.EAGAIN
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		ready := 0
+		for ready, pollErr = unix.Poll(polled, 0); pollErr == syscall.EINTR; {
+			ready, pollErr = unix.Poll(polled, 0)
+		}
+		isReadable = ready > 0
 	})
-	return isEmpty, err
+	return isReadable, errors.Join(err, pollErr)
 }
 
 // UnacknowledgedBytes returns how many bytes written to a TCP connection its peer's kernel has not
