Gateway: a worker is not silent while what it sent is read and not handled yet

What callers would see: a final 502 of a silent worker whose first event this process had read. Cause: the watchdog looked at what the kernel holds. A first event that came with the head, or that a preempted goroutine had read, lies in the buffer of the connection, where the look does not see it. Change: a connection is being handled from the return of a read until the next one; the watchdog gives up only if its reader waits for more. The look at the kernel alone is covered by TestConnectionProbeSeesWhatWasNotRead, unchanged.

--- a/internal/gateway/firsteventwatchdog.go
+++ b/internal/gateway/firsteventwatchdog.go
@@ -15,8 +15,8 @@
 	// minFirstEventTargets is the minimum time that a stream may wait for its first event, as a
 	// multiple of the route's target latency.
 	minFirstEventTargets = 3
-	// unreadRecheckInterval is how long this process gets to read what has arrived before the
-	// watchdog looks again.
+	// unreadRecheckInterval is how long this process gets to read and handle what has arrived before
+	// the watchdog looks again.
 	unreadRecheckInterval = 20 * time.Millisecond
 )
 
@@ -36,8 +36,8 @@
 
 // firstEventWatchdog cancels an attempt that gets no first event for longer than is usual for
 // its service. The client then gets a final response and may retry, instead of waiting for a
-// silent worker. A worker whose bytes wait to be read is not silent: this process is late. A nil
-// watchdog does nothing.
+// silent worker. A worker whose bytes wait to be read or handled is not silent: this process is
+// late. A nil watchdog does nothing.
 type firstEventWatchdog struct {
 	request   *request
 	startedAt time.Time
@@ -71,9 +71,9 @@
 	return w.probe
 }
 
-// expire gives the attempt up once nothing of the worker waits to be read.
+// expire gives the attempt up once nothing of the worker waits to be read or handled.
 func (w *firstEventWatchdog) expire() {
-	for w.isPending() && w.probe.HasUnread() {
+	for w.isPending() && (w.probe.HasUnread() || w.probe.IsHandling()) {
 		time.Sleep(unreadRecheckInterval)
 	}
 	if w.decide(firstEventOverdue) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -90,12 +90,14 @@
 	closeConnection := attempt.watchdog.cancel
 	defer closeConnection()
 	attempt.watchdog.cancel = func() {}
+	forwarded := make(chan error, 1)
+	go func() { forwarded <- (&stream{request: r}).forwardEvents(t.Context(), attempt) }()
 	attempt.watchdog.expire()
 	_, err := io.WriteString(connection, lateEvent)
 	require.NoError(t, err)
 	require.NoError(t, connection.Close())
 
-	err = (&stream{request: r}).forwardEvents(t.Context(), attempt)
+	err = <-forwarded
 	var silent *SilentWorker
 	require.ErrorAs(t, err, &silent)
 	require.Empty(t, client.Body.String())
@@ -149,3 +151,29 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 	require.False(t, client.Flushed, "no header was sent")
 }
+
+// A worker whose first event had been read with its head was given up as silent before a process that ran late looked at it.
+func TestAWorkerWhoseEventWasReadWithItsHeadIsNotSilent(t *testing.T) {
+	held := newHeldWorker(t)
+	r, listed, client := newStreamRequest(t, held.address)
+	go func() {
+		connection := <-held.connection
+		_, _ = io.WriteString(connection, streamHead+lateEvent)
+		held.connection <- connection
+	}()
+	attempt, err := r.sendTo(t.Context(), listed, "")
+	require.NoError(t, err)
+	connection := <-held.connection
+	defer connection.Close()
+	decided := make(chan struct{})
+	go func() {
+		attempt.watchdog.expire()
+		close(decided)
+	}()
+	time.Sleep(2 * unreadRecheckInterval)
+	require.NoError(t, connection.Close())
+
+	require.NoError(t, (&stream{request: r}).forwardEvents(t.Context(), attempt))
+	<-decided
+	require.Equal(t, lateEvent, client.Body.String())
+}
--- a/internal/worker/connected_test.go
+++ b/internal/worker/connected_test.go
@@ -70,3 +70,33 @@
 	require.False(t, probe.HasUnread())
 	response.Close()
 }
+
+// What was read and is not handled yet is visible to the probe; a reader that waits for more is not.
+func TestConnectionProbeSeesWhatWasNotHandled(t *testing.T) {
+	head := strings.TrimSuffix(encodeResponse("r", "rest", ""), "rest")
+	goOn := make(chan struct{})
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := readRequest(reader); err != nil {
+			return
+		}
+		io.WriteString(connection, head)
+		<-goOn
+		io.WriteString(connection, "rest")
+	})
+	probe := &ConnectionProbe{}
+	require.False(t, probe.IsHandling())
+	request := &Request{ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), Probe: probe}
+	response, err := newPool().Send(context.Background(), address, 0, request, readMetadata)
+	require.NoError(t, err)
+	require.True(t, probe.IsHandling())
+	body := make(chan []byte, 1)
+	go func() {
+		read, _ := io.ReadAll(response.Body)
+		body <- read
+	}()
+	require.Eventually(t, func() bool { return !probe.IsHandling() }, time.Minute, time.Millisecond)
+	close(goOn)
+	require.Equal(t, "rest", string(<-body))
+	require.True(t, probe.IsHandling())
+	response.Close()
+}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -66,9 +66,18 @@
 	return connection != nil && transport.HasUnread(connection.Conn)
 }
 
-// attach sets the connection that the probe looks at. A nil probe does nothing.
+// IsHandling reports whether this process has read something of the response and has not asked for
+// more yet. Look at HasUnread first: what is read in between is then not missed.
+func (p *ConnectionProbe) IsHandling() bool {
+	connection := p.connection.Load()
+	return connection != nil && connection.handling.Load()
+}
+
+// attach sets the connection that the probe looks at, before anything of the response was read. A nil
+// probe does nothing.
 func (p *ConnectionProbe) attach(connection *connection) {
 	if p != nil {
+		connection.handling.Store(false)
 		p.connection.Store(connection)
 	}
 }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,16 @@
 	// applies.
 	userTimeout       time.Duration
 	userTimeoutRaised bool
+	// handling is set from the return of a read until the next one.
+	handling atomic.Bool
+}
+
+// Read reads from the worker.
+func (c *connection) Read(data []byte) (int, error) {
+	c.handling.Store(false)
+	count, err := c.Conn.Read(data)
+	c.handling.Store(true)
+	return count, err
 }
 
 // NewPool returns an empty pool.
@@ -99,7 +110,9 @@
 		p.releaseSlot(address)
 		return nil, err
 	}
-	return &connection{Conn: conn, address: address, incarnation: incarnation, reader: bufio.NewReaderSize(conn, readBufferBytes), dialDuration: time.Since(startedAt), userTimeout: p.userTimeout}, nil
+	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout}
+	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
+	return opened, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection. If there is none, it
