Executor: the time for which a call is deferred does not use up its search for an engine

What callers would see: a call that waited more than 3 s for an engine with memory was rejected (engine_unavailable) at the first look that found none, where any other call searches for 3 s. Cause: the bound of the search (3 s) began before the deferral, which may last 30 s, and covered it. Change: the search's time begins again after each deferral.

--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -204,7 +204,8 @@
 }
 
 // findEngine asks the scheduling policy for an engine. It retries for a limited time
-// while no engine is available, because reports of engines arrive with a delay.
+// while no engine is available, because reports of engines arrive with a delay. The time
+// for which the policy defers the call does not count.
 func (w *worker) findEngine(attempt *modelAttempt, status program.Status, excluded map[structs.EngineID]bool) error {
 	searchStart := time.Now()
 	deadline := searchStart.Add(engineSearchTimeout)
@@ -216,6 +217,7 @@
 			if !pause.For(w.context, choice.Defer) {
 				return w.shard.notLeaderError()
 			}
+			deadline = time.Now().Add(engineSearchTimeout)
 			continue
 		}
 		if err == nil {
