Gateway: a response that stops is refused with 504 at its request's deadline, whichever end is seen first

What callers would see: 502 ("i/o timeout") at the deadline where the head of the response had come, and 504 where it had not, or where an event came at the same moment. Both promise nothing. Cause: the deadline ends the read of the worker's connection, and its error was told as the reason. Change: an attempt whose context has ended is lost for the reason of its context, as it already was before the head.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,15 @@
 	return context.Cause(a.zoneContext)
 }
 
+// lostError returns the error of an attempt whose response was lost with err: the reason why the
+// attempt's context has ended, if it has. Its connection then reports no more than a timeout.
+func (a *attempt) lostError(err error) error {
+	if cause := context.Cause(a.zoneContext); cause != nil {
+		return &worker.ResponseLost{Cause: cause}
+	}
+	return asResponseLost(err)
+}
+
 // send tries workers until one accepts the request and begins to respond. It skips workers that
 // did not run the request. If an attempt fails after the worker may have run the request, send
 // returns its error, a *worker.ResponseLost.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -98,7 +98,7 @@
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error())
-		return asResponseLost(err)
+		return attempt.lostError(err)
 	}
 	if isLong {
 		r.forwardLongResponse(attempt, body)
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -56,3 +57,25 @@
 	require.Equal(t, http.StatusGatewayTimeout, statusOf(err))
 	require.Zero(t, received())
 }
+
+// At its request's deadline a response that had begun and not come whole was refused with 502 or 504, by which of two ends its reader saw first.
+func TestAResponseThatStopsIsRefusedWithATimeoutAtItsDeadline(t *testing.T) {
+	held := newHeldWorker(t)
+	r, listed, client := newStreamRequest(t, held.address)
+	r.route = &route.Route{Kind: route.Safe, MaxAttempts: 1}
+	go func() {
+		connection := <-held.connection
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx")
+		held.connection <- connection
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	attempt, err := r.sendTo(ctx, listed, "")
+	require.NoError(t, err)
+	connection := <-held.connection
+	defer connection.Close()
+
+	err = r.forwardResponse(attempt)
+	require.Equal(t, http.StatusGatewayTimeout, statusOf(err), "%v", err)
+	require.Zero(t, client.Body.Len())
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -192,7 +192,7 @@
 	err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
 	r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
 	r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
-	return asResponseLost(err)
+	return attempt.lostError(err)
 }
 
 // recordEventGap reports to the balancer how fast a worker sends events, as a ratio of the route's
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -177,3 +177,23 @@
 	<-decided
 	require.Equal(t, lateEvent, client.Body.String())
 }
+
+// At its request's deadline a stream without an event was refused with 502 or 504, by which of two ends its reader saw first.
+func TestAStreamWithoutAnEventIsRefusedWithATimeoutAtItsDeadline(t *testing.T) {
+	held := newHeldWorker(t)
+	r, listed, _ := newStreamRequest(t, held.address)
+	go func() {
+		connection := <-held.connection
+		_, _ = io.WriteString(connection, streamHead)
+		held.connection <- connection
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	attempt, err := r.sendTo(ctx, listed, "")
+	require.NoError(t, err)
+	connection := <-held.connection
+	defer connection.Close()
+
+	err = (&stream{request: r}).forwardEvents(ctx, attempt)
+	require.Equal(t, http.StatusGatewayTimeout, statusOf(err), "%v", err)
+}
