Gateway: a worker is not counted as late while its response waits for this process

What operators would see: event "ejected" with why=silence, and refusals, for workers that answer in time, at a gateway that runs late: two late starts in a row eject a worker. Found by review, not seen in a run. Cause: the bound of a response's begin was decided by the clock alone; the begin may lie unread, or be read and not handled yet. Change: the timer looks at the connection as the watchdog of the first event does, and counts nothing while this process is behind.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -206,12 +206,12 @@
 	}
 	sentAt := time.Now()
 	r.sentAfter = sentAt.Sub(r.receivedAt)
-	startTimer := time.AfterFunc(r.responseStartTimeout(), func() { r.gateway.recordLateStart(r.metadata.RequestID, chosen) })
+	outgoing := r.workerRequest(chosen, lastEventID)
+	outgoing.Probe = &worker.ConnectionProbe{}
+	startTimer := r.startLateStartTimer(chosen, outgoing.Probe)
 	defer startTimer.Stop()
 	zoneContext, release := r.zoneContext(ctx, chosen)
-	attemptContext, watchdog := r.startFirstEventWatchdog(zoneContext)
-	outgoing := r.workerRequest(chosen, lastEventID)
-	outgoing.Probe = watchdog.connectionProbe()
+	attemptContext, watchdog := r.startFirstEventWatchdog(zoneContext, outgoing.Probe)
 	outgoing.BeforeSend = r.checkBeforeSend(chosen, permit)
 	response, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.workerConnectionLimit(), outgoing, r.gateway.options.HeaderCodec.ReadResponse)
 	if err != nil || response.NotRun {
@@ -241,6 +241,16 @@
 	return &attempt{worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, zoneContext: zoneContext, release: release, readAhead: readAhead}, nil
 }
 
+// startLateStartTimer returns a timer that counts a worker as late which has not begun its response
+// in time. A response that waits for this process has begun.
+func (r *request) startLateStartTimer(chosen directory.Worker, probe *worker.ConnectionProbe) *time.Timer {
+	return time.AfterFunc(r.responseStartTimeout(), func() {
+		if !probe.IsBehind() {
+			r.gateway.recordLateStart(r.metadata.RequestID, chosen)
+		}
+	})
+}
+
 // wrapReadAhead wraps the body of a response so that it is read ahead while the client is slow.
 func (r *request) wrapReadAhead(response *worker.Response) *flowcontrol.ReadAhead {
 	if r.clientWriter == nil || r.gateway.disabled(mechanism.ReadAhead) {
--- a/internal/gateway/firsteventwatchdog.go
+++ b/internal/gateway/firsteventwatchdog.go
@@ -50,12 +50,12 @@
 
 // startFirstEventWatchdog starts the watchdog of one attempt. The returned context is canceled
 // with ctx or by the watchdog.
-func (r *request) startFirstEventWatchdog(ctx context.Context) (context.Context, *firstEventWatchdog) {
+func (r *request) startFirstEventWatchdog(ctx context.Context, probe *worker.ConnectionProbe) (context.Context, *firstEventWatchdog) {
 	if r.route.Kind != route.Streaming || r.route.TargetLatency <= 0 || r.eventCount > 0 || r.gateway.disabled(mechanism.SilentStreamTimeout) {
 		return ctx, nil
 	}
 	watchdog := &firstEventWatchdog{
-		request: r, startedAt: time.Now(), probe: &worker.ConnectionProbe{},
+		request: r, startedAt: time.Now(), probe: probe,
 		limit: r.gateway.firstEventLatencies.Estimate(r.service.Name).UpperBound(minFirstEventTargets * r.route.TargetLatency),
 	}
 	ctx, watchdog.cancel = context.WithCancel(ctx)
@@ -63,17 +63,9 @@
 	return ctx, watchdog
 }
 
-// connectionProbe returns the probe for the request to the worker.
-func (w *firstEventWatchdog) connectionProbe() *worker.ConnectionProbe {
-	if w == nil {
-		return nil
-	}
-	return w.probe
-}
-
 // expire gives the attempt up once nothing of the worker waits to be read or handled.
 func (w *firstEventWatchdog) expire() {
-	for w.isPending() && (w.probe.HasUnread() || w.probe.IsHandling()) {
+	for w.isPending() && w.probe.IsBehind() {
 		time.Sleep(unreadRecheckInterval)
 	}
 	if w.decide(firstEventOverdue) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -197,3 +197,33 @@
 	err = (&stream{request: r}).forwardEvents(ctx, attempt)
 	require.Equal(t, http.StatusGatewayTimeout, statusOf(err), "%v", err)
 }
+
+// slowHeaderCodec reads a response's header as slowly as a process that runs late.
+type slowHeaderCodec struct {
+	noopHeaderCodec
+	duration time.Duration
+}
+
+func (c slowHeaderCodec) ReadResponse(status int, header http.Header) worker.ResponseMetadata {
+	time.Sleep(c.duration)
+	return c.noopHeaderCodec.ReadResponse(status, header)
+}
+
+// A worker that had begun its response in time was counted as late, and ejected, by a process that was late itself.
+func TestAWorkerIsNotLateWhileItsResponseWaitsForThisProcess(t *testing.T) {
+	held := newHeldWorker(t)
+	r, listed, _ := newStreamRequest(t, held.address)
+	r.route = &route.Route{Kind: route.Safe, TargetLatency: 250 * time.Millisecond}
+	r.gateway.options.HeaderCodec = slowHeaderCodec{duration: 2 * r.responseStartTimeout()}
+	go func() {
+		connection := <-held.connection
+		_, _ = io.WriteString(connection, streamHead)
+		held.connection <- connection
+	}()
+	attempt, err := r.sendTo(t.Context(), listed, "")
+	require.NoError(t, err)
+	defer attempt.close()
+	defer (<-held.connection).Close()
+
+	require.False(t, r.gateway.balancer.RecordLateStart(listed.ID), "the first late start ejects no worker")
+}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -66,8 +66,14 @@
 	return connection != nil && transport.HasUnread(connection.Conn)
 }
 
+// IsBehind reports whether something of the worker waits for this process, to be read or handled.
+func (p *ConnectionProbe) IsBehind() bool {
+	// In this order, what is read between the two looks is not missed.
+	return p.HasUnread() || p.IsHandling()
+}
+
 // IsHandling reports whether this process has read something of the response and has not asked for
-// more yet. Look at HasUnread first: what is read in between is then not missed.
+// more yet.
 func (p *ConnectionProbe) IsHandling() bool {
 	connection := p.connection.Load()
 	return connection != nil && connection.handling.Load()
