Cold workers: a grant that comes after the request has stopped waiting is used

The call for a permit ended with the request's own wait of 60 ms, so that replicas that take longer granted permits nobody used, and the worker got next to nothing. The call goes on for as long as its grant may be used, and a late one wakes the requests that wait.

--- a/internal/gateway/coldpermit.go
+++ b/internal/gateway/coldpermit.go
@@ -22,7 +22,7 @@
 const (
 	// coldPermitTimeout bounds how long a request waits for a permit to a cold worker. The next
 	// replica is called after 40 ms and then has time to respond. Callers lose this time before
-	// another worker is chosen.
+	// another worker is chosen. The call goes on for as long as a grant would be of use.
 	coldPermitTimeout = 60 * time.Millisecond
 	// coldUnknownRetryDelay is how long replicas are not called again for a worker after none
 	// has responded. Each such call delays a request by coldPermitTimeout.
@@ -139,10 +139,8 @@
 
 // acquire takes a permit that was granted earlier, or asks replicas for more.
 func (p *coldPermit) acquire(ctx context.Context, coldLimit route.Cold, reason coldstart.Reason) error {
-	callContext, cancel := context.WithTimeout(ctx, coldPermitTimeout)
-	defer cancel()
-	cold := p.request.gateway.coldWorkers
-	allowance := cold.allowances.getOrCreate(p.worker.ID)
+	gateway := p.request.gateway
+	allowance := gateway.coldWorkers.allowances.getOrCreate(p.worker.ID)
 	for {
 		now := time.Now()
 		if p.permit, p.acquired = allowance.Take(now, false); p.acquired {
@@ -151,19 +149,47 @@
 		if refusal, refused := allowance.ActiveRefusal(now, false); refused {
 			return &WorkerCold{Worker: p.worker.ID, Reason: reason, Replicas: refusal.Replicas, RetryAfter: refusal.RetryAt.Sub(now)}
 		}
-		err := allowance.refillOrWait(callContext, func(callContext context.Context, waiters int) error {
-			err := p.request.gateway.refillColdPermits(callContext, allowance, p.worker.ID, coldLimit, waiters)
-			if err != nil && ctx.Err() == nil {
-				cold.recordRefusal(allowance, now, quorum.GrantResult{Grant: quota.Grant{RetryAfter: coldUnknownRetryDelay}, Refused: true})
-			}
-			return err
-		})
-		if err != nil {
+		if err := gateway.startColdRefillOrWait(ctx, allowance, p.worker, coldLimit); err != nil {
 			return &WorkerCold{Worker: p.worker.ID, Reason: reason, Cause: err, RetryAfter: coldUnknownRetryDelay}
 		}
 	}
 }
 
+// startColdRefillOrWait waits until a refill has ended, but no longer than coldPermitTimeout after
+// the refill has started. The refill goes on then: replicas that are slow have granted permits by
+// the time they answer, and asking them again would take as long.
+func (g *Gateway) startColdRefillOrWait(ctx context.Context, allowance *subjectAllowance, chosen directory.Worker, coldLimit route.Cold) (err error) {
+	inFlight, waiters, started := allowance.startOrJoinRefill()
+	if started {
+		go func() {
+			callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), quota.GrantLifetime)
+			defer cancel()
+			inFlight.err = g.refillColdPermits(callContext, allowance, chosen.ID, coldLimit, waiters)
+			allowance.endRefill(inFlight)
+			if inFlight.isLate(time.Now(), coldPermitTimeout) {
+				// The requests that waited for the permits wait for a slot now.
+				g.slotQueues.slotFreed(chosen.Service)
+			}
+		}()
+	} else {
+		defer allowance.removeWaiter()
+	}
+	timer := time.NewTimer(time.Until(inFlight.startedAt.Add(coldPermitTimeout)))
+	defer timer.Stop()
+	select {
+	case <-inFlight.done:
+		if started {
+			return inFlight.err
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		g.coldWorkers.extendRefusals(quota.GrantLifetime)
+		return context.DeadlineExceeded
+	}
+}
+
 // refillColdPermits asks the replicas of the worker's group for permits. It asks for no more
 // than there are waiters: a permit that one gateway does not use in time is lost to the others.
 func (g *Gateway) refillColdPermits(ctx context.Context, allowance *subjectAllowance, id string, coldLimit route.Cold, waiters int) error {
@@ -172,6 +198,7 @@
 	granted, err := g.granter.Grant(ctx, quorum.ColdWorkerSubject(id), limit, waiters, false)
 	switch {
 	case err != nil:
+		g.coldWorkers.recordRefusal(allowance, start, quorum.GrantResult{Grant: quota.Grant{RetryAfter: coldUnknownRetryDelay}, Refused: true})
 		return err
 	case granted.Refused:
 		g.coldWorkers.recordRefusal(allowance, start, granted)
@@ -187,7 +214,12 @@
 	backoff := min(maxColdBackoff, initialColdBackoff<<min(allowance.countRefusal(), 8))
 	refusal.RetryAfter = max(refusal.RetryAfter, backoff/2+rand.N(backoff/2))
 	allowance.applyResponse(requestedAt, refusal, false)
-	until := int64(time.Since(c.startedAt) + refusal.RetryAfter)
+	c.extendRefusals(refusal.RetryAfter)
+}
+
+// extendRefusals records that a worker is refused for a time from now on.
+func (c *coldWorkers) extendRefusals(lasts time.Duration) {
+	until := int64(time.Since(c.startedAt) + lasts)
 	for {
 		current := c.refusedUntil.Load()
 		if current >= until || c.refusedUntil.CompareAndSwap(current, until) {
@@ -205,7 +237,7 @@
 }
 
 // withoutRefusedColdWorkers removes the cold workers for which replicas have recently refused a
-// permit. Calling the replicas again would only delay the request.
+// permit or take long to answer. Calling the replicas again would only delay the request.
 func (r *request) withoutRefusedColdWorkers(candidates []*directory.WorkerRecord) []*directory.WorkerRecord {
 	r.coldSkipped = 0
 	if !r.serviceMayHaveColdWorkers() {
@@ -220,7 +252,7 @@
 		if allowance == nil {
 			return false
 		}
-		if _, active := allowance.ActiveRefusal(now, false); !active {
+		if _, active := allowance.ActiveRefusal(now, false); !active && !allowance.refillIsLate(now, coldPermitTimeout) {
 			return false
 		}
 		_, reason := r.gateway.coldStatus(r.service.Name, each.ID)
--- a/internal/gateway/coldpermit_test.go
+++ b/internal/gateway/coldpermit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -398,3 +399,66 @@
 	require.Contains(t, (&WorkerCold{Worker: "w", Reason: coldstart.WorkerAdded, Replicas: 3}).Error(), "3 replicas")
 	require.False(t, errors.Is(&WorkerCold{}, errCause))
 }
+
+// slowReplicas grant at a rate to several gateways, and answer after a delay.
+type slowReplicas struct {
+	granter *quota.Granter
+	since   time.Time
+	delay   time.Duration
+}
+
+func newSlowReplicas(delay time.Duration) *slowReplicas {
+	tolerance := quota.Tolerance{Window: time.Second, Overshoot: 0.5, Slack: 5}
+	return &slowReplicas{granter: quota.NewGranter(tolerance), since: time.Now().Add(-time.Minute), delay: delay}
+}
+
+func (s *slowReplicas) Grant(ctx context.Context, subject quorum.GrantSubject, limit quota.Limit, wanted int, startsProgram bool) (quorum.GrantResult, error) {
+	grant := s.granter.Grant(time.Now(), quota.GrantRequest{
+		Tenant: subject.Name, Limit: limit, Members: 1, SeatSince: s.since, Wanted: wanted, StartsProgram: startsProgram,
+	})
+	select {
+	case <-time.After(s.delay):
+		return quorum.GrantResult{Grant: grant, Refused: grant.Requests == 0, Answered: 1}, nil
+	case <-ctx.Done():
+		return quorum.GrantResult{}, &quorum.Unavailable{Needed: 1}
+	}
+}
+
+// TestColdWorkerGetsItsShareFromSlowReplicas guards against a worker that gets next to nothing while
+// replicas take longer to answer than a request waits for a permit.
+func TestColdWorkerGetsItsShareFromSlowReplicas(t *testing.T) {
+	const (
+		gateways, senders = 3, 4
+		lasts             = 4 * time.Second
+		// share is half of what replicas grant in that time.
+		share = 40
+	)
+	for _, delay := range []time.Duration{0, 40 * time.Millisecond, 90 * time.Millisecond, 120 * time.Millisecond} {
+		for name, others := range map[string]int{"alone": 0, "beside a warm worker": 1} {
+			t.Run(fmt.Sprint(delay, " ", name), func(t *testing.T) {
+				t.Parallel()
+				cold, coldAddress := startCountingWorker(t, http.StatusOK)
+				_, warmAddress := startCountingWorker(t, http.StatusOK)
+				workers := []directory.Worker{coldWorker("cold", coldAddress), warmWorker("warm", warmAddress)}[:1+others]
+				replicas := newSlowReplicas(delay)
+				until := time.Now().Add(lasts)
+				var sent sync.WaitGroup
+				for range gateways {
+					g := coldGateway(replicas, workers...)
+					for range senders {
+						sent.Go(func() {
+							for time.Now().Before(until) {
+								time.Sleep(5 * time.Millisecond)
+								// A request that is refused as cold says so before its time is over.
+								_, _ = sendRequest(t, g, 2*time.Second)
+							}
+						})
+					}
+				}
+				sent.Wait()
+				t.Log("served by the cold worker: ", cold.requests.Load())
+				require.GreaterOrEqual(t, cold.requests.Load(), int64(share))
+			})
+		}
+	}
+}
--- a/internal/gateway/quotaallowance.go
+++ b/internal/gateway/quotaallowance.go
@@ -28,12 +28,25 @@
 
 	mutex   sync.Mutex
 	waiters int
-	// refillDone is closed when the refill call in flight returns; nil while there is none.
-	refillDone chan struct{}
+	// refill is the refill call in flight; nil while there is none.
+	refill *refill
 	// consecutiveRefusals counts the refusals since replicas last granted a permit.
 	consecutiveRefusals int
 }
 
+// refill is a call to the replicas for permits.
+type refill struct {
+	startedAt time.Time
+	// done is closed when the call has returned; err is its error then.
+	done chan struct{}
+	err  error
+}
+
+// isLate reports whether the call has taken longer than requests wait for it.
+func (r *refill) isLate(now time.Time, patience time.Duration) bool {
+	return !now.Before(r.startedAt.Add(patience))
+}
+
 func (a *allowanceMap) getOrCreate(subject string) *subjectAllowance {
 	if allowance := a.get(subject); allowance != nil {
 		return allowance
@@ -55,7 +68,7 @@
 	for subject, each := range a.bySubject.Range {
 		allowance := each.(*subjectAllowance)
 		allowance.mutex.Lock()
-		unused := allowance.waiters == 0
+		unused := allowance.waiters == 0 && allowance.refill == nil
 		allowance.mutex.Unlock()
 		if unused && allowance.IsIdle(now) {
 			a.bySubject.Delete(subject)
@@ -66,29 +79,46 @@
 // refillOrWait calls refill for itself and all waiters, or waits for the refill that another
 // request has in flight.
 func (a *subjectAllowance) refillOrWait(ctx context.Context, refill func(ctx context.Context, waiters int) error) error {
+	inFlight, waiters, started := a.startOrJoinRefill()
+	if started {
+		defer a.endRefill(inFlight)
+		return refill(ctx, waiters)
+	}
+	defer a.removeWaiter()
+	select {
+	case <-inFlight.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// startOrJoinRefill returns the refill in flight, for which the caller then counts as a waiter
+// until removeWaiter, or a new one, which the caller must make for so many waiters and end.
+func (a *subjectAllowance) startOrJoinRefill() (current *refill, waiters int, started bool) {
 	a.mutex.Lock()
-	if inFlight := a.refillDone; inFlight != nil {
+	defer a.mutex.Unlock()
+	if a.refill != nil {
 		a.waiters++
-		a.mutex.Unlock()
-		defer a.removeWaiter()
-		select {
-		case <-inFlight:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		return a.refill, 0, false
 	}
-	done := make(chan struct{})
-	a.refillDone = done
-	waiters := a.waiters
+	a.refill = &refill{startedAt: time.Now(), done: make(chan struct{})}
+	return a.refill, a.waiters + 1, true
+}
+
+// endRefill ends a refill for all that wait for it.
+func (a *subjectAllowance) endRefill(ended *refill) {
+	a.mutex.Lock()
+	a.refill = nil
 	a.mutex.Unlock()
-	defer func() {
-		a.mutex.Lock()
-		a.refillDone = nil
-		a.mutex.Unlock()
-		close(done)
-	}()
-	return refill(ctx, waiters+1)
+	close(ended.done)
+}
+
+// refillIsLate reports whether a refill is in flight that takes longer than requests wait for it.
+func (a *subjectAllowance) refillIsLate(now time.Time, patience time.Duration) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.refill != nil && a.refill.isLate(now, patience)
 }
 
 func (a *subjectAllowance) removeWaiter() {
