Test of silent connections: the calls of its set-up, which wait for each other, have a bound of their own

Six calls that are answered together had the 300 ms of one call that tells a silent connection. One that is held up for about that time makes one to six of them fail and leaves one to six connections, which is what was seen once. The checks and their bound are unchanged, so the test is as strict.

--- a/internal/transport/silence_test.go
+++ b/internal/transport/silence_test.go
@@ -17,12 +17,21 @@
 	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
-// silentTimeout bounds one call of the tests that follow.
-const silentTimeout = 300 * time.Millisecond
+const (
+	// silentTimeout bounds one call of the tests that follow.
+	silentTimeout = 300 * time.Millisecond
+	// connectTimeout bounds the calls that open the connections of a test. They wait for each
+	// other, so that one that a busy machine holds up holds up all.
+	connectTimeout = 10 * time.Second
+)
 
 // call makes one call, bounded by silentTimeout.
 func call(client *http.Client, address string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), silentTimeout)
+	return callWithin(silentTimeout, client, address)
+}
+
+func callWithin(timeout time.Duration, client *http.Client, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
 	if err != nil {
@@ -43,7 +52,7 @@
 	var calls sync.WaitGroup
 	for range count {
 		calls.Go(func() {
-			if err := call(client, address); err != nil {
+			if err := callWithin(connectTimeout, client, address); err != nil {
 				t.Error(err)
 			}
 		})
