Grants: the next replica is asked after the time that grants take, not after that of writes

The delay was learned from appends, which wait for disks. With appends of 50 and 150 ms it is 500 ms, longer than the 200 ms for which a grant may be used, so that one silent replica made each grant void. It is learned from calls for grants now, and 100 ms at most.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -64,9 +64,12 @@
 	// callLatency is the latency of calls to replicas, without the extra network latency to
 	// distant ones.
 	callLatency estimate.Latency
-	deferred    *deferredRecords
-	counts      counts
-	disabled    mechanism.Disabled
+	// grantLatency is the same of calls for grants, which write nothing: they do not become slower
+	// with the disks of replicas.
+	grantLatency estimate.Latency
+	deferred     *deferredRecords
+	counts       counts
+	disabled     mechanism.Disabled
 	// reachability tracks replicas that do not answer, outages tracks partitions whose majority
 	// does not answer.
 	reachability *reachability
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -15,9 +15,11 @@
 	// grantTimeout limits one call for a grant.
 	grantTimeout = 250 * time.Millisecond
 	// grantHedgeDelay is how long a member has to answer before the next one is asked too. The
-	// delay is longer where calls usually take longer. Any member may grant, and a late grant
-	// costs its tenant a few requests.
-	grantHedgeDelay = 40 * time.Millisecond
+	// delay is longer where calls for grants usually take longer, up to maxGrantHedgeDelay: after
+	// quota.GrantLifetime an answer is of no use. Any member may grant, and a late grant costs its
+	// tenant a few requests.
+	grantHedgeDelay    = 40 * time.Millisecond
+	maxGrantHedgeDelay = quota.GrantLifetime / 2
 )
 
 // GrantSubject is the tenant or worker that requests are granted for. Its name also determines
@@ -109,7 +111,7 @@
 			}
 		}
 		if len(r.remaining) > 0 {
-			hedgeAfter := r.client.callLatency.UpperBound(grantHedgeDelay) + r.client.extraLatency(r.remaining[0])
+			hedgeAfter := min(maxGrantHedgeDelay, r.client.grantLatency.UpperBound(grantHedgeDelay)) + r.client.extraLatency(r.remaining[0])
 			r.callNext(callCtx)
 			hedgeTimer.Reset(hedgeAfter)
 		}
@@ -174,7 +176,12 @@
 // there was no answer.
 func (c *Client) requestGrant(ctx context.Context, group *replicav1.Group, member *replicav1.Member, request *replicav1.GrantRequest) *replicav1.GrantResponse {
 	if !c.reachability.isDown(member.Address) {
-		return callMember(ctx, c, group, member, grantTimeout, connect.NewRequest(request), c.ReplicaClient(member.Address).Grant)
+		startedAt := c.now()
+		response := callMember(ctx, c, group, member, grantTimeout, connect.NewRequest(request), c.ReplicaClient(member.Address).Grant)
+		if response != nil {
+			c.grantLatency.Observe(max(0, c.now().Sub(startedAt)-c.extraLatency(member)))
+		}
+		return response
 	}
 	return c.forward(ctx, &replicav1.ForwardRequest{
 		Address: member.Address, Call: &replicav1.ForwardRequest_Grant{Grant: request},
--- a/internal/quorum/grant_test.go
+++ b/internal/quorum/grant_test.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
@@ -107,6 +108,26 @@
 	}
 }
 
+// TestSlowWritesDoNotDelayGrants guards against a member that does not answer and is waited for as
+// long as writes to slow disks take: what the next one grants is of no use by then.
+func TestSlowWritesDoNotDelayGrants(t *testing.T) {
+	granting := &grantingMember{}
+	granting.available.Store(1000)
+	client := startGrantingMembers(t, &grantingMember{unresponsive: true}, granting)
+	client.SetTopology(distance.NewTopology("near", nil))
+	group := client.programGroup("north")
+	group.Members[0].Zone, group.Members[1].Zone = "near", "far"
+	for range 20 {
+		client.callLatency.Observe(50 * time.Millisecond)
+		client.callLatency.Observe(150 * time.Millisecond)
+	}
+	start := time.Now()
+	granted, err := requestTenantGrant(t, client, 1)
+	require.NoError(t, err)
+	require.Equal(t, 1, granted.Requests)
+	require.Less(t, time.Since(start), quota.GrantLifetime)
+}
+
 // TestFailedGrantReportsShortestSilence checks that the error distinguishes members that are
 // briefly slow from members that are down.
 func TestFailedGrantReportsShortestSilence(t *testing.T) {
