Grants: the time of a grant counts from when its own replica was asked

It counted from when the first replica was asked, so that a grant of one that was asked 200 ms later was void, and the request went on asking until its time was over: 503 quota_unknown, context deadline exceeded. A replica grants after it was asked, so no grant is used later than before.

--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -140,6 +140,24 @@
 	require.Less(t, time.Since(start), 600*time.Millisecond, "the wait is limited to a third of the remaining time")
 }
 
+// TestGrantOfReplicaAskedLateIsUsed guards against a grant that is void when it comes, because
+// other replicas were asked first and did not answer: the request then asked until its time was over.
+func TestGrantOfReplicaAskedLateIsUsed(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	calls := 0
+	g := gatewayWithGranter(func(wanted int, _ bool) (quorum.GrantResult, error) {
+		calls++
+		if ctx.Err() != nil {
+			return quorum.GrantResult{}, ctx.Err()
+		}
+		time.Sleep(quota.GrantLifetime + 20*time.Millisecond)
+		return quorum.GrantResult{Grant: quota.Grant{Requests: wanted}, RequestedAt: time.Now().Add(-time.Millisecond)}, nil
+	})
+	require.NoError(t, requestWithQuota(g, 2*time.Second).admit(ctx))
+	require.Equal(t, 1, calls)
+}
+
 func TestQuotaPermitOfRequestNotRunIsReused(t *testing.T) {
 	calls := 0
 	g := gatewayWithGranter(func(int, bool) (quorum.GrantResult, error) {
--- a/internal/gateway/quotaallowance.go
+++ b/internal/gateway/quotaallowance.go
@@ -142,9 +142,13 @@
 	a.consecutiveRefusals = 0
 }
 
-// applyResponse records the replicas' response to a call that was made at requestedAt.
+// applyResponse records the replicas' response to a call that was made at requestedAt. A grant
+// counts from when its replica was asked, which may be later.
 func (a *subjectAllowance) applyResponse(requestedAt time.Time, granted quorum.GrantResult, startsProgram bool) {
 	if !granted.Refused {
+		if granted.RequestedAt.After(requestedAt) {
+			requestedAt = granted.RequestedAt
+		}
 		a.AddGrant(requestedAt, granted.Grant)
 		return
 	}
--- a/internal/quorum/grant.go
+++ b/internal/quorum/grant.go
@@ -47,6 +47,8 @@
 	Refused bool
 	// Answered is the number of members that answered.
 	Answered int
+	// RequestedAt is when the member that granted was asked, by this process's clock.
+	RequestedAt time.Time
 }
 
 // Grant asks the members of a subject's group one after the other until one grants something. It
@@ -90,8 +92,9 @@
 
 // grantAnswer is one member's answer. The response is nil if there was none.
 type grantAnswer struct {
-	member   *replicav1.Member
-	response *replicav1.GrantResponse
+	member      *replicav1.Member
+	response    *replicav1.GrantResponse
+	requestedAt time.Time
 }
 
 // run asks the next member whenever one has answered or takes longer than usual.
@@ -107,7 +110,7 @@
 		case <-hedgeTimer.C:
 		case answer := <-r.answers:
 			if r.recordAnswer(answer); r.grant.Requests > 0 {
-				return GrantResult{Grant: r.grant, Answered: r.answered}, nil
+				return GrantResult{Grant: r.grant, Answered: r.answered, RequestedAt: answer.requestedAt}, nil
 			}
 		}
 		if len(r.remaining) > 0 {
@@ -148,7 +151,11 @@
 	member := r.remaining[0]
 	r.remaining = r.remaining[1:]
 	r.inFlight++
-	go func() { r.answers <- grantAnswer{member, r.client.requestGrant(ctx, r.group, member, r.request)} }()
+	requestedAt := time.Now()
+	go func() {
+		response := r.client.requestGrant(ctx, r.group, member, r.request)
+		r.answers <- grantAnswer{member: member, response: response, requestedAt: requestedAt}
+	}()
 }
 
 // recordAnswer processes the answer of one call.
--- a/internal/quorum/grant_test.go
+++ b/internal/quorum/grant_test.go
@@ -128,6 +128,20 @@
 	require.Less(t, time.Since(start), quota.GrantLifetime)
 }
 
+func TestGrantCountsFromWhenItsMemberWasAsked(t *testing.T) {
+	granting := &grantingMember{}
+	granting.available.Store(1)
+	client := startGrantingMembers(t, &grantingMember{unresponsive: true}, granting)
+	client.SetTopology(distance.NewTopology("near", nil))
+	group := client.programGroup("north")
+	group.Members[0].Zone, group.Members[1].Zone = "near", "far"
+	start := time.Now()
+	granted, err := requestTenantGrant(t, client, 1)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, granted.RequestedAt.Sub(start), grantHedgeDelay)
+	require.True(t, granted.RequestedAt.Before(time.Now()))
+}
+
 // TestFailedGrantReportsShortestSilence checks that the error distinguishes members that are
 // briefly slow from members that are down.
 func TestFailedGrantReportsShortestSilence(t *testing.T) {
