Connections: one that the system has opened in time is not given up because this process is late

The bound was looked at before the connection. In a process that does not run for as long as the bound, a peer that had answered counted as unreachable: a worker is avoided then, and a request with no other is refused. The system is asked now whether the connection is open.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -31,9 +31,8 @@
 }
 
 // NewDialer returns a dialer for the options.
-func NewDialer(options Options) *net.Dialer {
-	return &net.Dialer{
-		Timeout: options.DialTimeout,
+func NewDialer(options Options) *Dialer {
+	return &Dialer{timeout: options.DialTimeout, dialer: net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
@@ -46,7 +45,7 @@
 				}
 			})
 		},
-	}
+	}}
 }
 
 // Listen opens a listener whose accepted connections notice a silent peer.
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -28,9 +28,14 @@
 	idleMargin = 600 * time.Millisecond
 )
 
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool manages the connections to all workers. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
+	dialer Dialer
 	// userTimeout is how long sent data may stay unacknowledged on the dialer's connections
 	// (TCP_USER_TIMEOUT). If it is 0, requests do not change the setting.
 	userTimeout time.Duration
@@ -78,7 +83,7 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(dialer *net.Dialer) *Pool { return &Pool{dialer: dialer, hosts: make(map[string]*host)} }
+func NewPool(dialer Dialer) *Pool { return &Pool{dialer: dialer, hosts: make(map[string]*host)} }
 
 // NewPoolWithOptions returns an empty pool whose connections detect unresponsive workers.
 func NewPoolWithOptions(options transport.Options) *Pool {
