--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,9 +27,8 @@
 	// watchdog cancels the attempt if the worker sends no first event; nil if the attempt has no
 	// such limit.
 	watchdog *firstEventWatchdog
-	// limit cancels the attempt until its response is forwarded; nil if the attempt has no such
-	// limit.
-	limit *attemptTimer
+	// timer cancels the attempt until its response is forwarded; nil if there is none.
+	timer *attemptTimer
 	// zoneContext is the context of the attempt. It is also canceled when the worker's zone is
 	// lost; release frees its resources.
 	zoneContext context.Context
@@ -48,14 +47,14 @@
 	a.release()
 }
 
-// checkNotGivenUp fails if the attempt was given up: its connection is closed or about to be, so that
-// a response that began now would break off. It is checked right before a response begins that is not
-// read completely. Afterwards the attempt is not given up for being slow.
-func (a *attempt) checkNotGivenUp() error {
+// commitToForward settles, right before a response begins that was not read completely, that the
+// attempt is not given up for being slow from now on. It fails if that has happened or its context has
+// ended: the connection is closed or about to be, and a response that began now would break off.
+func (a *attempt) commitToForward() error {
 	if err := a.watchdog.eventReceived(); err != nil {
 		return err
 	}
-	if err := a.limit.disarm(); err != nil {
+	if err := a.timer.disarm(); err != nil {
 		return err
 	}
 	return context.Cause(a.zoneContext)
@@ -208,7 +207,7 @@
 	r.sentAfter = sentAt.Sub(r.receivedAt)
 	outgoing := r.workerRequest(chosen, lastEventID)
 	outgoing.Probe = &worker.ConnectionProbe{}
-	r.limit.watch(outgoing.Probe)
+	r.attemptTimer.watch(outgoing.Probe)
 	startTimer := r.startLateStartTimer(chosen, outgoing.Probe)
 	defer startTimer.Stop()
 	zoneContext, release := r.zoneContext(ctx, chosen)
@@ -218,7 +217,7 @@
 	if err != nil || response.NotRun {
 		defer release()
 		defer watchdog.stop()
-		defer r.limit.watch(nil)
+		defer r.attemptTimer.watch(nil)
 	}
 	if err == nil {
 		r.countBytes(chosen, response)
@@ -240,7 +239,7 @@
 	r.fastestResponse().Observe(time.Since(sentAt))
 	r.addLogEntry(eventResponseStarted, "worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String())
 	readAhead := r.wrapReadAhead(response)
-	return &attempt{worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, limit: r.limit, zoneContext: zoneContext, release: release, readAhead: readAhead}, nil
+	return &attempt{worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, timer: r.attemptTimer, zoneContext: zoneContext, release: release, readAhead: readAhead}, nil
 }
 
 // startLateStartTimer returns a timer that counts a worker as late which has not begun its response
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -37,10 +37,10 @@
 // tryPlain sends the request and forwards its response. It cancels an attempt whose worker does
 // not respond in time if the request may be retried at another worker.
 func (r *request) tryPlain(ctx context.Context) error {
-	r.limit = nil
+	r.attemptTimer = nil
 	if r.attemptsLeft() > 1 && r.gateway.hasRetryBudget() && r.hasSecondWorker() {
-		ctx, r.limit = startAttemptTimer(ctx, r.responseStartTimeout()+retryTimeoutMargin)
-		defer r.limit.release()
+		ctx, r.attemptTimer = startAttemptTimer(ctx, r.responseStartTimeout()+retryTimeoutMargin)
+		defer r.attemptTimer.release()
 	}
 	attempt, err := r.send(ctx, "")
 	if err != nil {
@@ -91,7 +91,7 @@
 	body, err := r.readResponse(attempt)
 	isLong := len(body) == maxBufferedResponseBytes
 	if err == nil && isLong {
-		err = attempt.checkNotGivenUp()
+		err = attempt.commitToForward()
 	}
 	if err != nil {
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -40,7 +40,7 @@
 	r, attempt, received := longResponse(t)
 	canceled, limit := startAttemptTimer(t.Context(), 0)
 	defer limit.release()
-	attempt.limit = limit
+	attempt.timer = limit
 	<-canceled.Done()
 
 	err := r.forwardResponse(attempt)
@@ -120,8 +120,8 @@
 	r, listed, _ := newStreamRequest(t, held.address)
 	r.route = &route.Route{Kind: route.Safe, MaxAttempts: 3}
 	r.gateway.options.HeaderCodec = notRunHeaderCodec{}
-	_, r.limit = startAttemptTimer(t.Context(), time.Minute)
-	defer r.limit.release()
+	_, r.attemptTimer = startAttemptTimer(t.Context(), time.Minute)
+	defer r.attemptTimer.release()
 	go func() {
 		connection := <-held.connection
 		defer connection.Close()
@@ -130,5 +130,5 @@
 
 	_, err := r.sendTo(t.Context(), listed, "")
 	require.Error(t, err)
-	require.False(t, r.limit.isBehind())
+	require.False(t, r.attemptTimer.isBehind())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -67,9 +67,9 @@
 	eligible   int
 	// rejections counts attempts that the workers are known not to have run.
 	rejections int
-	// limit cancels the attempts under way until a response is forwarded; nil if they have no such
-	// limit.
-	limit *attemptTimer
+	// attemptTimer cancels the attempts in progress until a response is forwarded; nil if there is
+	// none.
+	attemptTimer *attemptTimer
 	// lastWorkerID is the worker of the last attempt.
 	lastWorkerID string
 	// resumes counts how often the stream was resumed; terminated are the workers that are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -158,7 +158,7 @@
 			return s.finish(attempt)
 		}
 		if err == nil {
-			err = s.checkForwardable(attempt)
+			err = s.commitToEvent(attempt)
 		}
 		if err != nil {
 			return s.attemptLost(ctx, attempt, err)
@@ -177,13 +177,13 @@
 	}
 }
 
-// checkForwardable fails if the next event of an attempt may not be forwarded because the attempt was
+// commitToEvent settles that the next event of an attempt is forwarded. It fails if the attempt was
 // given up.
-func (s *stream) checkForwardable(attempt *attempt) error {
+func (s *stream) commitToEvent(attempt *attempt) error {
 	if s.headersSent {
 		return attempt.watchdog.eventReceived()
 	}
-	return attempt.checkNotGivenUp()
+	return attempt.commitToForward()
 }
 
 // attemptLost ends an attempt whose stream broke off or that was given up, and returns its error.
