replica: a successor that copies for long holds up no change

What callers would see: service does not return from a closing fault although the lost replica could have been removed.

Cause: each change of a group waited until every member but the leaving one was in sync, those without a vote too. While a successor copied, for whatever reason, the lost member kept its vote. A seat that was passed on to a successor which then copied nothing had a vote that nobody cast, for as long.

Change: a member whose seat is in transfer is waited for by changes that can wait alone. A suspect member's seat goes to one that has joined and copied. A seat whose holder has not copied when the previous holder counts as failed is removed, and the holder joins again, without a vote, and goes on with its copy. An exchange after a removal needs members with a vote only.

--- a/internal/replica/departure.go
+++ b/internal/replica/departure.go
@@ -44,10 +44,11 @@
 
 // changeReasonFor returns the reason of the group that nextGroup returns for a status.
 func changeReasonFor(status groupStatus) changeReason {
-	if nextCompletedTransfer(status) != nil {
+	leaving := nextDeparture(status)
+	if nextCompletedTransfer(status, leaving) != nil {
 		return changeTransferComplete
 	}
-	if leaving := nextDeparture(status); leaving != nil {
+	if leaving != nil {
 		return departureChangeReasons[leaving.reason]
 	}
 	return changeOther
@@ -73,7 +74,7 @@
 func nextDeparture(status groupStatus) *departure {
 	for reason := range departureReasonCount {
 		for _, member := range status.group.Members {
-			if status.mustLeave(reason, member.Node) {
+			if status.mustLeave(reason, member.Node) || reason == memberFailed && status.transferHasStalled(member) {
 				return &departure{member: member, reason: reason}
 			}
 		}
@@ -81,6 +82,16 @@
 	return nil
 }
 
+// transferHasStalled reports whether a seat's holder has not copied its records although the previous
+// holder has failed. The seat has a vote that nobody can cast, so it is removed like that of a failed
+// member. Its holder may join again, without a vote while it copies.
+func (s *groupStatus) transferHasStalled(member *replicav1.Member) bool {
+	if s.hasFailed == nil || s.copiedIncarnation == nil || !inTransfer(member) || quorum.IsJoining(member) {
+		return false
+	}
+	return s.hasFailed(member.Predecessor.Node) && s.copiedIncarnation(member.Node) == 0
+}
+
 // mustLeave reports whether a node has to give up its seat for a reason.
 func (s *groupStatus) mustLeave(reason departureReason, node string) bool {
 	switch reason {
@@ -120,11 +131,13 @@
 }
 
 // remainingInSync reports whether the members that remain are in sync and are enough for a change.
-// A second failed member is not waited for, because it is handled by a later change.
+// A second failed member is not waited for, because it is handled by a later change. Neither is a
+// member whose seat is in transfer: while it copies, others may fail.
 func remainingInSync(status groupStatus, leaving *departure) bool {
 	inSync := 0
 	for _, member := range status.group.Members {
 		switch {
+		case inTransfer(member):
 		case status.isInSync(member.Node):
 			inSync++
 		case !leaving.isFor(member) && !status.mustLeave(memberFailed, member.Node):
@@ -155,7 +168,7 @@
 // others. Two voting members, which together hold all acknowledged records, must remain: an
 // operator's order must not leave all records on one disk.
 func canRemove(status groupStatus, leaving departure, canGrow bool) bool {
-	enoughRemain := remainingMemberCount(status.group, &leaving) >= desiredSeats(status.group)
+	enoughRemain := remainingVoterCount(status.group, &leaving) >= desiredSeats(status.group)
 	switch leaving.reason {
 	case memberFailed, memberSurplus:
 	case memberSuspect:
@@ -172,6 +185,15 @@
 	return quorum.IsJoining(leaving.member) || quorum.VoterCount(status.group) > 2
 }
 
+// remainingVoterCount returns the number of members with a vote without the one that leaves.
+func remainingVoterCount(group *replicav1.Group, leaving *departure) int {
+	count := quorum.VoterCount(group)
+	if leaving != nil && !quorum.IsJoining(leaving.member) {
+		count--
+	}
+	return count
+}
+
 // canReinstate reports whether the most recently removed member may get its seat back in place of a
 // member that failed before the removal was complete. Of three members, two hold each record
 // acknowledged before the removal, and both remaining ones hold each record acknowledged since. The
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -23,12 +23,14 @@
 }
 
 // exchangePartners returns the members that exchange their records after a removal, or nil if they
-// are too few. They are all members except those that have failed meanwhile. The partners must
+// are too few. They are all members with a vote except those that have failed meanwhile. The partners must
 // together hold every record acknowledged before the removal, and must be a majority of the present
 // group.
 func exchangePartners(status groupStatus) (partners []*replicav1.Member) {
 	for _, member := range status.group.Members {
 		switch {
+		case quorum.IsJoining(member):
+			// It has no vote, so no record depends on it.
 		case status.isInSync(member.Node):
 			partners = append(partners, member)
 		case !status.mustLeave(memberFailed, member.Node):
--- a/internal/replica/nextgroup.go
+++ b/internal/replica/nextgroup.go
@@ -122,24 +122,31 @@
 //
 // A change waits until a majority reports the present epoch, so that no write can succeed under an
 // earlier one, and until the remaining members are in sync. A healthy member keeps its vote until
-// the desired number of other members can vote. An unresponsive member is replaced at once.
+// the desired number of other members can vote. An unresponsive member is replaced at once, by a
+// member that joins if there is one.
 func nextGroup(status groupStatus) *replicav1.Group {
-	if transferred := nextCompletedTransfer(status); transferred != nil {
+	leaving := nextDeparture(status)
+	if transferred := nextCompletedTransfer(status, leaving); transferred != nil {
 		return transferred
 	}
-	leaving := nextDeparture(status)
 	if canReinstate(status, leaving) {
 		return groupWithReinstatedMember(status, leaving.member)
 	}
 	if !remainingInSync(status, leaving) {
 		return nil
 	}
+	if joined := successorAmongJoining(status, leaving); joined != nil {
+		return groupWithSeatTransferredToJoiningMember(status.group, leaving.member, joined)
+	}
+	if awaitsTransfer(status, leaving) && !leaving.isUnresponsive() && status.group.Removed == nil {
+		return nil
+	}
 	standby := healthyStandby(status)
-	canGrow := standby != nil && remainingMemberCount(status.group, leaving) < maxSeats && shouldAddMember(status, leaving, standby)
+	canGrow := standby != nil && !awaitsTransfer(status, leaving) && remainingMemberCount(status.group, leaving) < maxSeats && shouldAddMember(status, leaving, standby)
 	next := proto.CloneOf(status.group)
 	next.Epoch++
 	switch {
-	case canGrow && leaving.isUnresponsive():
+	case canGrow && leaving.isUnresponsive() && !status.transferHasStalled(leaving.member):
 		transferSeat(memberForNode(next, leaving.member.Node), *standby, next.Epoch)
 		return next
 	case next.Removed != nil:
@@ -203,9 +210,31 @@
 	return len(group.Members) - 1
 }
 
+// successorAmongJoining returns a member without a vote that has copied the records of the others, if
+// the member that leaves has a vote and does not respond. Otherwise it returns nil.
+func successorAmongJoining(status groupStatus, leaving *departure) *replicav1.Member {
+	if !leaving.isUnresponsive() || inTransfer(leaving.member) || status.copiedIncarnation == nil {
+		return nil
+	}
+	for _, member := range status.group.Members {
+		if quorum.IsJoining(member) && status.copiedIncarnation(member.Node) != 0 {
+			return member
+		}
+	}
+	return nil
+}
+
+// awaitsTransfer reports whether the holder of a seat in transfer, other than one that leaves, may
+// still copy the seat's records. Changes that can wait do so.
+func awaitsTransfer(status groupStatus, leaving *departure) bool {
+	return slices.ContainsFunc(membersInTransfer(status.group), func(member *replicav1.Member) bool {
+		return !leaving.isFor(member) && !status.mustLeave(memberFailed, member.Node)
+	})
+}
+
 // nextCompletedTransfer returns the group in which a seat's transfer is complete, or nil if no
 // holder of a seat in transfer has copied the records.
-func nextCompletedTransfer(status groupStatus) *replicav1.Group {
+func nextCompletedTransfer(status groupStatus, _ *departure) *replicav1.Group {
 	for _, member := range membersInTransfer(status.group) {
 		if status.copiedIncarnation == nil {
 			return nil
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -77,7 +77,7 @@
 func proposalRank(status groupStatus, node string) int {
 	rank := 0
 	switch leaving := nextDeparture(status); {
-	case nextCompletedTransfer(status) != nil:
+	case nextCompletedTransfer(status, leaving) != nil:
 		rank = 1
 	case leaving != nil && leaving.reason == memberStopping:
 		if leaving.member.Node == node {
--- a/internal/replica/seatcopy.go
+++ b/internal/replica/seatcopy.go
@@ -52,6 +52,15 @@
 	return &seatCopy{sources: make(map[string]*sourceCopy)}
 }
 
+// forNewSeat returns the copy for another seat of the same group. It resumes where the present one,
+// which may be nil, has stopped, because the records are on this disk.
+func (c *seatCopy) forNewSeat() *seatCopy {
+	if c == nil {
+		return newSeatCopy()
+	}
+	return &seatCopy{sources: c.sources}
+}
+
 // pendingStage returns the flag of the copy stage that a member needs next.
 func (c *seatCopy) pendingStage(member *replicav1.Member, identity *replicav1.Identity) *bool {
 	if isNewSeat(member) && hasReceived(member, identity) {
--- a/internal/replica/seatrecovery.go
+++ b/internal/replica/seatrecovery.go
@@ -99,7 +99,7 @@
 			return
 		}
 		identity = r.state.currentIdentity(group.Partition)
-		s.copy = newSeatCopy()
+		s.copy = s.copy.forNewSeat()
 	case s.copy == nil:
 		// The process was restarted and keeps its incarnation: the members may have agreed on a
 		// group, unknown here, in which this incarnation has received its seat. An incomplete copy
--- a/internal/replica/transfer.go
+++ b/internal/replica/transfer.go
@@ -27,6 +27,17 @@
 	member.Claim = epoch
 }
 
+// groupWithSeatTransferredToJoiningMember returns the group in which a member without a vote gives up
+// its own seat for that of an unresponsive one. It holds most records already.
+func groupWithSeatTransferredToJoiningMember(group *replicav1.Group, unresponsive, joining *replicav1.Member) *replicav1.Group {
+	next := proto.CloneOf(group)
+	next.Epoch++
+	removeSeat(next, joining.Seat)
+	successor := directory.Replica{Node: joining.Node, Address: joining.Address, Zone: joining.Zone}
+	transferSeat(memberForSeat(next, unresponsive.Seat), successor, next.Epoch)
+	return next
+}
+
 // inTransfer reports whether the holder of a seat has not yet received the records of the seat or,
 // if the seat is new, the records of the other members.
 func inTransfer(member *replicav1.Member) bool {
