replica: a further vote is given only when each member takes part

What callers saw: with one of three replicas gone and not yet missed, its successor got its vote as a fourth member. Each write then needed all three others, the new one too; when that was lost as well, two of four were no majority, for good, where two of three had served.

Cause: a change that could wait was made by a majority, one of which was gone and not known to be. The group came to depend on all that were left.

Change: a vote that makes writes need one member more is given only when every member with a vote takes part in the choice, and a member that works is removed only when every one that stays does.

--- a/internal/replica/ballot.go
+++ b/internal/replica/ballot.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -139,6 +140,26 @@
 	return request
 }
 
+// seatsToConfirm returns the seats whose acceptors all have to take part before a change is made
+// that could wait. A change that makes writes need more members needs every member, and the removal
+// of a responsive member every other one: with a member that has failed and is not known to have,
+// the group would tolerate less after the change than before. An unresponsive member is removed by
+// a majority.
+func seatsToConfirm(group, next *replicav1.Group, leaving *departure) (seats []uint32) {
+	before, after := quorum.VoterCount(group), quorum.VoterCount(next)
+	grows := quorum.WriteQuorum(after) > quorum.WriteQuorum(before)
+	if !grows && (after >= before || leaving.isUnresponsive()) {
+		return nil
+	}
+	for _, acceptor := range acceptors(group) {
+		if grows || memberForSeat(next, acceptor.Seat) != nil {
+			seats = append(seats, acceptor.Seat)
+		}
+	}
+	slices.SortFunc(seats, func(a, b uint32) int { return cmp.Compare(a, b) })
+	return seats
+}
+
 // memberForSeat returns the member with a seat, or nil.
 func memberForSeat(group *replicav1.Group, seat uint32) *replicav1.Member {
 	for _, member := range group.Members {
--- a/internal/replica/nextgroup.go
+++ b/internal/replica/nextgroup.go
@@ -233,12 +233,16 @@
 }
 
 // nextCompletedTransfer returns the group in which a seat's transfer is complete, or nil if no
-// holder of a seat in transfer has copied the records.
-func nextCompletedTransfer(status groupStatus, _ *departure) *replicav1.Group {
+// holder of a seat in transfer has copied the records. A new member whose vote makes writes need
+// more members takes the seat of an unresponsive one instead.
+func nextCompletedTransfer(status groupStatus, leaving *departure) *replicav1.Group {
 	for _, member := range membersInTransfer(status.group) {
 		if status.copiedIncarnation == nil {
 			return nil
 		}
+		if leaving.isUnresponsive() && quorum.IsJoining(member) && voteRaisesWriteQuorum(status.group) {
+			continue
+		}
 		if incarnation := status.copiedIncarnation(member.Node); incarnation != 0 {
 			return groupWithTransferComplete(status.group, member.Seat, incarnation)
 		}
@@ -246,6 +250,12 @@
 	return nil
 }
 
+// voteRaisesWriteQuorum reports whether writes need more members once a further one has a vote.
+func voteRaisesWriteQuorum(group *replicav1.Group) bool {
+	voters := quorum.VoterCount(group)
+	return quorum.WriteQuorum(voters+1) > quorum.WriteQuorum(voters)
+}
+
 // desiredSeats returns the minimum number of seats that a group should have. A group may grow
 // beyond it up to maxSeats, because a member that can already vote when another one is told to leave
 // makes up for the loss of that one at any moment.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -20,7 +20,7 @@
 // proposeToMembers lets the members of a group choose the next one. The platform's store is told
 // afterwards.
 func (r *Replica) proposeToMembers(ctx context.Context, status groupStatus, next *replicav1.Group, reason changeReason) {
-	chosen, err := r.agree(ctx, status.group, next, nil)
+	chosen, err := r.agree(ctx, status.group, next, seatsToConfirm(status.group, next, nextDeparture(status)))
 	if err != nil {
 		r.logProposalFailure(next, err)
 		return
--- a/internal/replica/simulation_choice_test.go
+++ b/internal/replica/simulation_choice_test.go
@@ -19,13 +19,13 @@
 
 // install installs a group that a node proposes, if the members choose one, and reports whether they
 // do. The group may be one that another node has proposed before.
-func (p *simPartition) install(proposer *simNode, next *replicav1.Group, _ *departure) bool {
+func (p *simPartition) install(proposer *simNode, next *replicav1.Group, leaving *departure) bool {
 	if p.agreement == nil {
 		p.group = next
 		return true
 	}
 	ballot := p.agreement.ballots.next()
-	var confirm []uint32
+	confirm := seatsToConfirm(p.group, next, leaving)
 	promised := p.askAcceptors(&replicav1.AgreeRequest{Group: p.group, Ballot: ballot})
 	p.agreement.ballots.observe(promised.promised)
 	if !promised.isMajority() && storeIsAcceptor(p.group) && !p.agreement.storeAway {
--- a/internal/replica/simulation_join_test.go
+++ b/internal/replica/simulation_join_test.go
@@ -211,3 +211,18 @@
 		}
 	})
 }
+
+// A successor that was lost with its vote, before its predecessor was known to be, left no majority.
+func TestLossOfSuccessorBeforeLostMemberIsKnownIsTolerated(t *testing.T) {
+	forEachJoin(t, func(t *testing.T, s joinSchedule) {
+		if s.successorAfter < 0 {
+			return
+		}
+		s.lostIndex = -1
+		for s.successorLostAfter = range 4 {
+			for s.round = range successorRounds {
+				s.requireTolerated(t)
+			}
+		}
+	})
+}
