replica: a seat goes back to its previous holder when the new one does not respond

What callers would see: service does not return although two of three disks are there. A member that was only cut off had its seat passed on; the new holder went before it had received the records, another member lost its disk, and the first came back.

Cause: the empty member needed a second source, and the change that would have made one of the previous holder waited for the empty member.

Change: the previous holder, which has all records of the seat, gets it back from a holder that does not respond, whoever else is not in sync.

--- a/internal/replica/groupstatus.go
+++ b/internal/replica/groupstatus.go
@@ -45,6 +45,10 @@
 	// exchangeComplete is set once each partner of the exchange has the records of all of them, in
 	// this epoch.
 	exchangeComplete bool
+	// previousHolderHoldsRecords reports whether the previous holder of a seat in transfer has
+	// recently reported that it knows the group and still holds all records of the seat; nil means
+	// none has.
+	previousHolderHoldsRecords func(member *replicav1.Member) bool
 	// removedMemberHoldsRecords is set while the most recently removed member reports that it knows
 	// the group and still holds all records of its seat.
 	removedMemberHoldsRecords bool
@@ -64,7 +68,11 @@
 		regionOf: r.options.RegionOf, toleratedZoneFailures: r.options.ToleratedZoneFailures,
 		storesSystemID:            func(node string) bool { return node == self || r.peers.storesSystemID(node) },
 		removedMemberHoldsRecords: r.peers.removedMemberHoldsRecords(group),
-		isHealthy:                 func(node string) bool { return node == self || r.peers.isHealthy(node) },
+		previousHolderHoldsRecords: func(member *replicav1.Member) bool {
+			standing := r.peers.freshStanding(member.Predecessor.GetNode(), group.Partition)
+			return standing != nil && isPreviousHolder(group, member, standing)
+		},
+		isHealthy: func(node string) bool { return node == self || r.peers.isHealthy(node) },
 		holdsRecords: func(member *replicav1.Member) bool {
 			if member.Node == self {
 				return holdsRecords(member, r.state.standing(group.Partition, group.Epoch))
--- a/internal/replica/nextgroup.go
+++ b/internal/replica/nextgroup.go
@@ -132,6 +132,9 @@
 	if canReinstate(status, leaving) {
 		return groupWithReinstatedMember(status, leaving.member)
 	}
+	if returned := groupWithReturnedSeat(status, leaving); returned != nil {
+		return returned
+	}
 	if !remainingInSync(status, leaving) {
 		return nil
 	}
--- a/internal/replica/simulation_departures_test.go
+++ b/internal/replica/simulation_departures_test.go
@@ -306,6 +306,10 @@
 			standing := d.lastStanding[name]
 			return roundsDown(name) < d.suspectRounds && standing.GetMember() && standing.GetRecovered() && standing.GetEpoch() == d.group.Epoch
 		},
+		previousHolderHoldsRecords: func(member *replicav1.Member) bool {
+			node := d.nodes[member.Predecessor.Node]
+			return !node.down && isPreviousHolder(d.group, member, node.state().standing(0, d.group.Epoch))
+		},
 		copiedIncarnation: func(name string) uint64 {
 			if roundsDown(name) >= d.suspectRounds {
 				return 0
--- a/internal/replica/simulation_join_test.go
+++ b/internal/replica/simulation_join_test.go
@@ -226,3 +226,22 @@
 		}
 	})
 }
+
+// A seat was passed on from a member that was only cut off, and its vote was missing when it returned.
+func TestDiskLossWhileAbsentMemberIsReplacedIsTolerated(t *testing.T) {
+	forEachJoin(t, func(t *testing.T, s joinSchedule) {
+		if s.store.from > 0 || s.store.until != forever {
+			return
+		}
+		s.successorGone = true
+		for s.absentFor = 1; s.absentFor <= 5; s.absentFor += 2 {
+			for _, s.stalledFrom = range []int{1, 2, never} {
+				for s.round = 1; s.round <= successorRounds; s.round++ {
+					for s.lostIndex = range s.members {
+						s.requireTolerated(t)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/replica/transfer.go
+++ b/internal/replica/transfer.go
@@ -38,6 +38,35 @@
 	return next
 }
 
+// groupWithReturnedSeat returns the group in which the previous holder of a seat has it again, if the
+// new holder does not respond before it has received the records. The previous holder has them, so
+// that no other member has to be waited for: one that has lost its disk may need this one to copy
+// from. It returns nil if the seat cannot be returned.
+func groupWithReturnedSeat(status groupStatus, leaving *departure) *replicav1.Group {
+	if !leaving.isUnresponsive() || !inTransfer(leaving.member) || quorum.IsJoining(leaving.member) || status.previousHolderHoldsRecords == nil {
+		return nil
+	}
+	previous := previousHolder(leaving.member)
+	if !status.previousHolderHoldsRecords(leaving.member) || status.retiring[previous.Node] {
+		return nil
+	}
+	next := proto.CloneOf(status.group)
+	next.Epoch++
+	returned := directory.Replica{Node: previous.Node, Address: previous.Address, Zone: nodeZone(status.nodes, previous.Node)}
+	transferSeat(memberForSeat(next, leaving.member.Seat), returned, next.Epoch)
+	return next
+}
+
+// nodeZone returns the zone of a registered node, or "".
+func nodeZone(nodes []directory.Replica, name string) string {
+	for _, node := range nodes {
+		if node.Node == name {
+			return node.Zone
+		}
+	}
+	return ""
+}
+
 // inTransfer reports whether the holder of a seat has not yet received the records of the seat or,
 // if the seat is new, the records of the other members.
 func inTransfer(member *replicav1.Member) bool {
