replica: an operator is told of a group that has tolerated no disk loss for seconds

Event 2725 tells each change of the number of lost disks that a group tolerates, without a severity; nobody was told of a group that tolerated none for six seconds. Event 2728 warns once after 3 s, with the members that are empty, the seats in transfer and the member that is to leave.

--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -13,6 +13,7 @@
 	eventNotProposed            = event.Define(2724, event.Warning, "group proposal failed", "Check the members and the connections to them; a change that can wait needs each of them, any other one a majority.")
 	eventNotStored              = event.Define(2727, event.Warning, "group is missing in the platform's store", "Check the store and this machine's connection to it. The members know the group; processes that know no member find it once the store has it.")
 	eventToleratedLosses        = event.Define(2725, event.Info, "number of disk losses that a group tolerates has changed", "Below one, do not stop or lose a further replica; empty lists the members to restore.")
+	eventNoLossTolerated        = event.Define(2728, event.Warning, "group has tolerated no disk loss for seconds", "Do not stop or lose a further replica. Restore the members in empty, or add a replica; inTransfer lists the successors that still copy.")
 	eventStoppedUnderReplicated = event.Define(2726, event.Warning, "grace period of a stopping replica ended before enough other members of its group were in sync", "Keep this machine and its disk until event 2725 reports that the group tolerates a disk loss.")
 	eventRetired                = event.Define(2707, event.Info, "retirement completed; the node is no longer needed", "")
 	eventCopied                 = event.Define(2709, event.Info, "replica has copied the records of its seat", "")
--- a/internal/replica/underreplicated.go
+++ b/internal/replica/underreplicated.go
@@ -39,6 +39,8 @@
 type toleratedLosses struct {
 	count int
 	since time.Time
+	// warned is set once it was logged that the group has tolerated no loss for long.
+	warned bool
 }
 
 func newUnderReplicatedGroups(now func() time.Time) *underReplicatedGroups {
@@ -86,10 +88,15 @@
 	}
 	tolerated := quorum.ToleratedLosses(group, len(group.Members)-len(empty))
 	existing, found := u.tolerated[group.Partition]
+	now := u.now()
 	if found && existing.count == tolerated {
+		if tolerated < 1 && !existing.warned && now.Sub(existing.since) >= underReplicatedLogDelay {
+			existing.warned = true
+			u.tolerated[group.Partition] = existing
+			logNoLossTolerated(status, empty, now.Sub(existing.since))
+		}
 		return
 	}
-	now := u.now()
 	u.tolerated[group.Partition] = toleratedLosses{count: tolerated, since: now}
 	if found {
 		eventToleratedLosses.Log("partition", group.Partition, "epoch", group.Epoch, "losses", tolerated, "before", existing.count,
@@ -97,6 +104,16 @@
 	}
 }
 
+// logNoLossTolerated logs what keeps a group from tolerating the loss of a disk.
+func logNoLossTolerated(status groupStatus, empty []string, duration time.Duration) {
+	group, why := status.group, changeOther
+	if leaving := nextDeparture(status); leaving != nil {
+		why = departureChangeReasons[leaving.reason]
+	}
+	eventNoLossTolerated.Log("partition", group.Partition, "epoch", group.Epoch, "empty", empty, "inTransfer", nodeNames(membersInTransfer(group)),
+		"removed", group.Removed.GetNode(), "why", why, "milliseconds", duration.Milliseconds())
+}
+
 // retainGroups drops the groups in which this node has no seat any more.
 func (u *underReplicatedGroups) retainGroups(ownGroups []*replicav1.Group) {
 	u.mutex.Lock()
--- a/internal/replica/underreplicated_test.go
+++ b/internal/replica/underreplicated_test.go
@@ -49,3 +49,20 @@
 	groups.retainGroups([]*replicav1.Group{five})
 	require.Equal(t, 2, groups.minToleratedLosses())
 }
+
+func TestGroupThatToleratesNoLossIsReportedOnceAfterDelay(t *testing.T) {
+	now := time.Unix(100, 0)
+	groups := newUnderReplicatedGroups(func() time.Time { return now })
+	status := statusAllInSync(singlePartitionGroup(nodes("a", "b", "c")), nodes("a", "b", "c"))
+	status.holdsRecords = func(member *replicav1.Member) bool { return member.Node != "c" }
+	groups.observe(status, nil)
+	now = now.Add(underReplicatedLogDelay - 1)
+	groups.observe(status, nil)
+	require.False(t, groups.tolerated[0].warned, "a replacement usually takes less time")
+	now = now.Add(1)
+	groups.observe(status, nil)
+	require.True(t, groups.tolerated[0].warned)
+	status.holdsRecords = func(*replicav1.Member) bool { return true }
+	groups.observe(status, nil)
+	require.Equal(t, toleratedLosses{count: 1, since: now}, groups.tolerated[0])
+}
