--- a/internal/replica/ballot.go
+++ b/internal/replica/ballot.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -156,7 +155,6 @@
 			seats = append(seats, acceptor.Seat)
 		}
 	}
-	slices.SortFunc(seats, func(a, b uint32) int { return cmp.Compare(a, b) })
 	return seats
 }
 
--- a/internal/replica/simulation_agreement_test.go
+++ b/internal/replica/simulation_agreement_test.go
@@ -55,13 +55,7 @@
 func newAgreementSimulation(t require.TestingT, seed uint64, m mutation, members int) *agreementSimulation {
 	cluster := newSimCluster(t, seed, m, members, 1)
 	p := cluster.partitions[0]
-	p.group = singlePartitionGroup(p.registeredNodes())
-	p.group.Epoch, p.group.Agreed = firstEpoch+1, true
-	for _, member := range p.group.Members {
-		p.must(p.nodes[member.Node].state().write(groupRecord(p.group), identityRecord(0, &replicav1.Identity{
-			Seat: member.Seat, Claim: member.Claim, Incarnation: p.random.Uint64() | 1, Recovered: true, KnowsStore: true,
-		})))
-	}
+	p.startAgreedGroup()
 	return &agreementSimulation{simPartition: p, stored: proto.CloneOf(p.group)}
 }
 
--- a/internal/replica/simulation_choice_test.go
+++ b/internal/replica/simulation_choice_test.go
@@ -17,6 +17,17 @@
 	storeAway bool
 }
 
+// startAgreedGroup replaces the group by one of all nodes whose members choose the next one.
+func (p *simPartition) startAgreedGroup() {
+	p.group = singlePartitionGroup(p.registeredNodes())
+	p.group.Epoch, p.group.Agreed = firstEpoch+1, true
+	for _, member := range p.group.Members {
+		p.must(p.nodes[member.Node].state().write(groupRecord(p.group), identityRecord(0, &replicav1.Identity{
+			Seat: member.Seat, Claim: member.Claim, Incarnation: p.random.Uint64() | 1, Recovered: true, KnowsStore: true,
+		})))
+	}
+}
+
 // install installs a group that a node proposes, if the members choose one, and reports whether they
 // do. The group may be one that another node has proposed before.
 func (p *simPartition) install(proposer *simNode, next *replicav1.Group, leaving *departure) bool {
--- a/internal/replica/simulation_departures_test.go
+++ b/internal/replica/simulation_departures_test.go
@@ -62,13 +62,7 @@
 	cluster := newSimCluster(t, 1, noMutation, members, 1)
 	cluster.enableAnnouncements(1)
 	p := cluster.partitions[0]
-	p.group = singlePartitionGroup(p.registeredNodes())
-	p.group.Epoch, p.group.Agreed = firstEpoch+1, true
-	for _, member := range p.group.Members {
-		p.must(p.nodes[member.Node].state().write(groupRecord(p.group), identityRecord(0, &replicav1.Identity{
-			Seat: member.Seat, Claim: member.Claim, Incarnation: p.random.Uint64() | 1, Recovered: true, KnowsStore: true,
-		})))
-	}
+	p.startAgreedGroup()
 	p.agreement = &simAgreement{ballots: newBallots(), stored: proto.CloneOf(p.group)}
 	d := &departureSimulation{
 		simPartition: p, downUntil: make(map[string]int), downSince: make(map[string]int),
