--- a/internal/journal/reconcile.go
+++ b/internal/journal/reconcile.go
@@ -161,7 +161,29 @@
 	}
 	learner.Learner = false
 	members := r.currentMembership().withMember(learner)
-	return members, r.majorityUnsuspected(members)
+	return members, r.majorityUnsuspected(members) && (!r.raisesQuorum(members) || r.responsiveVotersAnswered())
+}
+
+// raisesQuorum reports whether a majority of the given members is larger than
+// one of the current membership.
+func (r *Replica) raisesQuorum(members []Member) bool {
+	return membership{members: members}.quorum() > r.currentMembership().quorum()
+}
+
+// responsiveVotersAnswered reports whether every voter that is not suspected
+// has answered since the last tick. A voter that is gone and not suspected yet
+// must not be needed more than before.
+func (r *Replica) responsiveVotersAnswered() bool {
+	for _, member := range r.currentMembership().members {
+		id := member.ID()
+		if member.Learner || id == r.config.Self || r.suspected[id.WithoutAdmission()] {
+			continue
+		}
+		if peer, known := r.leaderState.peers[id]; !known || !peer.answeredSinceTick {
+			return false
+		}
+	}
+	return true
 }
 
 // isSuperseded reports whether a desired member is a later incarnation of the
--- a/internal/journal/tick.go
+++ b/internal/journal/tick.go
@@ -1,5 +1,7 @@
 package journal
 
+import "slices"
+
 // Tick advances time by one tick. It needs to be called only while NeedsTicks.
 func (r *Replica) Tick() {
 	switch r.role {
@@ -60,24 +62,35 @@
 	}
 	r.tickRemovalNotices()
 	r.reconcile()
-	r.probeLearners()
+	r.probeBeforePromotion()
 }
 
-// probeLearners probes learners that have caught up, because a learner that
-// failed meanwhile must not become a voter.
-func (r *Replica) probeLearners() {
+// probeBeforePromotion probes a learner that has caught up and the voters,
+// because a learner that failed meanwhile must not become a voter, and none
+// must become one beside a voter that failed and is not suspected yet.
+func (r *Replica) probeBeforePromotion() {
+	awaited := r.hasCaughtUpLearner()
 	for _, member := range r.currentMembership().members {
-		peer, known := r.leaderState.peers[member.ID()]
+		id := member.ID()
+		peer, known := r.leaderState.peers[id]
 		if !known {
 			continue
 		}
-		if member.Learner && r.isDesired(member.ID()) && r.caughtUp(member.ID()) && !peer.answeredSinceTick {
-			r.sendProbeAppend(member.ID(), peer)
+		needed := !member.Learner || r.isDesired(id) && r.caughtUp(id)
+		if awaited && needed && !peer.answeredSinceTick && !r.suspected[id.WithoutAdmission()] {
+			r.sendProbeAppend(id, peer)
 		}
 		peer.answeredSinceTick = false
 	}
 }
 
+// hasCaughtUpLearner reports whether a desired learner has caught up.
+func (r *Replica) hasCaughtUpLearner() bool {
+	return slices.ContainsFunc(r.currentMembership().members, func(member Member) bool {
+		return member.Learner && r.isDesired(member.ID()) && r.caughtUp(member.ID())
+	})
+}
+
 // tickQuorum steps down if work waits for a majority that does not answer, so
 // that the callers that wait are told.
 func (r *Replica) tickQuorum() {
