replica: an acceptor stores a proposer's group before it votes, its own proposals included

The proposer's own vote was refused for up to 60 ms after it had learned a group, since that was not on its disk yet; each such attempt cost 300 ms. One function answers both ways. While this process does not know its system, a proposal is refused and its group verified, as an announcement's is.

--- a/internal/replica/acceptor.go
+++ b/internal/replica/acceptor.go
@@ -61,6 +61,23 @@
 	return agreementRecord(p.number, voted), true
 }
 
+// isConsistentWith reports whether this folder has seen no later incarnation of an acceptor that is
+// said to have promised a ballot. Its promise is void: its disk has been lost since. A seat in
+// transfer is left out, because its new holder may have been seen while the previous one promises.
+func (p *partitionState) isConsistentWith(promises []*replicav1.SeatIncarnation) bool {
+	for _, promise := range promises {
+		known := p.seenIncarnations[promise.Seat]
+		if promise.Seat == p.identity.GetSeat() {
+			known = p.identity.GetIncarnation()
+		}
+		member := memberForSeat(p.group, promise.Seat)
+		if known != 0 && known != promise.Incarnation && member != nil && !inTransfer(member) {
+			return false
+		}
+	}
+	return true
+}
+
 // applyAgreement applies what this folder, or one that it has copied, has promised and accepted. It
 // reports whether that changed anything.
 func (p *partitionState) applyAgreement(agreement *replicav1.Agreement) bool {
@@ -91,15 +108,26 @@
 	return &replicav1.Record{Partition: partition, Kind: &replicav1.Record_Agreement{Agreement: agreement}}
 }
 
-// vote lets this folder take part in a ballot. It returns after the vote is on the disk.
-func (s *state) vote(request *replicav1.AgreeRequest) (granted bool, err error) {
-	err = s.update(request.Group.GetPartition(), func(partition *partitionState, write func(*replicav1.Record)) {
-		var record *replicav1.Record
-		if record, granted = partition.vote(request); granted {
+// answerVote lets this folder take part in a ballot, and returns the answer to its proposer after the
+// vote is on the disk.
+func (s *state) answerVote(request *replicav1.AgreeRequest) (*replicav1.AgreeResponse, error) {
+	if err := s.write(groupRecord(request.Group)); err != nil {
+		return nil, err
+	}
+	answer := &replicav1.AgreeResponse{}
+	err := s.update(request.Group.Partition, func(partition *partitionState, write func(*replicav1.Record)) {
+		record, granted := partition.vote(request)
+		if granted {
 			write(record)
 		}
+		answer.Granted = granted
 	})
-	return granted && err == nil, err
+	if err != nil {
+		return nil, err
+	}
+	// The standing is read after the vote, so that it includes what this replica learned meanwhile.
+	answer.Standing, answer.Agreement = s.agreement(request.Group.Partition, request.Group.Epoch)
+	return answer, nil
 }
 
 // agreement returns a partition's standing together with what was promised and accepted by then.
@@ -109,3 +137,17 @@
 	current := s.partition(partition)
 	return current.standing(epoch), current.currentAgreement()
 }
+
+// markStoreKnown records that an incarnation knows what the store has promised and accepted in an
+// epoch. It promises the same ballot.
+func (s *state) markStoreKnown(group *replicav1.Group, identity *replicav1.Identity, ballot uint64) error {
+	return s.update(group.Partition, func(partition *partitionState, write func(*replicav1.Record)) {
+		if partition.group.GetEpoch() != group.Epoch || partition.identity.GetIncarnation() != identity.Incarnation {
+			return
+		}
+		knowing := proto.CloneOf(partition.identity)
+		knowing.KnowsStore = true
+		write(agreementRecord(group.Partition, &replicav1.Agreement{Epoch: group.Epoch, Promised: ballot}))
+		write(identityRecord(group.Partition, knowing))
+	})
+}
--- a/internal/replica/agree.go
+++ b/internal/replica/agree.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
@@ -81,13 +80,12 @@
 // no answer; the next attempt asks again.
 func (r *Replica) askAcceptor(ctx context.Context, member *replicav1.Member, request *replicav1.AgreeRequest) *replicav1.AgreeResponse {
 	if member.Node == r.options.Node {
-		granted, err := r.state.vote(request)
+		answer, err := r.state.answerVote(request)
 		if err != nil {
 			eventWriteFailed.Log("cause", err.Error())
 			return nil
 		}
-		standing, agreement := r.state.agreement(request.Group.Partition, request.Group.Epoch)
-		return &replicav1.AgreeResponse{Standing: standing, Granted: granted, Agreement: agreement}
+		return answer
 	}
 	response, err := r.quorum.ReplicaClient(member.Address).Agree(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -103,30 +101,11 @@
 	if err := s.learnGroup(message.Group); err != nil {
 		return nil, err
 	}
-	granted, err := s.state.vote(message)
+	answer, err := s.state.answerVote(message)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
 	}
-	// The standing is read after the vote, so that it includes what this replica learned meanwhile.
-	standing, agreement := s.state.agreement(message.Group.GetPartition(), message.Group.GetEpoch())
-	return connect.NewResponse(&replicav1.AgreeResponse{Standing: standing, Granted: granted, Agreement: agreement}), nil
-}
-
-// isConsistentWith reports whether this folder has seen no later incarnation of an acceptor that is
-// said to have promised a ballot. Its promise is void: its disk has been lost since. A seat in
-// transfer is left out, because its new holder may have been seen while the previous one promises.
-func (p *partitionState) isConsistentWith(promises []*replicav1.SeatIncarnation) bool {
-	for _, promise := range promises {
-		known := p.seenIncarnations[promise.Seat]
-		if promise.Seat == p.identity.GetSeat() {
-			known = p.identity.GetIncarnation()
-		}
-		member := memberForSeat(p.group, promise.Seat)
-		if known != 0 && known != promise.Incarnation && member != nil && !inTransfer(member) {
-			return false
-		}
-	}
-	return true
+	return connect.NewResponse(answer), nil
 }
 
 // queryStoreIfUnknown lets a member of a group of two that was recovered from the other one learn
@@ -145,17 +124,3 @@
 		eventWriteFailed.Log("cause", err.Error())
 	}
 }
-
-// markStoreKnown records that an incarnation knows what the store has promised and accepted in an
-// epoch. It promises the same ballot.
-func (s *state) markStoreKnown(group *replicav1.Group, identity *replicav1.Identity, ballot uint64) error {
-	return s.update(group.Partition, func(partition *partitionState, write func(*replicav1.Record)) {
-		if partition.group.GetEpoch() != group.Epoch || partition.identity.GetIncarnation() != identity.Incarnation {
-			return
-		}
-		knowing := proto.CloneOf(partition.identity)
-		knowing.KnowsStore = true
-		write(agreementRecord(group.Partition, &replicav1.Agreement{Epoch: group.Epoch, Promised: ballot}))
-		write(identityRecord(group.Partition, knowing))
-	})
-}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -141,23 +141,17 @@
 	return connect.NewError(connect.CodeFailedPrecondition, &directory.ForeignSystem{Own: own, Other: group.GetSystem()})
 }
 
-// learnGroup applies a group of this process's system that a proposer has sent. While that system is
-// unknown, the group is queued for verification.
+// learnGroup applies a group that a proposer has sent. It returns an error if the group may belong to
+// another system; while this process's system is unknown, the group is queued for verification.
 func (s *service) learnGroup(group *replicav1.Group) error {
 	const proposer = "proposer"
 	known := s.state.currentGroup(group.GetPartition())
 	own := directory.SystemOf([]*replicav1.Group{known, directory.AnyGroup(s.directory.Groups())})
-	switch {
-	case known == nil && !s.directory.AcceptsPeerGroups():
-		s.directory.ApplyPeerGroup(group, proposer)
-		return nil
-	case group == nil || !directory.AcceptsGroup(own, group):
+	isUnverified := known == nil && !s.directory.AcceptsPeerGroups()
+	if group == nil || isUnverified || !directory.AcceptsGroup(own, group) {
 		return s.rejectForeignGroup(group, own, proposer)
 	}
-	if err := s.state.write(groupRecord(group)); err != nil {
-		return connect.NewError(connect.CodeResourceExhausted, err)
-	}
-	s.directory.ApplyPeerGroup(s.state.currentGroup(group.Partition), proposer)
+	s.directory.ApplyPeerGroup(group, proposer)
 	return nil
 }
 
