--- a/internal/replica/nextgroup.go
+++ b/internal/replica/nextgroup.go
@@ -126,14 +126,8 @@
 // member that joins if there is one.
 func nextGroup(status groupStatus) *replicav1.Group {
 	leaving := nextDeparture(status)
-	if transferred := nextCompletedTransfer(status, leaving); transferred != nil {
-		return transferred
-	}
-	if canReinstate(status, leaving) {
-		return groupWithReinstatedMember(status, leaving.member)
-	}
-	if returned := groupWithReturnedSeat(status, leaving); returned != nil {
-		return returned
+	if next := groupWithRecordHolder(status, leaving); next != nil {
+		return next
 	}
 	if !remainingInSync(status, leaving) {
 		return nil
@@ -144,6 +138,24 @@
 	if awaitsTransfer(status, leaving) && !leaving.isUnresponsive() && status.group.Removed == nil {
 		return nil
 	}
+	return groupWithMemberChange(status, leaving)
+}
+
+// groupWithRecordHolder returns the group in which a node that holds all records of a seat gets or
+// regains it, or nil. Such a change waits for no other member.
+func groupWithRecordHolder(status groupStatus, leaving *departure) *replicav1.Group {
+	if transferred := nextCompletedTransfer(status, leaving); transferred != nil {
+		return transferred
+	}
+	if canReinstate(status, leaving) {
+		return groupWithReinstatedMember(status, leaving.member)
+	}
+	return groupWithReturnedSeat(status, leaving)
+}
+
+// groupWithMemberChange returns the group in which a member is replaced, removed or added, or a removal
+// is complete, or nil if none of these is possible now.
+func groupWithMemberChange(status groupStatus, leaving *departure) *replicav1.Group {
 	standby := healthyStandby(status)
 	canGrow := standby != nil && !awaitsTransfer(status, leaving) && remainingMemberCount(status.group, leaving) < maxSeats && shouldAddMember(status, leaving, standby)
 	next := proto.CloneOf(status.group)
