replica: a choice of a group may take as long as a write

Rounds have 900 ms; one that a majority has answered waits for further acceptors 400 ms, as before. The check whether this process stood still also runs beside the loop that makes these calls, which would otherwise be taken for a pause.

--- a/internal/replica/agree.go
+++ b/internal/replica/agree.go
@@ -10,9 +10,13 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
 
-// agreeTimeout bounds one round of calls to the acceptors. Two rounds and the interval between two
-// checks stay below selfPauseThreshold.
-const agreeTimeout = 400 * time.Millisecond
+const (
+	// agreeTimeout bounds one round of calls to the acceptors. It is as long as that of a write, so
+	// that members which can store records can also choose their group.
+	agreeTimeout = 900 * time.Millisecond
+	// confirmTimeout is how long a round that a majority has answered waits for further acceptors.
+	confirmTimeout = 400 * time.Millisecond
+)
 
 // NoAgreement reports that the members of a group have not chosen the next one. Another attempt
 // follows.
@@ -55,7 +59,8 @@
 }
 
 // askAcceptors sends a request to all acceptors of a group. It returns once a majority, and all
-// given seats, take part, or once every acceptor has answered or failed.
+// given seats, take part, or once every acceptor has answered or failed. After confirmTimeout a
+// majority is enough.
 func (r *Replica) askAcceptors(ctx context.Context, request *replicav1.AgreeRequest, confirm []uint32) *ballotResult {
 	ctx, cancel := context.WithTimeout(ctx, agreeTimeout)
 	defer cancel()
@@ -64,12 +69,20 @@
 	for _, member := range asked {
 		go func() { answers <- r.askAcceptor(ctx, member, request) }()
 	}
-	result := &ballotResult{group: request.Group}
-	for range asked {
-		if answer := <-answers; answer != nil {
-			result.add(answer)
+	confirmTimer := time.NewTimer(confirmTimeout)
+	defer confirmTimer.Stop()
+	result, late := &ballotResult{group: request.Group}, false
+	for remaining := len(asked); remaining > 0; {
+		select {
+		case answer := <-answers:
+			remaining--
+			if answer != nil {
+				result.add(answer)
+			}
+		case <-confirmTimer.C:
+			late = true
 		}
-		if result.isMajority() && result.includes(confirm) {
+		if result.isMajority() && (late || result.includes(confirm)) {
 			break
 		}
 	}
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -113,6 +113,14 @@
 	r.peers.observeStanding(member.Node, message.Group.GetPartition(), standing)
 }
 
+// runSelfPauseChecks checks periodically whether this process was paused, also while
+// reconcileGroups waits for calls, which must not be taken for a pause.
+func (r *Replica) runSelfPauseChecks(ctx context.Context) {
+	for pause.For(ctx, reconcileInterval) {
+		r.peers.checkSelfPause()
+	}
+}
+
 // reconcileGroups periodically adapts the groups to the present nodes, with one change of each
 // group at a time.
 func (r *Replica) reconcileGroups(ctx context.Context) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -347,6 +347,7 @@
 	go r.register(ctx)
 	go r.runAnnouncements(ctx)
 	go r.reconcileSeats(ctx)
+	go r.runSelfPauseChecks(ctx)
 	go r.reconcileGroups(ctx)
 	go r.runStoreUpdates(ctx)
 	eventStarted.Log("node", r.options.Node, "address", r.options.Address, "bootstrap", r.options.Bootstrap)
