--- a/internal/replica/agree.go
+++ b/internal/replica/agree.go
@@ -41,7 +41,7 @@
 	ballot := r.ballots.next()
 	promised := r.askAcceptors(ctx, &replicav1.AgreeRequest{Group: group, Ballot: ballot}, confirm)
 	r.ballots.observe(promised.promised)
-	if !promised.isMajority() && len(promised.granted) > 0 && storeIsAcceptor(group) {
+	if !promised.isMajority() && len(promised.granted) > 0 && storeIsAcceptor(group) && r.isStoreReachable() {
 		promised.storeGranted = r.askStoreForPromise(ctx, group, ballot)
 	}
 	request := promised.acceptRequest(ballot, wanted, confirm)
@@ -126,7 +126,7 @@
 // take part in the choice of groups again.
 func (r *Replica) queryStoreIfUnknown(ctx context.Context, group *replicav1.Group) {
 	identity := r.state.currentIdentity(group.Partition)
-	if !group.Agreed || !storeIsAcceptor(group) || !identity.GetRecovered() || identity.KnowsStore {
+	if !group.Agreed || !storeIsAcceptor(group) || !identity.GetRecovered() || identity.KnowsStore || !r.isStoreReachable() {
 		return
 	}
 	ballot := r.ballots.next()
