--- a/internal/replica/discovery.go
+++ b/internal/replica/discovery.go
@@ -101,8 +101,8 @@
 }
 
 // verifyGroup accepts a group that lists this node with an address that leads to this process. A
-// node of the same name in another system has another address. If the group does not list this
-// node, it can get a seat only through the store, which then returns the group as well.
+// node of the same name in another system has another address. A group that does not list
+// this node waits for the store, where the node has to be registered before it gets a seat.
 func (r *Replica) verifyGroup(ctx context.Context, group *replicav1.Group) bool {
 	member := memberForNode(group, r.options.Node)
 	if member == nil || !r.addressReachesSelf(ctx, member.Address) {
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -8,16 +8,16 @@
 )
 
 // proposalStagger is how much longer each further member waits before it proposes a change that all
-// members want. It covers two rounds of reconcileGroups, in which the proposal of an earlier member
-// arrives through the platform's store.
+// members want. It covers two rounds of reconcileGroups, in which the group that an earlier member
+// has proposed arrives in its announcement.
 const proposalStagger = 2 * reconcileInterval
 
 // failureLogInterval is the minimum interval between log lines about failed proposals of one
 // number.
 const failureLogInterval = 2 * time.Second
 
-// proposals staggers the proposals of the members. Each proposal costs calls to the platform's
-// store and only one of them is accepted.
+// proposals staggers the proposals of the members. Each proposal costs two rounds of calls to
+// the members and competes with the others.
 //
 // Its methods are not safe for concurrent use, except shouldLogFailure.
 type proposals struct {
