gateway: the receive buffer holds a worker's whole answer while the gateway does not run

What callers saw: a client that paused got a part of an answer of 1 MB with status 200 and the end of its connection. The record: 311,243 bytes of it read ahead, the read-ahead begun in time.

Cause: until the gateway reads, an answer is safe only as far as the kernel's receive buffer reaches, 256 KB, and the worker's clock runs meanwhile. A gateway that does not run for a second reads nothing, whatever its own delays are; 250 ms, 25 ms or 0 ms before the read-ahead begins make no difference to that.

Evidence, forced without luck: the worker holds its answer, the gateway, a process of its own, is stopped, the worker goes on.

Change: before a request is sent, the connection to its worker gets a receive buffer that holds the whole answer, up to the read-ahead's bound. How long that may be is the longest answer of its route and service in the last 10 to 20 minutes; with fewer than 32 of them the bound itself; once the head is read, the declared length. Buffers beyond the ordinary one (128 KB, twice that in the kernel) count, with the twofold memory that the kernel may use for them, against an eighth of the process's memory. Without capacity the connection keeps the ordinary buffer. Connections are opened with the largest buffer, since the kernel fixes the scale of the window then, and get the one that was decided before anything is sent. A machine that grants less is told of by event 2826 and a metric; the bound follows what was granted. Event 2805 says the answer's length, what was read of it and its buffer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,8 +33,9 @@
 	// lost; release frees its resources.
 	zoneContext context.Context
 	release     context.CancelFunc
-	// readAhead is the body of the response.
-	readAhead *flowcontrol.ReadAhead
+	// readAhead is the body of the response, and receiveBuffer what the kernel buffers of it.
+	readAhead     *flowcontrol.ReadAhead
+	receiveBuffer *receiveReservation
 }
 
 // close ends an attempt whose response has been read or is no longer wanted. It closes the
@@ -43,6 +44,7 @@
 func (a *attempt) close() {
 	a.readAhead.Stop(a.release)
 	a.response.Close()
+	a.receiveBuffer.release()
 	a.watchdog.stop()
 	a.release()
 }
@@ -131,7 +133,12 @@
 // fastestResponse returns the estimate of the shortest time in which workers of the request's
 // service have recently begun to respond on its route.
 func (r *request) fastestResponse() *estimate.Minimum {
-	return r.gateway.fastestResponses.getOrCreate(routeAndService{route: r.route.Name, service: r.service.Name})
+	return r.gateway.fastestResponses.getOrCreate(r.kind())
+}
+
+// kind returns the kind of the request.
+func (r *request) kind() routeAndService {
+	return routeAndService{route: r.route.Name, service: r.service.Name}
 }
 
 // contextError returns the error for a context that ended because of the deadline or because
@@ -213,10 +220,13 @@
 	zoneContext, release := r.zoneContext(ctx, chosen)
 	attemptContext, watchdog := r.startFirstEventWatchdog(zoneContext, outgoing.Probe)
 	outgoing.BeforeSend = r.checkBeforeSend(chosen, permit)
+	r.receiveBuffer = r.gateway.receiveBuffers.reserve(r.kind())
+	outgoing.ReceiveBuffer = r.receiveBuffer.bytes
 	response, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.workerConnectionLimit(), outgoing, r.gateway.options.HeaderCodec.ReadResponse)
 	if err != nil || response.NotRun {
 		defer release()
 		defer watchdog.stop()
+		defer r.receiveBuffer.release()
 		defer r.attemptTimer.watch(nil)
 	}
 	if err == nil {
@@ -238,8 +248,12 @@
 	r.respondedAfter = time.Since(r.receivedAt)
 	r.fastestResponse().Observe(time.Since(sentAt))
 	r.addLogEntry(eventResponseStarted, "worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String())
+	r.receiveBuffer.responseStarted(response)
 	readAhead := r.wrapReadAhead(response)
-	return &attempt{worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, timer: r.attemptTimer, zoneContext: zoneContext, release: release, readAhead: readAhead}, nil
+	return &attempt{
+		worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, timer: r.attemptTimer, zoneContext: zoneContext, release: release,
+		readAhead: readAhead, receiveBuffer: r.receiveBuffer,
+	}, nil
 }
 
 // startLateStartTimer returns a timer that counts a worker as late which has not begun its response
--- a/internal/gateway/clientwriter.go
+++ b/internal/gateway/clientwriter.go
@@ -21,7 +21,7 @@
 	// is not taken for one that does not read at all.
 	writeChunkBytes = 16 << 10
 	// slowWriteDelay is how long a write may take before the worker's response is read ahead.
-	// Workers abort a response that is not read for a few seconds.
+	// Until then the kernel's receive buffer holds what the worker has sent.
 	slowWriteDelay = 25 * time.Millisecond
 	// maxReadAheadBytes is how much of one response is buffered for a slow client, and
 	// minReadAheadBytes how much once more than half of the memory for all responses is taken.
@@ -33,9 +33,6 @@
 	// clientSendBufferBytes is about half of what the kernel buffers for a client that does not
 	// read. It is more than clients in other regions need for their share of a link.
 	clientSendBufferBytes = 128 << 10
-	// workerReceiveBufferBytes is about half of what the kernel buffers of a worker's response
-	// that is not read. It equals the buffer of the client that the response is forwarded to.
-	workerReceiveBufferBytes = clientSendBufferBytes
 	// bufferMemoryDivisor is the reciprocal of the fraction of process memory that buffered
 	// responses may take, and that buffered bodies may take. maxBufferedBytes bounds either if the
 	// memory is large or unknown.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 	// connections tracks client connections.
 	connections *connectionTracker
 	// responseBudget counts response bytes buffered for slow clients, and bodyBudget request bytes
-	// buffered until the requests end.
+	// buffered until the requests end. receiveBuffers has a budget of its own.
 	responseBudget, bodyBudget *flowcontrol.Budget
 
 	// startedAt is the start time of this process.
@@ -151,7 +151,9 @@
 	coldWorkers *coldWorkers
 	// fastestResponses holds the shortest recent response time of each service by route.
 	fastestResponses *fastestResponses
-	stopping         atomic.Bool
+	// receiveBuffers decides how much of each response the kernel buffers.
+	receiveBuffers *receiveBuffers
+	stopping       atomic.Bool
 }
 
 // New returns a gateway; Run starts it.
@@ -173,6 +175,7 @@
 		startedAt:        time.Now(),
 		slotQueues:       newSlotQueues(),
 		fastestResponses: newFastestResponses(),
+		receiveBuffers:   newReceiveBuffers(receiveBufferLimit(options), bufferedBytesLimit(options), time.Now),
 	}
 	g.graceNanoseconds.Store(int64(options.ShutdownGracePeriod))
 	g.coldWorkers = newColdWorkers(g.updatesAreStale)
@@ -207,7 +210,7 @@
 	g.turns = newTurnCache(g.quorum, turnCacheLimit(options))
 	g.turns.zone, g.turns.regionOf = options.Zone, options.RegionOf
 	g.pool = worker.NewPoolWithOptions(transport.Options{
-		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: workerReceiveBufferBytes,
+		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: g.receiveBuffers.limit,
 	})
 	return g
 }
@@ -355,7 +358,9 @@
 	for _, each := range configuration.Routes {
 		routes[each.Name] = true
 	}
-	g.fastestResponses.removeUndeclared(func(route string) bool { return routes[route] })
+	isDeclared := func(route string) bool { return routes[route] }
+	g.fastestResponses.removeUndeclared(isDeclared)
+	g.receiveBuffers.lengths.removeUndeclared(isDeclared)
 	declared := func(service string) bool {
 		_, found := configuration.Services[service]
 		return found
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -36,7 +36,8 @@
 		options: options, balancer: balance.New(time.Now, options.Zone), subsetSizes: balance.NewSubsetSizes(time.Now),
 		firstEventLatencies: balance.NewServiceLatencies(), directory: directory.NewState(time.Now, nil), metrics: newMetrics(telemetry.NewRegistry()),
 		slotQueues: newSlotQueues(), fastestResponses: newFastestResponses(), coldWorkers: newColdWorkers(func() bool { return false }),
-		pool: worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
+		receiveBuffers: newReceiveBuffers(maxReceiveBufferBytes, maxBufferedBytes, time.Now),
+		pool:           worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 	}
 	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -113,6 +113,18 @@
 		Name: "gateway_held_answer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Bytes of answers that are held for clients that read slowly.",
 	})
+	metricReceiveBufferBytes = telemetry.Define(telemetry.Definition{
+		Name: "gateway_receive_buffer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
+		Help: "Memory that the operating system may use for answers that are longer than an ordinary receive buffer, while they are not read.",
+	})
+	metricReceiveBufferLimit = telemetry.Define(telemetry.Definition{
+		Name: "gateway_receive_buffer_limit_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
+		Help: "Receive buffer of one answer that the operating system grants at most.",
+	})
+	metricReceiveBuffersRefused = telemetry.Define(telemetry.Definition{
+		Name: "gateway_receive_buffers_refused", Kind: telemetry.KindGauge, Unit: "answers",
+		Help: "Answers since the start that got no larger receive buffer because the memory for all of them was taken.",
+	})
 	metricBufferedBodyBytes = telemetry.Define(telemetry.Definition{
 		Name: "gateway_held_body_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Bytes of requests that are held until the requests end, with the turns before them and what turns have said.",
@@ -170,6 +182,9 @@
 func (g *Gateway) defineGauges(registry *telemetry.Registry) {
 	registry.GaugeFunc(metricBufferedAnswerBytes, func() float64 { return float64(g.responseBudget.Used()) })
 	registry.GaugeFunc(metricBufferedBodyBytes, func() float64 { return float64(g.bodyBudget.Used()) })
+	registry.GaugeFunc(metricReceiveBufferBytes, func() float64 { return float64(g.receiveBuffers.budget.Used()) })
+	registry.GaugeFunc(metricReceiveBuffersRefused, func() float64 { return float64(g.receiveBuffers.refused.Load()) })
+	registry.GaugeFunc(metricReceiveBufferLimit, func() float64 { return float64(g.receiveBuffers.limit) })
 	registry.GaugeFunc(metricInFlight, func() float64 { return float64(g.inFlight.Load()) })
 	registry.GaugeFunc(metricVersion, func() float64 {
 		if table := g.directory.View().Table; table != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -72,6 +72,8 @@
 	attemptTimer *attemptTimer
 	// lastWorkerID is the worker of the last attempt.
 	lastWorkerID string
+	// receiveBuffer is what the kernel buffers of the response of the last attempt; nil before one.
+	receiveBuffer *receiveReservation
 	// resumes counts how often the stream was resumed; terminated are the workers that are
 	// known to have ended or whose zone is lost.
 	resumes    int
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -100,6 +100,7 @@
 // finishAborted records the end of a request whose response was aborted.
 func (r *request) finishAborted(cause error) {
 	values := []any{"cause", cause.Error(), "worker", r.lastWorkerID, "events", r.eventCount}
+	values = append(values, r.receiveBuffer.logValues()...)
 	r.addLogEntry(eventResponseAborted, append(values, r.clientWriter.readAheadLogValues()...)...)
 	r.gateway.metrics.recordAborted()
 	r.gateway.metrics.recordWaits(r.waitTimes, true)
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -88,3 +88,15 @@
 	_, err = dialer.DialContext(t.Context(), "tcp4", listener.Addr().String())
 	require.ErrorIs(t, err, syscall.ECONNREFUSED)
 }
+
+// A machine's setting may grant less than is asked for.
+func TestGrantedReceiveBufferIsNoMoreThanTheSystemAllows(t *testing.T) {
+	const small, beyondAnySetting = 64 << 10, 1 << 30
+	granted, err := transport.GrantedReceiveBuffer(small)
+	require.NoError(t, err)
+	require.Equal(t, small, granted)
+	granted, err = transport.GrantedReceiveBuffer(beyondAnySetting)
+	require.NoError(t, err)
+	require.Positive(t, granted)
+	require.Less(t, granted, beyondAnySetting)
+}
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -8,6 +8,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// KernelBytesPerBufferByte is how much memory the kernel uses at most for each byte of a receive buffer:
+// it allows as much again for its own records of the packets.
+const KernelBytesPerBufferByte = 2
+
 // HasUnread reports whether the kernel holds data, the end or an error of a TCP connection that was
 // not read. It does not depend on deadlines and may be called during a read by another goroutine. It
 // is false once the connection is closed here.
@@ -46,6 +50,31 @@
 	return count, errors.Join(err, countErr)
 }
 
+// SetReceiveBuffer sets how many bytes of a TCP connection's peer the kernel buffers while nothing reads
+// them.
+func SetReceiveBuffer(connection net.Conn, bytes int) error {
+	var optionErr error
+	err := withDescriptor(connection, func(descriptor int) {
+		optionErr = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	})
+	return errors.Join(err, optionErr)
+}
+
+// GrantedReceiveBuffer returns how much of a receive buffer of some bytes the kernel grants: its setting
+// net.core.rmem_max limits what a process may ask for.
+func GrantedReceiveBuffer(bytes int) (granted int, err error) {
+	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	defer unix.Close(descriptor)
+	if err := unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes); err != nil {
+		return 0, err
+	}
+	memory, err := unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF)
+	return min(bytes, memory/KernelBytesPerBufferByte), err
+}
+
 // withDescriptor passes the file descriptor of a connection to use. It fails if the connection is
 // closed or has none.
 func withDescriptor(connection net.Conn, use func(descriptor int)) error {
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -52,6 +52,9 @@
 	BeforeSend func(ctx context.Context) error
 	// Probe, if not nil, looks at the connection of the request from then on.
 	Probe *ConnectionProbe
+	// ReceiveBuffer is how many bytes of the response the kernel buffers while this process does not
+	// read them. 0 leaves the connection as it is.
+	ReceiveBuffer int
 }
 
 // ConnectionProbe looks at the connection that a request was sent on. It is safe for concurrent use.
@@ -109,6 +112,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Length is the length of the body in bytes, -1 if the worker did not declare it.
+	Length int64
 	// NotRun is set if the worker states that it did not run the request.
 	NotRun bool
 	// Metadata is the interpreted part of the header.
@@ -139,6 +144,7 @@
 		}
 	}
 	request.Probe.attach(connection)
+	connection.setReceiveBuffer(request.ReceiveBuffer)
 	stopCancel := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
 	if request.SilenceTimeout > 0 && connection.reused {
 		startedAt := time.Now()
@@ -234,6 +240,18 @@
 	}
 }
 
+// setReceiveBuffer sets the receive buffer. Of a pool that sets none, connections keep the kernel's.
+func (c *connection) setReceiveBuffer(bytes int) {
+	if c.receiveBuffer == 0 || bytes == 0 || bytes == c.receiveBuffer {
+		return
+	}
+	if err := transport.SetReceiveBuffer(c.Conn, bytes); err != nil {
+		// The connection has ended, which its next use reports.
+		return
+	}
+	c.receiveBuffer = bytes
+}
+
 // read returns the response with the ID of the request and skips stale responses to earlier
 // requests.
 func (c *connection) read(request *Request, outgoing *http.Request, readMetadata ReadMetadata) (*Response, error) {
@@ -246,7 +264,7 @@
 		if metadata.RequestID == request.ID || (metadata.NotRun && metadata.RequestID == "") {
 			body := &completionReader{source: response.Body}
 			return &Response{
-				Status: response.StatusCode, Header: response.Header, Body: body, NotRun: metadata.NotRun, Metadata: metadata,
+				Status: response.StatusCode, Header: response.Header, Body: body, Length: bodyLength(response), NotRun: metadata.NotRun, Metadata: metadata,
 				connection: c, httpResponse: response, body: body,
 			}, nil
 		}
@@ -261,6 +279,19 @@
 	}
 }
 
+// bodyLength returns the length of a response's body, -1 if it was not declared.
+func bodyLength(response *http.Response) int64 {
+	if response.Body == http.NoBody {
+		// The response to a HEAD request declares the length of a body that does not follow.
+		return 0
+	}
+	return response.ContentLength
+}
+
+// SetReceiveBuffer sets how many bytes of the rest of the response the kernel buffers while this process
+// does not read them.
+func (r *Response) SetReceiveBuffer(bytes int) { r.connection.setReceiveBuffer(bytes) }
+
 // readFinalResponse reads a response and skips interim (1xx) ones.
 func (c *connection) readFinalResponse(outgoing *http.Request) (*http.Response, error) {
 	for {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -39,6 +39,9 @@
 	// userTimeout is how long sent data may stay unacknowledged on the dialer's connections
 	// (TCP_USER_TIMEOUT). If it is 0, requests do not change the setting.
 	userTimeout time.Duration
+	// receiveBuffer is the receive buffer of the dialer's connections in bytes. If it is 0, requests do
+	// not change the setting.
+	receiveBuffer int
 
 	mutex sync.Mutex
 	hosts map[string]*host
@@ -70,6 +73,8 @@
 	// applies.
 	userTimeout       time.Duration
 	userTimeoutRaised bool
+	// receiveBuffer is the receive buffer in bytes; 0 if it is not set.
+	receiveBuffer int
 	// handling is set from the return of a read until the next one.
 	handling atomic.Bool
 }
@@ -88,7 +93,7 @@
 // NewPoolWithOptions returns an empty pool whose connections detect unresponsive workers.
 func NewPoolWithOptions(options transport.Options) *Pool {
 	pool := NewPool(transport.NewDialer(options))
-	pool.userTimeout = options.UserTimeout
+	pool.userTimeout, pool.receiveBuffer = options.UserTimeout, options.ReceiveBuffer
 	return pool
 }
 
@@ -115,7 +120,7 @@
 		p.releaseSlot(address)
 		return nil, err
 	}
-	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout}
+	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout, receiveBuffer: p.receiveBuffer}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
