--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,7 @@
 		startedAt:        time.Now(),
 		slotQueues:       newSlotQueues(),
 		fastestResponses: newFastestResponses(),
-		receiveBuffers:   newReceiveBuffers(receiveBufferLimit(options), bufferedBytesLimit(options), time.Now),
+		receiveBuffers:   newReceiveBuffers(grantedReceiveBuffer(options), bufferedBytesLimit(options), time.Now),
 	}
 	g.graceNanoseconds.Store(int64(options.ShutdownGracePeriod))
 	g.coldWorkers = newColdWorkers(g.updatesAreStale)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -117,8 +117,8 @@
 		Name: "gateway_receive_buffer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Memory that the operating system may use for answers that are longer than an ordinary receive buffer, while they are not read.",
 	})
-	metricReceiveBufferLimit = telemetry.Define(telemetry.Definition{
-		Name: "gateway_receive_buffer_limit_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
+	metricReceiveBufferGranted = telemetry.Define(telemetry.Definition{
+		Name: "gateway_receive_buffer_granted_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Receive buffer of one answer that the operating system grants at most.",
 	})
 	metricReceiveBuffersRefused = telemetry.Define(telemetry.Definition{
@@ -184,7 +184,7 @@
 	registry.GaugeFunc(metricBufferedBodyBytes, func() float64 { return float64(g.bodyBudget.Used()) })
 	registry.GaugeFunc(metricReceiveBufferBytes, func() float64 { return float64(g.receiveBuffers.budget.Used()) })
 	registry.GaugeFunc(metricReceiveBuffersRefused, func() float64 { return float64(g.receiveBuffers.refused.Load()) })
-	registry.GaugeFunc(metricReceiveBufferLimit, func() float64 { return float64(g.receiveBuffers.limit) })
+	registry.GaugeFunc(metricReceiveBufferGranted, func() float64 { return float64(g.receiveBuffers.granted) })
 	registry.GaugeFunc(metricInFlight, func() float64 { return float64(g.inFlight.Load()) })
 	registry.GaugeFunc(metricVersion, func() float64 {
 		if table := g.directory.View().Table; table != nil {
--- a/internal/gateway/receivebuffer.go
+++ b/internal/gateway/receivebuffer.go
@@ -38,8 +38,9 @@
 // only as far as the receive buffer reaches. Buffers larger than workerReceiveBufferBytes count against a
 // budget.
 type receiveBuffers struct {
-	// limit is the largest receive buffer in bytes.
-	limit int
+	// granted is how much of maxReceiveBufferBytes the operating system grants. limit is the largest
+	// receive buffer that is asked for.
+	granted, limit int
 	// budget counts the memory of the kernel for larger buffers.
 	budget *flowcontrol.Budget
 	now    func() time.Time
@@ -49,14 +50,18 @@
 	lengths estimatesByKind[estimate.Maximum]
 }
 
-// newReceiveBuffers returns the receive buffers for responses. limit is what the operating system
-// grants of maxReceiveBufferBytes; budgetBytes bounds the memory of the kernel for larger buffers.
-func newReceiveBuffers(limit int, budgetBytes int64, now func() time.Time) *receiveBuffers {
-	return &receiveBuffers{limit: max(limit, workerReceiveBufferBytes), budget: flowcontrol.NewBudget(budgetBytes, now), now: now}
+// newReceiveBuffers returns the receive buffers for responses. granted is how much of
+// maxReceiveBufferBytes the operating system grants; budgetBytes bounds the memory of the kernel for larger
+// buffers.
+func newReceiveBuffers(granted int, budgetBytes int64, now func() time.Time) *receiveBuffers {
+	return &receiveBuffers{
+		granted: granted, limit: max(granted, workerReceiveBufferBytes), budget: flowcontrol.NewBudget(budgetBytes, now), now: now,
+	}
 }
 
-// receiveBufferLimit returns how much of maxReceiveBufferBytes the operating system grants.
-func receiveBufferLimit(options Options) int {
+// grantedReceiveBuffer returns how much of maxReceiveBufferBytes the operating system grants, and logs if
+// that is less. Without read-ahead, responses get no more than workerReceiveBufferBytes.
+func grantedReceiveBuffer(options Options) int {
 	if options.DisabledMechanisms.Has(mechanism.ReadAhead) {
 		return workerReceiveBufferBytes
 	}
@@ -169,7 +174,7 @@
 		return nil
 	}
 	return []any{
-		"answer_bytes", r.length, "read_bytes", r.read.Load(), "receive_buffer_bytes", r.bytes, "receive_buffer_refused", r.isRefused,
+		"answer_bytes", r.length, "read_bytes", r.read.Load(), "receive_buffer_bytes", min(r.bytes, r.buffers.granted), "receive_buffer_refused", r.isRefused,
 	}
 }
 
--- a/internal/gateway/receivebuffer_test.go
+++ b/internal/gateway/receivebuffer_test.go
@@ -109,7 +109,11 @@
 func TestReceiveBufferFollowsWhatTheSystemGrants(t *testing.T) {
 	const granted = 208 << 10
 	require.Equal(t, granted, newReceiveBuffers(granted, ampleBudget, time.Now).reserve(fileKind).bytes)
-	require.Equal(t, workerReceiveBufferBytes, newReceiveBuffers(0, ampleBudget, time.Now).reserve(fileKind).bytes)
+	const less = 32 << 10
+	reservation := newReceiveBuffers(less, ampleBudget, time.Now).reserve(fileKind)
+	require.Equal(t, workerReceiveBufferBytes, reservation.bytes)
+	require.Nil(t, reservation.counted)
+	require.Contains(t, reservation.logValues(), less, "the log must say what the system grants")
 }
 
 // TestReceiveBuffersStayWithinTheirBudget plays random responses and holds the bound, and that nothing of
