soak: a gateway that stands still behind a slow link, and beside taken memory

A slow link (reads of 32 KB kept back for 13 ms each, 64 KB of buffers at either end, about 20 Mbit/s): an answer of 1 MB is on its way for about as long as the gateway is stopped.

--- a/internal/transport/transporttest/proxy.go
+++ b/internal/transport/transporttest/proxy.go
@@ -3,6 +3,7 @@
 package transporttest
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	target   string
 	// delay is how long each read is kept back, in nanoseconds.
 	delay atomic.Int64
+	// bufferBytes is about half of what the system holds of each end; 0 leaves that to the system.
+	bufferBytes atomic.Int64
 	// refusing closes new connections at once.
 	refusing atomic.Bool
 
@@ -88,6 +91,10 @@
 // Delay keeps each read back for a time; 0 ends that.
 func (p *Proxy) Delay(by time.Duration) { p.delay.Store(int64(by)) }
 
+// LimitBuffers makes connections that come from then on hold few bytes on their way, as a link does: whoever
+// sends waits for the other end.
+func (p *Proxy) LimitBuffers(bytes int) { p.bufferBytes.Store(int64(bytes)) }
+
 // Refuse closes new connections at once while it is set.
 func (p *Proxy) Refuse(refusing bool) { p.refusing.Store(refusing) }
 
@@ -125,6 +132,9 @@
 		return
 	}
 	defer server.Close()
+	if err := p.limitBuffers(client, server); err != nil {
+		return
+	}
 	one := &link{client: client, server: server}
 	p.mutex.Lock()
 	p.links[one] = true
@@ -150,6 +160,21 @@
 	}
 }
 
+// limitBuffers sets the buffers of both ends of a connection.
+func (p *Proxy) limitBuffers(ends ...net.Conn) error {
+	bytes := int(p.bufferBytes.Load())
+	if bytes == 0 {
+		return nil
+	}
+	for _, end := range ends {
+		connection := end.(*net.TCPConn)
+		if err := errors.Join(connection.SetReadBuffer(bytes), connection.SetWriteBuffer(bytes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // copy passes bytes on until either side ends, or throws them away while it is told to.
 func (p *Proxy) copy(to, from net.Conn, thrownAway *atomic.Bool) {
 	buffer := make([]byte, copyBytes)
