gateway: connections to workers are opened with the ordinary receive buffer again

Opened with the largest buffer and made smaller before anything is sent, a connection held 344,011 bytes unread where it held 311,243 before: 33 KB more that nobody counts. The kernel's bound on what lies unread is the buffer of the moment, not the one of the opening; a probe that raises it on an open connection holds 2.28 MB as one that was opened so (1,114,112 asked for).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,7 +210,7 @@
 	g.turns = newTurnCache(g.quorum, turnCacheLimit(options))
 	g.turns.zone, g.turns.regionOf = options.Zone, options.RegionOf
 	g.pool = worker.NewPoolWithOptions(transport.Options{
-		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: g.receiveBuffers.limit,
+		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: workerReceiveBufferBytes,
 	})
 	return g
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -26,8 +26,8 @@
 	// UserTimeout is how long sent data may stay unacknowledged.
 	UserTimeout time.Duration
 	// ReceiveBuffer is about half of what the system holds of what the peer sent and was not
-	// read; 0 leaves that to the system, which may hold megabytes. SetReceiveBuffer can change it
-	// on an open connection, up to the value that it was opened with.
+	// read; 0 leaves that to the system, which may hold megabytes. SetReceiveBuffer changes it on an
+	// open connection.
 	ReceiveBuffer int
 }
 
