--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,33 +229,41 @@
 		defer r.receiveBuffer.release()
 		defer r.attemptTimer.watch(nil)
 	}
-	if err == nil {
-		r.countBytes(chosen, response)
+	if err != nil {
+		return nil, r.attemptFailed(ctx, chosen, r.explainFailure(zoneContext, chosen, watchdog.explainFailure(err)), permit)
 	}
-	if err == nil && response.Status != http.StatusMisdirectedRequest {
+	r.countBytes(chosen, response)
+	if response.Status != http.StatusMisdirectedRequest {
 		r.recordColdReport(chosen, response.Metadata, sentAt)
 	}
-	if err == nil && response.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, smallResponseBytes))
-		response.Close()
-		r.attemptNotRun(chosen, resultOfRejection(response.Status), nil)
-		return nil, &NoWorker{Service: r.service.Name, Rejections: r.rejections}
-	}
-	if err != nil {
-		return nil, r.attemptFailed(ctx, chosen, r.explainFailure(zoneContext, chosen, watchdog.explainFailure(err)), permit)
+	if response.NotRun {
+		return nil, r.attemptRejected(chosen, response)
 	}
-	r.mayHaveRun[chosen.ID] = true
-	r.respondedAfter = time.Since(r.receivedAt)
-	r.fastestResponse().Observe(time.Since(sentAt))
-	r.addLogEntry(eventResponseStarted, "worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String())
+	r.recordResponseStart(chosen, response, sentAt)
 	r.receiveBuffer.responseStarted(response)
-	readAhead := r.wrapReadAhead(response)
 	return &attempt{
 		worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, timer: r.attemptTimer, zoneContext: zoneContext, release: release,
-		readAhead: readAhead, receiveBuffer: r.receiveBuffer,
+		readAhead: r.wrapReadAhead(response), receiveBuffer: r.receiveBuffer,
 	}, nil
 }
 
+// attemptRejected ends an attempt whose worker states that it did not run the request.
+func (r *request) attemptRejected(chosen directory.Worker, response *worker.Response) error {
+	// The connection can be reused once the response has been read. If that fails, it is closed.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, smallResponseBytes))
+	response.Close()
+	r.attemptNotRun(chosen, resultOfRejection(response.Status), nil)
+	return &NoWorker{Service: r.service.Name, Rejections: r.rejections}
+}
+
+// recordResponseStart records that a worker has begun to respond to an attempt.
+func (r *request) recordResponseStart(chosen directory.Worker, response *worker.Response, sentAt time.Time) {
+	r.mayHaveRun[chosen.ID] = true
+	r.respondedAfter = time.Since(r.receivedAt)
+	r.fastestResponse().Observe(time.Since(sentAt))
+	r.addLogEntry(eventResponseStarted, "worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String())
+}
+
 // startLateStartTimer returns a timer that counts a worker as late which has not begun its response
 // in time. A response that waits for this process has begun.
 func (r *request) startLateStartTimer(chosen directory.Worker, probe *worker.ConnectionProbe) *time.Timer {
@@ -353,63 +361,3 @@
 	}
 	return plainTargetMultiple * r.route.TargetLatency
 }
-
-func (r *request) workerConnectionLimit() int {
-	if r.service.MaxConnections <= 0 {
-		return 0
-	}
-	return max(minWorkerConnections, r.service.MaxConnections/workerConnectionDivisor)
-}
-
-// workerRequest builds the request for one worker.
-func (r *request) workerRequest(chosen directory.Worker, lastEventID string) *worker.Request {
-	header := make(http.Header, len(r.incoming.Header)+4)
-	for name, values := range r.incoming.Header {
-		header[name] = values
-	}
-	dropConnectionHeaders(header)
-	if _, named := header["User-Agent"]; !named {
-		// Prevents net/http from adding its own.
-		header["User-Agent"] = []string{""}
-	}
-	attemptMetadata := AttemptMetadata{
-		WorkerID: chosen.Instance, Tenant: r.tenantName(), Timeout: time.Until(r.deadline), Priority: -1, LastEventID: lastEventID,
-	}
-	if r.service.Engine != nil {
-		attemptMetadata.Priority = r.gateway.enginePriority(r)
-	}
-	r.gateway.options.HeaderCodec.WriteAttempt(header, attemptMetadata)
-	return &worker.Request{
-		ID: r.metadata.RequestID, Incarnation: chosen.ID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
-		Host: r.incoming.Host, Header: header, Body: r.body, SilenceTimeout: r.responseStartTimeout(),
-		OnConnected: func(took time.Duration) { r.gateway.connectTimes.Observe(time.Now(), chosen.Zone, took) },
-	}
-}
-
-// dropConnectionHeaders removes the hop-by-hop headers.
-func dropConnectionHeaders(header http.Header) {
-	for _, name := range header.Values("Connection") {
-		header.Del(name)
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
-}
-
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// copyHeaders copies the headers of a worker's response to the response to the client.
-func copyHeaders(to, from http.Header) {
-	connection := to.Get("Connection")
-	for name, values := range from {
-		to[name] = values
-	}
-	dropConnectionHeaders(to)
-	if connection != "" {
-		// Keep the Connection header that the gateway has set.
-		to.Set("Connection", connection)
-	}
-}
