--- a/internal/replica/simulation_departures_test.go
+++ b/internal/replica/simulation_departures_test.go
@@ -56,6 +56,9 @@
 	unregistered, stalled map[string]bool
 	// lastStanding is the last reported standing of each node.
 	lastStanding map[string]*replicav1.Standing
+	// startedAt is the round in which each node's process started last. If it is set, a node knows
+	// nothing of the others from before its start.
+	startedAt map[string]int
 }
 
 func newDepartureSimulation(t require.TestingT, members int) *departureSimulation {
@@ -289,23 +292,26 @@
 		if !d.nodes[name].down {
 			return 0
 		}
-		return d.round - d.downSince[name]
+		return d.round - max(d.downSince[name], d.startedAt[node.name])
+	}
+	heard := func(name string) bool {
+		return d.startedAt == nil || !d.nodes[name].down || d.downSince[name] > d.startedAt[node.name]
 	}
 	status := groupStatus{
 		group: d.groupSeenByProposer(), nodes: d.knownNodes(), retiring: d.retirements, reportsStopping: d.isStopping,
 		seatCounts: seatsByNode(d.groups()), removedMemberHoldsRecords: d.removedMemberHoldsRecords(),
-		isHealthy: func(name string) bool { return roundsDown(name) < d.suspectRounds && !d.stopping[name] },
+		isHealthy: func(name string) bool { return heard(name) && roundsDown(name) < d.suspectRounds && !d.stopping[name] },
 		hasFailed: func(name string) bool { return roundsDown(name) >= d.failedRounds },
 		isInSync: func(name string) bool {
 			standing := d.lastStanding[name]
-			return roundsDown(name) < d.suspectRounds && standing.GetMember() && standing.GetRecovered() && standing.GetEpoch() == d.group.Epoch
+			return heard(name) && roundsDown(name) < d.suspectRounds && standing.GetMember() && standing.GetRecovered() && standing.GetEpoch() == d.group.Epoch
 		},
 		previousHolderHoldsRecords: func(member *replicav1.Member) bool {
 			node := d.nodes[member.Predecessor.Node]
 			return !node.down && isPreviousHolder(d.group, member, node.state().standing(0, d.group.Epoch))
 		},
 		copiedIncarnation: func(name string) uint64 {
-			if roundsDown(name) >= d.suspectRounds {
+			if !heard(name) || roundsDown(name) >= d.suspectRounds {
 				return 0
 			}
 			return copiedIncarnation(d.lastStanding[name], d.group.Epoch)
