replica: a member that cannot write to its disk counts as one that does not respond

Callers saw: every turn refused, for good, after one lost disk beside the power of all replicas. Cause: what members take for a contact is a call that needs no disk. A member whose disk rejected each write went on to announce itself, was neither suspect nor failed, kept its vote, stored no record, took part in no choice of a group, and could not be copied, because it writes the copying member's incarnation first. Change: announcements say that the disk rejects writes, or has not completed one for 2.6 s, and are no contact then. What follows is what follows on silence: a successor after 2.6 s, a removal after 3.4 s. Why it works: a member keeps its vote only while it stores; the others decide by a majority that can store.

--- a/internal/quorum/outagelog.go
+++ b/internal/quorum/outagelog.go
@@ -77,7 +77,13 @@
 	for _, other := range seen {
 		parts = append(parts, fmt.Sprintf("seat %d is %s", other.Seat, shortIncarnation(other.Incarnation)))
 	}
+	if member.Answer.GetReport().GetDiskUnavailable() {
+		parts = append(parts, "cannot write to its disk")
+	}
 	for _, peer := range member.Answer.GetReport().GetPeers() {
+		if peer.DiskUnavailable {
+			parts = append(parts, peer.Node+" told that it cannot write to its disk")
+		}
 		if peer.ContactAgeMs == nil {
 			parts = append(parts, "never heard "+peer.Node)
 		}
--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -10,6 +10,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 )
@@ -82,6 +83,8 @@
 	unwritten []*appendRequest
 	// unwrittenBytes is the size of unwritten.
 	unwrittenBytes atomic.Int64
+	// writingSince is when the batch that is being written was begun; nil while there is none.
+	writingSince atomic.Pointer[time.Time]
 }
 
 type segment struct {
@@ -198,6 +201,16 @@
 // UnwrittenBytes returns the size of the failed appends that are not on the disk yet.
 func (l *Log) UnwrittenBytes() int64 { return l.unwrittenBytes.Load() }
 
+// WritingFor returns for how long the batch that is being written has been under way; 0 if there is
+// none.
+func (l *Log) WritingFor() time.Duration {
+	since := l.writingSince.Load()
+	if since == nil {
+		return 0
+	}
+	return time.Since(*since)
+}
+
 // Read returns the record at a position. It returns *Moved if the segment has been replaced.
 func (l *Log) Read(position Position) ([]byte, error) {
 	records, err := l.readers.readSpan([]Position{position})
--- a/internal/recordlog/log_test.go
+++ b/internal/recordlog/log_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -317,3 +318,18 @@
 		}
 	})
 }
+
+// A write that a disk did not complete was not told apart from none.
+func TestWritingForTellsHowLongAWriteHasTaken(t *testing.T) {
+	const syncDelay = 200 * time.Millisecond
+	disk := recordlogtest.NewDisk()
+	log, err := recordlog.Open(disk, func([]byte, recordlog.Position) error { return nil })
+	require.NoError(t, err)
+	defer log.Close()
+	require.Zero(t, log.WritingFor())
+	disk.SetSyncDelay(syncDelay)
+	wait := log.Enqueue(nil, []byte("record"))
+	require.Eventually(t, func() bool { return log.WritingFor() > syncDelay/4 }, time.Minute, time.Millisecond)
+	require.NoError(t, wait())
+	require.Eventually(t, func() bool { return log.WritingFor() == 0 }, time.Minute, time.Millisecond)
+}
--- a/internal/recordlog/writer.go
+++ b/internal/recordlog/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 )
@@ -15,7 +16,10 @@
 			l.readers.closeAll()
 			return
 		}
+		started := time.Now()
+		l.writingSince.Store(&started)
 		err := l.writeBatch(batch)
+		l.writingSince.Store(nil)
 		for _, request := range batch {
 			request.done <- err
 		}
--- a/internal/replica/failuredetector.go
+++ b/internal/replica/failuredetector.go
@@ -38,6 +38,8 @@
 	lastContact time.Time
 	// stopping is set if the node last reported that it is stopping.
 	stopping bool
+	// diskUnavailable is set if the node last announced that its disk is unavailable.
+	diskUnavailable bool
 	// storesSystemID is set if the node's process stores the ID of its system.
 	storesSystemID bool
 	// standings are the last reports about the node's seats, by partition.
@@ -59,7 +61,17 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	status := d.nodes[node]
-	status.lastContact, status.stopping = d.now(), false
+	status.lastContact, status.stopping, status.diskUnavailable = d.now(), false, false
+	d.nodes[node] = status
+}
+
+// observeDiskUnavailable records that a node cannot write to its disk. That does not count as a
+// contact: a node that stores nothing is replaced like one that does not respond.
+func (d *failureDetector) observeDiskUnavailable(node string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	status := d.nodes[node]
+	status.diskUnavailable = true
 	d.nodes[node] = status
 }
 
@@ -76,7 +88,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	status := d.nodes[node]
-	status.lastContact, status.stopping = d.now(), false
+	status.lastContact, status.stopping, status.diskUnavailable = d.now(), false, false
 	if status.standings == nil {
 		status.standings = make(map[uint32]reportedStanding)
 	}
--- a/internal/replica/fulldisk_test.go
+++ b/internal/replica/fulldisk_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -68,3 +69,36 @@
 	var damaged *recordlog.Damaged
 	require.ErrorAs(t, err, &damaged)
 }
+
+// A member whose disk took nothing was as healthy to the others as one that stores records.
+func TestMemberWhoseDiskIsUnavailableFailsLikeASilentOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	detector := newFailureDetector(func() time.Time { return now })
+	detector.observe("full")
+	for range int(failedAfter / announceInterval) {
+		now = now.Add(announceInterval)
+		detector.observeDiskUnavailable("full")
+	}
+	require.False(t, detector.isHealthy("full"))
+	require.False(t, detector.hasFailed("full"), "it may still recover")
+	now = now.Add(announceInterval)
+	require.True(t, detector.hasFailed("full"))
+	require.True(t, detector.report("full", 0).DiskUnavailable)
+	detector.observe("full")
+	require.True(t, detector.isHealthy("full"))
+	require.False(t, detector.report("full", 0).DiskUnavailable)
+}
+
+func TestDiskIsUnavailableWhileItRejectsWrites(t *testing.T) {
+	disk := recordlogtest.NewDisk()
+	opened, err := openState(disk)
+	require.NoError(t, err)
+	defer opened.log.Close()
+	require.False(t, opened.diskUnavailable())
+	disk.SetFreeBytes(10)
+	require.Error(t, opened.write(smallTurnRecord("t")))
+	require.True(t, opened.diskUnavailable())
+	disk.SetFreeBytes(-1)
+	require.NoError(t, opened.write())
+	require.False(t, opened.diskUnavailable())
+}
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -82,10 +82,11 @@
 	return message
 }
 
-// announcement returns the announcement of this node, including whether it is stopping.
+// announcement returns the announcement of this node, including whether it is stopping and whether
+// its disk is unavailable.
 func (r *Replica) announcement(group *replicav1.Group) *replicav1.AnnounceRequest {
 	message := newAnnouncement(r.state, group, r.options.Node)
-	message.Stopping = r.stopping.Load()
+	message.Stopping, message.DiskUnavailable = r.stopping.Load(), r.state.diskUnavailable()
 	return message
 }
 
@@ -204,7 +205,9 @@
 	case !r.standbySearch.growthDue(status.group.Partition):
 		return nil
 	}
-	message := &replicav1.AnnounceRequest{Group: status.group, Node: r.options.Node, Stopping: r.stopping.Load()}
+	message := &replicav1.AnnounceRequest{
+		Group: status.group, Node: r.options.Node, Stopping: r.stopping.Load(), DiskUnavailable: r.state.diskUnavailable(),
+	}
 	for _, node := range r.standbySearch.next(status.group.Partition, standbyCandidates(status), status.isHealthy) {
 		queried = append(queried, node.Node)
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
--- a/internal/replica/report.go
+++ b/internal/replica/report.go
@@ -15,7 +15,8 @@
 // report returns what this replica reports of itself and of the other members of a partition's group.
 func (r *Replica) report(partition uint32) *replicav1.ReplicaReport {
 	report := &replicav1.ReplicaReport{
-		RunningMs: uint64(time.Since(r.startedAt).Milliseconds()), UnwrittenBytes: uint64(r.state.log.UnwrittenBytes()), Copy: r.copyReports.latest(partition),
+		RunningMs: uint64(time.Since(r.startedAt).Milliseconds()), UnwrittenBytes: uint64(r.state.log.UnwrittenBytes()),
+		DiskUnavailable: r.state.diskUnavailable(), Copy: r.copyReports.latest(partition),
 	}
 	group := r.directory.Group(partition)
 	if group == nil {
@@ -34,8 +35,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	report := &replicav1.PeerReport{Node: node}
-	status, found := d.nodes[node]
-	if !found || status.lastContact.IsZero() {
+	status := d.nodes[node]
+	report.DiskUnavailable = status.diskUnavailable
+	if status.lastContact.IsZero() {
 		return report
 	}
 	report.ContactAgeMs = proto.Uint64(uint64(d.now().Sub(status.lastContact).Milliseconds()))
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -128,9 +128,12 @@
 	if message.Incarnation != 0 && newest != nil && senderHoldsSeat(newest, message) {
 		records = append(records, incarnationRecord(partition, message.Seat, message.Incarnation))
 	}
-	if message.Stopping {
+	switch {
+	case message.Stopping:
 		s.peers.observeStopping(message.Node)
-	} else {
+	case message.DiskUnavailable:
+		s.peers.observeDiskUnavailable(message.Node)
+	default:
 		s.peers.observe(message.Node)
 	}
 	if err := s.state.write(records...); err != nil {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -48,6 +48,9 @@
 	// records are refused.
 	maxPendingBytes          = 256 << 10
 	maxSegmentsPerCompaction = 4
+	// maxWriteDuration is how long a write may take before the disk counts as unavailable. It is long
+	// compared to the seconds for which the syncs of a busy machine may stand still.
+	maxWriteDuration = suspectAfter
 )
 
 // state is the log and the in-memory state that it describes. Its methods are safe for concurrent
@@ -227,6 +230,12 @@
 	}
 }
 
+// diskUnavailable reports whether the disk rejects writes or has not completed one for
+// maxWriteDuration. A member whose disk is unavailable stores nothing and cannot be copied.
+func (s *state) diskUnavailable() bool {
+	return s.log.UnwrittenBytes() > 0 || s.log.WritingFor() >= maxWriteDuration
+}
+
 // standing returns this replica's standing in a partition. It includes the group if the caller's
 // epoch is older.
 func (s *state) standing(partition uint32, epoch uint64) *replicav1.Standing {
