quorum: the probe of an outage finds no majority among members that cannot write

Callers saw: while no record could be written, turns were let in again and again, waited 0.7 s and more and were refused with state_unavailable; the log told of a new outage every few seconds. Cause: the probe writes nothing, so that members whose disks take nothing ended the outage with their answers. Change: a member that reports that it cannot write does not count for the probe, and the lines say so. Evidence: TestProbeFindsNoMajorityWhileItsDisksAreUnavailable, red before ("An error is expected but got nil"); package quorum green.

--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -163,12 +163,13 @@
 	return count
 }
 
-// quorumResult merges the latest answers, if enough of them are consistent.
+// quorumResult merges the latest answers, if enough of them are consistent. A member that has reported
+// that it cannot write does not count: a round with records would not succeed.
 func (r *appendRound) quorumResult() (turn.Ledger, bool) {
 	var standings []*replicav1.Standing
 	var answers []*replicav1.AppendResponse
 	for _, result := range r.results {
-		if result.answer != nil {
+		if result.answer != nil && !result.answer.GetReport().GetDiskUnavailable() {
 			standings, answers = append(standings, result.answer.Standing), append(answers, result.answer)
 		}
 	}
--- a/internal/quorum/append_test.go
+++ b/internal/quorum/append_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,6 +37,8 @@
 	entries      []*replicav1.Entry
 	// unresponsive makes calls hang until the callers give up.
 	unresponsive bool
+	// diskUnavailable makes calls with records fail.
+	diskUnavailable bool
 }
 
 func (m *fakeMember) Append(ctx context.Context, request *connect.Request[replicav1.AppendRequest]) (*connect.Response[replicav1.AppendResponse], error) {
@@ -47,12 +50,19 @@
 		m.mutex.Lock()
 		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 	}
+	if m.diskUnavailable && len(request.Msg.Records) > 0 {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("no space left on the disk"))
+	}
 	m.records += len(request.Msg.Records)
 	if len(request.Msg.Records) == 0 {
 		m.programReads += len(request.Msg.Programs)
 	}
 	standing := &replicav1.Standing{Epoch: 1, Member: true, Recovered: true, Seat: m.seat, Incarnation: 1}
-	return connect.NewResponse(&replicav1.AppendResponse{Standing: standing, Entries: m.entries}), nil
+	response := &replicav1.AppendResponse{Standing: standing, Entries: m.entries}
+	if request.Msg.Report {
+		response.Report = &replicav1.ReplicaReport{DiskUnavailable: m.diskUnavailable}
+	}
+	return connect.NewResponse(response), nil
 }
 
 func (m *fakeMember) ReadChain(_ context.Context, request *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
@@ -257,3 +267,19 @@
 		}, time.Minute, time.Millisecond, "group of %d members", members)
 	}
 }
+
+// A probe without records found a majority again and again while no record could be written, and requests waited for it.
+func TestProbeFindsNoMajorityWhileItsDisksAreUnavailable(t *testing.T) {
+	members, group := startMembers(t, 3)
+	client := NewClient(group, "", http.DefaultClient)
+	members[0].diskUnavailable, members[1].diskUnavailable = true, true
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	var unavailable *Unavailable
+	require.ErrorAs(t, client.probeMajority(ctx, 0), &unavailable)
+	require.Equal(t, "epoch 1: n0 cannot write to its disk, n1 cannot write to its disk, n2 counts", unavailable.Shortfall.String())
+	members[0].mutex.Lock()
+	members[0].diskUnavailable = false
+	members[0].mutex.Unlock()
+	require.NoError(t, client.probeMajority(t.Context(), 0))
+}
--- a/internal/quorum/shortfall.go
+++ b/internal/quorum/shortfall.go
@@ -107,8 +107,11 @@
 	for _, member := range group.Members {
 		result := results[member.Seat]
 		reason := RejectReason(group, member, standings)
-		if result.answer == nil {
+		switch {
+		case result.answer == nil:
 			reason = DescribeCallFailure(result.failure)
+		case reason == "" && result.answer.GetReport().GetDiskUnavailable():
+			reason = "cannot write to its disk"
 		}
 		described.Members = append(described.Members, MemberAnswer{Node: member.Node, RejectReason: reason, Answer: result.answer})
 	}
