replica: a process whose log has failed ends, and is started again

Callers saw: nothing at first; a replica whose sync had failed once stored nothing more until something else ended it, and the group tolerated one loss less for as long. Cause: after a failed sync the content of the disk is unknown and the log takes no more; the process ran on without it. Opening the log again shows what is on the disk.

--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -83,6 +83,8 @@
 	unwritten []*appendRequest
 	// unwrittenBytes is the size of unwritten.
 	unwrittenBytes atomic.Int64
+	// failed is closed when permanentFailure is set.
+	failed chan struct{}
 	// writingSince is when the batch that is being written was begun; nil while there is none.
 	writingSince atomic.Pointer[time.Time]
 }
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log := &Log{fileSystem: fileSystem, writerDone: make(chan struct{}), readers: segmentReaders{bySegment: make(map[uint64]Reader)}}
+	log := &Log{fileSystem: fileSystem, writerDone: make(chan struct{}), failed: make(chan struct{}), readers: segmentReaders{bySegment: make(map[uint64]Reader)}}
 	log.pendingChanged = sync.NewCond(&log.mutex)
 	for i, number := range numbers {
 		bytes, err := readSegment(fileSystem, number, i == len(numbers)-1, visit)
@@ -201,6 +203,20 @@
 // UnwrittenBytes returns the size of the failed appends that are not on the disk yet.
 func (l *Log) UnwrittenBytes() int64 { return l.unwrittenBytes.Load() }
 
+// Failed returns a channel that is closed once the log accepts no more appends, because the content
+// of the disk is unknown. Only opening the log again shows it.
+func (l *Log) Failed() <-chan struct{} { return l.failed }
+
+// Failure returns why the log accepts no more appends, or nil.
+func (l *Log) Failure() error {
+	select {
+	case <-l.failed:
+		return l.permanentFailure
+	default:
+		return nil
+	}
+}
+
 // WritingFor returns for how long the batch that is being written has been under way; 0 if there is
 // none.
 func (l *Log) WritingFor() time.Duration {
--- a/internal/recordlog/recordlogtest/disk.go
+++ b/internal/recordlog/recordlogtest/disk.go
@@ -24,6 +24,8 @@
 	readAtCount int
 	// syncDelay is how long each sync takes.
 	syncDelay time.Duration
+	// syncFails makes each sync fail.
+	syncFails bool
 	// SkipSync makes every sync a no-op. Tests set it to check that they detect lost records.
 	SkipSync bool
 }
@@ -39,6 +41,9 @@
 // ErrNoSpace is the error of a write to a full disk.
 var ErrNoSpace = errors.New("no space left on the disk")
 
+// ErrSyncFailed is the error of a sync that fails.
+var ErrSyncFailed = errors.New("sync failed")
+
 // NewDisk returns an empty disk.
 func NewDisk() *Disk { return &Disk{files: map[string]*diskFile{}, freeBytes: -1} }
 
@@ -138,6 +143,9 @@
 	time.Sleep(delay)
 	f.disk.mutex.Lock()
 	defer f.disk.mutex.Unlock()
+	if f.disk.syncFails {
+		return ErrSyncFailed
+	}
 	if !f.disk.SkipSync {
 		f.synced = append([]byte(nil), f.data...)
 	}
@@ -165,6 +173,13 @@
 	d.freeBytes = bytes
 }
 
+// SetSyncFails sets whether each sync fails from now on.
+func (d *Disk) SetSyncFails(fails bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.syncFails = fails
+}
+
 // SetSyncDelay sets how long each sync takes from now on.
 func (d *Disk) SetSyncDelay(delay time.Duration) {
 	d.mutex.Lock()
--- a/internal/recordlog/writer.go
+++ b/internal/recordlog/writer.go
@@ -136,7 +136,7 @@
 	if err := l.currentFile.Sync(); err != nil {
 		// After a failed sync the content on the disk is unknown, so the log accepts no more
 		// appends.
-		l.permanentFailure = &failure.DiskFailed{Cause: err}
+		l.fail(err)
 		return l.permanentFailure
 	}
 	l.endOffset += int64(len(data))
@@ -149,14 +149,20 @@
 // follow a torn frame.
 func (l *Log) truncateFailedWrite() {
 	if err := l.currentFile.Truncate(l.endOffset); err != nil {
-		l.permanentFailure = &failure.DiskFailed{Cause: err}
+		l.fail(err)
 		return
 	}
 	if _, err := l.currentFile.Seek(l.endOffset, io.SeekStart); err != nil {
-		l.permanentFailure = &failure.DiskFailed{Cause: err}
+		l.fail(err)
 	}
 }
 
+// fail makes the log refuse all further appends.
+func (l *Log) fail(cause error) {
+	l.permanentFailure = &failure.DiskFailed{Cause: cause}
+	close(l.failed)
+}
+
 // removeSegment removes a segment whose records are expired or were copied to another segment.
 // The file may reappear after a power loss. That is harmless: its records are read again.
 func (l *Log) removeSegment(number uint64) error {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -333,8 +333,11 @@
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handlerOptions...))
 	server := &http.Server{Handler: limiter, WriteTimeout: transport.PeerWriteTimeout}
 	go func() {
-		<-stop.Done()
-		r.awaitReplacements(ctx)
+		select {
+		case <-stop.Done():
+			r.awaitReplacements(ctx)
+		case <-r.state.log.Failed():
+		}
 		cancel()
 		server.Close()
 	}()
@@ -357,6 +360,10 @@
 	err = server.Serve(listener)
 	eventStopped.Log("node", r.options.Node)
 	r.state.log.Close()
+	if failed := r.state.log.Failure(); failed != nil {
+		// A new process opens the log again. This one would keep its seat and store nothing.
+		return failed
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
