replica: writes that a full disk rejects are logged once in two seconds

Change: one decision for all eleven places, with the number of failures that were not logged. Evidence: TestWriteFailuresAreLoggedRarely.

--- a/internal/replica/agree.go
+++ b/internal/replica/agree.go
@@ -95,7 +95,7 @@
 	if member.Node == r.options.Node {
 		answer, err := r.state.answerVote(request)
 		if err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			r.writeFailures.log(err)
 			return nil
 		}
 		return answer
@@ -134,6 +134,6 @@
 		return
 	}
 	if err := r.state.markStoreKnown(group, identity, ballot); err != nil {
-		eventWriteFailed.Log("cause", err.Error())
+		r.writeFailures.log(err)
 	}
 }
--- a/internal/replica/loans.go
+++ b/internal/replica/loans.go
@@ -27,7 +27,7 @@
 			group := r.directory.Group(partition)
 			seatLost := group != nil && memberForNode(group, r.options.Node) == nil
 			if err := r.state.closeExpiredLoans(partition, seatLost); err != nil {
-				eventWriteFailed.Log("cause", err.Error())
+				r.writeFailures.log(err)
 				continue
 			}
 			r.writeLoanReturns(ctx, partition)
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -13,7 +13,7 @@
 const proposalStagger = 2 * reconcileInterval
 
 // failureLogInterval is the minimum interval between log lines about failed proposals of one
-// number.
+// partition, and between those about failed writes.
 const failureLogInterval = 2 * time.Second
 
 // proposals staggers the proposals of the members. Each proposal costs two rounds of calls to
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -103,6 +103,8 @@
 
 	// copyReports are the copies that wait for sources.
 	copyReports *copyReports
+	// writeFailures logs writes that the disk rejects.
+	writeFailures *writeFailures
 	// copySlots limits the number of seats that are filled at a time.
 	copySlots chan struct{}
 
@@ -125,7 +127,7 @@
 		options: options, store: store, state: storage, nodes: newNodeRegistry(), peers: newFailureDetector(time.Now),
 		grants:          newGrantAllocator(options.Node, time.Now, options.TenantTolerance, options.ColdWorkerTolerance),
 		underReplicated: newUnderReplicatedGroups(time.Now), copySlots: make(chan struct{}, maxConcurrentCopies), proposals: newProposals(time.Now), standbySearch: newStandbySearch(), pushes: make(map[pushTarget]pushProgress), exchanges: make(map[uint32]*exchange),
-		ballots: newBallots(), chosen: newChosenGroups(), copyReports: newCopyReports(),
+		ballots: newBallots(), chosen: newChosenGroups(), copyReports: newCopyReports(), writeFailures: newWriteFailures(time.Now),
 		processID: rand.Text(), startedAt: time.Now(), unverifiedGroups: make(chan *replicav1.Group, maxUnverifiedGroups),
 	}
 	logChanges := directory.LogChanges()
@@ -266,7 +268,7 @@
 func (r *Replica) writeInBackground(record *replicav1.Record) {
 	go func() {
 		if err := r.state.write(record); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			r.writeFailures.log(err)
 		}
 	}()
 }
@@ -286,7 +288,7 @@
 		}
 		record := &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: r.directory.WorkerChanges(storedRevision)}}
 		if err := r.state.write(record); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			r.writeFailures.log(err)
 		}
 	}
 }
@@ -295,7 +297,7 @@
 func (r *Replica) runCompaction(ctx context.Context) {
 	for pause.For(ctx, compactInterval) {
 		if err := r.state.compact(time.Now()); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			r.writeFailures.log(err)
 		}
 	}
 }
--- a/internal/replica/seatrecovery.go
+++ b/internal/replica/seatrecovery.go
@@ -63,7 +63,7 @@
 		}
 		strayLogged = false
 		if err := r.state.write(groupRecord(group)); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			r.writeFailures.log(err)
 			continue
 		}
 		if member := memberForNode(group, r.options.Node); member != nil {
@@ -130,7 +130,7 @@
 		identity = proto.CloneOf(identity)
 		identity.Copied = true
 		if err := r.state.write(identityRecord(group.Partition, identity)); err != nil {
-			eventWriteFailed.Log("cause", err.Error())
+			s.replica.writeFailures.log(err)
 			return
 		}
 	}
@@ -149,7 +149,7 @@
 	// The seat had no vote before this incarnation received its records.
 	recovered.KnowsStore = hasReceived(member, identity)
 	if err := s.replica.state.write(identityRecord(group.Partition, recovered)); err != nil {
-		eventWriteFailed.Log("cause", err.Error())
+		s.replica.writeFailures.log(err)
 		return
 	}
 	s.copy = nil
@@ -180,7 +180,7 @@
 		KnowsStore: recovered && len(group.Members) > 1,
 	}
 	if err := r.state.write(identityRecord(group.Partition, identity)); err != nil {
-		eventWriteFailed.Log("cause", err.Error())
+		r.writeFailures.log(err)
 		return false
 	}
 	eventIncarnationStarted.Log("partition", group.Partition, "seat", member.Seat, "claim", member.Claim, "recovered", recovered)
@@ -216,7 +216,7 @@
 		}
 	}
 	if err := r.state.write(records...); err != nil {
-		eventWriteFailed.Log("cause", err.Error())
+		s.replica.writeFailures.log(err)
 		return false
 	}
 	eventCopied.Log("partition", group.Partition, "seat", member.Seat, "epoch", group.Epoch,
