--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -1,6 +1,6 @@
 // Package recordlog is an append-only log of records in segment files. Concurrent appends
 // share one sync. An append succeeds once its records are synced to disk. After a power loss
-// OpenAppend truncates a torn record at the end of the log; damage before the end is reported as
+// Open truncates a torn record at the end of the log; damage before the end is reported as
 // *Damaged. Disk space is freed by whole segments.
 package recordlog
 
@@ -105,7 +105,7 @@
 	done      chan error
 }
 
-// OpenAppend opens the log and calls visit for each record, oldest first. visit must not retain the
+// Open opens the log and calls visit for each record, oldest first. visit must not retain the
 // record. If visit returns an error, Open stops and returns it.
 func Open(fileSystem FileSystem, visit func(record []byte, position Position) error) (*Log, error) {
 	numbers, err := segmentNumbers(fileSystem)
--- a/internal/replica/failuredetector.go
+++ b/internal/replica/failuredetector.go
@@ -194,7 +194,7 @@
 }
 
 // isInSync reports whether a node has recently reported that it is a recovered member of a
-// number's group in an epoch.
+// partition's group in an epoch.
 func (d *failureDetector) isInSync(node string, partition uint32, epoch uint64) bool {
 	standing := d.freshStanding(node, partition)
 	return standing != nil && standing.Epoch == epoch && standing.Member && standing.Recovered
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -23,7 +23,7 @@
 type proposals struct {
 	now func() time.Time
 	// mutex guards lastFailureLogs, the times at which a failed proposal was last logged, by
-	// number.
+	// partition.
 	mutex           sync.Mutex
 	lastFailureLogs map[uint32]time.Time
 	// pending are the changes that are due, by partition, with the time since when they have been.
--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -18,7 +18,7 @@
 	reconcileInterval = 300 * time.Millisecond
 	// shrinkDelay is how long a group waits for standbys to respond before it shrinks instead. It
 	// covers two rounds of queryStandbys and the timeout of the first one. A group of two cannot
-	// writeRecord while one of its members is unavailable.
+	// write while one of its members is unavailable.
 	shrinkDelay = 2*reconcileInterval + announceTimeout
 )
 
@@ -85,7 +85,12 @@
 // announcement returns the announcement of this node, including whether it is stopping and whether
 // its disk is unavailable.
 func (r *Replica) announcement(group *replicav1.Group) *replicav1.AnnounceRequest {
-	message := newAnnouncement(r.state, group, r.options.Node)
+	return r.withProcessStatus(newAnnouncement(r.state, group, r.options.Node))
+}
+
+// withProcessStatus adds to an announcement whether this node is stopping and whether its disk is
+// unavailable.
+func (r *Replica) withProcessStatus(message *replicav1.AnnounceRequest) *replicav1.AnnounceRequest {
 	message.Stopping, message.DiskUnavailable = r.stopping.Load(), r.state.diskUnavailable()
 	return message
 }
@@ -205,9 +210,7 @@
 	case !r.standbySearch.growthDue(status.group.Partition):
 		return nil
 	}
-	message := &replicav1.AnnounceRequest{
-		Group: status.group, Node: r.options.Node, Stopping: r.stopping.Load(), DiskUnavailable: r.state.diskUnavailable(),
-	}
+	message := r.withProcessStatus(&replicav1.AnnounceRequest{Group: status.group, Node: r.options.Node})
 	for _, node := range r.standbySearch.next(status.group.Partition, standbyCandidates(status), status.isHealthy) {
 		queried = append(queried, node.Node)
 		go r.announceTo(ctx, &replicav1.Member{Node: node.Node, Address: node.Address}, message)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"os"
@@ -19,11 +18,9 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
-	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
-	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/traffic"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -34,9 +31,6 @@
 	tcpUserTimeout = 900 * time.Millisecond
 	// maxPeerConnections bounds the connections to each other replica.
 	maxPeerConnections = 16
-	// workerWriteInterval is the minimum interval between writes of the worker list.
-	workerWriteInterval = 500 * time.Millisecond
-	compactInterval     = 5 * time.Second
 	// maxMessageBytes bounds one message between replicas and their clients.
 	maxMessageBytes = 64 << 20
 )
@@ -124,11 +118,25 @@
 		return nil, err
 	}
 	replica := &Replica{
-		options: options, store: store, state: storage, nodes: newNodeRegistry(), peers: newFailureDetector(time.Now),
-		grants:          newGrantAllocator(options.Node, time.Now, options.TenantTolerance, options.ColdWorkerTolerance),
-		underReplicated: newUnderReplicatedGroups(time.Now), copySlots: make(chan struct{}, maxConcurrentCopies), proposals: newProposals(time.Now), standbySearch: newStandbySearch(), pushes: make(map[pushTarget]pushProgress), exchanges: make(map[uint32]*exchange),
-		ballots: newBallots(), chosen: newChosenGroups(), copyReports: newCopyReports(), writeFailures: newWriteFailures(time.Now),
-		processID: rand.Text(), startedAt: time.Now(), unverifiedGroups: make(chan *replicav1.Group, maxUnverifiedGroups),
+		options:          options,
+		store:            store,
+		state:            storage,
+		nodes:            newNodeRegistry(),
+		peers:            newFailureDetector(time.Now),
+		grants:           newGrantAllocator(options.Node, time.Now, options.TenantTolerance, options.ColdWorkerTolerance),
+		underReplicated:  newUnderReplicatedGroups(time.Now),
+		copySlots:        make(chan struct{}, maxConcurrentCopies),
+		copyReports:      newCopyReports(),
+		proposals:        newProposals(time.Now),
+		standbySearch:    newStandbySearch(),
+		pushes:           make(map[pushTarget]pushProgress),
+		exchanges:        make(map[uint32]*exchange),
+		ballots:          newBallots(),
+		chosen:           newChosenGroups(),
+		writeFailures:    newWriteFailures(time.Now),
+		processID:        rand.Text(),
+		startedAt:        time.Now(),
+		unverifiedGroups: make(chan *replicav1.Group, maxUnverifiedGroups),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
@@ -213,95 +221,6 @@
 	return nil
 }
 
-// restoreDirectory loads the stored configuration, drained zones, workers and groups into the
-// directory. They apply until the platform's store provides newer ones.
-func (r *Replica) restoreDirectory() {
-	for _, group := range r.state.currentGroups() {
-		r.directory.ApplyGroup(group, directory.SourceDisk)
-	}
-	r.directory.ApplyDrainedZoneList(r.state.drainedZones)
-	r.directory.ApplyWorkerList(r.state.workers.list())
-	stored := r.state.configuration
-	if stored == nil {
-		return
-	}
-	configuration := &route.Configuration{}
-	if err := json.Unmarshal(stored.Document, configuration); err == nil {
-		r.directory.ApplyConfiguration(configuration)
-	}
-}
-
-// persistConfiguration writes a newer configuration to the disk in the background, because the
-// platform's store has it too.
-func (r *Replica) persistConfiguration(view *directory.View) {
-	if view.Table == nil {
-		return
-	}
-	r.state.mutex.Lock()
-	upToDate := r.state.configuration != nil && r.state.configuration.Version >= view.Table.Version()
-	r.state.mutex.Unlock()
-	if upToDate {
-		return
-	}
-	document, err := json.Marshal(view.Table.Configuration())
-	if err != nil {
-		return
-	}
-	encoded := &replicav1.Configuration{Version: view.Table.Version(), Document: document}
-	r.writeInBackground(&replicav1.Record{Kind: &replicav1.Record_Configuration{Configuration: encoded}})
-}
-
-// persistZoneDrains writes newer drained zones to the disk, in the background but without delay.
-// After a power loss on all machines they must apply while the platform's store is unavailable.
-func (r *Replica) persistZoneDrains(view *directory.View) {
-	r.state.mutex.Lock()
-	storedRevision := r.state.drainedZones.GetRevision()
-	r.state.mutex.Unlock()
-	if view.Drains.Revision > storedRevision {
-		list := &replicav1.DrainedZoneList{Revision: view.Drains.Revision, Zones: view.Drains.Zones()}
-		r.writeInBackground(&replicav1.Record{Kind: &replicav1.Record_DrainedZones{DrainedZones: list}})
-	}
-}
-
-// writeInBackground writes a record that is also available from the platform's store or from other
-// replicas.
-func (r *Replica) writeInBackground(record *replicav1.Record) {
-	go func() {
-		if err := r.state.write(record); err != nil {
-			r.writeFailures.log(err)
-		}
-	}()
-}
-
-// runWorkerPersistence periodically writes changes of the worker list, and drained zones that are
-// not on the disk yet. After a power loss on all machines this copy is the only one while the
-// platform's store is unavailable.
-func (r *Replica) runWorkerPersistence(ctx context.Context) {
-	for pause.For(ctx, workerWriteInterval) {
-		// Retries a write that the disk rejected when the drain arrived.
-		r.persistZoneDrains(r.directory.View())
-		r.state.mutex.Lock()
-		storedRevision := r.state.workers.revision
-		r.state.mutex.Unlock()
-		if r.directory.WorkersRevision() <= storedRevision {
-			continue
-		}
-		record := &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: r.directory.WorkerChanges(storedRevision)}}
-		if err := r.state.write(record); err != nil {
-			r.writeFailures.log(err)
-		}
-	}
-}
-
-// runCompaction compacts the log periodically.
-func (r *Replica) runCompaction(ctx context.Context) {
-	for pause.For(ctx, compactInterval) {
-		if err := r.state.compact(time.Now()); err != nil {
-			r.writeFailures.log(err)
-		}
-	}
-}
-
 // Run serves until stop is canceled. It then waits until standbys, if there are any, have replaced
 // this node in its groups.
 func (r *Replica) Run(stop context.Context) error {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -98,7 +98,7 @@
 	return opened, err
 }
 
-// number returns the state of a partition and creates it if needed. The mutex must be held.
+// partition returns the state of a partition and creates it if needed. The mutex must be held.
 func (s *state) partition(partition uint32) *partitionState {
 	p := s.partitions[partition]
 	if p == nil {
@@ -129,7 +129,7 @@
 	return true
 }
 
-// writeRecord applies records and returns once they, and all equal records written earlier, are on the
+// write applies records and returns once they, and all equal records written earlier, are on the
 // disk. While the disk rejects writes, new records are refused before they are applied.
 func (s *state) write(records ...*replicav1.Record) error {
 	owed := s.log.UnwrittenBytes()
