gateway, quarantine: a request under which three workers ended goes to no worker again

Cause: no count outlived one client attempt, and within one attempt what had ended was taken off the limit, so that a request got more workers the more of them it ended. Class: a limit that is kept where the attempts are not.

Change: ends are counted by a keyed hash of the content of a request, at all gateways. A broken connection is followed by a probe of the worker's address: refused is an end, accepted is none, no answer is unknown. What one gateway has seen is at the others, by way of the polls that wait at replicas anyway, before the failure is answered. The decision is internal/quarantine, without network or clock.

--- a/internal/directory/workerstate.go
+++ b/internal/directory/workerstate.go
@@ -138,6 +138,17 @@
 	return current
 }
 
+// FindInstance returns the worker that is registered under an instance.
+func (s *State) FindInstance(instance string) (Worker, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current, found := s.workers[instance]
+	if !found {
+		return Worker{}, false
+	}
+	return current.Worker, true
+}
+
 // deregister removes the worker of an instance. The mutex must be held.
 func (s *State) deregister(instance string) {
 	current, found := s.workers[instance]
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,6 +86,9 @@
 		if ctx.Err() != nil {
 			return nil, r.contextError(ctx)
 		}
+		if err := r.checkQuarantine(ctx); err != nil {
+			return nil, err
+		}
 		if err := r.checkRemainingTime(); err != nil {
 			return nil, err
 		}
@@ -210,6 +213,7 @@
 		r.attemptNotRun(chosen, balance.Canceled, err)
 		return nil, &worker.NotSent{Cause: err}
 	}
+	r.beginQuarantineCount()
 	sentAt := time.Now()
 	r.sentAfter = sentAt.Sub(r.receivedAt)
 	outgoing := r.workerRequest(chosen, lastEventID)
@@ -230,6 +234,10 @@
 		defer r.attemptTimer.watch(nil)
 	}
 	if err != nil {
+		var lost *worker.ResponseLost
+		if errors.As(err, &lost) {
+			r.attemptConnectionLost(attemptContext, chosen, watchdog.explainFailure(err))
+		}
 		return nil, r.attemptFailed(ctx, chosen, r.explainFailure(zoneContext, chosen, watchdog.explainFailure(err)), permit)
 	}
 	r.countBytes(chosen, response)
@@ -293,7 +301,10 @@
 		if err := permit.ensureAcquired(ctx); err != nil {
 			return err
 		}
-		// This check comes last because acquiring a permit may take time.
+		// These checks come last because acquiring a permit may take time.
+		if err := r.checkQuarantine(ctx); err != nil {
+			return err
+		}
 		return r.checkWorkerEligible(chosen)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/logsink"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
@@ -153,7 +154,11 @@
 	fastestResponses *fastestResponses
 	// receiveBuffers decides how much of each response the kernel buffers.
 	receiveBuffers *receiveBuffers
-	stopping       atomic.Bool
+	// quarantine holds the counts of requests under which workers have ended. lateExaminations counts
+	// the workers that are examined after a probe without an answer.
+	quarantine       *quarantine.Table
+	lateExaminations atomic.Int64
+	stopping         atomic.Bool
 }
 
 // New returns a gateway; Run starts it.
@@ -175,6 +180,7 @@
 		startedAt:        time.Now(),
 		slotQueues:       newSlotQueues(),
 		fastestResponses: newFastestResponses(),
+		quarantine:       quarantine.NewTable(time.Now),
 		receiveBuffers:   newReceiveBuffers(grantedReceiveBuffer(options), bufferedBytesLimit(options), time.Now),
 	}
 	g.graceNanoseconds.Store(int64(options.ShutdownGracePeriod))
@@ -201,7 +207,7 @@
 	g.replicaHealth = newReplicaHealth(g.quorum, g.quorum.AnsweredWithin)
 	g.zoneMonitor = newZoneMonitor(g)
 	g.poller = quorum.NewDirectoryPoller(g.quorum, g.directory, quorum.DirectoryPollerOptions{
-		Seeds: options.Seeds, ForwarderAddress: options.ForwarderAddress, Workers: workerReports(g.balancer, options),
+		Seeds: options.Seeds, ForwarderAddress: options.ForwarderAddress, Workers: workerReports(g.balancer, options), Quarantine: g.quarantine,
 	})
 	g.granter = g.quorum
 	g.spentTokens = newSpentTokens(time.Now)
@@ -337,6 +343,7 @@
 			return found
 		}
 		g.spentTokens.removeExpired()
+		g.quarantine.Expire()
 		g.admittedPrograms.removeExpired()
 		g.lentPrograms.removeExpired()
 		g.allowances.removeIdle(time.Now())
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -10,6 +10,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/balance"
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/distance"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
@@ -39,6 +41,8 @@
 		receiveBuffers: newReceiveBuffers(maxReceiveBufferBytes, maxBufferedBytes, time.Now),
 		pool:           worker.NewPool(transport.NewDialer(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second})),
 	}
+	g.quarantine = quarantine.NewTable(time.Now)
+	g.poller = quorum.NewDirectoryPoller(quorum.NewClient(g.directory, options.Zone, http.DefaultClient), g.directory, quorum.DirectoryPollerOptions{Quarantine: g.quarantine})
 	g.zoneMonitor, g.connectTimes = newZoneMonitor(g), distance.NewZoneLatencies(g.zoneDistances)
 	return g
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/traffic"
 )
@@ -109,6 +110,14 @@
 		Name: "gateway_cold_requests_total", Kind: telemetry.KindCounter, Unit: "requests", Labels: []string{"outcome"},
 		Help: "Requests for which a cold worker was chosen: admitted there, refused there, or unknown because too few replicas answered.",
 	})
+	metricLostWorkers = telemetry.Define(telemetry.Definition{
+		Name: "gateway_lost_workers_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"verdict"},
+		Help: "Attempts whose connection was lost, by what a probe of the worker showed: its process has ended, is alive, or unknown.",
+	})
+	metricQuarantineRecords = telemetry.Define(telemetry.Definition{
+		Name: "gateway_quarantine_records", Kind: telemetry.KindGauge, Unit: "requests",
+		Help: "Requests under which workers have ended within the last minutes, at any gateway.",
+	})
 	metricBufferedAnswerBytes = telemetry.Define(telemetry.Definition{
 		Name: "gateway_held_answer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Bytes of answers that are held for clients that read slowly.",
@@ -154,6 +163,7 @@
 	slowPeers         *prometheus.CounterVec
 	panics            *prometheus.CounterVec
 	lateRequests      *prometheus.CounterVec
+	lostWorkers       *prometheus.CounterVec
 
 	// labelledTenants holds the tenants with their own label, and labelCount their number.
 	labelledTenants sync.Map
@@ -175,6 +185,7 @@
 		tenantRequests: registry.Counter(metricTenants), ineligible: registry.Counter(metricIneligible), traffic: traffic.New(registry),
 		loans: registry.Counter(metricLoans), coldRequests: registry.Counter(metricColdRequests), slowPeers: registry.Counter(metricSlowPeers),
 		panics: registry.Counter(metricPanics), lateRequests: registry.Counter(metricLateRequests),
+		lostWorkers: registry.Counter(metricLostWorkers),
 	}
 }
 
@@ -185,6 +196,7 @@
 	registry.GaugeFunc(metricReceiveBufferBytes, func() float64 { return float64(g.receiveBuffers.budget.Used()) })
 	registry.GaugeFunc(metricReceiveBuffersRefused, func() float64 { return float64(g.receiveBuffers.refused.Load()) })
 	registry.GaugeFunc(metricReceiveBufferGranted, func() float64 { return float64(g.receiveBuffers.granted) })
+	registry.GaugeFunc(metricQuarantineRecords, func() float64 { return float64(g.quarantine.Len()) })
 	registry.GaugeFunc(metricInFlight, func() float64 { return float64(g.inFlight.Load()) })
 	registry.GaugeFunc(metricVersion, func() float64 {
 		if table := g.directory.View().Table; table != nil {
@@ -240,6 +252,11 @@
 // recordSlowPeer counts a request that ended because of a slow reader.
 func (m *metrics) recordSlowPeer(side, cause string) { m.slowPeers.WithLabelValues(side, cause).Inc() }
 
+// recordLostWorker counts a worker whose connection was lost.
+func (m *metrics) recordLostWorker(verdict quarantine.Verdict) {
+	m.lostWorkers.WithLabelValues(string(verdict)).Inc()
+}
+
 func (m *metrics) recordAborted() { m.aborted.WithLabelValues().Inc() }
 
 func (m *metrics) recordAnswered(kind string, total, firstEvent time.Duration) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -94,6 +94,7 @@
 		err = attempt.commitToForward()
 	}
 	if err != nil {
+		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, err)
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error())
@@ -153,6 +154,7 @@
 	r.writer.WriteHeader(attempt.response.Status)
 	_, err := io.Copy(r.writer, io.MultiReader(bytes.NewReader(prefix), attempt.response.Body))
 	if err != nil {
+		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.abort(err)
 	}
@@ -162,6 +164,7 @@
 
 // abort ends a response that has begun in a way that the client can tell it is incomplete.
 func (r *request) abort(cause error) {
+	r.awaitQuarantineSpread()
 	r.recordClientStall(cause)
 	r.finishAborted(cause)
 	panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/directory"
+	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
+)
+
+const (
+	// maxSpreadDelay bounds how long a failure waits until the other gateways know that workers ended
+	// under the request. The client may repeat the request at any of them at once.
+	maxSpreadDelay = 300 * time.Millisecond
+	// maxSpreadDelayOverdue is the same bound after the deadline of the request.
+	maxSpreadDelayOverdue = 100 * time.Millisecond
+	// quarantineUpdateTimeout is the time without an answer of any replica after which this gateway may
+	// lack the ends recorded by others. Replicas answer each poll within a second.
+	quarantineUpdateTimeout = 2 * time.Second
+	// maxLateExaminations bounds the workers that are examined again after a probe without an answer.
+	maxLateExaminations = 256
+)
+
+// lateProbeDelays are the times between the probes of a worker that does not answer.
+var lateProbeDelays = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second}
+
+// quarantineState is what a request knows of the workers that ended under it.
+type quarantineState struct {
+	// clientBody is the body as the client sent it.
+	clientBody []byte
+	// key is the key of the request's content; valid if hasKey is set.
+	key    quarantine.Key
+	hasKey bool
+	// before is the count as the first attempt began; valid if begun is set.
+	before quarantine.Record
+	begun  bool
+	// isolated is set if this gateway might not have known, as the first attempt began, which workers
+	// had ended before.
+	isolated bool
+
+	mutex sync.Mutex
+	lost  []*lostAttempt
+	// spread is closed when the other gateways know of the ends recorded last; nil if there are none.
+	spread <-chan struct{}
+	ends   int
+}
+
+// lostAttempt is an attempt whose connection was lost.
+type lostAttempt struct {
+	// examined is closed once the verdict is set.
+	examined chan struct{}
+	verdict  quarantine.Verdict
+}
+
+// quarantineKey returns the key of the request's content.
+func (r *request) quarantineKey() quarantine.Key {
+	state := &r.quarantine
+	if !state.hasKey {
+		content := quarantine.Content{
+			Tenant: r.tenantName(), Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI,
+			Program: r.metadata.Program, Session: r.metadata.Session, PreviousTurn: r.metadata.PreviousTurnID, Body: state.clientBody,
+		}
+		for _, part := range r.metadata.Prompt {
+			content.Prompt = append(content.Prompt, part.ID)
+		}
+		state.key, state.hasKey = quarantine.KeyOf(directory.SystemOf(r.gateway.directory.Groups()), content), true
+	}
+	return state.key
+}
+
+// checkQuarantine fails if the request may not be sent to a worker any more, because too many have ended
+// under it. It waits for the evidence on lost attempts if the decision depends on it.
+func (r *request) checkQuarantine(ctx context.Context) error {
+	for {
+		situation, pending := r.quarantineSituation()
+		switch quarantine.Decide(situation) {
+		case quarantine.Refuse:
+			return &Quarantined{Ends: situation.Ends, Uncertain: situation.Uncertain, Isolated: situation.Isolated}
+		case quarantine.Send:
+			return nil
+		}
+		select {
+		case <-pending.examined:
+		case <-ctx.Done():
+			return r.contextError(ctx)
+		}
+	}
+}
+
+// quarantineSituation returns what is known about the request, and one of the lost attempts that are
+// still being examined.
+func (r *request) quarantineSituation() (situation quarantine.Situation, pending *lostAttempt) {
+	state := &r.quarantine
+	if r.gateway.quarantine.Len() > 0 {
+		situation.Ends = r.gateway.quarantine.Lookup(r.quarantineKey()).Total()
+	}
+	situation.Isolated = r.gateway.lacksQuarantineUpdates()
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	for _, each := range state.lost {
+		select {
+		case <-each.examined:
+			if each.verdict == quarantine.Unknown {
+				situation.Uncertain++
+			}
+		default:
+			situation.Pending++
+			pending = each
+		}
+	}
+	return situation, pending
+}
+
+// lacksQuarantineUpdates reports whether this gateway may not know of workers that ended at others.
+func (g *Gateway) lacksQuarantineUpdates() bool {
+	return !g.poller.AnsweredWithin(quarantineUpdateTimeout)
+}
+
+// beginQuarantineCount notes the count as it is before the first attempt of the request.
+func (r *request) beginQuarantineCount() {
+	state := &r.quarantine
+	if state.begun {
+		return
+	}
+	state.begun, state.isolated = true, r.gateway.lacksQuarantineUpdates()
+	if r.gateway.quarantine.Len() > 0 {
+		state.before = r.gateway.quarantine.Lookup(r.quarantineKey())
+	}
+}
+
+// attemptConnectionLost examines, in the background, whether the worker of a lost attempt has ended.
+// attemptContext is the context of the attempt.
+func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, cause error) {
+	loss := connectionLoss(attemptContext, cause)
+	if !loss.NeedsProbe() {
+		return
+	}
+	state := &r.quarantine
+	key := r.quarantineKey()
+	lost := &lostAttempt{examined: make(chan struct{})}
+	state.mutex.Lock()
+	state.before.Key = key
+	state.lost = append(state.lost, lost)
+	state.mutex.Unlock()
+	requestID := r.metadata.RequestID
+	go func() {
+		lost.verdict = r.gateway.probeWorker(chosen, loss)
+		if lost.verdict == quarantine.Ended {
+			r.gateway.workerEnded(state, requestID, chosen)
+		}
+		r.gateway.metrics.recordLostWorker(lost.verdict)
+		close(lost.examined)
+		if lost.verdict == quarantine.Unknown {
+			r.gateway.examineLate(state, requestID, chosen, loss)
+		}
+	}()
+}
+
+// connectionLoss returns how the connection of an attempt was lost.
+func connectionLoss(attemptContext context.Context, cause error) quarantine.ConnectionLoss {
+	var silent *SilentWorker
+	switch {
+	case attemptContext.Err() != nil, errors.As(cause, &silent), errors.Is(cause, os.ErrDeadlineExceeded):
+		return quarantine.LostCanceled
+	case errors.Is(cause, io.EOF), errors.Is(cause, io.ErrUnexpectedEOF), errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
+		return quarantine.LostClosed
+	case errors.Is(cause, syscall.ETIMEDOUT), errors.Is(cause, syscall.EHOSTUNREACH), errors.Is(cause, syscall.ENETUNREACH):
+		return quarantine.LostSilent
+	}
+	return quarantine.LostMalformed
+}
+
+// probeWorker returns whether the worker of a lost attempt has ended.
+func (g *Gateway) probeWorker(chosen directory.Worker, loss quarantine.ConnectionLoss) quarantine.Verdict {
+	evidence := quarantine.Evidence{Loss: loss, Replaced: g.isReplaced(chosen)}
+	if evidence.Replaced {
+		return quarantine.Judge(evidence)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*workerDialTimeout)
+	defer cancel()
+	switch err := g.pool.CheckListener(ctx, chosen.Address); {
+	case err == nil:
+		evidence.Probe = quarantine.ProbeAccepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		evidence.Probe = quarantine.ProbeRefused
+	default:
+		evidence.Probe = quarantine.ProbeUnanswered
+	}
+	evidence.Replaced = g.isReplaced(chosen)
+	return quarantine.Judge(evidence)
+}
+
+// isReplaced reports whether another incarnation of a worker's instance is listed.
+func (g *Gateway) isReplaced(chosen directory.Worker) bool {
+	listed, found := g.directory.FindInstance(chosen.Instance)
+	return found && listed.ID != chosen.ID
+}
+
+// workerEnded records that the worker of an attempt has ended, and tells the other gateways.
+func (g *Gateway) workerEnded(state *quarantineState, requestID string, chosen directory.Worker) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.ends++
+	var record quarantine.Record
+	if state.isolated {
+		record = g.quarantine.RecordUnorderedEnd(state.before)
+	} else {
+		record = g.quarantine.RecordEnds(state.before, state.ends)
+	}
+	state.spread = g.poller.SpreadQuarantine()
+	eventWorkerEnded.Log("request", requestID, "key", record.Key.String(), "worker", chosen.ID, "address", chosen.Address, "ends", record.Total(), "isolated", state.isolated)
+	if record.Total() >= quarantine.MaxWorkerEnds {
+		eventRequestQuarantined.Log("request", requestID, "key", record.Key.String(), "ends", record.Total())
+	}
+}
+
+// examineLate probes a worker that did not answer a few times more. A machine that is started again
+// refuses connections until its worker runs.
+func (g *Gateway) examineLate(state *quarantineState, requestID string, chosen directory.Worker, loss quarantine.ConnectionLoss) {
+	if g.lateExaminations.Add(1) > maxLateExaminations {
+		g.lateExaminations.Add(-1)
+		return
+	}
+	defer g.lateExaminations.Add(-1)
+	for _, delay := range lateProbeDelays {
+		if !pause.For(context.Background(), delay) {
+			return
+		}
+		switch g.probeWorker(chosen, loss) {
+		case quarantine.Ended:
+			g.workerEnded(state, requestID, chosen)
+			return
+		case quarantine.Alive:
+			return
+		}
+	}
+}
+
+// awaitQuarantineSpread waits, for a limited time, until the other gateways know which workers have
+// ended under the request. It is called before the client learns that the request has failed.
+func (r *request) awaitQuarantineSpread() {
+	state := &r.quarantine
+	state.mutex.Lock()
+	lost := state.lost
+	state.mutex.Unlock()
+	if len(lost) == 0 {
+		return
+	}
+	limit := maxSpreadDelay
+	if time.Now().After(r.deadline) {
+		limit = maxSpreadDelayOverdue
+	}
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	for _, each := range lost {
+		select {
+		case <-each.examined:
+		case <-timeout.C:
+			return
+		}
+	}
+	state.mutex.Lock()
+	spread := state.spread
+	state.mutex.Unlock()
+	if spread == nil {
+		return
+	}
+	select {
+	case <-spread:
+	case <-timeout.C:
+	}
+}
+
+// clearQuarantine starts the count of the request's content again after a worker has run all of it
+// without any end: the ends under the same content had other causes.
+func (r *request) clearQuarantine() {
+	if r.gateway.quarantine.Len() == 0 || len(r.quarantine.lost) > 0 || r.metadata.LastEventID != "" {
+		return
+	}
+	if record, cleared := r.gateway.quarantine.Clear(r.quarantineKey()); cleared {
+		r.addLogEntry(eventQuarantineCleared, "key", record.Key.String(), "generation", record.Generation)
+		r.gateway.poller.SpreadQuarantine()
+	}
+}
+
+// Quarantined reports a request that no worker gets any more because too many have ended under it.
+type Quarantined struct {
+	// Ends is how many workers have ended under the request, at all gateways.
+	Ends int
+	// Uncertain is how many more may have ended at this gateway.
+	Uncertain int
+	// Isolated is set if this gateway does not learn of ends at other gateways.
+	Isolated bool
+}
+
+func (e *Quarantined) Error() string {
+	message := fmt.Sprintf("%d workers ended while they ran this request; it is not sent to another one", e.Ends)
+	if e.Uncertain > 0 {
+		message += fmt.Sprintf(" (of %d more it is not known whether they ended)", e.Uncertain)
+	}
+	if e.Isolated {
+		message += " (no replica answers this gateway)"
+	}
+	return message
+}
+
+// Type returns "request_ends_workers".
+func (e *Quarantined) Type() failure.Type { return "request_ends_workers" }
+
+// Outcome returns Ran: the workers that ended had begun to run the request.
+func (e *Quarantined) Outcome() failure.Outcome { return failure.Ran }
+
+// Retry forbids a retry.
+func (e *Quarantined) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -87,6 +87,8 @@
 	sentAfter, respondedAfter time.Duration
 	// waitTimes is how long the request waited, by reason.
 	waitTimes map[waitReason]time.Duration
+	// quarantine is what is known of the workers that ended under the request.
+	quarantine quarantineState
 	// logEntries are the log entries of the request.
 	logEntries []logEntry
 }
@@ -127,6 +129,10 @@
 		r.refuse(err)
 		return
 	}
+	if err := r.checkQuarantine(ctx); err != nil {
+		r.refuse(err)
+		return
+	}
 	r.awaitWorkers(ctx)
 	if err := r.checkEligibleWorkers(); err != nil {
 		r.refuse(err)
@@ -199,7 +205,7 @@
 	if int64(len(body)) > limit {
 		return &BodyTooLong{Limit: limit}
 	}
-	r.body = body
+	r.body, r.quarantine.clientBody = body, body
 	return nil
 }
 
@@ -263,6 +269,7 @@
 
 // refuse sends the final response for an error of the gateway itself.
 func (r *request) refuse(err error) {
+	r.awaitQuarantineSpread()
 	if len(r.mayHaveRun) > 0 && failure.Classify(err).Outcome() == failure.NotRun {
 		// An earlier attempt may have run, so the response must not promise that the request
 		// has not run.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,6 +87,9 @@
 // worker if that one cannot be reached.
 func (s *stream) resume(ctx context.Context, cause error) (*attempt, error) {
 	r := s.request
+	if err := r.checkQuarantine(ctx); err != nil {
+		return nil, err
+	}
 	if r.resumes >= maxResumes {
 		return nil, cause
 	}
@@ -189,6 +192,7 @@
 // attemptLost ends an attempt whose stream broke off or that was given up, and returns its error.
 func (s *stream) attemptLost(ctx context.Context, attempt *attempt, err error) error {
 	r := s.request
+	r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
 	err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
 	r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
 	r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -54,6 +54,9 @@
 	ReplicaServiceGrantProcedure = "/barleyshelf.replica.v1.ReplicaService/Grant"
 	// ReplicaServiceLoanProcedure is the fully-qualified name of the ReplicaService's Loan RPC.
 	ReplicaServiceLoanProcedure = "/barleyshelf.replica.v1.ReplicaService/Loan"
+	// ReplicaServiceQuarantineProcedure is the fully-qualified name of the ReplicaService's Quarantine
+	// RPC.
+	ReplicaServiceQuarantineProcedure = "/barleyshelf.replica.v1.ReplicaService/Quarantine"
 	// ReplicaServiceAgreeProcedure is the fully-qualified name of the ReplicaService's Agree RPC.
 	ReplicaServiceAgreeProcedure = "/barleyshelf.replica.v1.ReplicaService/Agree"
 	// ForwardServiceForwardProcedure is the fully-qualified name of the ForwardService's Forward RPC.
@@ -77,6 +80,9 @@
 	Grant(context.Context, *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error)
 	// Loan opens, draws on or closes an account of tokens that were lent to this replica.
 	Loan(context.Context, *connect.Request[replicav1.LoanRequest]) (*connect.Response[replicav1.LoanResponse], error)
+	// Quarantine spreads the counts of requests under which workers have ended, and waits until other
+	// gateways have them.
+	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
 }
@@ -134,6 +140,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Loan")),
 			connect.WithClientOptions(opts...),
 		),
+		quarantine: connect.NewClient[replicav1.QuarantineRequest, replicav1.QuarantineResponse](
+			httpClient,
+			baseURL+ReplicaServiceQuarantineProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("Quarantine")),
+			connect.WithClientOptions(opts...),
+		),
 		agree: connect.NewClient[replicav1.AgreeRequest, replicav1.AgreeResponse](
 			httpClient,
 			baseURL+ReplicaServiceAgreeProcedure,
@@ -145,14 +157,15 @@
 
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
-	append    *connect.Client[replicav1.AppendRequest, replicav1.AppendResponse]
-	readChain *connect.Client[replicav1.ReadChainRequest, replicav1.ReadChainResponse]
-	pull      *connect.Client[replicav1.PullRequest, replicav1.PullResponse]
-	announce  *connect.Client[replicav1.AnnounceRequest, replicav1.AnnounceResponse]
-	directory *connect.Client[replicav1.DirectoryRequest, replicav1.DirectoryResponse]
-	grant     *connect.Client[replicav1.GrantRequest, replicav1.GrantResponse]
-	loan      *connect.Client[replicav1.LoanRequest, replicav1.LoanResponse]
-	agree     *connect.Client[replicav1.AgreeRequest, replicav1.AgreeResponse]
+	append     *connect.Client[replicav1.AppendRequest, replicav1.AppendResponse]
+	readChain  *connect.Client[replicav1.ReadChainRequest, replicav1.ReadChainResponse]
+	pull       *connect.Client[replicav1.PullRequest, replicav1.PullResponse]
+	announce   *connect.Client[replicav1.AnnounceRequest, replicav1.AnnounceResponse]
+	directory  *connect.Client[replicav1.DirectoryRequest, replicav1.DirectoryResponse]
+	grant      *connect.Client[replicav1.GrantRequest, replicav1.GrantResponse]
+	loan       *connect.Client[replicav1.LoanRequest, replicav1.LoanResponse]
+	quarantine *connect.Client[replicav1.QuarantineRequest, replicav1.QuarantineResponse]
+	agree      *connect.Client[replicav1.AgreeRequest, replicav1.AgreeResponse]
 }
 
 // Append calls barleyshelf.replica.v1.ReplicaService.Append.
@@ -190,6 +203,11 @@
 	return c.loan.CallUnary(ctx, req)
 }
 
+// Quarantine calls barleyshelf.replica.v1.ReplicaService.Quarantine.
+func (c *replicaServiceClient) Quarantine(ctx context.Context, req *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error) {
+	return c.quarantine.CallUnary(ctx, req)
+}
+
 // Agree calls barleyshelf.replica.v1.ReplicaService.Agree.
 func (c *replicaServiceClient) Agree(ctx context.Context, req *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error) {
 	return c.agree.CallUnary(ctx, req)
@@ -212,6 +230,9 @@
 	Grant(context.Context, *connect.Request[replicav1.GrantRequest]) (*connect.Response[replicav1.GrantResponse], error)
 	// Loan opens, draws on or closes an account of tokens that were lent to this replica.
 	Loan(context.Context, *connect.Request[replicav1.LoanRequest]) (*connect.Response[replicav1.LoanResponse], error)
+	// Quarantine spreads the counts of requests under which workers have ended, and waits until other
+	// gateways have them.
+	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
 }
@@ -265,6 +286,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Loan")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceQuarantineHandler := connect.NewUnaryHandler(
+		ReplicaServiceQuarantineProcedure,
+		svc.Quarantine,
+		connect.WithSchema(replicaServiceMethods.ByName("Quarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServiceAgreeHandler := connect.NewUnaryHandler(
 		ReplicaServiceAgreeProcedure,
 		svc.Agree,
@@ -287,6 +314,8 @@
 			replicaServiceGrantHandler.ServeHTTP(w, r)
 		case ReplicaServiceLoanProcedure:
 			replicaServiceLoanHandler.ServeHTTP(w, r)
+		case ReplicaServiceQuarantineProcedure:
+			replicaServiceQuarantineHandler.ServeHTTP(w, r)
 		case ReplicaServiceAgreeProcedure:
 			replicaServiceAgreeHandler.ServeHTTP(w, r)
 		default:
@@ -326,6 +355,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Loan is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Quarantine is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Agree is not implemented"))
 }
--- a/internal/quorum/directorypoller.go
+++ b/internal/quorum/directorypoller.go
@@ -18,6 +18,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/distance"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
@@ -67,6 +68,9 @@
 	// Workers provides this process's observations of workers and receives the combined result of
 	// all gateways. It may be nil.
 	Workers WorkerObservations
+	// Quarantine are the counts of requests under which workers have ended, which are exchanged with
+	// replicas. It may be nil.
+	Quarantine *quarantine.Table
 }
 
 // WorkerObservations exchanges a gateway's observations of workers with those of other gateways.
@@ -96,6 +100,8 @@
 	now     func() time.Time
 	// startedAt is when Run was called.
 	startedAt time.Time
+	// quarantine exchanges the options' Quarantine; nil if there is none.
+	quarantine *quarantineExchange
 
 	mutex sync.Mutex
 	// avoidUntil is how long replicas are avoided, by address.
@@ -115,6 +121,9 @@
 	if options.Sources == nil {
 		poller.options.Sources = client.allMembers
 	}
+	if options.Quarantine != nil {
+		poller.quarantine = newQuarantineExchange(options.Quarantine)
+	}
 	poller.SetSeeds(options.Seeds)
 	return poller
 }
@@ -284,12 +293,14 @@
 	if view.Table != nil {
 		request.Version = view.Table.Version()
 	}
+	quarantineAnswered := p.addQuarantine(address, request)
 	response, err := p.client.ReplicaClient(address).Directory(callCtx, connect.NewRequest(request))
 	if ctx.Err() != nil {
 		return
 	}
 	p.recordStaleness(address, err != nil || !isFresh(response.Msg))
 	if err == nil {
+		quarantineAnswered(response.Msg)
 		p.apply(address, response.Msg)
 	}
 }
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -127,3 +127,21 @@
 
 // Retry forbids a retry.
 func (e *UnknownMember) Retry() failure.Retry { return failure.Retry{} }
+
+// notSpread reports a replica whose other callers have not confirmed records in time.
+type notSpread struct {
+	Replica string
+}
+
+func (e *notSpread) Error() string {
+	return fmt.Sprintf("some callers of %s have not confirmed the records", e.Replica)
+}
+
+// Type returns "quarantine_not_spread".
+func (e *notSpread) Type() failure.Type { return "quarantine_not_spread" }
+
+// Outcome returns OutcomeUnknown.
+func (e *notSpread) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry allows a retry.
+func (e *notSpread) Retry() failure.Retry { return failure.Retry{Allowed: true} }
--- a/internal/replica/directory_test.go
+++ b/internal/replica/directory_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
@@ -24,7 +25,7 @@
 func TestDirectoryNamesOtherGateways(t *testing.T) {
 	server := &service{
 		directory: directory.NewState(time.Now, nil), gateways: newGatewayRegistry(time.Now), nodes: newNodeRegistry(), workerObservations: newWorkerObservations(time.Now),
-		storeViewAge: func() (time.Duration, bool) { return 0, true },
+		quarantine: newQuarantineHub(quarantine.NewTable(time.Now), time.Now), storeViewAge: func() (time.Duration, bool) { return 0, true },
 	}
 	require.Empty(t, queryDirectory(t, server, "a", 0).Forwarders, "no other gateway has called yet")
 	require.Equal(t, []string{"a"}, queryDirectory(t, server, "b", 0).Forwarders)
--- a/internal/replica/drains_test.go
+++ b/internal/replica/drains_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 )
 
 func drainedZonesRecord(revision int64, zones ...string) *replicav1.Record {
@@ -64,7 +65,7 @@
 	state := directory.NewState(time.Now, nil)
 	server := &service{
 		directory: state, gateways: newGatewayRegistry(time.Now), nodes: newNodeRegistry(), workerObservations: newWorkerObservations(time.Now),
-		storeViewAge: func() (time.Duration, bool) { return 0, true },
+		quarantine: newQuarantineHub(quarantine.NewTable(time.Now), time.Now), storeViewAge: func() (time.Duration, bool) { return 0, true },
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -32,6 +32,7 @@
 	nodes              *nodeRegistry
 	workerObservations *workerObservations
 	grants             *grantAllocator
+	quarantine         *quarantineHub
 	// report returns this replica's report about a partition.
 	report func(partition uint32) *replicav1.ReplicaReport
 	// configuration caches the encoded current configuration.
@@ -175,10 +176,12 @@
 func (s *service) Directory(ctx context.Context, request *connect.Request[replicav1.DirectoryRequest]) (*connect.Response[replicav1.DirectoryResponse], error) {
 	s.gateways.observe(request.Msg.Forwarder, request.Msg.Zone)
 	s.workerObservations.add(request.Msg.Observations)
+	defer s.quarantine.beginPoll(request.Msg.Quarantine)()
 	timeout := time.NewTimer(time.Duration(request.Msg.PatienceMs) * time.Millisecond)
 	defer timeout.Stop()
 	for {
 		changed, nodesChanged := s.directory.ViewChanged(), s.nodes.changeNotification(request.Msg.Nodes != nil)
+		quarantineChanged := s.quarantine.table.Changed()
 		response, err := s.changesSince(request.Msg)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeInternal, err)
@@ -186,13 +189,14 @@
 		hasFirstForwarders := request.Msg.ForwardersDigest == 0 && len(response.Forwarders) > 0
 		hasNodeChanges := response.Nodes != nil || response.Retirements != nil
 		if response.Configuration != nil || response.Workers != nil || response.DrainedZones != nil ||
-			len(response.Groups) > 0 || hasFirstForwarders || hasNodeChanges {
+			len(response.Groups) > 0 || hasFirstForwarders || hasNodeChanges || response.Quarantine != nil {
 			response.Suspects = s.workerObservations.suspects(s.directory.View().Workers)
 			return connect.NewResponse(response), nil
 		}
 		select {
 		case <-changed:
 		case <-nodesChanged:
+		case <-quarantineChanged:
 		case <-timeout.C:
 			response.Forwarders = s.changedForwarders(request.Msg)
 			response.Suspects = s.workerObservations.suspects(s.directory.View().Workers)
@@ -250,6 +254,7 @@
 		}
 	}
 	response.Forwarders = s.changedForwarders(request)
+	response.Quarantine = quorum.NewQuarantineUpdate(s.quarantine.table, request.Quarantine)
 	if request.Nodes != nil {
 		response.Nodes = s.nodes.nodesSince(request.Nodes.Nodes)
 		response.Retirements = s.nodes.retirementsSince(request.Nodes.Retirements)
