--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -12,6 +12,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 )
@@ -79,6 +80,9 @@
 // checkQuarantine fails if the request may not be sent to a worker any more, because too many have ended
 // under it. It waits for the evidence on lost attempts if the decision depends on it.
 func (r *request) checkQuarantine(ctx context.Context) error {
+	if r.gateway.disabled(mechanism.Quarantine) {
+		return nil
+	}
 	for {
 		situation, pending := r.quarantineSituation()
 		switch quarantine.Decide(situation) {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -63,13 +63,15 @@
 	ReadAhead Name = "readAhead"
 	// WorkerSubsets chooses from a subset of each zone's workers first.
 	WorkerSubsets Name = "subsets"
+	// Quarantine sends no request to a further worker under which several workers have ended.
+	Quarantine Name = "quarantine"
 )
 
 // All lists all mechanisms, in the order of their documentation.
 var All = []Name{
 	Affinity, PaceBalancing, Ejection, RetryBudget, UnlistedWorkers, ResumeAtSameWorker, TurnCache, ReplicaUpdates, Forwarding,
 	OneRoundReservations, DeferredSettlements, RequestQueueing, SilentStreamTimeout, SpentTokenCache, LocalWorkers, SharedWorkerReports, LimitedWatchers,
-	GrantPrefetch, UnreachableZones, RegionPreference, BudgetLoans, ColdWorkerGrants, ReadAhead, WorkerSubsets,
+	GrantPrefetch, UnreachableZones, RegionPreference, BudgetLoans, ColdWorkerGrants, ReadAhead, WorkerSubsets, Quarantine,
 }
 
 // Optional lists the mechanisms that are disabled unless a setting enables them.
