quorum: a process that has just started learns at once which workers ended under requests

A gateway's first question for updates waited 0.7 s at a replica that had no records, and until then the gateway counted as one that lacks them, which lets a request end one worker alone. A replica now answers the first question of each process at once.

--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -126,13 +126,16 @@
 	return quarantine.Cursor{Source: encoded.GetSource(), Revision: encoded.GetRevision()}
 }
 
-// NewQuarantineUpdate returns the records of a table that a caller lacks, or nil if it has them all.
+// NewQuarantineUpdate returns the records of a table that a caller lacks, or nil if it has them all. A
+// caller that has none of the table's records yet gets an update even if there are none, so that it does
+// not wait to learn that.
 func NewQuarantineUpdate(table *quarantine.Table, request *replicav1.QuarantineRequest) *replicav1.QuarantineUpdate {
 	if request == nil {
 		return nil
 	}
-	records, current := table.Since(DecodeQuarantineCursor(request.Known))
-	if len(records) == 0 {
+	known := DecodeQuarantineCursor(request.Known)
+	records, current := table.Since(known)
+	if len(records) == 0 && table.Owns(known) {
 		return nil
 	}
 	return &replicav1.QuarantineUpdate{Current: encodeCursor(current), Records: EncodeQuarantineRecords(records)}
