--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,6 +15,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
+	"github.com/barleyshelf/barleyshelf/internal/requestkey"
 )
 
 const (
@@ -38,7 +39,7 @@
 	// clientBody is the body as the client sent it.
 	clientBody []byte
 	// key is the key of the request's content; valid if hasKey is set.
-	key    quarantine.Key
+	key    requestkey.Key
 	hasKey bool
 	// before is the count as the first attempt began; valid if begun is set.
 	before quarantine.Record
@@ -62,17 +63,17 @@
 }
 
 // quarantineKey returns the key of the request's content.
-func (r *request) quarantineKey() quarantine.Key {
+func (r *request) quarantineKey() requestkey.Key {
 	state := &r.quarantine
 	if !state.hasKey {
-		content := quarantine.Content{
+		content := requestkey.Content{
 			Tenant: r.tenantName(), Method: r.incoming.Method, Host: r.incoming.Host, Target: r.incoming.RequestURI,
 			Program: r.metadata.Program, Session: r.metadata.Session, PreviousTurn: r.metadata.PreviousTurnID, Body: state.clientBody,
 		}
 		for _, part := range r.metadata.Prompt {
 			content.Prompt = append(content.Prompt, part.ID)
 		}
-		state.key, state.hasKey = quarantine.KeyOf(directory.SystemOf(r.gateway.directory.Groups()), content), true
+		state.key, state.hasKey = requestkey.Of(directory.SystemOf(r.gateway.directory.Groups()), content), true
 	}
 	return state.key
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/requestkey"
 )
 
 const (
@@ -22,7 +24,7 @@
 
 // Record is the count of one request.
 type Record struct {
-	Key Key
+	Key requestkey.Key
 	// Generation increases when the count starts again from zero.
 	Generation uint32
 	// Ends is how many workers have ended under the request, one after another.
@@ -78,7 +80,7 @@
 	size atomic.Int64
 
 	mutex    sync.Mutex
-	records  map[Key]*list.Element
+	records  map[requestkey.Key]*list.Element
 	order    *list.List
 	revision uint64
 	// changed is closed at the next change.
@@ -94,14 +96,14 @@
 
 // NewTable returns an empty table.
 func NewTable(now func() time.Time) *Table {
-	return &Table{now: now, source: rand.Uint64() | 1, records: make(map[Key]*list.Element), order: list.New(), changed: make(chan struct{})}
+	return &Table{now: now, source: rand.Uint64() | 1, records: make(map[requestkey.Key]*list.Element), order: list.New(), changed: make(chan struct{})}
 }
 
 // Len returns the number of records. It takes no lock.
 func (t *Table) Len() int { return int(t.size.Load()) }
 
 // Lookup returns the record of a key; the zero count if there is none.
-func (t *Table) Lookup(key Key) Record {
+func (t *Table) Lookup(key requestkey.Key) Record {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if element := t.records[key]; element != nil {
@@ -135,7 +137,7 @@
 }
 
 // Clear starts the count of a key again from zero. It returns false if there is nothing to clear.
-func (t *Table) Clear(key Key) (Record, bool) {
+func (t *Table) Clear(key requestkey.Key) (Record, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	element := t.records[key]
--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
+	"github.com/barleyshelf/barleyshelf/internal/requestkey"
 )
 
 const (
@@ -105,11 +106,11 @@
 func DecodeQuarantineRecords(encoded []*replicav1.QuarantineRecord) []quarantine.Record {
 	records := make([]quarantine.Record, 0, len(encoded))
 	for _, each := range encoded {
-		if len(each.Key) != quarantine.KeyBytes {
+		if len(each.Key) != requestkey.Bytes {
 			continue
 		}
 		record := quarantine.Record{
-			Key: quarantine.Key(each.Key), Generation: each.Generation, Ends: each.Ends, Age: time.Duration(each.AgeMs) * time.Millisecond,
+			Key: requestkey.Key(each.Key), Generation: each.Generation, Ends: each.Ends, Age: time.Duration(each.AgeMs) * time.Millisecond,
 		}
 		copy(record.Unordered[:], each.Unordered)
 		records = append(records, record)
--- a/internal/quarantine/key.go
+++ b/internal/requestkey/requestkey.go
@@ -1,4 +1,5 @@
-package quarantine
+// Package requestkey identifies requests by what all attempts and repeats of one request have in common.
+package requestkey
 
 import (
 	"crypto/hmac"
@@ -8,12 +9,12 @@
 	"hash"
 )
 
-// KeyBytes is the size of a key.
-const KeyBytes = 16
+// Bytes is the size of a key.
+const Bytes = 16
 
 // Key identifies the content of a request. It is a keyed hash, so nothing of the content can be read
 // from it.
-type Key [KeyBytes]byte
+type Key [Bytes]byte
 
 // String returns the key in hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
@@ -28,8 +29,8 @@
 	Body   []byte
 }
 
-// KeyOf returns the key of a content. Only processes with the same secret get the same key.
-func KeyOf(secret uint64, content Content) Key {
+// Of returns the key of a content. Only processes with the same secret get the same key.
+func Of(secret uint64, content Content) Key {
 	sum := hmac.New(sha256.New, binary.BigEndian.AppendUint64(nil, secret))
 	for _, field := range []string{
 		content.Tenant, content.Method, content.Host, content.Target, content.Program, content.Session, content.PreviousTurn,
@@ -40,7 +41,7 @@
 		writeField(sum, []byte(part))
 	}
 	writeField(sum, content.Body)
-	return Key(sum.Sum(nil)[:KeyBytes])
+	return Key(sum.Sum(nil)[:Bytes])
 }
 
 // writeField adds a field and its length, so that no two lists of fields give the same bytes.
