gateway, eligibility: a stream goes on only at the software version of its first event

Cause: the version of an entry was read, demanded and thrown away, so no process knew one, and no path on which a stream goes on asked for it. Class: a fact that binds later attempts and that nobody keeps.

Change: workers carry their version through lists, replicas and logs; eligibility, which every path asks, leaves out workers of another or unknown version once a stream has brought an event. The version is written to the replicas beside the first event, under a keyed hash of the request's content, and a client that takes the stream up is served by it; where it is not known, or no worker of it is left, the answer is 503 at once (an answer that has begun breaks off).

--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -55,6 +55,8 @@
 	// Address is an IP address and a port.
 	Address string
 	Zone    string
+	// Version is the version of the worker's software; empty if unknown.
+	Version string
 	Slots   int
 	// Draining workers accept no new requests.
 	Draining bool
--- a/internal/directory/workerlist.go
+++ b/internal/directory/workerlist.go
@@ -163,7 +163,7 @@
 	return &replicav1.Worker{
 		Id: worker.ID, Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
 		Slots: uint32(worker.Slots), Draining: worker.Draining, ColdForMs: uint32(worker.ColdRemaining.Milliseconds()),
-		Instance: worker.Instance, StartedMs: worker.StartedMs,
+		Instance: worker.Instance, StartedMs: worker.StartedMs, Version: worker.Version,
 	}
 }
 
@@ -176,7 +176,7 @@
 	}
 	return Worker{
 		ID: IncarnationID(instance, worker.StartedMs), Instance: instance, StartedMs: worker.StartedMs,
-		Service: worker.Service, Address: worker.Address, Zone: worker.Zone,
+		Service: worker.Service, Address: worker.Address, Zone: worker.Zone, Version: worker.Version,
 		Slots: int(worker.Slots), Draining: worker.Draining, ColdRemaining: time.Duration(worker.ColdForMs) * time.Millisecond,
 	}
 }
--- a/internal/directory/workerstate.go
+++ b/internal/directory/workerstate.go
@@ -126,7 +126,7 @@
 // Strings that many workers share are stored once.
 func (s *State) register(worker Worker, receivedAt time.Time) *registration {
 	s.deregister(worker.Instance)
-	worker.Service, worker.Zone = unique.Make(worker.Service).Value(), unique.Make(worker.Zone).Value()
+	worker.Service, worker.Zone, worker.Version = unique.Make(worker.Service).Value(), unique.Make(worker.Zone).Value(), unique.Make(worker.Version).Value()
 	current := &registration{WorkerRecord: NewWorkerRecord(worker, receivedAt)}
 	s.workers[worker.Instance] = current
 	// The worker has returned or restarted, which ends the previous incarnation.
--- a/internal/eligibility/eligibility.go
+++ b/internal/eligibility/eligibility.go
@@ -23,6 +23,11 @@
 	ZoneDrained Reason = "zone_drained"
 	// RegionNotPermitted means that the request's data may not be stored in the worker's region.
 	RegionNotPermitted Reason = "region_not_permitted"
+	// OtherVersion means that the request continues a stream that began at another software version.
+	OtherVersion Reason = "other_version"
+	// VersionUnknown means that the request continues a stream, and that the version of the stream or
+	// of the worker is unknown.
+	VersionUnknown Reason = "version_unknown"
 )
 
 // Checker checks requests against the known zone drains and regions. It is immutable.
@@ -39,6 +44,32 @@
 type Request struct {
 	// Regions are the only regions in which the request may be served; nil permits any.
 	Regions []string
+	// Stream is the stream that the request continues; nil if it begins anew.
+	Stream *Stream
+}
+
+// Stream is what is known about the first event of a stream. What two software versions write does not
+// fit together.
+type Stream struct {
+	// Version is the software version of the worker that brought it; empty if unknown.
+	Version string
+	// WorkerID is the incarnation of that worker, if this process received the event; else empty.
+	WorkerID string
+}
+
+// mayContinueAt returns why a stream may not continue at a worker, or Eligible. Unknown versions are
+// never taken for the same; a worker that has not restarted has the version that it had.
+func (s *Stream) mayContinueAt(worker directory.Worker) Reason {
+	switch {
+	case s.Version != "" && worker.Version != "":
+		if s.Version != worker.Version {
+			return OtherVersion
+		}
+		return Eligible
+	case s.WorkerID != "" && s.WorkerID == worker.ID:
+		return Eligible
+	}
+	return VersionUnknown
 }
 
 // RegionRestricted reports whether the request may only be served in some regions.
@@ -62,6 +93,14 @@
 	return Eligible
 }
 
+// CheckWorker returns why a request may not be sent to a worker, or Eligible.
+func (c Checker) CheckWorker(worker directory.Worker, request Request) Reason {
+	if reason := c.Check(worker.Zone, request); reason != Eligible || request.Stream == nil {
+		return reason
+	}
+	return request.Stream.mayContinueAt(worker)
+}
+
 // allowsAllZones reports whether the request may be sent to the workers of all zones.
 func (c Checker) allowsAllZones(request Request) bool {
 	return !request.RegionRestricted() && (!c.DrainsEnabled || c.Drains.Known() && c.Drains.Count() == 0)
@@ -70,17 +109,17 @@
 // Filter returns the workers that a request may be sent to, or the same slice if those are all.
 // ineligible counts the other workers by reason.
 func (c Checker) Filter(workers []*directory.WorkerRecord, request Request) (eligible []*directory.WorkerRecord, ineligible map[Reason]int) {
-	if c.allowsAllZones(request) {
+	if request.Stream == nil && c.allowsAllZones(request) {
 		return workers, nil
 	}
-	first := slices.IndexFunc(workers, func(each *directory.WorkerRecord) bool { return c.Check(each.Zone, request) != Eligible })
+	first := slices.IndexFunc(workers, func(each *directory.WorkerRecord) bool { return c.CheckWorker(each.Worker, request) != Eligible })
 	if first < 0 {
 		return workers, nil
 	}
 	ineligible = make(map[Reason]int)
 	eligible = append(make([]*directory.WorkerRecord, 0, len(workers)), workers[:first]...)
 	for _, each := range workers[first:] {
-		if reason := c.Check(each.Zone, request); reason != Eligible {
+		if reason := c.CheckWorker(each.Worker, request); reason != Eligible {
 			ineligible[reason]++
 			continue
 		}
--- a/internal/eligibility/eligibility_test.go
+++ b/internal/eligibility/eligibility_test.go
@@ -83,3 +83,26 @@
 		require.Equal(t, len(workers)-len(want), count)
 	})
 }
+
+func TestStreamContinuesOnlyAtItsVersion(t *testing.T) {
+	for name, example := range map[string]struct {
+		stream *Stream
+		worker directory.Worker
+		want   Reason
+	}{
+		"a request that begins anew":                 {nil, directory.Worker{Version: "v2"}, Eligible},
+		"the same version":                           {&Stream{Version: "v1"}, directory.Worker{Version: "v1"}, Eligible},
+		"another version":                            {&Stream{Version: "v1"}, directory.Worker{Version: "v2"}, OtherVersion},
+		"a worker of unknown version":                {&Stream{Version: "v1"}, directory.Worker{}, VersionUnknown},
+		"a stream of unknown version":                {&Stream{}, directory.Worker{Version: "v1"}, VersionUnknown},
+		"both unknown":                               {&Stream{}, directory.Worker{}, VersionUnknown},
+		"the incarnation that began it":              {&Stream{WorkerID: "i@1"}, directory.Worker{ID: "i@1"}, Eligible},
+		"the next incarnation of that worker":        {&Stream{WorkerID: "i@1"}, directory.Worker{ID: "i@2"}, VersionUnknown},
+		"an incarnation whose entry changed version": {&Stream{Version: "v1", WorkerID: "i"}, directory.Worker{ID: "i", Version: "v2"}, OtherVersion},
+	} {
+		require.Equal(t, example.want, Checker{}.CheckWorker(example.worker, Request{Stream: example.stream}), name)
+		eligible, ineligible := Checker{}.Filter([]*directory.WorkerRecord{{Worker: example.worker}}, Request{Stream: example.stream})
+		require.Equal(t, example.want == Eligible, len(eligible) == 1, name)
+		require.Equal(t, example.want == Eligible, len(ineligible) == 0, name)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,9 @@
 			if err := r.checkRegionsAndDrains(); err != nil {
 				return nil, err
 			}
+			if err := r.checkStreamVersion(); err != nil {
+				return nil, err
+			}
 			if err := r.awaitSlotUnlessUnreachable(ctx); err != nil {
 				return nil, err
 			}
@@ -191,10 +194,10 @@
 		candidates = slices.DeleteFunc(slices.Clone(candidates), func(each *directory.WorkerRecord) bool { return each.Lapsed })
 	}
 	candidates = r.withoutRefusedColdWorkers(candidates)
-	selection.Filtered = r.coldSkipped > 0 || r.regionRestriction().RegionRestricted()
+	selection.Filtered = r.coldSkipped > 0 || r.regionRestriction().RegionRestricted() || r.stream != nil
 	chosen, found := r.gateway.balancer.Choose(candidates, selection)
 	if found {
-		r.addLogEntry(eventWorkerChosen, "worker", chosen.ID, "affinity", selection.Affinity, "listed", len(candidates), "tried", len(r.tried),
+		r.addLogEntry(eventWorkerChosen, "worker", chosen.ID, "version", chosen.Version, "affinity", selection.Affinity, "listed", len(candidates), "tried", len(r.tried),
 			"distance", chosen.Distance.String(), "load", string(chosen.RegionReason))
 	}
 	return chosen.Worker, found
--- a/internal/gateway/eligibility.go
+++ b/internal/gateway/eligibility.go
@@ -38,6 +38,13 @@
 	return eligibility.Request{Regions: permitted}
 }
 
+// eligibilityRequest describes the request to the checker of worker eligibility.
+func (r *request) eligibilityRequest() eligibility.Request {
+	described := r.regionRestriction()
+	described.Stream = r.stream
+	return described
+}
+
 // drainsKnown reports whether the zone drains are known, or are not watched at all.
 func (g *Gateway) drainsKnown() bool {
 	return !g.options.WatchZoneDrains || g.directory.View().Drains.Known()
@@ -45,7 +52,7 @@
 
 // checkWorkerEligible fails if the request may not go to a worker now.
 func (r *request) checkWorkerEligible(chosen directory.Worker) error {
-	if reason := r.gateway.eligibilityChecker().Check(chosen.Zone, r.regionRestriction()); reason != eligibility.Eligible {
+	if reason := r.gateway.eligibilityChecker().CheckWorker(chosen, r.eligibilityRequest()); reason != eligibility.Eligible {
 		return &NotEligible{Worker: chosen.ID, Zone: chosen.Zone, Reason: reason}
 	}
 	return nil
@@ -58,7 +65,7 @@
 
 // filterEligible returns the given workers that the request may go to now.
 func (r *request) filterEligible(workers []*directory.WorkerRecord) []*directory.WorkerRecord {
-	eligible, ineligible := r.gateway.eligibilityChecker().Filter(workers, r.regionRestriction())
+	eligible, ineligible := r.gateway.eligibilityChecker().Filter(workers, r.eligibilityRequest())
 	r.recordIneligible(len(eligible), ineligible)
 	return eligible
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,9 @@
 	receiveBuffers *receiveBuffers
 	// quarantine holds the counts of requests under which workers have ended. lateExaminations counts
 	// the workers that are examined after a probe without an answer.
-	quarantine       *quarantine.Table
+	quarantine *quarantine.Table
+	// streamVersions holds the versions of streams that recently began here.
+	streamVersions   *streamVersions
 	lateExaminations atomic.Int64
 	stopping         atomic.Bool
 }
@@ -211,6 +213,7 @@
 	})
 	g.granter = g.quorum
 	g.spentTokens = newSpentTokens(time.Now)
+	g.streamVersions = newStreamVersions(time.Now)
 	g.admittedPrograms = newRecentPrograms(time.Now)
 	g.lentPrograms = newRecentPrograms(time.Now)
 	g.turns = newTurnCache(g.quorum, turnCacheLimit(options))
@@ -344,6 +347,7 @@
 		}
 		g.spentTokens.removeExpired()
 		g.quarantine.Expire()
+		g.streamVersions.removeExpired()
 		g.admittedPrograms.removeExpired()
 		g.lentPrograms.removeExpired()
 		g.allowances.removeIdle(time.Now())
--- a/internal/gateway/headercodec.go
+++ b/internal/gateway/headercodec.go
@@ -32,6 +32,9 @@
 	PreviousTurnID string
 	// LastEventID is the event after which a stream is resumed.
 	LastEventID string
+	// ResumedRequestID is the request that brought the first event of the stream that is resumed after
+	// LastEventID.
+	ResumedRequestID string
 	// Prompt holds the parts of the prompt in order.
 	Prompt []PromptPart
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -118,6 +118,10 @@
 		Name: "gateway_quarantine_records", Kind: telemetry.KindGauge, Unit: "requests",
 		Help: "Requests under which workers have ended within the last minutes, at any gateway.",
 	})
+	metricStreamContinuations = telemetry.Define(telemetry.Definition{
+		Name: "gateway_stream_continuations_total", Kind: telemetry.KindCounter, Unit: "streams", Labels: []string{"by", "outcome"},
+		Help: "Streams that were to go on after an event, within their answer (gateway) or taken up by their client (client): a worker of their version was found, none is left, or the version is unknown.",
+	})
 	metricBufferedAnswerBytes = telemetry.Define(telemetry.Definition{
 		Name: "gateway_held_answer_bytes", Kind: telemetry.KindGauge, Unit: "bytes",
 		Help: "Bytes of answers that are held for clients that read slowly.",
@@ -164,6 +168,7 @@
 	panics            *prometheus.CounterVec
 	lateRequests      *prometheus.CounterVec
 	lostWorkers       *prometheus.CounterVec
+	continuations     *prometheus.CounterVec
 
 	// labelledTenants holds the tenants with their own label, and labelCount their number.
 	labelledTenants sync.Map
@@ -185,7 +190,7 @@
 		tenantRequests: registry.Counter(metricTenants), ineligible: registry.Counter(metricIneligible), traffic: traffic.New(registry),
 		loans: registry.Counter(metricLoans), coldRequests: registry.Counter(metricColdRequests), slowPeers: registry.Counter(metricSlowPeers),
 		panics: registry.Counter(metricPanics), lateRequests: registry.Counter(metricLateRequests),
-		lostWorkers: registry.Counter(metricLostWorkers),
+		lostWorkers: registry.Counter(metricLostWorkers), continuations: registry.Counter(metricStreamContinuations),
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -62,8 +62,8 @@
 	verdict  quarantine.Verdict
 }
 
-// quarantineKey returns the key of the request's content.
-func (r *request) quarantineKey() requestkey.Key {
+// contentKey returns the key of the request's content.
+func (r *request) contentKey() requestkey.Key {
 	state := &r.quarantine
 	if !state.hasKey {
 		content := requestkey.Content{
@@ -105,7 +105,7 @@
 func (r *request) quarantineSituation() (situation quarantine.Situation, pending *lostAttempt) {
 	state := &r.quarantine
 	if r.gateway.quarantine.Len() > 0 {
-		situation.Ends = r.gateway.quarantine.Lookup(r.quarantineKey()).Total()
+		situation.Ends = r.gateway.quarantine.Lookup(r.contentKey()).Total()
 	}
 	situation.Isolated = r.gateway.lacksQuarantineUpdates()
 	state.mutex.Lock()
@@ -137,7 +137,7 @@
 	}
 	state.begun, state.isolated = true, r.gateway.lacksQuarantineUpdates()
 	if r.gateway.quarantine.Len() > 0 {
-		state.before = r.gateway.quarantine.Lookup(r.quarantineKey())
+		state.before = r.gateway.quarantine.Lookup(r.contentKey())
 	}
 }
 
@@ -149,7 +149,7 @@
 		return
 	}
 	state := &r.quarantine
-	key := r.quarantineKey()
+	key := r.contentKey()
 	lost := &lostAttempt{examined: make(chan struct{})}
 	state.mutex.Lock()
 	state.before.Key = key
@@ -290,7 +290,7 @@
 	if r.gateway.quarantine.Len() == 0 || len(r.quarantine.lost) > 0 || r.metadata.LastEventID != "" {
 		return
 	}
-	if record, cleared := r.gateway.quarantine.Clear(r.quarantineKey()); cleared {
+	if record, cleared := r.gateway.quarantine.Clear(r.contentKey()); cleared {
 		r.addLogEntry(eventQuarantineCleared, "key", record.Key.String(), "generation", record.Generation)
 		r.gateway.poller.SpreadQuarantine()
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -70,6 +70,8 @@
 	// attemptTimer cancels the attempts in progress until a response is forwarded; nil if there is
 	// none.
 	attemptTimer *attemptTimer
+	// stream is the stream that further attempts continue; nil while no event was received.
+	stream *eligibility.Stream
 	// lastWorkerID is the worker of the last attempt.
 	lastWorkerID string
 	// receiveBuffer is what the kernel buffers of the response of the last attempt; nil before one.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -44,6 +44,7 @@
 	eventWorkerEnded        = event.Define(2827, event.Info, "a worker ended while it ran a request", "")
 	eventRequestQuarantined = event.Define(2828, event.Warning, "no worker gets a request any more, because too many ended while they ran it", "Find the request by its key in the logs of all gateways and see docs/operations/quarantine.md.")
 	eventQuarantineCleared  = event.Define(2829, event.Info, "a worker ran a request under whose content workers had ended; the count starts again", "")
+	eventStreamTakenUp      = event.Define(2835, event.Info, "client resumes a stream of an earlier request", "")
 	eventResponseStarted    = event.Define(2818, event.Info, "worker began to respond", "")
 )
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,6 +32,10 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (r *request) serveStream(ctx context.Context) {
+	if err := r.findResumedStream(ctx); err != nil {
+		r.refuse(err)
+		return
+	}
 	turn, err := r.beginTurn(ctx)
 	if err != nil {
 		r.refuse(err)
@@ -57,7 +61,11 @@
 // run sends the request and forwards its events. If a resumable stream breaks, it resumes after
 // the last event forwarded.
 func (s *stream) run(ctx context.Context) error {
+	resumedByClient := s.request.stream != nil
 	attempt, err := s.request.send(ctx, s.resumeAfter())
+	if resumedByClient {
+		s.request.countContinuation(continuedByClient, err)
+	}
 	for {
 		if err == nil {
 			err = s.forwardEvents(ctx, attempt)
@@ -71,6 +79,9 @@
 			return err
 		}
 		attempt, err = s.resume(ctx, err)
+		if s.headersSent {
+			s.request.countContinuation(continuedByGateway, err)
+		}
 	}
 }
 
@@ -94,7 +105,7 @@
 		return nil, cause
 	}
 	r.resumes++
-	r.addLogEntry(eventStreamResumed, "worker", r.lastWorkerID, "after_event", s.resumeAfter(), "cause", cause.Error())
+	r.addLogEntry(eventStreamResumed, "worker", r.lastWorkerID, "version", r.streamVersion(), "after_event", s.resumeAfter(), "cause", cause.Error())
 	sameWorker, listed := r.findWorker(r.lastWorkerID)
 	if listed && !r.terminated[sameWorker.ID] && !r.gateway.zoneMonitor.detector.IsUnreachable(sameWorker.Zone) && !r.gateway.disabled(mechanism.ResumeAtSameWorker) {
 		attempt, err := r.resumeAtSameWorker(ctx, sameWorker, s.resumeAfter())
@@ -212,6 +223,9 @@
 // forwardEvent forwards one event.
 func (s *stream) forwardEvent(attempt *attempt, event streamEvent) error {
 	r := s.request
+	if !s.headersSent {
+		r.streamBegan(attempt.worker)
+	}
 	s.sendHeaders(attempt)
 	if _, err := r.writer.Write(event.raw); err != nil {
 		return err
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -40,6 +40,9 @@
 const (
 	// ReplicaServiceAppendProcedure is the fully-qualified name of the ReplicaService's Append RPC.
 	ReplicaServiceAppendProcedure = "/barleyshelf.replica.v1.ReplicaService/Append"
+	// ReplicaServiceReadStreamProcedure is the fully-qualified name of the ReplicaService's ReadStream
+	// RPC.
+	ReplicaServiceReadStreamProcedure = "/barleyshelf.replica.v1.ReplicaService/ReadStream"
 	// ReplicaServiceReadChainProcedure is the fully-qualified name of the ReplicaService's ReadChain
 	// RPC.
 	ReplicaServiceReadChainProcedure = "/barleyshelf.replica.v1.ReplicaService/ReadChain"
@@ -67,6 +70,8 @@
 type ReplicaServiceClient interface {
 	// Append stores records; the answer means that they are on the disk.
 	Append(context.Context, *connect.Request[replicav1.AppendRequest]) (*connect.Response[replicav1.AppendResponse], error)
+	// ReadStream returns at which software version a stream began, as far as that is known here.
+	ReadStream(context.Context, *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error)
 	// ReadChain returns a turn and the turns before it, as far as they are here.
 	ReadChain(context.Context, *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error)
 	// Pull returns the records that a recovering replica asks for, in parts.
@@ -104,6 +109,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Append")),
 			connect.WithClientOptions(opts...),
 		),
+		readStream: connect.NewClient[replicav1.ReadStreamRequest, replicav1.ReadStreamResponse](
+			httpClient,
+			baseURL+ReplicaServiceReadStreamProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("ReadStream")),
+			connect.WithClientOptions(opts...),
+		),
 		readChain: connect.NewClient[replicav1.ReadChainRequest, replicav1.ReadChainResponse](
 			httpClient,
 			baseURL+ReplicaServiceReadChainProcedure,
@@ -158,6 +169,7 @@
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
 	append     *connect.Client[replicav1.AppendRequest, replicav1.AppendResponse]
+	readStream *connect.Client[replicav1.ReadStreamRequest, replicav1.ReadStreamResponse]
 	readChain  *connect.Client[replicav1.ReadChainRequest, replicav1.ReadChainResponse]
 	pull       *connect.Client[replicav1.PullRequest, replicav1.PullResponse]
 	announce   *connect.Client[replicav1.AnnounceRequest, replicav1.AnnounceResponse]
@@ -173,6 +185,11 @@
 	return c.append.CallUnary(ctx, req)
 }
 
+// ReadStream calls barleyshelf.replica.v1.ReplicaService.ReadStream.
+func (c *replicaServiceClient) ReadStream(ctx context.Context, req *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
+	return c.readStream.CallUnary(ctx, req)
+}
+
 // ReadChain calls barleyshelf.replica.v1.ReplicaService.ReadChain.
 func (c *replicaServiceClient) ReadChain(ctx context.Context, req *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
 	return c.readChain.CallUnary(ctx, req)
@@ -217,6 +234,8 @@
 type ReplicaServiceHandler interface {
 	// Append stores records; the answer means that they are on the disk.
 	Append(context.Context, *connect.Request[replicav1.AppendRequest]) (*connect.Response[replicav1.AppendResponse], error)
+	// ReadStream returns at which software version a stream began, as far as that is known here.
+	ReadStream(context.Context, *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error)
 	// ReadChain returns a turn and the turns before it, as far as they are here.
 	ReadChain(context.Context, *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error)
 	// Pull returns the records that a recovering replica asks for, in parts.
@@ -250,6 +269,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Append")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceReadStreamHandler := connect.NewUnaryHandler(
+		ReplicaServiceReadStreamProcedure,
+		svc.ReadStream,
+		connect.WithSchema(replicaServiceMethods.ByName("ReadStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServiceReadChainHandler := connect.NewUnaryHandler(
 		ReplicaServiceReadChainProcedure,
 		svc.ReadChain,
@@ -302,6 +327,8 @@
 		switch r.URL.Path {
 		case ReplicaServiceAppendProcedure:
 			replicaServiceAppendHandler.ServeHTTP(w, r)
+		case ReplicaServiceReadStreamProcedure:
+			replicaServiceReadStreamHandler.ServeHTTP(w, r)
 		case ReplicaServiceReadChainProcedure:
 			replicaServiceReadChainHandler.ServeHTTP(w, r)
 		case ReplicaServicePullProcedure:
@@ -331,6 +358,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Append is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) ReadStream(context.Context, *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.ReadStream is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) ReadChain(context.Context, *connect.Request[replicav1.ReadChainRequest]) (*connect.Response[replicav1.ReadChainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.ReadChain is not implemented"))
 }
--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -159,41 +158,14 @@
 	}
 }
 
-// findInPartitionOnce asks the nearest member first, and all others if it does not have the turn
-// or is slow.
+// findInPartitionOnce is one round of findInPartition.
 func (c *Client) findInPartitionOnce(ctx context.Context, group *replicav1.Group, id string) (found []*replicav1.Turn, absent bool, answered int) {
-	answers := make(chan *replicav1.ReadChainResponse, len(group.Members))
-	members := c.nearestFirst(group)
-	call := func(member *replicav1.Member) { answers <- c.readChain(ctx, group, member, id) }
-	go call(members[0])
-	pending, called := 1, 1
-	hedgeTimer := time.NewTimer(readHedgeDelay + c.extraLatency(members[0]))
-	defer hedgeTimer.Stop()
-	var standings []*replicav1.Standing
-	for pending > 0 {
-		select {
-		case <-ctx.Done():
-			return nil, false, len(standings)
-		case <-hedgeTimer.C:
-		case answer := <-answers:
-			pending--
-			if answer != nil && len(answer.Turns) > 0 {
-				return answer.Turns, false, len(standings)
-			}
-			if answer != nil {
-				standings = append(standings, answer.Standing)
-			}
-		}
-		for _, member := range members[called:] {
-			go call(member)
-			pending++
-		}
-		called = len(members)
-		if ChooseConsistent(group.Epoch, standings, ReadQuorum(VoterCount(group))) != nil {
-			return nil, true, len(standings)
-		}
-	}
-	return nil, false, len(standings)
+	answer, absent, answered := readNearestFirst(ctx, c, group,
+		func(member *replicav1.Member) *replicav1.ReadChainResponse {
+			return c.readChain(ctx, group, member, id)
+		},
+		func(answer *replicav1.ReadChainResponse) bool { return len(answer.Turns) > 0 })
+	return answer.GetTurns(), absent, answered
 }
 
 // readChain asks one member, through another gateway if the member does not answer. It returns
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -107,6 +107,7 @@
 	c.groups.ApplyPeerGroup(response.GetReadChain().GetStanding().GetGroup(), request.Address)
 	c.groups.ApplyPeerGroup(response.GetGrant().GetStanding().GetGroup(), request.Address)
 	c.groups.ApplyPeerGroup(response.GetLoan().GetStanding().GetGroup(), request.Address)
+	c.groups.ApplyPeerGroup(response.GetReadStream().GetStanding().GetGroup(), request.Address)
 	return response
 }
 
@@ -166,6 +167,12 @@
 			return nil, err
 		}
 		response.Answer = &replicav1.ForwardResponse_Loan{Loan: answer.Msg}
+	case *replicav1.ForwardRequest_ReadStream:
+		answer, err := f.client.ReplicaClient(address).ReadStream(ctx, connect.NewRequest(call.ReadStream))
+		if err != nil {
+			return nil, err
+		}
+		response.Answer = &replicav1.ForwardResponse_ReadStream{ReadStream: answer.Msg}
 	}
 	return connect.NewResponse(response), nil
 }
--- /dev/null
+++ b/internal/quorum/nearestread.go
@@ -0,0 +1,49 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// readNearestFirst asks the nearest member of a group first, and all others if it does not have what is
+// searched for or is slow. read returns nil if a member does not answer. It returns the first answer that
+// has what is searched for, or nil; absent is set if the answers prove that no member has it.
+func readNearestFirst[A any, P interface {
+	*A
+	standingAnswer
+}](ctx context.Context, c *Client, group *replicav1.Group, read func(*replicav1.Member) P, isFound func(P) bool) (found P, absent bool, answered int) {
+	answers := make(chan P, len(group.Members))
+	members := c.nearestFirst(group)
+	call := func(member *replicav1.Member) { answers <- read(member) }
+	go call(members[0])
+	pending, called := 1, 1
+	hedgeTimer := time.NewTimer(readHedgeDelay + c.extraLatency(members[0]))
+	defer hedgeTimer.Stop()
+	var standings []*replicav1.Standing
+	for pending > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, false, len(standings)
+		case <-hedgeTimer.C:
+		case answer := <-answers:
+			pending--
+			if answer != nil && isFound(answer) {
+				return answer, false, len(standings)
+			}
+			if answer != nil {
+				standings = append(standings, answer.GetStanding())
+			}
+		}
+		for _, member := range members[called:] {
+			go call(member)
+			pending++
+		}
+		called = len(members)
+		if ChooseConsistent(group.Epoch, standings, ReadQuorum(VoterCount(group))) != nil {
+			return nil, true, len(standings)
+		}
+	}
+	return nil, false, len(standings)
+}
--- a/internal/quorum/partition.go
+++ b/internal/quorum/partition.go
@@ -16,7 +16,7 @@
 	return uint32(xxhash.Sum64String(program) % uint64(partitions))
 }
 
-// programOf returns the program that a record belongs to.
+// programOf returns the program that a record belongs to; of a stream, which may have none, its content.
 func programOf(record *replicav1.Record) string {
 	switch kind := record.Kind.(type) {
 	case *replicav1.Record_Reservation:
@@ -25,6 +25,8 @@
 		return kind.Settlement.Program
 	case *replicav1.Record_Turn:
 		return kind.Turn.Program
+	case *replicav1.Record_Stream:
+		return kind.Stream.Content
 	}
 	return ""
 }
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -78,6 +78,15 @@
 	return connect.NewResponse(response), nil
 }
 
+// ReadStream returns at which software version a stream began.
+func (s *service) ReadStream(_ context.Context, request *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
+	response := &replicav1.ReadStreamResponse{Standing: s.state.standing(request.Msg.Partition, request.Msg.Epoch)}
+	s.state.mutex.Lock()
+	defer s.state.mutex.Unlock()
+	response.Starts = s.state.partition(request.Msg.Partition).store.StreamStarts(request.Msg.Content, request.Msg.Request)
+	return connect.NewResponse(response), nil
+}
+
 // Pull sends records to a recovering replica, after the incarnation of that replica is on this
 // disk. A caller with an older group is rejected: it may have lost its seat meanwhile.
 func (s *service) Pull(_ context.Context, request *connect.Request[replicav1.PullRequest]) (*connect.Response[replicav1.PullResponse], error) {
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -19,6 +19,7 @@
 type Store struct {
 	turns    map[string]*keptTurn
 	programs map[string]*program
+	streams  *streamStarts
 	// records are all records that Pull passes on, oldest first.
 	records []Stored
 	// next is the position of the next record; positions are never used twice.
@@ -64,7 +65,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{turns: make(map[string]*keptTurn), programs: make(map[string]*program)}
+	return &Store{turns: make(map[string]*keptTurn), programs: make(map[string]*program), streams: newStreamStarts()}
 }
 
 // Apply takes a record that came in at a time of the steady clock, and reports
@@ -82,6 +83,8 @@
 		added = s.reserve(now, kind.Reservation)
 	case *replicav1.Record_Settlement:
 		added = s.settle(now, kind.Settlement)
+	case *replicav1.Record_Stream:
+		added = s.streams.add(now, kind.Stream)
 	}
 	if added {
 		retention := time.Duration(record.RetentionMs) * time.Millisecond
@@ -208,6 +211,8 @@
 		return s.programUsed(kind.Reservation.Program)
 	case *replicav1.Record_Settlement:
 		return s.programUsed(kind.Settlement.Program)
+	case *replicav1.Record_Stream:
+		return s.streams.addedAt(kind.Stream)
 	}
 	return time.Time{}
 }
@@ -227,9 +232,17 @@
 		delete(s.programs, kind.Reservation.Program)
 	case *replicav1.Record_Settlement:
 		delete(s.programs, kind.Settlement.Program)
+	case *replicav1.Record_Stream:
+		s.streams.remove(kind.Stream)
 	}
 }
 
+// StreamStarts returns the known starts of streams with a content, or, if request is not empty, of the one
+// that began with that request.
+func (s *Store) StreamStarts(content, request string) []*replicav1.StreamStart {
+	return s.streams.find(content, request)
+}
+
 func (s *Store) reserve(now time.Time, reservation *replicav1.Reservation) bool {
 	entry := s.entry(now, reservation.Program, reservation.Id)
 	if entry.Most >= 0 {
--- /dev/null
+++ b/internal/turn/streamstarts.go
@@ -0,0 +1,58 @@
+package turn
+
+import (
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+// streamStarts holds the software versions at which streams began.
+type streamStarts struct {
+	// byContent holds the starts by content, then by request.
+	byContent map[string]map[string]keptStart
+}
+
+type keptStart struct {
+	start   *replicav1.StreamStart
+	addedAt time.Time
+}
+
+func newStreamStarts() *streamStarts {
+	return &streamStarts{byContent: make(map[string]map[string]keptStart)}
+}
+
+// add adds a start and reports whether it is new. A known start never changes.
+func (s *streamStarts) add(now time.Time, start *replicav1.StreamStart) bool {
+	requests := s.byContent[start.Content]
+	if _, known := requests[start.Request]; known {
+		return false
+	}
+	if requests == nil {
+		requests = make(map[string]keptStart)
+		s.byContent[start.Content] = requests
+	}
+	requests[start.Request] = keptStart{start: start, addedAt: now}
+	return true
+}
+
+func (s *streamStarts) addedAt(start *replicav1.StreamStart) time.Time {
+	return s.byContent[start.Content][start.Request].addedAt
+}
+
+func (s *streamStarts) remove(start *replicav1.StreamStart) {
+	requests := s.byContent[start.Content]
+	delete(requests, start.Request)
+	if len(requests) == 0 {
+		delete(s.byContent, start.Content)
+	}
+}
+
+// find returns the starts with a content, or, if request is not empty, the one that began with it.
+func (s *streamStarts) find(content, request string) (starts []*replicav1.StreamStart) {
+	for _, kept := range s.byContent[content] {
+		if request == "" || kept.start.Request == request {
+			starts = append(starts, kept.start)
+		}
+	}
+	return starts
+}
