executor: a call whose engine ends after it has accepted the stream has run

What callers saw, by a test: a model call that must not be repeated ran at four engines, each of which ended under it after its first chunk, and was then refused as not run (engine_unavailable, not_run).

Cause: the stream of an engine that has ended is resumed there; nothing listens, so the attempt's last error was the one of a request that was never sent, and the attempt counted as not run.

Change: once an engine has accepted an attempt's stream, an engine that takes no more connections has lost it: the attempt has run. Before: 4 engines, refused_not_run. Now: 1 engine, outcome unknown.

--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -44,6 +44,8 @@
 	moveSourceAddress     string
 	// startedByFormerLeader is set if an earlier leader started the attempt.
 	startedByFormerLeader bool
+	// accepted is set once the engine has accepted the attempt's stream.
+	accepted bool
 }
 
 // runModel executes a model call until it ends.
--- a/internal/executor/model_stream.go
+++ b/internal/executor/model_stream.go
@@ -38,6 +38,7 @@
 		if err == nil {
 			return usage, nil
 		}
+		err = attempt.lostStreamError(err)
 		lastErr = err
 		if !isResumable(err) || ctx.Err() != nil {
 			return engine.Usage{}, err
@@ -46,6 +47,15 @@
 	return engine.Usage{}, lastErr
 }
 
+// lostStreamError returns the error of an attempt whose stream ended with err. An engine that accepted the
+// stream and takes no more connections has lost it, but the attempt has run.
+func (a *modelAttempt) lostStreamError(err error) error {
+	if a.accepted && failure.IsType(err, (&failure.EngineUnavailable{}).Type()) {
+		return &failure.EngineGone{Engine: a.call.TargetAddress}
+	}
+	return err
+}
+
 // isResumable reports whether the engine may still have the stream.
 func isResumable(err error) bool {
 	if failure.IsType(err, (&failure.EngineGone{}).Type()) {
@@ -61,6 +71,7 @@
 		return engine.Usage{}, err
 	}
 	defer func() { _ = stream.Close() }()
+	attempt.accepted = true
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
