executor, program: a call under which three engines ended goes to no engine again

The count is part of the replicated state of the call, so that a new leader goes on with it. Mere failures (a refusal, a broken stream that goes on at its engine) do not count and keep the four attempts. A call with a new number is a new call, also if it says the same.

--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -51,6 +51,7 @@
 	"internal":               {http.StatusInternalServerError, "Internal failure"},
 	"answer_gap":             {http.StatusInternalServerError, "Part of the answer missing"},
 	"engine_gone":            {http.StatusBadGateway, "Engine lost its memory"},
+	"call_ends_engines":      {http.StatusBadGateway, "Engines ended under the call"},
 	"stream_broken":          {http.StatusBadGateway, "Stream broken off"},
 	"order_unknown":          {http.StatusBadGateway, "Fate of an order not known"},
 	"tool_failed":            {http.StatusBadGateway, "Tool failed"},
--- a/internal/executor/lethal_call_test.go
+++ b/internal/executor/lethal_call_test.go
@@ -143,6 +143,12 @@
 	return ended
 }
 
+func TestCallThatEndsItsEnginesIsSentToThreeAtMost(t *testing.T) {
+	engines, result := runLethalCall(t, true)
+	require.Equal(t, 3, endedEngines(engines))
+	require.True(t, result.State.Final(), "%+v", result)
+}
+
 // TestCallWhoseEngineEndedHasRun has the engine of a call end that must not be repeated.
 func TestCallWhoseEngineEndedHasRun(t *testing.T) {
 	engines, result := runLethalCall(t, false)
--- a/internal/executor/model_call.go
+++ b/internal/executor/model_call.go
@@ -8,6 +8,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/program"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/schedule"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 )
@@ -311,7 +312,11 @@
 		request.Spent = call.Reserved
 		request.Spent.Milliseconds = min(elapsedMilliseconds(call.StartedAt), call.Reserved.Milliseconds)
 	}
+	request.EngineEnded = attempt.accepted && failure.IsType(cause, (&failure.EngineGone{}).Type())
 	request.Final = ctx.Err() != nil || call.Attempt >= maxModelAttempts
+	if quarantined := engineEndsError(call, request); quarantined != nil {
+		request.Final, request.FailureType, request.FailureDetail = true, quarantined.Type(), quarantined.Error()
+	}
 	if ctx.Err() != nil {
 		w.cancelStream(call)
 	}
@@ -329,6 +334,19 @@
 	return !request.Final, nil
 }
 
+// engineEndsError returns the error that ends a call under whose attempts too many engines have ended, or
+// nil. Every attempt of a call counts, under whichever leader.
+func engineEndsError(call *program.Call, lost program.NotRunRequest) *failure.CallEndsEngines {
+	ends := int(call.EndedEngines)
+	if lost.EngineEnded {
+		ends++
+	}
+	if quarantine.Decide(quarantine.Situation{Ends: ends}) == quarantine.Send {
+		return nil
+	}
+	return &failure.CallEndsEngines{Ends: ends}
+}
+
 // recordLostAttempt records the request. A call that is not repeatable and may have
 // run is recorded with an unknown outcome.
 func (w *worker) recordLostAttempt(call *program.Call, request program.NotRunRequest) error {
--- a/internal/failure/backend.go
+++ b/internal/failure/backend.go
@@ -53,6 +53,25 @@
 // Retry says when to send the request again.
 func (e *EngineGone) Retry() Retry { return Retry{Allowed: true} }
 
+// CallEndsEngines reports a call that no engine gets any more because too many have ended while they ran it.
+type CallEndsEngines struct {
+	// Ends is how many engines have ended.
+	Ends int
+}
+
+func (e *CallEndsEngines) Error() string {
+	return fmt.Sprintf("%d engines ended while they ran this call; it is not sent to another one", e.Ends)
+}
+
+// Type returns "call_ends_engines".
+func (e *CallEndsEngines) Type() Type { return "call_ends_engines" }
+
+// Outcome returns Ran.
+func (e *CallEndsEngines) Outcome() Outcome { return Ran }
+
+// Retry forbids a retry.
+func (e *CallEndsEngines) Retry() Retry { return Retry{} }
+
 // ToolFailed reports a tool that answered with a failure of its own: the call ran.
 type ToolFailed struct {
 	// Tool is the tool.
--- a/internal/program/apply_call.go
+++ b/internal/program/apply_call.go
@@ -107,6 +107,9 @@
 		return false
 	}
 	c.mayHaveRun = c.mayHaveRun || notRun.GetGivenUp()
+	if notRun.GetEngineEnded() {
+		c.endedEngines++
+	}
 	p.settleAttempt(c, p.stateAfterNotRun(c, notRun.GetFinal()), amountFromProto(notRun.GetSpent()))
 	if c.state.Final() {
 		c.failureType = notRun.GetFailureType()
--- a/internal/program/decide_call.go
+++ b/internal/program/decide_call.go
@@ -299,6 +299,7 @@
 		FailureType:   string(r.FailureType),
 		FailureDetail: r.FailureDetail,
 		GivenUp:       r.GivenUp,
+		EngineEnded:   r.EngineEnded,
 	}}
 	return Decision{Records: []*programv1.Record{record}}
 }
--- a/internal/program/read.go
+++ b/internal/program/read.go
@@ -102,6 +102,7 @@
 		ExpectedPause:    time.Duration(c.acceptedRecord.GetExpectedPauseMs()) * time.Millisecond,
 		State:            c.state,
 		Attempt:          c.attempt,
+		EndedEngines:     c.endedEngines,
 		AbandonRequested: c.abandonRequested,
 		DispatchKey:      c.dispatchKey,
 	}
--- a/internal/program/request.go
+++ b/internal/program/request.go
@@ -136,6 +136,8 @@
 	// GivenUp is set if the attempt may have run, wholly or in part. It is
 	// rejected for a call that is not repeatable.
 	GivenUp bool
+	// EngineEnded is set if the engine ended after it had accepted the attempt.
+	EngineEnded bool
 	// Final ends the call. Otherwise the call may be started again.
 	Final         bool
 	FailureType   failure.Type
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -62,6 +62,8 @@
 	abandonRequested bool
 	// mayHaveRun is set if an attempt was given up that may have run.
 	mayHaveRun bool
+	// endedEngines counts the attempts whose engines ended under them.
+	endedEngines uint32
 
 	answer        []byte
 	promptTokens  int64
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -93,6 +93,8 @@
 	State           CallState
 	// Attempt is the last started attempt, counted from 1. 0 means none.
 	Attempt uint32
+	// EndedEngines is how many attempts ended their engines.
+	EndedEngines uint32
 	// AbandonRequested is set if the caller cancelled the call or the program
 	// has ended. A started attempt must then be stopped and settled. It is
 	// never set for a tool call that is not repeatable.
