gateway: what a request asks of the quarantine takes no lock; the examination of lost workers and the sending of an attempt are functions of their own

A look-up reads a concurrent map, and whether replicas answer is an atomic pointer: the request path took two locks that all requests share. sendTo, of 55 lines, is split into the preparation, the sending and its failure. No change of behaviour.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -203,6 +203,42 @@
 	return chosen.Worker, found
 }
 
+// sending is an attempt while it is being sent.
+type sending struct {
+	sentAt   time.Time
+	outgoing *worker.Request
+	// zoneContext is also canceled when the worker's zone is lost, and attemptContext when the worker
+	// sends no first event in time.
+	zoneContext, attemptContext context.Context
+	release                     context.CancelFunc
+	watchdog                    *firstEventWatchdog
+	lateStartTimer              *time.Timer
+}
+
+// prepareSending builds the request to a worker and starts the timers of the attempt.
+func (r *request) prepareSending(ctx context.Context, chosen directory.Worker, lastEventID string, permit *coldPermit) *sending {
+	s := &sending{sentAt: time.Now()}
+	r.sentAfter = s.sentAt.Sub(r.receivedAt)
+	s.outgoing = r.workerRequest(chosen, lastEventID)
+	s.outgoing.Probe = &worker.ConnectionProbe{}
+	r.attemptTimer.watch(s.outgoing.Probe)
+	s.lateStartTimer = r.startLateStartTimer(chosen, s.outgoing.Probe)
+	s.zoneContext, s.release = r.zoneContext(ctx, chosen)
+	s.attemptContext, s.watchdog = r.startFirstEventWatchdog(s.zoneContext, s.outgoing.Probe)
+	s.outgoing.BeforeSend = r.checkBeforeSend(chosen, permit)
+	r.receiveBuffer = r.gateway.receiveBuffers.reserve(r.kind())
+	s.outgoing.ReceiveBuffer = r.receiveBuffer.bytes
+	return s
+}
+
+// abandon frees what an attempt without a response has taken.
+func (r *request) abandon(s *sending) {
+	r.attemptTimer.watch(nil)
+	r.receiveBuffer.release()
+	s.watchdog.stop()
+	s.release()
+}
+
 // sendTo sends the request to one worker. If it returns no error, the caller must call
 // attemptDone.
 func (r *request) sendTo(ctx context.Context, chosen directory.Worker, lastEventID string) (*attempt, error) {
@@ -217,47 +253,39 @@
 		return nil, &worker.NotSent{Cause: err}
 	}
 	r.beginQuarantineCount()
-	sentAt := time.Now()
-	r.sentAfter = sentAt.Sub(r.receivedAt)
-	outgoing := r.workerRequest(chosen, lastEventID)
-	outgoing.Probe = &worker.ConnectionProbe{}
-	r.attemptTimer.watch(outgoing.Probe)
-	startTimer := r.startLateStartTimer(chosen, outgoing.Probe)
-	defer startTimer.Stop()
-	zoneContext, release := r.zoneContext(ctx, chosen)
-	attemptContext, watchdog := r.startFirstEventWatchdog(zoneContext, outgoing.Probe)
-	outgoing.BeforeSend = r.checkBeforeSend(chosen, permit)
-	r.receiveBuffer = r.gateway.receiveBuffers.reserve(r.kind())
-	outgoing.ReceiveBuffer = r.receiveBuffer.bytes
-	response, err := r.gateway.pool.Send(attemptContext, chosen.Address, r.workerConnectionLimit(), outgoing, r.gateway.options.HeaderCodec.ReadResponse)
-	if err != nil || response.NotRun {
-		defer release()
-		defer watchdog.stop()
-		defer r.receiveBuffer.release()
-		defer r.attemptTimer.watch(nil)
-	}
+	s := r.prepareSending(ctx, chosen, lastEventID, permit)
+	defer s.lateStartTimer.Stop()
+	response, err := r.gateway.pool.Send(s.attemptContext, chosen.Address, r.workerConnectionLimit(), s.outgoing, r.gateway.options.HeaderCodec.ReadResponse)
 	if err != nil {
-		var lost *worker.ResponseLost
-		if errors.As(err, &lost) {
-			r.attemptConnectionLost(attemptContext, chosen, watchdog.explainFailure(err))
-		}
-		return nil, r.attemptFailed(ctx, chosen, r.explainFailure(zoneContext, chosen, watchdog.explainFailure(err)), permit)
+		defer r.abandon(s)
+		return nil, r.sendFailed(ctx, chosen, s, permit, err)
 	}
 	r.countBytes(chosen, response)
 	if response.Status != http.StatusMisdirectedRequest {
-		r.recordColdReport(chosen, response.Metadata, sentAt)
+		r.recordColdReport(chosen, response.Metadata, s.sentAt)
 	}
 	if response.NotRun {
+		defer r.abandon(s)
 		return nil, r.attemptRejected(chosen, response)
 	}
-	r.recordResponseStart(chosen, response, sentAt)
+	r.recordResponseStart(chosen, response, s.sentAt)
 	r.receiveBuffer.responseStarted(response)
 	return &attempt{
-		worker: chosen, response: response, sentAt: sentAt, watchdog: watchdog, timer: r.attemptTimer, zoneContext: zoneContext, release: release,
+		worker: chosen, response: response, sentAt: s.sentAt, watchdog: s.watchdog, timer: r.attemptTimer, zoneContext: s.zoneContext, release: s.release,
 		readAhead: r.wrapReadAhead(response), receiveBuffer: r.receiveBuffer,
 	}, nil
 }
 
+// sendFailed ends an attempt that got no response.
+func (r *request) sendFailed(ctx context.Context, chosen directory.Worker, s *sending, permit *coldPermit, err error) error {
+	err = s.watchdog.explainFailure(err)
+	var lost *worker.ResponseLost
+	if errors.As(err, &lost) {
+		r.attemptConnectionLost(s.attemptContext, chosen, err)
+	}
+	return r.attemptFailed(ctx, chosen, r.explainFailure(s.zoneContext, chosen, err), permit)
+}
+
 // attemptRejected ends an attempt whose worker states that it did not run the request.
 func (r *request) attemptRejected(chosen directory.Worker, response *worker.Response) error {
 	// The connection can be reused once the response has been read. If that fails, it is closed.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
-	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/requestkey"
 )
@@ -27,13 +22,8 @@
 	// quarantineUpdateTimeout is the time without an answer of any replica after which this gateway may
 	// lack the ends recorded by others. Replicas answer each poll within a second.
 	quarantineUpdateTimeout = 2 * time.Second
-	// maxLateExaminations bounds the workers that are examined again after a probe without an answer.
-	maxLateExaminations = 256
 )
 
-// lateProbeDelays are the times between the probes of a worker that does not answer.
-var lateProbeDelays = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second}
-
 // quarantineState is what a request knows of the workers that ended under it.
 type quarantineState struct {
 	// clientBody is the body as the client sent it.
@@ -141,114 +131,6 @@
 	}
 }
 
-// attemptConnectionLost examines, in the background, whether the worker of a lost attempt has ended.
-// attemptContext is the context of the attempt.
-func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, cause error) {
-	loss := connectionLoss(attemptContext, cause)
-	if !loss.NeedsProbe() {
-		return
-	}
-	state := &r.quarantine
-	key := r.contentKey()
-	lost := &lostAttempt{examined: make(chan struct{})}
-	state.mutex.Lock()
-	state.before.Key = key
-	state.lost = append(state.lost, lost)
-	state.mutex.Unlock()
-	requestID := r.metadata.RequestID
-	go func() {
-		lost.verdict = r.gateway.probeWorker(chosen, loss)
-		if lost.verdict == quarantine.Ended {
-			r.gateway.workerEnded(state, requestID, chosen)
-		}
-		r.gateway.metrics.recordLostWorker(lost.verdict)
-		close(lost.examined)
-		if lost.verdict == quarantine.Unknown {
-			r.gateway.examineLate(state, requestID, chosen, loss)
-		}
-	}()
-}
-
-// connectionLoss returns how the connection of an attempt was lost.
-func connectionLoss(attemptContext context.Context, cause error) quarantine.ConnectionLoss {
-	var silent *SilentWorker
-	switch {
-	case attemptContext.Err() != nil, errors.As(cause, &silent), errors.Is(cause, os.ErrDeadlineExceeded):
-		return quarantine.LostCanceled
-	case errors.Is(cause, io.EOF), errors.Is(cause, io.ErrUnexpectedEOF), errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
-		return quarantine.LostClosed
-	case errors.Is(cause, syscall.ETIMEDOUT), errors.Is(cause, syscall.EHOSTUNREACH), errors.Is(cause, syscall.ENETUNREACH):
-		return quarantine.LostSilent
-	}
-	return quarantine.LostMalformed
-}
-
-// probeWorker returns whether the worker of a lost attempt has ended.
-func (g *Gateway) probeWorker(chosen directory.Worker, loss quarantine.ConnectionLoss) quarantine.Verdict {
-	evidence := quarantine.Evidence{Loss: loss, Replaced: g.isReplaced(chosen)}
-	if evidence.Replaced {
-		return quarantine.Judge(evidence)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*workerDialTimeout)
-	defer cancel()
-	switch err := g.pool.CheckListener(ctx, chosen.Address); {
-	case err == nil:
-		evidence.Probe = quarantine.ProbeAccepted
-	case errors.Is(err, syscall.ECONNREFUSED):
-		evidence.Probe = quarantine.ProbeRefused
-	default:
-		evidence.Probe = quarantine.ProbeUnanswered
-	}
-	evidence.Replaced = g.isReplaced(chosen)
-	return quarantine.Judge(evidence)
-}
-
-// isReplaced reports whether another incarnation of a worker's instance is listed.
-func (g *Gateway) isReplaced(chosen directory.Worker) bool {
-	listed, found := g.directory.FindInstance(chosen.Instance)
-	return found && listed.ID != chosen.ID
-}
-
-// workerEnded records that the worker of an attempt has ended, and tells the other gateways.
-func (g *Gateway) workerEnded(state *quarantineState, requestID string, chosen directory.Worker) {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	state.ends++
-	var record quarantine.Record
-	if state.isolated {
-		record = g.quarantine.RecordUnorderedEnd(state.before)
-	} else {
-		record = g.quarantine.RecordEnds(state.before, state.ends)
-	}
-	state.spread = g.poller.SpreadQuarantine()
-	eventWorkerEnded.Log("request", requestID, "key", record.Key.String(), "worker", chosen.ID, "address", chosen.Address, "ends", record.Total(), "isolated", state.isolated)
-	if record.Total() >= quarantine.MaxWorkerEnds {
-		eventRequestQuarantined.Log("request", requestID, "key", record.Key.String(), "ends", record.Total())
-	}
-}
-
-// examineLate probes a worker that did not answer a few times more. A machine that is started again
-// refuses connections until its worker runs.
-func (g *Gateway) examineLate(state *quarantineState, requestID string, chosen directory.Worker, loss quarantine.ConnectionLoss) {
-	if g.lateExaminations.Add(1) > maxLateExaminations {
-		g.lateExaminations.Add(-1)
-		return
-	}
-	defer g.lateExaminations.Add(-1)
-	for _, delay := range lateProbeDelays {
-		if !pause.For(context.Background(), delay) {
-			return
-		}
-		switch g.probeWorker(chosen, loss) {
-		case quarantine.Ended:
-			g.workerEnded(state, requestID, chosen)
-			return
-		case quarantine.Alive:
-			return
-		}
-	}
-}
-
 // awaitQuarantineSpread waits, for a limited time, until the other gateways know which workers have
 // ended under the request. It is called before the client learns that the request has failed.
 func (r *request) awaitQuarantineSpread() {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -76,8 +76,9 @@
 type Table struct {
 	now    func() time.Time
 	source uint64
-	// size is the number of records, readable without the mutex.
-	size atomic.Int64
+	// size is the number of records, and current holds them by key. Both are read without the mutex.
+	size    atomic.Int64
+	current sync.Map
 
 	mutex    sync.Mutex
 	records  map[requestkey.Key]*list.Element
@@ -102,12 +103,10 @@
 // Len returns the number of records. It takes no lock.
 func (t *Table) Len() int { return int(t.size.Load()) }
 
-// Lookup returns the record of a key; the zero count if there is none.
+// Lookup returns the record of a key; the zero count if there is none. It takes no lock.
 func (t *Table) Lookup(key requestkey.Key) Record {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if element := t.records[key]; element != nil {
-		return element.Value.(*tableEntry).record
+	if found, known := t.current.Load(key); known {
+		return found.(Record)
 	}
 	return Record{Key: key}
 }
@@ -130,21 +129,18 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.merge(before)
-	if element := t.records[before.Key]; element != nil {
-		return element.Value.(*tableEntry).record
-	}
-	return Record{Key: before.Key}
+	return t.Lookup(before.Key)
 }
 
 // Clear starts the count of a key again from zero. It returns false if there is nothing to clear.
 func (t *Table) Clear(key requestkey.Key) (Record, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	element := t.records[key]
-	if element == nil || element.Value.(*tableEntry).record.Total() == 0 {
+	known := t.Lookup(key)
+	if known.Total() == 0 {
 		return Record{}, false
 	}
-	cleared := Record{Key: key, Generation: element.Value.(*tableEntry).record.Generation + 1}
+	cleared := Record{Key: key, Generation: known.Generation + 1}
 	return cleared, t.merge(cleared)
 }
 
@@ -174,6 +170,7 @@
 	}
 	t.revision++
 	t.records[record.Key] = t.order.PushBack(&tableEntry{record: record, revision: t.revision, changedAt: changedAt})
+	t.current.Store(record.Key, record)
 	for len(t.records) > maxRecords {
 		t.evict()
 	}
@@ -198,7 +195,9 @@
 
 func (t *Table) remove(element *list.Element) {
 	t.order.Remove(element)
-	delete(t.records, element.Value.(*tableEntry).record.Key)
+	key := element.Value.(*tableEntry).record.Key
+	delete(t.records, key)
+	t.current.Delete(key)
 }
 
 // Expire removes the records that have not changed within the retention time.
--- a/internal/quorum/directorypoller.go
+++ b/internal/quorum/directorypoller.go
@@ -100,15 +100,17 @@
 	now     func() time.Time
 	// startedAt is when Run was called.
 	startedAt time.Time
+	// answeredAt is when any replica last answered; nil before that. Requests read it.
+	answeredAt atomic.Pointer[time.Time]
 	// quarantine exchanges the options' Quarantine; nil if there is none.
 	quarantine *quarantineExchange
 
 	mutex sync.Mutex
 	// avoidUntil is how long replicas are avoided, by address.
 	avoidUntil map[string]time.Time
-	// answeredAt is when any replica last answered, freshAt is when one with a fresh view of the
-	// store last answered, and reportedAt is the time of the store's newest update.
-	answeredAt, freshAt, reportedAt time.Time
+	// freshAt is when a replica with a fresh view of the store last answered, and reportedAt is the
+	// time of the store's newest update.
+	freshAt, reportedAt time.Time
 	// gatewayCount is the reported number of gateways that poll the same replicas, as of
 	// gatewayCountAt.
 	gatewayCount   int
@@ -140,11 +142,10 @@
 }
 
 // AnsweredWithin reports whether any replica answered within the limit, whatever its view of the
-// platform's store.
+// platform's store. It takes no lock.
 func (p *DirectoryPoller) AnsweredWithin(limit time.Duration) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return !p.answeredAt.IsZero() && p.now().Sub(p.answeredAt) < limit
+	answeredAt := p.answeredAt.Load()
+	return answeredAt != nil && p.now().Sub(*answeredAt) < limit
 }
 
 // UpdateAge returns the age of the newest update of the platform's store. known is false if there
@@ -355,7 +356,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.now()
-	p.answeredAt = now
+	p.answeredAt.Store(&now)
 	if isFresh(update) {
 		p.freshAt = now
 	}
