--- /dev/null
+++ b/internal/turn/streamstarts_bench_test.go
@@ -0,0 +1,29 @@
+package turn_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/turn"
+)
+
+// BenchmarkMemoryPerStreamStart reports how much memory a replica takes for the start of one stream.
+func BenchmarkMemoryPerStreamStart(b *testing.B) {
+	const streams = 100_000
+	for b.Loop() {
+		store, now := turn.NewStore(), time.Now()
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range streams {
+			store.Apply(now, streamRecord(fmt.Sprintf("%032x", i), fmt.Sprintf("%016x", i), "v1"))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/streams, "bytes/stream")
+		b.ReportMetric(float64(store.Bytes())/streams, "wirebytes/stream")
+		runtime.KeepAlive(store)
+	}
+}
