gateway: each end of a worker under a turn counts, in whichever order gateways learn of them

Turns of one line of a program follow one another, so that two ends under one turn are two ends, also where the second gateway did not know of the first.

--- a/internal/gateway/lostworker.go
+++ b/internal/gateway/lostworker.go
@@ -93,7 +93,7 @@
 	defer state.mutex.Unlock()
 	state.ends++
 	var record quarantine.Record
-	if state.isolated {
+	if state.isolated || state.sequential {
 		record = g.quarantine.RecordUnorderedEnd(state.before)
 	} else {
 		record = g.quarantine.RecordEnds(state.before, state.ends)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/requestkey"
+	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// isolated is set if this gateway might not have known, as the first attempt began, which workers
 	// had ended before.
 	isolated bool
+	// sequential is set if no other request can have the same content at the same time.
+	sequential bool
 
 	mutex sync.Mutex
 	lost  []*lostAttempt
@@ -126,6 +129,8 @@
 		return
 	}
 	state.begun, state.isolated = true, r.gateway.lacksQuarantineUpdates()
+	// The turns of one line of a program follow one another.
+	state.sequential = r.route.Kind == route.Streaming && r.metadata.Program != ""
 	if r.gateway.quarantine.Len() > 0 {
 		state.before = r.gateway.quarantine.Lookup(r.contentKey())
 	}
