gateway, quorum, replica: a gateway that has just started, or is between two questions, learns of ended workers before it sends

Causes: (1) a gateway that had just learned where replicas are served requests before one of them had answered it; it holds them until then now, half a second at most. (2) After an answer with ends it paused its questions for 60 ms, and on a late process for longer than replicas wait for it; it asks the same replica again after 5 ms. (3) A gateway's own telling counted as a sign that it polls, so that replicas waited in vain where many workers ended at once; they also answer a telling with what the teller lacks.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,11 +156,13 @@
 	receiveBuffers *receiveBuffers
 	// quarantine holds the counts of requests under which workers have ended. lateExaminations counts
 	// the workers that are examined after a probe without an answer.
-	quarantine *quarantine.Table
-	// streamVersions holds the versions of streams that recently began here.
-	streamVersions   *streamVersions
+	quarantine       *quarantine.Table
 	lateExaminations atomic.Int64
-	stopping         atomic.Bool
+	// replicasKnownAt is when a request first found that this gateway knows where replicas are.
+	replicasKnownAt atomic.Pointer[time.Time]
+	// streamVersions holds the versions of streams that recently began here.
+	streamVersions *streamVersions
+	stopping       atomic.Bool
 }
 
 // New returns a gateway; Run starts it.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -20,6 +20,9 @@
 	maxSpreadDelay = 300 * time.Millisecond
 	// maxSpreadDelayOverdue is the same bound after the deadline of the request.
 	maxSpreadDelayOverdue = 100 * time.Millisecond
+	// firstQuarantineWait is how long a gateway that knows where replicas are holds requests until one has
+	// told it which requests have ended workers.
+	firstQuarantineWait = 500 * time.Millisecond
 	// quarantineUpdateTimeout is the time without an answer of any replica after which this gateway may
 	// lack the ends recorded by others. Replicas answer each poll within a second.
 	quarantineUpdateTimeout = 2 * time.Second
@@ -117,6 +120,29 @@
 	return situation, pending
 }
 
+// awaitFirstQuarantineUpdate holds a request at a gateway that has just started, for a limited time, until a
+// replica has answered. A gateway that knows of no replica holds nothing.
+func (r *request) awaitFirstQuarantineUpdate(ctx context.Context) {
+	knowsReplicas := len(r.gateway.options.Seeds) > 0 || len(r.gateway.directory.Groups()) > 0
+	if r.gateway.poller.HasAnswer() || !knowsReplicas {
+		return
+	}
+	now := time.Now()
+	r.gateway.replicasKnownAt.CompareAndSwap(nil, &now)
+	remaining := firstQuarantineWait - now.Sub(*r.gateway.replicasKnownAt.Load())
+	if remaining <= 0 {
+		return
+	}
+	defer r.startWait(waitForState)()
+	timeout := time.NewTimer(remaining)
+	defer timeout.Stop()
+	select {
+	case <-r.gateway.poller.FirstAnswer():
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // lacksQuarantineUpdates reports whether this gateway may not know of workers that ended at others.
 func (g *Gateway) lacksQuarantineUpdates() bool {
 	return !g.poller.AnsweredWithin(quarantineUpdateTimeout)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -131,6 +131,7 @@
 		r.refuse(err)
 		return
 	}
+	r.awaitFirstQuarantineUpdate(ctx)
 	if err := r.checkQuarantine(ctx); err != nil {
 		r.refuse(err)
 		return
--- a/internal/quorum/directorypoller.go
+++ b/internal/quorum/directorypoller.go
@@ -102,6 +102,8 @@
 	startedAt time.Time
 	// answeredAt is when any replica last answered; nil before that. Requests read it.
 	answeredAt atomic.Pointer[time.Time]
+	// firstAnswer is closed when a replica has answered for the first time.
+	firstAnswer chan struct{}
 	// quarantine exchanges the options' Quarantine; nil if there is none.
 	quarantine *quarantineExchange
 
@@ -119,7 +121,7 @@
 
 // NewDirectoryPoller returns a poller that updates state.
 func NewDirectoryPoller(client *Client, state *directory.State, options DirectoryPollerOptions) *DirectoryPoller {
-	poller := &DirectoryPoller{client: client, state: state, options: options, now: time.Now, avoidUntil: make(map[string]time.Time)}
+	poller := &DirectoryPoller{client: client, state: state, options: options, now: time.Now, avoidUntil: make(map[string]time.Time), firstAnswer: make(chan struct{})}
 	if options.Sources == nil {
 		poller.options.Sources = client.allMembers
 	}
@@ -148,6 +150,12 @@
 	return answeredAt != nil && p.now().Sub(*answeredAt) < limit
 }
 
+// HasAnswer reports whether a replica has ever answered. It takes no lock.
+func (p *DirectoryPoller) HasAnswer() bool { return p.answeredAt.Load() != nil }
+
+// FirstAnswer returns a channel that is closed when a replica has answered for the first time.
+func (p *DirectoryPoller) FirstAnswer() <-chan struct{} { return p.firstAnswer }
+
 // UpdateAge returns the age of the newest update of the platform's store. known is false if there
 // was none.
 func (p *DirectoryPoller) UpdateAge() (age time.Duration, known bool) {
@@ -179,10 +187,16 @@
 func (p *DirectoryPoller) runLoop(ctx context.Context, offset, loop int) {
 	for iteration := 0; ctx.Err() == nil; iteration++ {
 		startedAt := time.Now()
+		quarantineChanged := false
 		if addresses := p.addressOrder(offset+iteration, loop); len(addresses) > 0 {
-			p.poll(ctx, p.nextAddress(addresses), loop)
+			quarantineChanged = p.poll(ctx, p.nextAddress(addresses), loop)
 		}
-		if time.Since(startedAt) < minPollInterval {
+		switch {
+		case quarantineChanged:
+			// More ends may follow at once, and the replica waits until this process has them.
+			iteration--
+			pause.For(ctx, quarantinePollInterval)
+		case time.Since(startedAt) < minPollInterval:
 			pause.For(ctx, minPollInterval)
 		}
 	}
@@ -276,7 +290,8 @@
 	return 0
 }
 
-func (p *DirectoryPoller) poll(ctx context.Context, address string, loop int) {
+// poll polls the replica at an address. It reports whether the answer had quarantine records.
+func (p *DirectoryPoller) poll(ctx context.Context, address string, loop int) (quarantineChanged bool) {
 	callCtx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
 	defer cancel()
 	view := p.state.View()
@@ -297,13 +312,14 @@
 	quarantineAnswered := p.addQuarantine(address, request)
 	response, err := p.client.ReplicaClient(address).Directory(callCtx, connect.NewRequest(request))
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	p.recordStaleness(address, err != nil || !isFresh(response.Msg))
 	if err == nil {
-		quarantineAnswered(response.Msg)
+		quarantineChanged = quarantineAnswered(response.Msg)
 		p.apply(address, response.Msg)
 	}
+	return quarantineChanged
 }
 
 // isFresh reports whether a replica's view of the store is fresh.
@@ -356,7 +372,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.now()
-	p.answeredAt.Store(&now)
+	if p.answeredAt.Swap(&now) == nil {
+		close(p.firstAnswer)
+	}
 	if isFresh(update) {
 		p.freshAt = now
 	}
--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -16,7 +16,9 @@
 const (
 	// quarantineSpreadWait is how long a replica may wait until other callers have new records. It is
 	// longer than minPollInterval, in which a caller may have no call in progress.
-	quarantineSpreadWait = 100 * time.Millisecond
+	quarantineSpreadWait = 150 * time.Millisecond
+	// quarantinePollInterval is the time between two polls of a replica while it has new records.
+	quarantinePollInterval = 5 * time.Millisecond
 	// quarantineCallMargin is how much longer than quarantineSpreadWait a call may take.
 	quarantineCallMargin = 100 * time.Millisecond
 	// maxQuarantinePeers bounds the replicas whose positions are kept, of which some may no longer exist.
@@ -144,18 +146,20 @@
 
 // addQuarantine adds this process's quarantine records to a request for updates. The returned function
 // processes the answer of the replica.
-func (p *DirectoryPoller) addQuarantine(address string, request *replicav1.DirectoryRequest) (answered func(*replicav1.DirectoryResponse)) {
+func (p *DirectoryPoller) addQuarantine(address string, request *replicav1.DirectoryRequest) (answered func(*replicav1.DirectoryResponse) (changed bool)) {
 	exchange := p.quarantine
 	if exchange == nil {
-		return func(*replicav1.DirectoryResponse) {}
+		return func(*replicav1.DirectoryResponse) bool { return false }
 	}
 	message, cursor := exchange.request(address)
 	request.Quarantine = message
-	return func(response *replicav1.DirectoryResponse) {
+	return func(response *replicav1.DirectoryResponse) bool {
 		exchange.delivered(address, cursor)
-		if exchange.apply(address, response.Quarantine) {
-			go p.callQuarantine(context.Background(), address, 0)
+		changed := exchange.apply(address, response.Quarantine)
+		if changed {
+			go p.confirmQuarantine(address)
 		}
+		return changed
 	}
 }
 
@@ -183,18 +187,26 @@
 	})
 }
 
+// confirmQuarantine tells a replica that this process has its records. If that fails, the next poll does.
+func (p *DirectoryPoller) confirmQuarantine(address string) {
+	_ = p.callQuarantine(context.Background(), address, 0)
+}
+
 // callQuarantine sends a replica the records that it lacks and the position up to which this process has
 // its records. The call lasts until the replica has spread the records, or wait has passed.
 func (p *DirectoryPoller) callQuarantine(ctx context.Context, address string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+quarantineCallMargin)
 	defer cancel()
 	message, cursor := p.quarantine.request(address)
-	message.WaitMs = uint32(wait.Milliseconds())
+	message.SpreadWithinMs = uint32(wait.Milliseconds())
 	response, err := p.client.ReplicaClient(address).Quarantine(ctx, connect.NewRequest(message))
 	if err != nil {
 		return err
 	}
 	p.quarantine.delivered(address, cursor)
+	if p.quarantine.apply(address, response.Msg.Update) {
+		go p.confirmQuarantine(address)
+	}
 	if wait > 0 && !response.Msg.Spread {
 		return &notSpread{Replica: address}
 	}
--- a/internal/replica/quarantine.go
+++ b/internal/replica/quarantine.go
@@ -17,8 +17,8 @@
 	// quarantineExpiryInterval is the time between two removals of expired records.
 	quarantineExpiryInterval = 10 * time.Second
 	// betweenPolls is how long a caller that polls this replica may have no poll in progress.
-	betweenPolls = 80 * time.Millisecond
-	// callerExpiry is the time after its last call at which a caller is forgotten.
+	betweenPolls = 100 * time.Millisecond
+	// callerExpiry is the time after its last poll at which a caller is forgotten.
 	callerExpiry = 10 * time.Second
 	// maxQuarantineWait bounds how long a call may wait until other callers have its records.
 	maxQuarantineWait = time.Second
@@ -40,9 +40,9 @@
 type quarantineCaller struct {
 	// known is the revision of the table up to which the caller has its records.
 	known uint64
-	// polls counts the caller's polls in progress.
+	// polls counts the caller's polls in progress, and lastPoll is when the last one began or ended.
 	polls    int
-	lastCall time.Time
+	lastPoll time.Time
 }
 
 func newQuarantineHub(table *quarantine.Table, now func() time.Time) *quarantineHub {
@@ -58,11 +58,12 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	caller.polls++
+	caller.lastPoll = h.now()
 	return func() {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		caller.polls--
-		caller.lastCall = h.now()
+		caller.lastPoll = h.now()
 	}
 }
 
@@ -76,7 +77,6 @@
 		caller = &quarantineCaller{}
 		h.callers[request.Caller] = caller
 	}
-	caller.lastCall = h.now()
 	if known := quorum.DecodeQuarantineCursor(request.Known); h.table.Owns(known) && known.Revision > caller.known {
 		caller.known = known.Revision
 		close(h.confirmed)
@@ -117,7 +117,7 @@
 	spread = true
 	now := h.now()
 	for id, caller := range h.callers {
-		idle := now.Sub(caller.lastCall)
+		idle := now.Sub(caller.lastPoll)
 		if caller.polls == 0 && idle > callerExpiry {
 			delete(h.callers, id)
 			continue
@@ -135,9 +135,10 @@
 // Quarantine merges the caller's records, and waits until the other callers have them.
 func (s *service) Quarantine(ctx context.Context, request *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error) {
 	s.quarantine.observe(request.Msg)
-	wait := min(time.Duration(request.Msg.WaitMs)*time.Millisecond, maxQuarantineWait)
+	wait := min(time.Duration(request.Msg.SpreadWithinMs)*time.Millisecond, maxQuarantineWait)
 	spread := s.quarantine.awaitSpread(ctx, request.Msg.Caller, s.quarantine.table.Revision(), wait)
-	return connect.NewResponse(&replicav1.QuarantineResponse{Spread: spread}), nil
+	response := &replicav1.QuarantineResponse{Spread: spread, Update: quorum.NewQuarantineUpdate(s.quarantine.table, request.Msg)}
+	return connect.NewResponse(response), nil
 }
 
 // runQuarantineExpiry removes expired records until ctx ends.
