quorum: a process asks a replica for ended workers apart from its first question for updates

A replica that answered the first question of each process at once, with nothing but the position of its records, also told its view of the platform's store: one that has just started has none, so that its callers took it for stale, left it out for 2 s and turned to the store themselves. The first call for records goes by itself now, and polls wait for updates as before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -124,9 +124,14 @@
 // replica has answered. A gateway that knows of no replica holds nothing.
 func (r *request) awaitFirstQuarantineUpdate(ctx context.Context) {
 	knowsReplicas := len(r.gateway.options.Seeds) > 0 || len(r.gateway.directory.Groups()) > 0
-	if r.gateway.poller.HasAnswer() || !knowsReplicas {
+	if !knowsReplicas {
 		return
 	}
+	select {
+	case <-r.gateway.poller.FirstQuarantineAnswer():
+		return
+	default:
+	}
 	now := time.Now()
 	r.gateway.replicasKnownAt.CompareAndSwap(nil, &now)
 	remaining := firstQuarantineWait - now.Sub(*r.gateway.replicasKnownAt.Load())
@@ -137,7 +142,7 @@
 	timeout := time.NewTimer(remaining)
 	defer timeout.Stop()
 	select {
-	case <-r.gateway.poller.FirstAnswer():
+	case <-r.gateway.poller.FirstQuarantineAnswer():
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
@@ -145,7 +150,7 @@
 
 // lacksQuarantineUpdates reports whether this gateway may not know of workers that ended at others.
 func (g *Gateway) lacksQuarantineUpdates() bool {
-	return !g.poller.AnsweredWithin(quarantineUpdateTimeout)
+	return !g.poller.QuarantineAnsweredWithin(quarantineUpdateTimeout)
 }
 
 // beginQuarantineCount notes the count as it is before the first attempt of the request.
--- a/internal/quorum/directorypoller.go
+++ b/internal/quorum/directorypoller.go
@@ -102,8 +102,6 @@
 	startedAt time.Time
 	// answeredAt is when any replica last answered; nil before that. Requests read it.
 	answeredAt atomic.Pointer[time.Time]
-	// firstAnswer is closed when a replica has answered for the first time.
-	firstAnswer chan struct{}
 	// quarantine exchanges the options' Quarantine; nil if there is none.
 	quarantine *quarantineExchange
 
@@ -121,7 +119,7 @@
 
 // NewDirectoryPoller returns a poller that updates state.
 func NewDirectoryPoller(client *Client, state *directory.State, options DirectoryPollerOptions) *DirectoryPoller {
-	poller := &DirectoryPoller{client: client, state: state, options: options, now: time.Now, avoidUntil: make(map[string]time.Time), firstAnswer: make(chan struct{})}
+	poller := &DirectoryPoller{client: client, state: state, options: options, now: time.Now, avoidUntil: make(map[string]time.Time)}
 	if options.Sources == nil {
 		poller.options.Sources = client.allMembers
 	}
@@ -150,12 +148,6 @@
 	return answeredAt != nil && p.now().Sub(*answeredAt) < limit
 }
 
-// HasAnswer reports whether a replica has ever answered. It takes no lock.
-func (p *DirectoryPoller) HasAnswer() bool { return p.answeredAt.Load() != nil }
-
-// FirstAnswer returns a channel that is closed when a replica has answered for the first time.
-func (p *DirectoryPoller) FirstAnswer() <-chan struct{} { return p.firstAnswer }
-
 // UpdateAge returns the age of the newest update of the platform's store. known is false if there
 // was none.
 func (p *DirectoryPoller) UpdateAge() (age time.Duration, known bool) {
@@ -372,9 +364,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := p.now()
-	if p.answeredAt.Swap(&now) == nil {
-		close(p.firstAnswer)
-	}
+	p.answeredAt.Store(&now)
 	if isFresh(update) {
 		p.freshAt = now
 	}
--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,6 +32,10 @@
 	// caller identifies this process to replicas.
 	caller uint64
 	rounds spreadRounds
+	// answeredAt is when any replica last answered; nil before that. firstAnswer is closed at the first
+	// answer.
+	answeredAt  atomic.Pointer[time.Time]
+	firstAnswer chan struct{}
 
 	mutex sync.Mutex
 	// peers are the positions of the replicas, by address.
@@ -40,10 +45,29 @@
 // quarantinePeer is up to where a replica and this process have each other's records.
 type quarantinePeer struct {
 	received, sent quarantine.Cursor
+	// called is set once this process has called the replica.
+	called bool
+}
+
+// beginsWith reports whether this process has never called a replica before.
+func (e *quarantineExchange) beginsWith(address string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	peer := e.peer(address)
+	begins := !peer.called
+	peer.called = true
+	return begins
+}
+
+// answered records that a replica has answered with all records that this process lacked.
+func (e *quarantineExchange) answered(now time.Time) {
+	if e.answeredAt.Swap(&now) == nil {
+		close(e.firstAnswer)
+	}
 }
 
 func newQuarantineExchange(table *quarantine.Table) *quarantineExchange {
-	return &quarantineExchange{table: table, caller: rand.Uint64() | 1, peers: make(map[string]*quarantinePeer)}
+	return &quarantineExchange{table: table, caller: rand.Uint64() | 1, peers: make(map[string]*quarantinePeer), firstAnswer: make(chan struct{})}
 }
 
 // peer returns the positions of a replica. The mutex must be held.
@@ -129,16 +153,13 @@
 	return quarantine.Cursor{Source: encoded.GetSource(), Revision: encoded.GetRevision()}
 }
 
-// NewQuarantineUpdate returns the records of a table that a caller lacks, or nil if it has them all. A
-// caller that has none of the table's records yet gets an update even if there are none, so that it does
-// not wait to learn that.
+// NewQuarantineUpdate returns the records of a table that a caller lacks, or nil if it has them all.
 func NewQuarantineUpdate(table *quarantine.Table, request *replicav1.QuarantineRequest) *replicav1.QuarantineUpdate {
 	if request == nil {
 		return nil
 	}
-	known := DecodeQuarantineCursor(request.Known)
-	records, current := table.Since(known)
-	if len(records) == 0 && table.Owns(known) {
+	records, current := table.Since(DecodeQuarantineCursor(request.Known))
+	if len(records) == 0 {
 		return nil
 	}
 	return &replicav1.QuarantineUpdate{Current: encodeCursor(current), Records: EncodeQuarantineRecords(records)}
@@ -151,9 +172,14 @@
 	if exchange == nil {
 		return func(*replicav1.DirectoryResponse) bool { return false }
 	}
+	if exchange.beginsWith(address) {
+		// The poll may wait for other updates.
+		go p.confirmQuarantine(address)
+	}
 	message, cursor := exchange.request(address)
 	request.Quarantine = message
 	return func(response *replicav1.DirectoryResponse) bool {
+		exchange.answered(p.now())
 		exchange.delivered(address, cursor)
 		changed := exchange.apply(address, response.Quarantine)
 		if changed {
@@ -163,6 +189,16 @@
 	}
 }
 
+// QuarantineAnsweredWithin reports whether a replica has told this process within the limit which requests
+// have ended workers. It takes no lock.
+func (p *DirectoryPoller) QuarantineAnsweredWithin(limit time.Duration) bool {
+	answeredAt := p.quarantine.answeredAt.Load()
+	return answeredAt != nil && p.now().Sub(*answeredAt) < limit
+}
+
+// FirstQuarantineAnswer returns a channel that is closed when a replica has told it for the first time.
+func (p *DirectoryPoller) FirstQuarantineAnswer() <-chan struct{} { return p.quarantine.firstAnswer }
+
 // SpreadQuarantine sends this process's new quarantine records to all replicas, which pass them on at
 // once. The returned channel is closed when all reachable processes have them, or after a short time.
 func (p *DirectoryPoller) SpreadQuarantine() <-chan struct{} {
@@ -203,6 +239,7 @@
 	if err != nil {
 		return err
 	}
+	p.quarantine.answered(p.now())
 	p.quarantine.delivered(address, cursor)
 	if p.quarantine.apply(address, response.Msg.Update) {
 		go p.confirmQuarantine(address)
