--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -223,7 +223,8 @@
 	})
 }
 
-// confirmQuarantine tells a replica that this process has its records. If that fails, the next poll does.
+// confirmQuarantine tells a replica up to where this process has its records, and gets those that it lacks.
+// If that fails, the next poll does both.
 func (p *DirectoryPoller) confirmQuarantine(address string) {
 	_ = p.callQuarantine(context.Background(), address, 0)
 }
