replica, recordlog: a replica that nothing is written to checks its disk each second

Cause: a replica learns that its disk takes nothing from a write that fails or hangs.

Change: after a second without a write the replica writes a record without content (10 bytes); while records wait for the disk, it writes these instead. The record's kind is new: older processes read it as a record of no kind and pass over it.

Cost: none beside turns; one sync a second on a replica that nothing is written to.

--- a/internal/recordlog/log.go
+++ b/internal/recordlog/log.go
@@ -87,6 +87,8 @@
 	failed chan struct{}
 	// writingSince is when the batch that is being written was begun; nil while there is none.
 	writingSince atomic.Pointer[time.Time]
+	// lastWrite is when a batch was last on the disk, or when the log was opened.
+	lastWrite atomic.Pointer[time.Time]
 }
 
 type segment struct {
@@ -126,6 +128,7 @@
 		log.readers.closeAll()
 		return nil, &failure.DiskFailed{Cause: err}
 	}
+	log.recordWrite()
 	go log.runWriter()
 	return log, nil
 }
@@ -227,6 +230,15 @@
 	return time.Since(*since)
 }
 
+// IdleFor returns the time since records were last written to the disk, or since the log was opened.
+func (l *Log) IdleFor() time.Duration { return time.Since(*l.lastWrite.Load()) }
+
+// recordWrite sets the time of the last write to now.
+func (l *Log) recordWrite() {
+	now := time.Now()
+	l.lastWrite.Store(&now)
+}
+
 // Read returns the record at a position. It returns *Moved if the segment has been replaced.
 func (l *Log) Read(position Position) ([]byte, error) {
 	records, err := l.readers.readSpan([]Position{position})
--- a/internal/recordlog/writer.go
+++ b/internal/recordlog/writer.go
@@ -139,6 +139,7 @@
 		l.fail(err)
 		return l.permanentFailure
 	}
+	l.recordWrite()
 	l.endOffset += int64(len(data))
 	l.segments[len(l.segments)-1].bytes = l.endOffset
 	l.size.Add(int64(len(data)))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -273,6 +273,7 @@
 	}()
 	go r.runWorkerPersistence(ctx)
 	go r.runCompaction(ctx)
+	go r.runDiskChecks(ctx)
 	go r.grants.runCleanup(ctx)
 	go r.runQuarantineExpiry(ctx)
 	go r.runLoanReturns(ctx)
