replica: counts of ended workers are on the replicas' disks and outlast a restart of all processes

Cause: the counts lay in the memory of gateways and replicas alone. Once all of them had started again, as after a loss of all power, a request under which three workers had ended got three more.

Change: each replica appends the records that have changed to its log, in the background, and reads them again as it starts; a record on the disk has the time of its last change, so that a restart makes none younger. A compaction writes them again. Gateways get them with their first question as before.

Cost: no write while no worker ends; else one append for the ends that come during a sync.

--- a/internal/replica/quarantine.go
+++ b/internal/replica/quarantine.go
@@ -144,6 +144,6 @@
 // runQuarantineExpiry removes expired records until ctx ends.
 func (r *Replica) runQuarantineExpiry(ctx context.Context) {
 	for pause.For(ctx, quarantineExpiryInterval) {
-		r.quarantine.Expire()
+		r.state.quarantine.Expire()
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,7 +18,6 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
-	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 	"github.com/barleyshelf/barleyshelf/internal/quota"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
@@ -98,8 +97,6 @@
 
 	// copyReports are the copies that wait for sources.
 	copyReports *copyReports
-	// quarantine holds the counts of requests under which workers have ended.
-	quarantine *quarantine.Table
 	// writeFailures logs writes that the disk rejects.
 	writeFailures *writeFailures
 	// copySlots limits the number of seats that are filled at a time.
@@ -140,7 +137,6 @@
 		processID:        rand.Text(),
 		startedAt:        time.Now(),
 		unverifiedGroups: make(chan *replicav1.Group, maxUnverifiedGroups),
-		quarantine:       quarantine.NewTable(time.Now),
 	}
 	logChanges := directory.LogChanges()
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
@@ -161,7 +157,7 @@
 	replica.quorum.SetZoneRegions(options.RegionOf)
 	replica.seeds.Store(&options.Seeds)
 	replica.poller = quorum.NewDirectoryPoller(replica.quorum, replica.directory, quorum.DirectoryPollerOptions{
-		Seeds: options.Seeds, Nodes: replica.nodes, Sources: replica.otherWatchers, Quarantine: replica.quarantine,
+		Seeds: options.Seeds, Nodes: replica.nodes, Sources: replica.otherWatchers, Quarantine: storage.quarantine,
 	})
 	replica.restoreDirectory()
 	return replica, nil
@@ -252,7 +248,7 @@
 	}
 	handler := &service{
 		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, gateways: newGatewayRegistry(time.Now).withRegions(r.distanceRegions()), storeViewAge: r.storeViewAge, nodes: r.nodes,
-		workerObservations: newWorkerObservations(time.Now), grants: r.grants, report: r.report, quarantine: newQuarantineHub(r.quarantine, time.Now),
+		workerObservations: newWorkerObservations(time.Now), grants: r.grants, report: r.report, quarantine: newQuarantineHub(r.state.quarantine, time.Now),
 	}
 	handlerOptions := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.VerifyCallerSystem(r.directory), processIDInterceptor(r.processID)))
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handlerOptions...))
@@ -276,6 +272,7 @@
 	go r.runDiskChecks(ctx)
 	go r.grants.runCleanup(ctx)
 	go r.runQuarantineExpiry(ctx)
+	go r.runQuarantinePersistence(ctx)
 	go r.runLoanReturns(ctx)
 	go r.register(ctx)
 	go r.runAnnouncements(ctx)
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -32,6 +32,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
 )
 
@@ -70,6 +71,11 @@
 	configuration *replicav1.Configuration
 	workers       persistedWorkers
 	drainedZones  *replicav1.DrainedZoneList
+	// quarantine holds the counts of requests under which workers have ended. It is not guarded by the
+	// mutex.
+	quarantine *quarantine.Table
+	// quarantineOnDisk is up to where the records of quarantine are on the disk.
+	quarantineOnDisk quarantine.Cursor
 }
 
 // openState reads the log. An empty folder gives a state without an identity. For a damaged log it
@@ -82,6 +88,7 @@
 func openStateWithClock(files recordlog.FileSystem, now func() time.Time) (*state, error) {
 	opened := &state{
 		generation: rand.Uint64() | 1, minCompactBytes: minLogBytesToCompact, now: now, partitions: make(map[uint32]*partitionState),
+		quarantine: quarantine.NewTable(now),
 	}
 	log, err := recordlog.Open(files, func(data []byte, at recordlog.Position) error {
 		record := &replicav1.Record{}
@@ -95,6 +102,7 @@
 		return nil
 	})
 	opened.log = log
+	_, opened.quarantineOnDisk = opened.quarantine.Since(quarantine.Cursor{})
 	return opened, err
 }
 
@@ -123,6 +131,9 @@
 			return false
 		}
 		s.drainedZones = kind.DrainedZones
+	case *replicav1.Record_Quarantine:
+		s.quarantine.Merge(decodeStoredQuarantine(kind.Quarantine, s.now())...)
+		return false
 	default:
 		return s.partition(record.Partition).apply(record)
 	}
@@ -255,7 +266,8 @@
 }
 
 // metadataRecords returns the records outside the turn stores: identities, groups, seen
-// incarnations, loan accounts, the configuration, the workers and the drained zones.
+// incarnations, loan accounts, the configuration, the workers, the drained zones and the counts of
+// requests under which workers have ended.
 func (s *state) metadataRecords() (records []*replicav1.Record) {
 	for _, partition := range s.partitions {
 		records = append(records, partition.metadataRecords()...)
@@ -269,6 +281,7 @@
 	if s.drainedZones != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_DrainedZones{DrainedZones: s.drainedZones}})
 	}
+	records = append(records, s.quarantineRecords()...)
 	return records
 }
 
