gateway: a worker that ended under several attempts of a request counts once

Cause: each lost attempt whose worker was found ended counted as one ended worker.

Change: an end is recorded per worker with its time; attempts that began before it are of the same process. One that begins later reached a new process of the same worker and counts. Attempts under examination, and those without evidence, count by workers too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -281,7 +281,7 @@
 	err = s.watchdog.explainFailure(err)
 	var lost *worker.ResponseLost
 	if errors.As(err, &lost) {
-		r.attemptConnectionLost(s.attemptContext, chosen, err)
+		r.attemptConnectionLost(s.attemptContext, chosen, s.sentAt, err)
 	}
 	return r.attemptFailed(ctx, chosen, r.explainFailure(s.zoneContext, chosen, err), permit)
 }
--- a/internal/gateway/lostworker.go
+++ b/internal/gateway/lostworker.go
@@ -20,15 +20,15 @@
 var lateProbeDelays = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second}
 
 // attemptConnectionLost examines, in the background, whether the worker of a lost attempt has ended.
-// attemptContext is the context of the attempt.
-func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, cause error) {
+// attemptContext is the context of the attempt, and sentAt when it began.
+func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, sentAt time.Time, cause error) {
 	loss := connectionLoss(attemptContext, cause)
 	if !loss.NeedsProbe() {
 		return
 	}
 	state := &r.quarantine
 	key := r.contentKey()
-	lost := &lostAttempt{examined: make(chan struct{})}
+	lost := &lostAttempt{worker: chosen.ID, sentAt: sentAt, examined: make(chan struct{})}
 	state.mutex.Lock()
 	state.before.Key = key
 	state.lost = append(state.lost, lost)
@@ -37,12 +37,12 @@
 	go func() {
 		lost.verdict = r.gateway.probeWorker(chosen, loss)
 		if lost.verdict == quarantine.Ended {
-			r.gateway.workerEnded(state, requestID, chosen)
+			r.gateway.workerEnded(state, requestID, chosen, lost)
 		}
 		r.gateway.metrics.recordLostWorker(lost.verdict)
 		close(lost.examined)
 		if lost.verdict == quarantine.Unknown {
-			r.gateway.examineLate(state, requestID, chosen, loss)
+			r.gateway.examineLate(state, requestID, chosen, lost, loss)
 		}
 	}()
 }
@@ -87,10 +87,18 @@
 	return found && listed.ID != chosen.ID
 }
 
-// workerEnded records that the worker of an attempt has ended, and tells the other gateways.
-func (g *Gateway) workerEnded(state *quarantineState, requestID string, chosen directory.Worker) {
+// workerEnded records that the worker of an attempt has ended, unless another attempt has shown that already,
+// and tells the other gateways.
+func (g *Gateway) workerEnded(state *quarantineState, requestID string, chosen directory.Worker, lost *lostAttempt) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
+	if state.endIsRecorded(lost) {
+		return
+	}
+	if state.endedAt == nil {
+		state.endedAt = make(map[string]time.Time)
+	}
+	state.endedAt[chosen.ID] = time.Now()
 	state.ends++
 	var record quarantine.Record
 	if state.isolated || state.sequential {
@@ -107,7 +115,7 @@
 
 // examineLate probes a worker that did not answer a few times more. A machine that is started again
 // refuses connections until its worker runs.
-func (g *Gateway) examineLate(state *quarantineState, requestID string, chosen directory.Worker, loss quarantine.ConnectionLoss) {
+func (g *Gateway) examineLate(state *quarantineState, requestID string, chosen directory.Worker, lost *lostAttempt, loss quarantine.ConnectionLoss) {
 	if g.lateExaminations.Add(1) > maxLateExaminations {
 		g.lateExaminations.Add(-1)
 		return
@@ -119,7 +127,7 @@
 		}
 		switch g.probeWorker(chosen, loss) {
 		case quarantine.Ended:
-			g.workerEnded(state, requestID, chosen)
+			g.workerEnded(state, requestID, chosen, lost)
 			return
 		case quarantine.Alive:
 			return
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -49,10 +49,15 @@
 	// spread is closed when the other gateways know of the ends recorded last; nil if there are none.
 	spread <-chan struct{}
 	ends   int
+	// endedAt is when the end of a worker was recorded last, by the worker's ID.
+	endedAt map[string]time.Time
 }
 
 // lostAttempt is an attempt whose connection was lost.
 type lostAttempt struct {
+	// worker is the ID of the attempt's worker, and sentAt when the attempt began.
+	worker string
+	sentAt time.Time
 	// examined is closed once the verdict is set.
 	examined chan struct{}
 	verdict  quarantine.Verdict
@@ -104,20 +109,39 @@
 		situation.Ends = r.gateway.quarantine.Lookup(r.contentKey()).Total()
 	}
 	situation.Isolated = r.gateway.lacksQuarantineUpdates()
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	for _, each := range state.lost {
+	situation.Pending, situation.Uncertain, pending = state.countLost()
+	return situation, pending
+}
+
+// countLost returns how many workers are still being examined, of how many no evidence says whether they
+// have ended, and one of the attempts that are still being examined. Several attempts at one worker count
+// once, and none if it has ended or was alive after one of them.
+func (s *quarantineState) countLost() (pending, uncertain int, awaited *lostAttempt) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.lost) == 0 {
+		return 0, 0, nil
+	}
+	examining, unknown, alive := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	for _, each := range s.lost {
+		if s.endIsRecorded(each) {
+			continue
+		}
 		select {
 		case <-each.examined:
-			if each.verdict == quarantine.Unknown {
-				situation.Uncertain++
-			}
+			unknown[each.worker] = unknown[each.worker] || each.verdict == quarantine.Unknown
+			alive[each.worker] = alive[each.worker] || each.verdict == quarantine.Alive
 		default:
-			situation.Pending++
-			pending = each
+			examining[each.worker] = true
+			awaited = each
 		}
 	}
-	return situation, pending
+	for worker, isUnknown := range unknown {
+		if isUnknown && !alive[worker] && !examining[worker] {
+			uncertain++
+		}
+	}
+	return len(examining), uncertain, awaited
 }
 
 // awaitFirstQuarantineUpdate holds a request at a gateway that has just started, for a limited time, until a
@@ -148,6 +172,13 @@
 	}
 }
 
+// endIsRecorded reports whether the end of the process that got an attempt is recorded already. A process
+// that ends may accept a connection after it has reset another one. An attempt that began after the end
+// was recorded got a new process. The mutex must be held.
+func (s *quarantineState) endIsRecorded(lost *lostAttempt) bool {
+	return lost.sentAt.Before(s.endedAt[lost.worker])
+}
+
 // lacksQuarantineUpdates reports whether this gateway may not know of workers that ended at others.
 func (g *Gateway) lacksQuarantineUpdates() bool {
 	return !g.poller.QuarantineAnsweredWithin(quarantineUpdateTimeout)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,10 +19,10 @@
 type Situation struct {
 	// Ends is how many workers are known to have ended under the request, at all gateways.
 	Ends int
-	// Pending is how many attempts of the request were lost here and are still being examined.
+	// Pending is how many workers, of attempts of the request that were lost here, are still being examined.
 	Pending int
-	// Uncertain is how many attempts of the request were lost here of which no evidence says whether
-	// their workers have ended.
+	// Uncertain is of how many workers, of attempts of the request that were lost here, no evidence says
+	// whether they have ended.
 	Uncertain int
 	// Isolated is set if the gateway does not learn of ends at other gateways.
 	Isolated bool
