gateway, worker: the end of a process counts once for all attempts on connections that were dialed before it

Cause: counted a worker's end once for the attempts that had begun before the end was recorded.

Change: what decides is when opening the attempt's connection began. One that was dialed after the end was recorded leads to a new process and counts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,8 @@
 	response *worker.Response
 	// sentAt is when the attempt began.
 	sentAt time.Time
+	// probe looks at the attempt's connection.
+	probe *worker.ConnectionProbe
 	// watchdog cancels the attempt if the worker sends no first event; nil if the attempt has no
 	// such limit.
 	watchdog *firstEventWatchdog
@@ -271,7 +273,7 @@
 	r.recordResponseStart(chosen, response, s.sentAt)
 	r.receiveBuffer.responseStarted(response)
 	return &attempt{
-		worker: chosen, response: response, sentAt: s.sentAt, watchdog: s.watchdog, timer: r.attemptTimer, zoneContext: s.zoneContext, release: s.release,
+		worker: chosen, response: response, sentAt: s.sentAt, probe: s.outgoing.Probe, watchdog: s.watchdog, timer: r.attemptTimer, zoneContext: s.zoneContext, release: s.release,
 		readAhead: r.wrapReadAhead(response), receiveBuffer: r.receiveBuffer,
 	}, nil
 }
@@ -281,7 +283,7 @@
 	err = s.watchdog.explainFailure(err)
 	var lost *worker.ResponseLost
 	if errors.As(err, &lost) {
-		r.attemptConnectionLost(s.attemptContext, chosen, s.sentAt, err)
+		r.attemptConnectionLost(s.attemptContext, chosen, s.outgoing.Probe, err)
 	}
 	return r.attemptFailed(ctx, chosen, r.explainFailure(s.zoneContext, chosen, err), permit)
 }
--- a/internal/gateway/lostworker.go
+++ b/internal/gateway/lostworker.go
@@ -11,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // maxLateExaminations bounds the workers that are examined again after a probe without an answer.
@@ -20,15 +21,15 @@
 var lateProbeDelays = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 2 * time.Second}
 
 // attemptConnectionLost examines, in the background, whether the worker of a lost attempt has ended.
-// attemptContext is the context of the attempt, and sentAt when it began.
-func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, sentAt time.Time, cause error) {
+// attemptContext is the context of the attempt.
+func (r *request) attemptConnectionLost(attemptContext context.Context, chosen directory.Worker, connection *worker.ConnectionProbe, cause error) {
 	loss := connectionLoss(attemptContext, cause)
 	if !loss.NeedsProbe() {
 		return
 	}
 	state := &r.quarantine
 	key := r.contentKey()
-	lost := &lostAttempt{worker: chosen.ID, sentAt: sentAt, examined: make(chan struct{})}
+	lost := &lostAttempt{worker: chosen.ID, dialedAt: connection.DialedAt(), examined: make(chan struct{})}
 	state.mutex.Lock()
 	state.before.Key = key
 	state.lost = append(state.lost, lost)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -94,7 +94,7 @@
 		err = attempt.commitToForward()
 	}
 	if err != nil {
-		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.sentAt, err)
+		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, err)
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error())
@@ -154,7 +154,7 @@
 	r.writer.WriteHeader(attempt.response.Status)
 	_, err := io.Copy(r.writer, io.MultiReader(bytes.NewReader(prefix), attempt.response.Body))
 	if err != nil {
-		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.sentAt, err)
+		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.abort(err)
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,9 +55,9 @@
 
 // lostAttempt is an attempt whose connection was lost.
 type lostAttempt struct {
-	// worker is the ID of the attempt's worker, and sentAt when the attempt began.
-	worker string
-	sentAt time.Time
+	// worker is the ID of the attempt's worker, and dialedAt when opening the attempt's connection began.
+	worker   string
+	dialedAt time.Time
 	// examined is closed once the verdict is set.
 	examined chan struct{}
 	verdict  quarantine.Verdict
@@ -173,10 +173,11 @@
 }
 
 // endIsRecorded reports whether the end of the process that got an attempt is recorded already. A process
-// that ends may accept a connection after it has reset another one. An attempt that began after the end
-// was recorded got a new process. The mutex must be held.
+// that ends may reset one connection, accept another one and reset that too, or leave one that this process
+// keeps for later. A connection that was dialed after the end was recorded leads to a new process. The
+// mutex must be held.
 func (s *quarantineState) endIsRecorded(lost *lostAttempt) bool {
-	return lost.sentAt.Before(s.endedAt[lost.worker])
+	return lost.dialedAt.Before(s.endedAt[lost.worker])
 }
 
 // lacksQuarantineUpdates reports whether this gateway may not know of workers that ended at others.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -16,9 +16,9 @@
 	r := requestOnRoute(t, gatewayWithOptions(Options{}), &route.Route{})
 	state := &r.quarantine
 	state.before.Key = r.contentKey()
-	sentAt := time.Now()
+	dialedAt := time.Now()
 	for _, worker := range []string{"a", "a", "b"} {
-		r.gateway.workerEnded(state, "id", directory.Worker{ID: worker}, &lostAttempt{worker: worker, sentAt: sentAt})
+		r.gateway.workerEnded(state, "id", directory.Worker{ID: worker}, &lostAttempt{worker: worker, dialedAt: dialedAt})
 	}
 	require.Equal(t, 2, r.gateway.quarantine.Lookup(r.contentKey()).Total())
 }
@@ -27,9 +27,9 @@
 	r := requestOnRoute(t, gatewayWithOptions(Options{}), &route.Route{})
 	state := &r.quarantine
 	state.before.Key, state.sequential = r.contentKey(), true
-	sentAt := time.Now()
+	dialedAt := time.Now()
 	for _, worker := range []string{"a", "a", "b"} {
-		r.gateway.workerEnded(state, "id", directory.Worker{ID: worker}, &lostAttempt{worker: worker, sentAt: sentAt})
+		r.gateway.workerEnded(state, "id", directory.Worker{ID: worker}, &lostAttempt{worker: worker, dialedAt: dialedAt})
 	}
 	require.Equal(t, 2, r.gateway.quarantine.Lookup(r.contentKey()).Total())
 }
@@ -38,14 +38,14 @@
 	r := requestOnRoute(t, gatewayWithOptions(Options{}), &route.Route{})
 	r.quarantine.before.Key = r.contentKey()
 	for range 2 {
-		r.gateway.workerEnded(&r.quarantine, "id", directory.Worker{ID: "a"}, &lostAttempt{worker: "a", sentAt: time.Now()})
+		r.gateway.workerEnded(&r.quarantine, "id", directory.Worker{ID: "a"}, &lostAttempt{worker: "a", dialedAt: time.Now()})
 	}
 	require.Equal(t, 2, r.gateway.quarantine.Lookup(r.contentKey()).Total())
 }
 
 // lostAt is a lost attempt at a worker, examined unless the verdict is empty.
 func lostAt(worker string, verdict quarantine.Verdict) *lostAttempt {
-	lost := &lostAttempt{worker: worker, sentAt: time.Now(), examined: make(chan struct{}), verdict: verdict}
+	lost := &lostAttempt{worker: worker, dialedAt: time.Now(), examined: make(chan struct{}), verdict: verdict}
 	if verdict != "" {
 		close(lost.examined)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,7 +203,7 @@
 // attemptLost ends an attempt whose stream broke off or that was given up, and returns its error.
 func (s *stream) attemptLost(ctx context.Context, attempt *attempt, err error) error {
 	r := s.request
-	r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.sentAt, attempt.watchdog.explainFailure(err))
+	r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, attempt.watchdog.explainFailure(err))
 	err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
 	r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
 	r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,9 +19,9 @@
 type Situation struct {
 	// Ends is how many workers are known to have ended under the request, at all gateways.
 	Ends int
-	// Pending is how many workers, of attempts of the request that were lost here, are still being examined.
+	// Pending is how many workers at which an attempt of the request was lost here are still being examined.
 	Pending int
-	// Uncertain is of how many workers, of attempts of the request that were lost here, no evidence says
+	// Uncertain is how many workers at which an attempt of the request was lost here show by no evidence
 	// whether they have ended.
 	Uncertain int
 	// Isolated is set if the gateway does not learn of ends at other gateways.
--- a/internal/worker/connected_test.go
+++ b/internal/worker/connected_test.go
@@ -41,6 +41,35 @@
 	require.Positive(t, durations[0])
 }
 
+func TestConnectionOfLaterRequestsKeepsTheTimeAtWhichItWasDialed(t *testing.T) {
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			body, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, encodeResponse(body, "ok", ""))
+		}
+	})
+	pool := newPool()
+	before := time.Now()
+	var dialedAt []time.Time
+	for range 2 {
+		request := &Request{
+			ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), Probe: &ConnectionProbe{},
+		}
+		require.Zero(t, request.Probe.DialedAt())
+		response, err := pool.Send(context.Background(), address, 0, request, readMetadata)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err)
+		response.Close()
+		dialedAt = append(dialedAt, request.Probe.DialedAt())
+	}
+	require.WithinRange(t, dialedAt[0], before, time.Now())
+	require.Equal(t, dialedAt[0], dialedAt[1])
+}
+
 // A response that waits in the kernel is visible to the probe while nobody reads, and gone from it once read.
 func TestConnectionProbeSeesWhatWasNotRead(t *testing.T) {
 	const rest = "rest"
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -69,6 +69,16 @@
 	return connection != nil && transport.HasUnread(connection.Conn)
 }
 
+// DialedAt returns when opening the connection began, which may have been for an earlier request. It is
+// zero if the request has got no connection.
+func (p *ConnectionProbe) DialedAt() time.Time {
+	connection := p.connection.Load()
+	if connection == nil {
+		return time.Time{}
+	}
+	return connection.dialedAt
+}
+
 // IsBehind reports whether something of the worker waits for this process, to be read or handled.
 func (p *ConnectionProbe) IsBehind() bool {
 	// In this order, what is read between the two looks is not missed.
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -63,7 +63,8 @@
 	// incarnation is the incarnation of the worker that the connection was opened to.
 	incarnation string
 	reader      *bufio.Reader
-	// dialDuration is how long opening the connection took.
+	// dialedAt is when opening the connection began, and dialDuration how long it took.
+	dialedAt     time.Time
 	dialDuration time.Duration
 	// reused is set if the connection was used for an earlier request.
 	reused bool
@@ -120,7 +121,7 @@
 		p.releaseSlot(address)
 		return nil, err
 	}
-	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout, receiveBuffer: p.receiveBuffer}
+	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialedAt: startedAt, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout, receiveBuffer: p.receiveBuffer}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
