quorum, gateway: the start of a stream is written with the next call, not with one of its own

Cause: each start of a resumable stream was written at once, in a call of its own that also took along all settlements that wait for the next reservation. Nothing waits for a start, but replicas got up to twice the calls; after a loss of all power on a site at 60 machines those with two seats were overloaded for good.

Change: a start waits for the next reservation, 200 ms at most, as settlements do. A gateway that does not know a stream asks the replicas for 0.3 s, where it asked twice; one that is not told which attempt began it waits as long before it asks, since another stream of the same content may just have begun at another version (TestStreamWhoseFirstAttemptIsNotNamedGoesOnIfItsVersionIsCertain was red without this wait). A gateway that ends within 200 ms of a first event takes the start with it; the stream is then refused, not mixed.

--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -20,8 +20,9 @@
 	// maxStreamLookup bounds the search for the version of a stream.
 	maxStreamLookup = 500 * time.Millisecond
 	// streamLookupPause is the time after which the replicas are asked again for a stream that they do
-	// not know: its record may be on the way to them.
-	streamLookupPause = 30 * time.Millisecond
+	// not know, and streamLookupPatience how long they are: its record may be on the way to them.
+	streamLookupPause    = 50 * time.Millisecond
+	streamLookupPatience = quorum.StreamStartDelay + 100*time.Millisecond
 	// maxStreamVersions bounds the streams that a gateway remembers itself.
 	maxStreamVersions = 8192
 )
@@ -126,9 +127,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, max(0, r.slack())))
 	defer cancel()
+	if first == "" {
+		// Another stream of this content may have begun at another version.
+		pause.For(ctx, streamLookupPatience)
+	}
+	startedAt := time.Now()
 	version, err = r.gateway.quorum.StreamVersion(ctx, stream)
 	var unknown *quorum.UnknownStream
-	if errors.As(err, &unknown) && pause.For(ctx, streamLookupPause) {
+	for errors.As(err, &unknown) && time.Since(startedAt) < streamLookupPatience && pause.For(ctx, streamLookupPause) {
 		version, err = r.gateway.quorum.StreamVersion(ctx, stream)
 	}
 	if err != nil {
--- a/internal/quorum/streams.go
+++ b/internal/quorum/streams.go
@@ -12,6 +12,9 @@
 	"github.com/barleyshelf/barleyshelf/internal/pause"
 )
 
+// StreamStartDelay is how long the start of a stream may wait to be written with another call.
+const StreamStartDelay = deferDelay
+
 // StreamID identifies a stream of events.
 type StreamID struct {
 	// Content is a keyed hash of what all attempts of the stream's request have in common.
@@ -20,10 +23,10 @@
 	Request string
 }
 
-// RecordStreamStart writes, in the background, the software version at which a stream began. Until a
-// replica has it, the version is unknown to other gateways.
+// RecordStreamStart writes the software version at which a stream began, with the next reservation or after
+// StreamStartDelay. Until a replica has it, the version is unknown to other gateways.
 func (c *Client) RecordStreamStart(stream StreamID, version string, retention time.Duration) {
-	c.AppendInBackground(&replicav1.Record{
+	c.AppendDeferred(&replicav1.Record{
 		Kind:        &replicav1.Record_Stream{Stream: &replicav1.StreamStart{Content: stream.Content, Request: stream.Request, Version: version}},
 		RetentionMs: retention.Milliseconds(),
 	})
