--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -18,7 +18,7 @@
 	// streamRetentionMargin is how long after the deadline of its request the start of a stream is kept.
 	streamRetentionMargin = 5 * time.Second
 	// maxStreamLookup bounds the search for the version of a stream.
-	maxStreamLookup = 500 * time.Millisecond
+	maxStreamLookup = 500*time.Millisecond + streamLookupPatience
 	// streamLookupPause is the time after which the replicas are asked again for a stream that they do
 	// not know, and streamLookupPatience how long they are: its record may be on the way to them.
 	streamLookupPause    = 50 * time.Millisecond
