--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -217,6 +217,12 @@
 	lateStartTimer              *time.Timer
 }
 
+// connectionLogValues returns log values that tell which send a response was taken for: its connection, and
+// the time since the attempt began.
+func (s *sending) connectionLogValues() []any {
+	return []any{"connection", s.outgoing.Probe.LocalAddress(), "response_us", time.Since(s.sentAt).Microseconds()}
+}
+
 // prepareSending builds the request to a worker and starts the timers of the attempt.
 func (r *request) prepareSending(ctx context.Context, chosen directory.Worker, lastEventID string, permit *coldPermit) *sending {
 	s := &sending{sentAt: time.Now()}
@@ -268,9 +274,9 @@
 	}
 	if response.NotRun {
 		defer r.abandon(s)
-		return nil, r.attemptRejected(chosen, response)
+		return nil, r.attemptRejected(chosen, s, response)
 	}
-	r.recordResponseStart(chosen, response, s.sentAt)
+	r.recordResponseStart(chosen, response, s)
 	r.receiveBuffer.responseStarted(response)
 	return &attempt{
 		worker: chosen, response: response, sentAt: s.sentAt, probe: s.outgoing.Probe, watchdog: s.watchdog, timer: r.attemptTimer, zoneContext: s.zoneContext, release: s.release,
@@ -289,20 +295,22 @@
 }
 
 // attemptRejected ends an attempt whose worker states that it did not run the request.
-func (r *request) attemptRejected(chosen directory.Worker, response *worker.Response) error {
+func (r *request) attemptRejected(chosen directory.Worker, s *sending, response *worker.Response) error {
+	details := s.connectionLogValues()
 	// The connection can be reused once the response has been read. If that fails, it is closed.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, smallResponseBytes))
 	response.Close()
-	r.attemptNotRun(chosen, resultOfRejection(response.Status), nil)
+	r.attemptNotRun(chosen, resultOfRejection(response.Status), nil, details...)
 	return &NoWorker{Service: r.service.Name, Rejections: r.rejections}
 }
 
 // recordResponseStart records that a worker has begun to respond to an attempt.
-func (r *request) recordResponseStart(chosen directory.Worker, response *worker.Response, sentAt time.Time) {
+func (r *request) recordResponseStart(chosen directory.Worker, response *worker.Response, s *sending) {
 	r.mayHaveRun[chosen.ID] = true
 	r.respondedAfter = time.Since(r.receivedAt)
-	r.fastestResponse().Observe(time.Since(sentAt))
-	r.addLogEntry(eventResponseStarted, "worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String())
+	r.fastestResponse().Observe(time.Since(s.sentAt))
+	values := []any{"worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String()}
+	r.addLogEntry(eventResponseStarted, append(values, s.connectionLogValues()...)...)
 }
 
 // startLateStartTimer returns a timer that counts a worker as late which has not begun its response
@@ -349,14 +357,14 @@
 	response.Body = traffic.NewCountingReader(trafficCounter, response.Body, class, traffic.Answers)
 }
 
-// attemptNotRun ends an attempt that the worker did not run.
-func (r *request) attemptNotRun(chosen directory.Worker, result balance.AttemptResult, cause error) {
+// attemptNotRun ends an attempt that the worker did not run. details are further log values.
+func (r *request) attemptNotRun(chosen directory.Worker, result balance.AttemptResult, cause error, details ...any) {
 	r.tried[chosen.ID] = true
 	if result == balance.Rejected {
 		r.fullWorkers = append(r.fullWorkers, chosen.ID)
 	}
 	r.rejections++
-	r.addLogEntry(eventAttemptNotRun, "worker", chosen.ID, "verdict", result.String(), "cause", errorText(cause))
+	r.addLogEntry(eventAttemptNotRun, append([]any{"worker", chosen.ID, "verdict", result.String(), "cause", errorText(cause)}, details...)...)
 	r.gateway.attemptDone(r, chosen, result)
 }
 
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -79,6 +79,16 @@
 	return connection.dialedAt
 }
 
+// LocalAddress returns this process's end of the connection, which tells connections to one worker apart. It
+// is empty if the request has got no connection.
+func (p *ConnectionProbe) LocalAddress() string {
+	connection := p.connection.Load()
+	if connection == nil {
+		return ""
+	}
+	return connection.LocalAddr().String()
+}
+
 // IsBehind reports whether something of the worker waits for this process, to be read or handled.
 func (p *ConnectionProbe) IsBehind() bool {
 	// In this order, what is read between the two looks is not missed.
