worker: a connection carries the ID of a request once

Cause: answers are matched by the request's ID alone. A full worker's rejection was read, the request waited for a slot and was sent again with the same ID on the same connection; the rejection's second copy, late, then counted as the answer to that second send, while the worker ran it. Change: the pool gives a request only connections that have not carried its ID, so that an answer with the ID belongs to this send, whatever its kind. Existing tests send each request with an ID of its own; what they check is unchanged.

--- a/internal/gateway/zonemonitor_test.go
+++ b/internal/gateway/zonemonitor_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -187,11 +188,21 @@
 	require.ErrorAs(t, watchdog.explainFailure(context.Canceled), &lost)
 }
 
+// echoedIDHeaderCodec reads the ID of the request that a response belongs to.
+type echoedIDHeaderCodec struct{ noopHeaderCodec }
+
+const echoedIDHeader = "Id"
+
+func (echoedIDHeaderCodec) ReadResponse(_ int, header http.Header) worker.ResponseMetadata {
+	return worker.ResponseMetadata{RequestID: header.Get(echoedIDHeader)}
+}
+
 // TestCompletedAttemptKeepsItsConnection verifies that the contexts of an attempt end after its
 // response is closed.
 func TestCompletedAttemptKeepsItsConnection(t *testing.T) {
 	var connections atomic.Int64
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, received *http.Request) {
+		w.Header().Set(echoedIDHeader, received.Header.Get(echoedIDHeader))
 		_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
@@ -203,10 +214,13 @@
 	t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
 	g := gatewayWithZones(t, map[string]string{"a": reachableAddress(t)})
-	incoming, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/p", nil)
-	require.NoError(t, err)
-	for range 3 {
+	g.options.HeaderCodec = echoedIDHeaderCodec{}
+	for number := range 3 {
+		incoming, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://h/p", nil)
+		require.NoError(t, err)
 		r := requestWithPriority(g, 0, time.Minute)
+		r.metadata.RequestID = strconv.Itoa(number)
+		incoming.Header.Set(echoedIDHeader, r.metadata.RequestID)
 		r.incoming, r.writer = incoming, httptest.NewRecorder()
 		r.route = &route.Route{Name: "r", Kind: route.Streaming, Resumable: true, TargetLatency: time.Second}
 		r.tried, r.mayHaveRun, r.terminated = make(map[string]bool), make(map[string]bool), make(map[string]bool)
--- a/internal/worker/connected_test.go
+++ b/internal/worker/connected_test.go
@@ -27,8 +27,9 @@
 	pool := newPool()
 	var durations []time.Duration
 	for range 3 {
+		id := newID()
 		request := &Request{
-			ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"),
+			ID: id, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(id),
 			OnConnected: func(took time.Duration) { durations = append(durations, took) },
 		}
 		response, err := pool.Send(context.Background(), address, 0, request, readMetadata)
@@ -55,8 +56,9 @@
 	before := time.Now()
 	var dialedAt []time.Time
 	for range 2 {
+		id := newID()
 		request := &Request{
-			ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), Probe: &ConnectionProbe{},
+			ID: id, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(id), Probe: &ConnectionProbe{},
 		}
 		require.Zero(t, request.Probe.DialedAt())
 		response, err := pool.Send(context.Background(), address, 0, request, readMetadata)
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -150,7 +150,7 @@
 // Send sends a request once and returns the header of the response. Its errors are *NotSent and
 // *ResponseLost. When ctx ends, the connection is closed, which cancels the request at the worker.
 func (p *Pool) Send(ctx context.Context, address string, limit int, request *Request, readMetadata ReadMetadata) (*Response, error) {
-	connection, err := p.acquire(ctx, address, request.Incarnation, limit)
+	connection, err := p.acquire(ctx, address, request.Incarnation, request.ID, limit)
 	if err != nil {
 		return nil, &NotSent{Cause: err}
 	}
@@ -164,6 +164,7 @@
 		}
 	}
 	request.Probe.attach(connection)
+	connection.sent.add(request.ID)
 	connection.setReceiveBuffer(request.ReceiveBuffer)
 	stopCancel := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
 	if request.SilenceTimeout > 0 && connection.reused {
--- /dev/null
+++ b/internal/worker/latecopy_test.go
@@ -0,0 +1,119 @@
+package worker
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lateCopies answers each request with what answers holds for its number, and sends a second copy of each answer
+// late: once the next request has arrived on the connection, in the place of its answer.
+func lateCopies(t testing.TB, opened *atomic.Int32, answers func(number int32, id string) string) string {
+	var requests atomic.Int32
+	return serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		opened.Add(1)
+		late := ""
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			answer := answers(requests.Add(1), id)
+			io.WriteString(connection, late+answer)
+			late = answer
+		}
+	})
+}
+
+func rejection(status int, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), echoedHeader, id)
+}
+
+// receive sends a request and reads its answer.
+func receive(t testing.TB, pool *Pool, address, id string) (notRun bool, body string) {
+	response, err := send(pool, address, id, id)
+	require.NoError(t, err)
+	defer response.Close()
+	read, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.NotRun, string(read)
+}
+
+// Guards against a second copy of an answer, late, that is taken for the answer to the next send of the same request.
+func TestLateSecondCopyIsNotTakenForTheAnswerToANextSend(t *testing.T) {
+	first := map[string]func(id string) string{
+		"rejection": func(id string) string { return rejection(http.StatusServiceUnavailable, id) },
+		"redirect":  func(id string) string { return rejection(http.StatusMisdirectedRequest, id) },
+		"success":   func(id string) string { return encodeResponse(id, "first", "") },
+	}
+	for kind, answer := range first {
+		t.Run(kind, func(t *testing.T) {
+			var opened atomic.Int32
+			address := lateCopies(t, &opened, func(number int32, id string) string {
+				if number == 1 {
+					return answer(id)
+				}
+				return encodeResponse(id, "second", "")
+			})
+			pool := newPool()
+			receive(t, pool, address, "r")
+			notRun, body := receive(t, pool, address, "r")
+			require.False(t, notRun, "the second send has run")
+			require.Equal(t, "second", body)
+		})
+	}
+}
+
+// Guards against a mend that closes each connection on which a rejection came: other requests go on using it.
+func TestConnectionOfARejectionCarriesOtherRequests(t *testing.T) {
+	var opened atomic.Int32
+	address := lateCopies(t, &opened, func(number int32, id string) string {
+		if number == 1 {
+			return rejection(http.StatusServiceUnavailable, id)
+		}
+		return encodeResponse(id, "answer to "+id, "")
+	})
+	pool := newPool()
+	notRun, _ := receive(t, pool, address, "r")
+	require.True(t, notRun)
+	for number := range 5 {
+		id := fmt.Sprintf("other-%d", number)
+		_, body := receive(t, pool, address, id)
+		require.Equal(t, "answer to "+id, body)
+	}
+	require.EqualValues(t, 1, opened.Load())
+}
+
+// Guards against a worker that is refused for its connections because each has carried the request before.
+func TestConnectionThatCarriedTheIDGivesWayAtTheLimit(t *testing.T) {
+	var opened atomic.Int32
+	address := lateCopies(t, &opened, func(number int32, id string) string {
+		return rejection(http.StatusServiceUnavailable, id)
+	})
+	pool := newPool()
+	for range 3 {
+		request := &Request{ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r")}
+		response, err := pool.Send(t.Context(), address, 1, request, readMetadata)
+		require.NoError(t, err)
+		require.True(t, response.NotRun)
+		response.Close()
+	}
+	require.EqualValues(t, 3, opened.Load())
+}
+
+// Guards against an unbounded memory of IDs on a connection that is never idle for long.
+func TestConnectionIsReplacedAfterItsLastSend(t *testing.T) {
+	var opened atomic.Int32
+	address := lateCopies(t, &opened, func(_ int32, id string) string { return encodeResponse(id, "", "") })
+	pool := newPool()
+	for number := range maxSendsPerConnection + 1 {
+		receive(t, pool, address, fmt.Sprint(number))
+	}
+	require.EqualValues(t, 2, opened.Load())
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,8 @@
 	// incarnation is the incarnation of the worker that the connection was opened to.
 	incarnation string
 	reader      *bufio.Reader
+	// sent are the IDs of the requests that were sent on the connection.
+	sent sentIDs
 	// dialedAt is when opening the connection began, and dialDuration how long it took.
 	dialedAt     time.Time
 	dialDuration time.Duration
@@ -98,19 +101,20 @@
 	return pool
 }
 
-// acquire returns an idle connection to an incarnation of a worker, or opens one if fewer than
-// limit are open. Idle connections to other incarnations are closed, because in a network partition
-// they may never report their end.
-func (p *Pool) acquire(ctx context.Context, address, incarnation string, limit int) (*connection, error) {
+// acquire returns an idle connection to an incarnation of a worker that has not carried a request's ID
+// before, or opens one if fewer than limit are open. On such a connection, an answer with the ID cannot
+// belong to an earlier send. Idle connections to other incarnations are closed, because in a network
+// partition they may never report their end.
+func (p *Pool) acquire(ctx context.Context, address, incarnation, id string, limit int) (*connection, error) {
 	for {
-		idle, allowed := p.takeIdle(address, limit)
+		idle, allowed := p.takeIdle(address, id, limit)
 		if idle == nil && !allowed {
 			return nil, &TooManyConnections{Worker: address, Limit: limit}
 		}
 		if idle == nil {
 			break
 		}
-		if idle.incarnation == incarnation && time.Now().Before(idle.idleDeadline) && idle.isIdle() {
+		if idle.incarnation == incarnation && time.Now().Before(idle.idleDeadline) && !idle.sent.contains(id) && idle.isIdle() {
 			return idle, nil
 		}
 		p.discard(idle)
@@ -126,9 +130,10 @@
 	return opened, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection. If there is none, it
-// reserves a new connection; allowed is false if the limit is reached.
-func (p *Pool) takeIdle(address string, limit int) (idle *connection, allowed bool) {
+// takeIdle removes and returns the most recently used idle connection that has not carried an ID. If there
+// is none, it reserves a new connection. If the limit is reached, it returns the least recently used idle
+// connection, which has to give way; allowed is false if there is none either.
+func (p *Pool) takeIdle(address, id string, limit int) (idle *connection, allowed bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	entry := p.hosts[address]
@@ -136,16 +141,26 @@
 		entry = &host{}
 		p.hosts[address] = entry
 	}
-	if last := len(entry.idle) - 1; last >= 0 {
-		idle = entry.idle[last]
-		entry.idle = entry.idle[:last]
-		return idle, true
+	for i, each := range slices.Backward(entry.idle) {
+		if !each.sent.contains(id) {
+			return entry.removeIdle(i), true
+		}
+	}
+	if limit <= 0 || entry.open < limit {
+		entry.open++
+		return nil, true
 	}
-	if limit > 0 && entry.open >= limit {
-		return nil, false
+	if len(entry.idle) > 0 {
+		return entry.removeIdle(0), true
 	}
-	entry.open++
-	return nil, true
+	return nil, false
+}
+
+// removeIdle removes and returns an idle connection.
+func (h *host) removeIdle(index int) *connection {
+	removed := h.idle[index]
+	h.idle = slices.Delete(h.idle, index, index+1)
+	return removed
 }
 
 // HasIdleConnection reports whether an idle connection to an address is open.
@@ -232,8 +247,8 @@
 
 // recycle makes a connection idle after its response was completely read.
 func (p *Pool) recycle(connection *connection, header http.Header) {
-	if connection.reader.Buffered() > 0 {
-		// Bytes after a complete response belong to no request.
+	// Bytes after a complete response belong to no request.
+	if connection.reader.Buffered() > 0 || connection.sent.isFull() {
 		p.discard(connection)
 		return
 	}
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -37,6 +37,11 @@
 
 const echoedHeader = "Echo-Id"
 
+var lastID atomic.Int32
+
+// newID returns the ID of another request. A connection carries an ID once.
+func newID() string { return fmt.Sprint("r", lastID.Add(1)) }
+
 func readMetadata(_ int, header http.Header) ResponseMetadata {
 	return ResponseMetadata{RequestID: header.Get(echoedHeader), NotRun: header.Get("Not-Run") != ""}
 }
@@ -126,16 +131,16 @@
 func TestEarlyResponseToLongBodyClosesConnection(t *testing.T) {
 	var opened atomic.Int32
 	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
-		opened.Add(1)
+		number := opened.Add(1)
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
 		}
-		io.WriteString(connection, encodeResponse("r", "early", "Not-Run: 1\r\n"))
+		io.WriteString(connection, encodeResponse(fmt.Sprint("r", number), "early", "Not-Run: 1\r\n"))
 		time.Sleep(200 * time.Millisecond)
 	})
 	pool := newPool()
-	for range 2 {
-		response, err := send(pool, address, "r", strings.Repeat("x", 8<<20))
+	for number := range 2 {
+		response, err := send(pool, address, fmt.Sprint("r", number+1), strings.Repeat("x", 8<<20))
 		require.NoError(t, err)
 		require.True(t, response.NotRun)
 		_, err = io.ReadAll(response.Body)
@@ -171,13 +176,13 @@
 func TestConnectionLimit(t *testing.T) {
 	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte(); time.Sleep(time.Second) })
 	pool := newPool()
-	first, err := pool.acquire(context.Background(), address, "", 1)
+	first, err := pool.acquire(context.Background(), address, "", "r", 1)
 	require.NoError(t, err)
-	_, err = pool.acquire(context.Background(), address, "", 1)
+	_, err = pool.acquire(context.Background(), address, "", "r", 1)
 	var full *TooManyConnections
 	require.ErrorAs(t, err, &full)
 	pool.discard(first)
-	_, err = pool.acquire(context.Background(), address, "", 1)
+	_, err = pool.acquire(context.Background(), address, "", "r", 1)
 	require.NoError(t, err)
 }
 
@@ -199,7 +204,8 @@
 	})
 	pool := newPool()
 	for b.Loop() {
-		response, err := send(pool, address, "r", "r")
+		id := newID()
+		response, err := send(pool, address, id, id)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -278,8 +284,9 @@
 	pool := newPool()
 	calls := 0
 	sendWith := func(beforeSendErr error) error {
+		id := newID()
 		request := &Request{
-			ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"),
+			ID: id, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(id),
 			BeforeSend: func(context.Context) error { calls++; return beforeSendErr },
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -306,14 +313,14 @@
 func TestConnectionToPreviousIncarnationIsNotUsed(t *testing.T) {
 	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
 	pool := newPool()
-	previous, err := pool.acquire(t.Context(), address, "a@1", 1)
+	previous, err := pool.acquire(t.Context(), address, "a@1", "r", 1)
 	require.NoError(t, err)
 	pool.returnUnused(previous)
-	again, err := pool.acquire(t.Context(), address, "a@1", 1)
+	again, err := pool.acquire(t.Context(), address, "a@1", "r", 1)
 	require.NoError(t, err)
 	require.Same(t, previous, again)
 	pool.returnUnused(again)
-	current, err := pool.acquire(t.Context(), address, "a@2", 1)
+	current, err := pool.acquire(t.Context(), address, "a@2", "r", 1)
 	require.NoError(t, err, "the previous connection must be closed and not count toward the limit")
 	require.NotSame(t, previous, current)
 	_, err = previous.Write([]byte("x"))
--- a/internal/worker/receivebuffer_test.go
+++ b/internal/worker/receivebuffer_test.go
@@ -35,8 +35,9 @@
 // exchangeWithBuffer sends a request with a receive buffer, reads its response and returns it.
 func exchangeWithBuffer(t *testing.T, pool *Pool, address string, receiveBuffer int) *Response {
 	t.Helper()
+	id := newID()
 	request := &Request{
-		ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), ReceiveBuffer: receiveBuffer,
+		ID: id, Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(id), ReceiveBuffer: receiveBuffer,
 	}
 	response, err := pool.Send(t.Context(), address, 0, request, readMetadata)
 	require.NoError(t, err)
