worker: a rejection without a request's ID is not believed

A 503 or 400 that says that it did not run its request, without an ID, counted as the answer to whichever request waited on the connection, which was then sent again or refused as not run. Every answer of a worker repeats the ID (the users' pages); one without it is a stale answer now, as any other that names another request, and is skipped.

Red before: TestRejectionWithoutAnIDIsNotBelieved.

--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -282,7 +282,7 @@
 			return nil, err
 		}
 		metadata := readMetadata(response.StatusCode, response.Header)
-		if metadata.RequestID == request.ID || (metadata.NotRun && metadata.RequestID == "") {
+		if metadata.RequestID == request.ID {
 			body := &completionReader{source: response.Body}
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: bodyLength(response), NotRun: metadata.NotRun, Metadata: metadata,
--- a/internal/worker/latecopy_test.go
+++ b/internal/worker/latecopy_test.go
@@ -117,3 +117,24 @@
 	}
 	require.EqualValues(t, 2, opened.Load())
 }
+
+// Guards against a rejection that names no request and is taken for the answer to whichever request waits.
+func TestRejectionWithoutAnIDIsNotBelieved(t *testing.T) {
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		late := ""
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			io.WriteString(connection, late+encodeResponse(id, "ran "+id, ""))
+			late = "HTTP/1.1 400 Bad Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+	})
+	pool := newPool()
+	for _, id := range []string{"first", "second"} {
+		notRun, body := receive(t, pool, address, id)
+		require.False(t, notRun, "%s has run", id)
+		require.Equal(t, "ran "+id, body)
+	}
+}
