worker: the end of a late answer is not guessed on a connection that carried a HEAD

A stale answer was skipped by the method of the request that waits: the body of a late answer to a GET was read as the answer to a HEAD, or a late answer to a HEAD took the next answer for its body. Whether a body follows depends on a request that is not known there. On a connection that has carried a HEAD a stale answer ends the connection now, and the request's outcome is unknown.

Red before: TestBodyOfALateAnswerIsNotReadAsAnAnswer and TestLateAnswerToAHeadRequestSwallowsNoOther.

--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -164,6 +164,7 @@
 		}
 	}
 	request.Probe.attach(connection)
+	connection.carriedHead = connection.carriedHead || request.Method == http.MethodHead
 	connection.sent.add(request.ID)
 	connection.setReceiveBuffer(request.ReceiveBuffer)
 	stopCancel := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
@@ -290,7 +291,7 @@
 			}, nil
 		}
 		mismatch := &MismatchedResponse{Want: request.ID, Have: metadata.RequestID}
-		if staleResponses >= maxStaleResponses || response.Close {
+		if staleResponses >= maxStaleResponses || response.Close || c.carriedHead {
 			return nil, mismatch
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleResponseBytes))
--- a/internal/worker/latecopy_test.go
+++ b/internal/worker/latecopy_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -138,3 +140,58 @@
 		require.Equal(t, "ran "+id, body)
 	}
 }
+
+// Guards against a late answer to a HEAD request whose declared body never follows, and that swallows the next answer.
+func TestLateAnswerToAHeadRequestSwallowsNoOther(t *testing.T) {
+	testLateAnswerBeside(t, http.MethodHead, http.MethodGet)
+}
+
+// Guards against the body of a late answer that is read as the next answer, as the request on its way is a HEAD.
+func TestBodyOfALateAnswerIsNotReadAsAnAnswer(t *testing.T) {
+	testLateAnswerBeside(t, http.MethodGet, http.MethodHead)
+}
+
+// testLateAnswerBeside sends a request of each method on one connection. The answer to the first comes a second time
+// before that to the second, and its body looks like an answer to the second.
+func testLateAnswerBeside(t *testing.T, firstMethod, secondMethod string) {
+	forged := encodeResponse("second", "", "Forged: 1\r\n")
+	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+		late := ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get(echoedHeader)
+			answer := encodeResponse(id, forged, "")
+			if request.Method == http.MethodHead {
+				answer = answer[:len(answer)-len(forged)]
+			}
+			io.WriteString(connection, late+answer)
+			late = answer
+		}
+	})
+	pool := newPool()
+	response, err := sendMethod(t, pool, address, firstMethod, "first")
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	response.Close()
+	response, err = sendMethod(t, pool, address, secondMethod, "second")
+	if err != nil {
+		var lost *ResponseLost
+		require.ErrorAs(t, err, &lost)
+		var mismatched *MismatchedResponse
+		require.ErrorAs(t, err, &mismatched)
+		return
+	}
+	require.Empty(t, response.Header.Get("Forged"))
+	response.Close()
+}
+
+func sendMethod(t *testing.T, pool *Pool, address, method, id string) (*Response, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	t.Cleanup(cancel)
+	request := &Request{ID: id, Method: method, Target: "/", Host: "h", Header: http.Header{echoedHeader: {id}}}
+	return pool.Send(ctx, address, 0, request, readMetadata)
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -66,6 +66,9 @@
 	reader      *bufio.Reader
 	// sent are the IDs of the requests that were sent on the connection.
 	sent sentIDs
+	// carriedHead is set once a HEAD request was sent. The end of a stale response is unknown from then on:
+	// whether a body follows its head depends on the method of a request that is not known.
+	carriedHead bool
 	// dialedAt is when opening the connection began, and dialDuration how long it took.
 	dialedAt     time.Time
 	dialDuration time.Duration
