daemon: each call to an engine or a tool has a connection of its own

Answers of engines and tools name no call, and daemons kept their connections: a second copy of an answer that came late was taken for the result of the next call, of another program if so. Such calls keep no connection now; those of the platform do, as before.

Red before: TestLateSecondCopyOfAToolsAnswerIsNotTakenForTheNextCalls. internal/daemon green.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,23 +42,23 @@
 	options  Options
 	self     structs.Node
 
-	gate      *gate
-	backends  *http.Client
-	platform  *platform.Client
-	engines   *engine.Client
-	tools     *tool.Client
-	peers     *peer.Client
-	cluster   *cluster.Cluster
-	store     *config.Store
-	feed      *config.Feed
-	fleet     *fleet.Fleet
-	tenants   *identity.Tenants
-	directory *directory
-	policies  policyChoice
-	shares    *limit.RateLimiter
-	registry  *telemetry.Registry
-	admission *admission
-	core      atomic.Pointer[core]
+	gate           *gate
+	platformClient *http.Client
+	platform       *platform.Client
+	engines        *engine.Client
+	tools          *tool.Client
+	peers          *peer.Client
+	cluster        *cluster.Cluster
+	store          *config.Store
+	feed           *config.Feed
+	fleet          *fleet.Fleet
+	tenants        *identity.Tenants
+	directory      *directory
+	policies       policyChoice
+	shares         *limit.RateLimiter
+	registry       *telemetry.Registry
+	admission      *admission
+	core           atomic.Pointer[core]
 
 	security security
 
@@ -100,10 +100,11 @@
 	limits := caller.NewLimits(d.shares, limit.NewAdmitter(time.Now(), limit.Config{Seed: options.Seed}), time.Now)
 	limits.Observe(d.registry)
 	d.admission = &admission{draining: &d.draining, limits: limits}
-	d.backends = newBackendClient(d.gate, options.Dial)
-	d.platform = platform.NewClient(configured.PlatformAddress, d.backends)
-	d.engines = engine.NewClient(d.backends)
-	d.tools = tool.NewClient(d.backends)
+	d.platformClient = newPlatformClient(d.gate, options.Dial)
+	d.platform = platform.NewClient(configured.PlatformAddress, d.platformClient)
+	calls := newCallClient(d.gate, options.Dial)
+	d.engines = engine.NewClient(calls)
+	d.tools = tool.NewClient(calls)
 	return d, nil
 }
 
@@ -188,7 +189,7 @@
 			<-d.cluster.Done()
 		}
 		d.tasks.Wait()
-		d.backends.CloseIdleConnections()
+		d.platformClient.CloseIdleConnections()
 		close(d.stopped)
 	})
 }
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -97,8 +97,8 @@
 	return &conn{Conn: accepted, gate: l.gate}, nil
 }
 
-// newBackendClient returns the HTTP client for engines, tools and the platform.
-func newBackendClient(g *gate, dial peer.Dialer) *http.Client {
+// newPlatformClient returns the HTTP client for the platform.
+func newPlatformClient(g *gate, dial peer.Dialer) *http.Client {
 	const (
 		idlePerHost = 256
 		idleTimeout = 30 * time.Second
@@ -109,3 +109,10 @@
 		IdleConnTimeout:     idleTimeout,
 	}}
 }
+
+// newCallClient returns the HTTP client for engines and tools. Each call has a connection of its own: the answers do
+// not name their call, so that a second copy of one that comes late would be taken for the answer to the next call
+// on a kept connection.
+func newCallClient(g *gate, dial peer.Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: gatedDialer(g, dial), DisableKeepAlives: true}}
+}
