--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -291,7 +291,7 @@
 	if errors.As(err, &lost) {
 		r.attemptConnectionLost(s.attemptContext, chosen, s.outgoing.Probe, err)
 	}
-	return r.attemptFailed(ctx, chosen, r.explainFailure(s.zoneContext, chosen, err), permit)
+	return r.attemptFailed(ctx, chosen, s.outgoing.Probe, r.explainFailure(s.zoneContext, chosen, err), permit)
 }
 
 // attemptRejected ends an attempt whose worker states that it did not run the request.
@@ -369,7 +369,7 @@
 }
 
 // attemptFailed ends an attempt that got no response.
-func (r *request) attemptFailed(ctx context.Context, chosen directory.Worker, err error, permit *coldPermit) error {
+func (r *request) attemptFailed(ctx context.Context, chosen directory.Worker, connection *worker.ConnectionProbe, err error, permit *coldPermit) error {
 	var notSent *worker.NotSent
 	if errors.As(err, &notSent) {
 		permit.returnUnused()
@@ -394,7 +394,7 @@
 	}
 	r.mayHaveRun[chosen.ID] = true
 	r.tried[chosen.ID] = true
-	r.addLogEntry(eventAttemptLost, "worker", chosen.ID, "cause", err.Error())
+	r.logAttemptLost(chosen, connection, err)
 	r.gateway.attemptDone(r, chosen, resultOfFailure(ctx, err))
 	if ctx.Err() != nil {
 		return &worker.ResponseLost{Cause: context.Cause(ctx)}
@@ -402,6 +402,12 @@
 	return err
 }
 
+// logAttemptLost logs an attempt that ended without a complete response, with what was read of it.
+func (r *request) logAttemptLost(chosen directory.Worker, connection *worker.ConnectionProbe, err error) {
+	received, headComplete := connection.ReceivedBytes()
+	r.addLogEntry(eventAttemptLost, "worker", chosen.ID, "cause", err.Error(), "events", r.eventCount, "received_bytes", received, "head_complete", headComplete)
+}
+
 // responseStartTimeout returns how long a worker may take to begin its response before the
 // delay counts against its health.
 func (r *request) responseStartTimeout() time.Duration {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -97,7 +97,7 @@
 		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, err)
 		err = r.explainFailure(attempt.zoneContext, attempt.worker, err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
-		r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error())
+		r.logAttemptLost(attempt.worker, attempt.probe, err)
 		return attempt.lostError(err)
 	}
 	if isLong {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -206,7 +206,7 @@
 	r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, attempt.watchdog.explainFailure(err))
 	err = r.explainFailure(attempt.zoneContext, attempt.worker, attempt.watchdog.explainFailure(err))
 	r.gateway.attemptDone(r, attempt.worker, resultOfFailure(ctx, err))
-	r.addLogEntry(eventAttemptLost, "worker", attempt.worker.ID, "cause", err.Error(), "events", s.eventCount)
+	r.logAttemptLost(attempt.worker, attempt.probe, err)
 	return attempt.lostError(err)
 }
 
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -89,6 +89,16 @@
 	return connection.LocalAddr().String()
 }
 
+// ReceivedBytes returns how many bytes were read on the connection since the request was sent, and whether the
+// head of its response is complete.
+func (p *ConnectionProbe) ReceivedBytes() (bytes int64, headComplete bool) {
+	connection := p.connection.Load()
+	if connection == nil {
+		return 0, false
+	}
+	return connection.received.Load(), connection.headComplete.Load()
+}
+
 // IsBehind reports whether something of the worker waits for this process, to be read or handled.
 func (p *ConnectionProbe) IsBehind() bool {
 	// In this order, what is read between the two looks is not missed.
@@ -107,6 +117,8 @@
 func (p *ConnectionProbe) attach(connection *connection) {
 	if p != nil {
 		connection.handling.Store(false)
+		connection.received.Store(0)
+		connection.headComplete.Store(false)
 		p.connection.Store(connection)
 	}
 }
@@ -284,6 +296,7 @@
 		}
 		metadata := readMetadata(response.StatusCode, response.Header)
 		if metadata.RequestID == request.ID {
+			c.headComplete.Store(true)
 			body := &completionReader{source: response.Body}
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: bodyLength(response), NotRun: metadata.NotRun, Metadata: metadata,
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -84,12 +84,17 @@
 	receiveBuffer int
 	// handling is set from the return of a read until the next one.
 	handling atomic.Bool
+	// received counts the bytes read since the last request was sent, and headComplete is set once the head of
+	// its response was read.
+	received     atomic.Int64
+	headComplete atomic.Bool
 }
 
 // Read reads from the worker.
 func (c *connection) Read(data []byte) (int, error) {
 	c.handling.Store(false)
 	count, err := c.Conn.Read(data)
+	c.received.Add(int64(count))
 	c.handling.Store(true)
 	return count, err
 }
