worker: heads of answers are bounded, one and all together

Cause: net/http's parser read heads from the plain connection, which bounds neither a line, nor their number, nor interim heads. Logs of a trial with more memory had head_complete=false after up to 61 MB of one answer. Change: a head is parsed once it is known to be complete within its bounds (64 KB, 256 lines, 8 interim heads; bytes that do not begin as a status line end after five). Heads up to 8 KB stay in the read buffer; larger ones share a 32nd of the memory, 4 MB at most. Whoever exceeds a bound loses its own request: the connection is closed, the client gets 502 with the reason at once, a safe request goes to another worker, and gateway_spoiled_answers_total counts it. The stand-in sends bytes without end of each kind.

Red before, on the product before this commit: TestHeadsWithoutEndAreAnsweredAtOnceWithTheReason (504 after 2.2 s and more) and TestASafeRequestGoesToAnotherWorkerAfterAHeadWithoutEnd. With the bounds taken out of the scan: six cases of TestBytesWithoutEndCostTheirRequestAlone, up to 50,384,880 bytes taken, and TestResponsesPassUpToTheBoundAndNotBeyond.

--- a/internal/flowcontrol/budget.go
+++ b/internal/flowcontrol/budget.go
@@ -137,6 +137,9 @@
 // Bytes returns the number of bytes in use for the peer.
 func (r *Reservation) Bytes() int64 { return r.bytes.Load() }
 
+// Limit returns the size of the budget that the reservation is a part of, in bytes.
+func (r *Reservation) Limit() int64 { return r.budget.limit }
+
 // RecordProgress records that the peer has read something.
 func (r *Reservation) RecordProgress() { r.lastProgress.Store(r.budget.now().UnixNano()) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// is forwarded. smallResponseBytes bounds how much of a rejection is read.
 	maxBufferedResponseBytes = 128 << 10
 	smallResponseBytes       = 16 << 10
+	// largeHeadsDivisor is the reciprocal of the fraction of process memory that large heads of responses may take
+	// together. Heads of common size take none of it.
+	largeHeadsDivisor = 32
 
 	// defaultResponseStartTimeout is how long a worker may take to begin its response if the
 	// route has no target latency. Otherwise the limit is the target times one of these
@@ -223,9 +226,18 @@
 	g.pool = worker.NewPoolWithOptions(transport.Options{
 		DialTimeout: workerDialTimeout, UserTimeout: workerUserTimeout, ReceiveBuffer: workerReceiveBufferBytes,
 	})
+	g.pool.LimitLargeHeads(largeHeadsLimit(options))
 	return g
 }
 
+// largeHeadsLimit returns how many bytes large heads of responses may take together.
+func largeHeadsLimit(options Options) int64 {
+	if options.MemoryBytes <= 0 {
+		return worker.DefaultLargeHeadsBytes
+	}
+	return min(worker.DefaultLargeHeadsBytes, options.MemoryBytes/largeHeadsDivisor)
+}
+
 // zoneDistances returns the distances of zones from this gateway's zone.
 func zoneDistances(options Options) distance.Topology {
 	if options.DisabledMechanisms.Has(mechanism.RegionPreference) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,9 +9,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/quarantine"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/traffic"
+	"github.com/barleyshelf/barleyshelf/internal/worker"
 )
 
 // latencyBuckets are in seconds and range from a tool call to a long stream.
@@ -114,6 +116,10 @@
 		Name: "gateway_lost_workers_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"verdict"},
 		Help: "Attempts whose connection was lost, by what a probe of the worker showed: its process has ended, is alive, or unknown.",
 	})
+	metricSpoiledResponses = telemetry.Define(telemetry.Definition{
+		Name: "gateway_spoiled_answers_total", Kind: telemetry.KindCounter, Unit: "attempts", Labels: []string{"part"},
+		Help: "Attempts that ended because the worker's bytes were no answer (malformed), exceeded the bound of a part, or found no memory (no_memory).",
+	})
 	metricQuarantineRecords = telemetry.Define(telemetry.Definition{
 		Name: "gateway_quarantine_records", Kind: telemetry.KindGauge, Unit: "requests",
 		Help: "Requests under which workers have ended within the last minutes, at any gateway.",
@@ -169,6 +175,7 @@
 	lateRequests      *prometheus.CounterVec
 	lostWorkers       *prometheus.CounterVec
 	continuations     *prometheus.CounterVec
+	spoiledResponses  *prometheus.CounterVec
 
 	// labelledTenants holds the tenants with their own label, and labelCount their number.
 	labelledTenants sync.Map
@@ -191,6 +198,7 @@
 		loans: registry.Counter(metricLoans), coldRequests: registry.Counter(metricColdRequests), slowPeers: registry.Counter(metricSlowPeers),
 		panics: registry.Counter(metricPanics), lateRequests: registry.Counter(metricLateRequests),
 		lostWorkers: registry.Counter(metricLostWorkers), continuations: registry.Counter(metricStreamContinuations),
+		spoiledResponses: registry.Counter(metricSpoiledResponses),
 	}
 }
 
@@ -262,6 +270,27 @@
 	m.lostWorkers.WithLabelValues(string(verdict)).Inc()
 }
 
+// The parts of spoiled responses beside those that have a bound.
+const (
+	spoiledMalformed = "malformed"
+	spoiledNoMemory  = "no_memory"
+)
+
+// recordSpoiledResponse counts an attempt that ended because of what its worker sent.
+func (m *metrics) recordSpoiledResponse(err error) {
+	var tooLarge *worker.ResponseTooLarge
+	var malformed *worker.MalformedResponse
+	var exhausted *flowcontrol.BudgetExhausted
+	switch {
+	case errors.As(err, &tooLarge):
+		m.spoiledResponses.WithLabelValues(string(tooLarge.Part)).Inc()
+	case errors.As(err, &malformed):
+		m.spoiledResponses.WithLabelValues(spoiledMalformed).Inc()
+	case errors.As(err, &exhausted):
+		m.spoiledResponses.WithLabelValues(spoiledNoMemory).Inc()
+	}
+}
+
 func (m *metrics) recordAborted() { m.aborted.WithLabelValues().Inc() }
 
 func (m *metrics) recordAnswered(kind string, total, firstEvent time.Duration) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -155,6 +155,7 @@
 	_, err := io.Copy(r.writer, io.MultiReader(bytes.NewReader(prefix), attempt.response.Body))
 	if err != nil {
 		r.attemptConnectionLost(attempt.zoneContext, attempt.worker, attempt.probe, err)
+		r.gateway.metrics.recordSpoiledResponse(err)
 		r.gateway.attemptDone(r, attempt.worker, resultOfFailure(r.incoming.Context(), err))
 		r.abort(err)
 	}
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -88,3 +88,69 @@
 
 // Retry forbids a retry.
 func (e *MismatchedResponse) Retry() failure.Retry { return failure.Retry{} }
+
+// ResponsePart is a part of a response that has a bound.
+type ResponsePart string
+
+// The parts. PartHeadLines and PartInterimHeads are bounded in number, the others in bytes.
+const (
+	PartHead         ResponsePart = "head"
+	PartHeadLines    ResponsePart = "head_lines"
+	PartInterimHeads ResponsePart = "interim_heads"
+)
+
+// ResponseTooLarge reports a response of which a part exceeds its bound. The rest is not read, and the
+// connection is closed.
+type ResponseTooLarge struct {
+	Part ResponsePart
+	// Limit is the bound.
+	Limit int64
+}
+
+func (e *ResponseTooLarge) Error() string {
+	return fmt.Sprintf("the answer exceeds the bound of its %s, %d", e.Part, e.Limit)
+}
+
+// Type returns "answer_too_large".
+func (e *ResponseTooLarge) Type() failure.Type { return "answer_too_large" }
+
+// Outcome returns OutcomeUnknown.
+func (e *ResponseTooLarge) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry forbids an automatic retry.
+func (e *ResponseTooLarge) Retry() failure.Retry { return failure.Retry{} }
+
+// MalformedResponse reports bytes that are no response.
+type MalformedResponse struct {
+	Cause error
+}
+
+func (e *MalformedResponse) Error() string {
+	return fmt.Sprintf("the bytes are no answer: %v", e.Cause)
+}
+
+// Type returns "answer_malformed".
+func (e *MalformedResponse) Type() failure.Type { return "answer_malformed" }
+
+// Outcome returns OutcomeUnknown.
+func (e *MalformedResponse) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry forbids an automatic retry.
+func (e *MalformedResponse) Retry() failure.Retry { return failure.Retry{} }
+
+// Unwrap returns the cause.
+func (e *MalformedResponse) Unwrap() error { return e.Cause }
+
+// NoStatusLine reports bytes that do not begin with a status line.
+type NoStatusLine struct{}
+
+func (e *NoStatusLine) Error() string { return "they do not begin with a status line" }
+
+// Type returns "no_status_line".
+func (e *NoStatusLine) Type() failure.Type { return "no_status_line" }
+
+// Outcome returns OutcomeUnknown.
+func (e *NoStatusLine) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry forbids an automatic retry.
+func (e *NoStatusLine) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -327,19 +327,6 @@
 // does not read them.
 func (r *Response) SetReceiveBuffer(bytes int) { r.connection.setReceiveBuffer(bytes) }
 
-// readFinalResponse reads a response and skips interim (1xx) ones.
-func (c *connection) readFinalResponse(outgoing *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, outgoing)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 // completionReader records whether the body was read to its end.
 type completionReader struct {
 	source   io.Reader
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
@@ -43,6 +44,8 @@
 	// receiveBuffer is the receive buffer of the dialer's connections in bytes. If it is 0, requests do
 	// not change the setting.
 	receiveBuffer int
+	// largeHeads counts the memory for heads that exceed readBufferBytes.
+	largeHeads *flowcontrol.Budget
 
 	mutex sync.Mutex
 	hosts map[string]*host
@@ -64,6 +67,9 @@
 	// incarnation is the incarnation of the worker that the connection was opened to.
 	incarnation string
 	reader      *bufio.Reader
+	pool        *Pool
+	// largeHead is the memory for a head that exceeds readBufferBytes; nil if there is none.
+	largeHead *flowcontrol.Reservation
 	// sent are the IDs of the requests that were sent on the connection.
 	sent sentIDs
 	// carriedHead is set once a HEAD request was sent. The end of a stale response is unknown from then on:
@@ -100,7 +106,13 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool(dialer Dialer) *Pool { return &Pool{dialer: dialer, hosts: make(map[string]*host)} }
+func NewPool(dialer Dialer) *Pool {
+	return &Pool{dialer: dialer, hosts: make(map[string]*host), largeHeads: flowcontrol.NewBudget(DefaultLargeHeadsBytes, time.Now)}
+}
+
+// LimitLargeHeads sets how much memory heads of responses may take together beyond the read buffers of their
+// connections, in bytes. It must be called before the first request.
+func (p *Pool) LimitLargeHeads(bytes int64) { p.largeHeads = flowcontrol.NewBudget(bytes, time.Now) }
 
 // NewPoolWithOptions returns an empty pool whose connections detect unresponsive workers.
 func NewPoolWithOptions(options transport.Options) *Pool {
@@ -133,7 +145,7 @@
 		p.releaseSlot(address)
 		return nil, err
 	}
-	opened := &connection{Conn: conn, address: address, incarnation: incarnation, dialedAt: startedAt, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout, receiveBuffer: p.receiveBuffer}
+	opened := &connection{Conn: conn, pool: p, address: address, incarnation: incarnation, dialedAt: startedAt, dialDuration: time.Since(startedAt), userTimeout: p.userTimeout, receiveBuffer: p.receiveBuffer}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
@@ -204,6 +216,7 @@
 // discard closes a connection and releases its slot.
 func (p *Pool) discard(connection *connection) {
 	connection.Close()
+	connection.releaseLargeHead()
 	p.releaseSlot(connection.address)
 }
 
@@ -260,6 +273,7 @@
 		p.discard(connection)
 		return
 	}
+	connection.releaseLargeHead()
 	connection.idleDeadline = time.Now().Add(idleLifetime(header))
 	connection.reused = true
 	p.addIdle(connection)
--- /dev/null
+++ b/internal/worker/responsehead.go
@@ -0,0 +1,127 @@
+package worker
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
+)
+
+const (
+	// maxHeadBytes bounds one head of a response.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of one head. A parsed line takes many times the bytes of a short one.
+	maxHeadLines = 256
+	// maxInterimResponses bounds the interim (1xx) responses before a response.
+	maxInterimResponses = 8
+	// DefaultLargeHeadsBytes bounds the memory for all heads that exceed readBufferBytes, unless the pool is given
+	// another bound.
+	DefaultLargeHeadsBytes = 4 << 20
+)
+
+// responsePrefix is what each response begins with.
+const responsePrefix = "HTTP/"
+
+// readFinalResponse reads a response and skips interim ones. No head is parsed before it is known to be within its
+// bounds.
+func (c *connection) readFinalResponse(outgoing *http.Request) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(c.reader, outgoing)
+		if err != nil {
+			return nil, &MalformedResponse{Cause: err}
+		}
+		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+	return nil, &ResponseTooLarge{Part: PartInterimHeads, Limit: maxInterimResponses}
+}
+
+// awaitHead waits until the next head is buffered completely. It fails as soon as the head exceeds a bound or cannot
+// become one.
+func (c *connection) awaitHead() error {
+	var scan headScan
+	for {
+		buffered, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return err
+		}
+		complete, err := scan.next(buffered)
+		if complete || err != nil {
+			return err
+		}
+		if len(buffered) == c.reader.Size() {
+			if err := c.enlargeReader(buffered); err != nil {
+				return err
+			}
+		}
+		_, err = c.reader.Peek(len(buffered) + 1)
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// headScan looks for the end of a head in a growing prefix of a stream.
+type headScan struct {
+	// scanned is how many bytes were looked at, lineStart where the current line begins, and lines how many
+	// lines have ended.
+	scanned, lineStart, lines int
+}
+
+// next looks at the bytes that were not looked at before and reports whether the head is complete.
+func (s *headScan) next(buffered []byte) (complete bool, err error) {
+	if prefix := buffered[:min(len(buffered), len(responsePrefix))]; string(prefix) != responsePrefix[:len(prefix)] {
+		return false, &MalformedResponse{Cause: &NoStatusLine{}}
+	}
+	for s.scanned < len(buffered) {
+		length := bytes.IndexByte(buffered[s.scanned:], '\n')
+		if length < 0 {
+			s.scanned = len(buffered)
+			break
+		}
+		line := bytes.TrimSuffix(buffered[s.lineStart:s.scanned+length], []byte("\r"))
+		if len(line) == 0 {
+			return true, nil
+		}
+		if s.lines++; s.lines > maxHeadLines {
+			return false, &ResponseTooLarge{Part: PartHeadLines, Limit: maxHeadLines}
+		}
+		s.scanned += length + 1
+		s.lineStart = s.scanned
+	}
+	return false, nil
+}
+
+// enlargeReader gives the connection a buffer for the largest head, with what is buffered, until the response
+// has ended.
+func (c *connection) enlargeReader(buffered []byte) error {
+	if c.reader.Size() >= maxHeadBytes {
+		return &ResponseTooLarge{Part: PartHead, Limit: maxHeadBytes}
+	}
+	if c.largeHead = c.pool.largeHeads.NewReservation(nil); !c.largeHead.TryAcquire(maxHeadBytes) {
+		c.largeHead = nil
+		return &flowcontrol.BudgetExhausted{Wanted: maxHeadBytes, Limit: c.pool.largeHeads.Limit()}
+	}
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), maxHeadBytes)
+	_, err := c.reader.Peek(len(buffered))
+	return err
+}
+
+// releaseLargeHead gives the memory for a large head back.
+func (c *connection) releaseLargeHead() {
+	if c.largeHead == nil {
+		return
+	}
+	c.largeHead.ReleaseAll()
+	c.largeHead = nil
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+}
