worker: a change of protocol that nobody asked for is no answer

A 101 was handed on to the client as an answer, and what came behind it had no end that the gateway knew. No request asks for an upgrade; the attempt is lost with that reason now, and counted as malformed.

Red before: TestUpgradeThatNobodyAskedForIsNoAnswer.

--- a/internal/worker/endless_test.go
+++ b/internal/worker/endless_test.go
@@ -188,3 +188,10 @@
 	}
 	require.Zero(t, pool.largeHeads.Used(), "a connection that is closed gives its memory back")
 }
+
+// Guards against an upgrade that nobody asked for and that is handed on as an answer.
+func TestUpgradeThatNobodyAskedForIsNoAnswer(t *testing.T) {
+	_, err := send(newPool(), respondWith(t, "HTTP/1.1 101 Switching Protocols\r\n"+echoedHeader+": r\r\n\r\n"), "r", "r")
+	var malformed *MalformedResponse
+	require.ErrorAs(t, err, &malformed)
+}
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -154,3 +154,19 @@
 
 // Retry forbids an automatic retry.
 func (e *NoStatusLine) Retry() failure.Retry { return failure.Retry{} }
+
+// UnrequestedUpgrade reports a response that switches the protocol. No request asks for that.
+type UnrequestedUpgrade struct{}
+
+func (e *UnrequestedUpgrade) Error() string {
+	return "they switch the protocol, which was not asked for"
+}
+
+// Type returns "unrequested_upgrade".
+func (e *UnrequestedUpgrade) Type() failure.Type { return "unrequested_upgrade" }
+
+// Outcome returns OutcomeUnknown.
+func (e *UnrequestedUpgrade) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry forbids an automatic retry.
+func (e *UnrequestedUpgrade) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/worker/responsehead.go
+++ b/internal/worker/responsehead.go
@@ -35,7 +35,10 @@
 		if err != nil {
 			return nil, &MalformedResponse{Cause: err}
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, &MalformedResponse{Cause: &UnrequestedUpgrade{}}
+		}
+		if response.StatusCode >= 200 {
 			return response, nil
 		}
 	}
