gateway: the body of an answer is bounded

A body without a length was forwarded until its route's time, and looked whole to its client if the worker ended it then. It has 16 MB, four times the largest request, a stream's too; a declared length beyond it is not begun.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// is forwarded. smallResponseBytes bounds how much of a rejection is read.
 	maxBufferedResponseBytes = 128 << 10
 	smallResponseBytes       = 16 << 10
+	// maxResponseBytes bounds the body of a worker's response, a stream's too. It is four times the largest request
+	// body that is allowed by default.
+	maxResponseBytes = 4 * defaultMaxBodyBytes
 	// largeHeadsDivisor is the reciprocal of the fraction of process memory that large heads of responses may take
 	// together. Heads of common size take none of it.
 	largeHeadsDivisor = 32
--- a/internal/gateway/workerrequest.go
+++ b/internal/gateway/workerrequest.go
@@ -36,7 +36,7 @@
 	r.gateway.options.HeaderCodec.WriteAttempt(header, attemptMetadata)
 	return &worker.Request{
 		ID: r.metadata.RequestID, Incarnation: chosen.ID, Method: r.incoming.Method, Target: r.incoming.RequestURI,
-		Host: r.incoming.Host, Header: header, Body: r.body, SilenceTimeout: r.responseStartTimeout(),
+		Host: r.incoming.Host, Header: header, Body: r.body, SilenceTimeout: r.responseStartTimeout(), MaxBodyBytes: maxResponseBytes,
 		OnConnected: func(took time.Duration) { r.gateway.connectTimes.Observe(time.Now(), chosen.Zone, took) },
 	}
 }
--- a/internal/worker/endless_test.go
+++ b/internal/worker/endless_test.go
@@ -19,7 +19,8 @@
 const (
 	// endlessBytes is what a test's worker sends at most of bytes without end; the kernel's buffers take less.
 	endlessBytes = 48 << 20
-	// takenBytes is what a process may read of them: the bound of a head, and read buffers.
+	// takenBytes is what a process may read of them: the bounds of a head and of the test's body, of which each byte takes
+	// six in the shortest chunks, and read buffers.
 	takenBytes = 2 << 20
 	// atOnce is how long the end of such a response may take: far less than a request has.
 	atOnce = 2 * time.Second
@@ -46,11 +47,11 @@
 	return address, result
 }
 
-// receiveCounted sends a request and reads the response. received is what was read on the
+// receiveCounted sends a request with a bound of its body and reads the response. received is what was read on the
 // connection.
-func receiveCounted(ctx context.Context, pool *Pool, address string) (received int64, err error) {
+func receiveCounted(ctx context.Context, pool *Pool, address string, maxBody int64) (received int64, err error) {
 	request := &Request{
-		ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), Probe: &ConnectionProbe{},
+		ID: "r", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("r"), MaxBodyBytes: maxBody, Probe: &ConnectionProbe{},
 	}
 	response, err := pool.Send(ctx, address, 0, request, readMetadata)
 	if err == nil {
@@ -62,8 +63,8 @@
 }
 
 // receiveBounded is receiveCounted without the count.
-func receiveBounded(ctx context.Context, pool *Pool, address string) error {
-	_, err := receiveCounted(ctx, pool, address)
+func receiveBounded(ctx context.Context, pool *Pool, address string, maxBody int64) error {
+	_, err := receiveCounted(ctx, pool, address, maxBody)
 	return err
 }
 
@@ -83,6 +84,8 @@
 		"empty names":     {okHead, ":\r\n", &ResponseTooLarge{Part: PartHeadLines}},
 		"continued lines": {okHead + "A: b\r\n", " c\r\n", &ResponseTooLarge{Part: PartHeadLines}},
 		"interim heads":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n", &ResponseTooLarge{Part: PartInterimHeads}},
+		"body":            {okHead + "\r\n", "x", &ResponseTooLarge{Part: PartBody}},
+		"chunks":          {chunked, "1\r\nx\r\n", &ResponseTooLarge{Part: PartBody}},
 		"chunk extension": {chunked + "1;", "x", nil},
 		"chunk size":      {chunked, "0", nil},
 		"trailer":         {chunked + "0\r\nA: ", "x", nil},
@@ -95,7 +98,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 5*atOnce)
 			defer cancel()
 			began := time.Now()
-			received, err := receiveCounted(ctx, newPool(), address)
+			received, err := receiveCounted(ctx, newPool(), address, 256<<10)
 			require.Error(t, err)
 			require.Less(t, time.Since(began), atOnce)
 			require.LessOrEqual(t, received, int64(takenBytes))
@@ -137,20 +140,25 @@
 
 // Guards against bounds that a response within them exceeds, and against ones that a larger response passes.
 func TestResponsesPassUpToTheBoundAndNotBeyond(t *testing.T) {
+	const maxBody = 100_000
 	body := func(bytes int) string {
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, bytes, strings.Repeat("x", bytes))
 	}
+	chunks := func(bytes int) string {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", okHead, bytes, strings.Repeat("x", bytes))
+	}
 	interim := strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInterimResponses)
 	cases := map[ResponsePart][]struct{ at, beyond string }{
 		PartHead:         {{headOf(maxHeadBytes, 8), headOf(maxHeadBytes+1, 8)}},
 		PartHeadLines:    {{headOf(8<<10, maxHeadLines), headOf(8<<10, maxHeadLines+1)}},
 		PartInterimHeads: {{interim + body(1), "HTTP/1.1 103 Early Hints\r\n\r\n" + interim + body(1)}},
+		PartBody:         {{body(maxBody), body(maxBody + 1)}, {chunks(maxBody), chunks(maxBody + 1)}},
 	}
 	for part, each := range cases {
 		for _, one := range each {
-			require.NoError(t, receiveBounded(t.Context(), newPool(), respondWith(t, one.at)), part)
+			require.NoError(t, receiveBounded(t.Context(), newPool(), respondWith(t, one.at), maxBody), part)
 			var tooLarge *ResponseTooLarge
-			require.ErrorAs(t, receiveBounded(t.Context(), newPool(), respondWith(t, one.beyond)), &tooLarge, part)
+			require.ErrorAs(t, receiveBounded(t.Context(), newPool(), respondWith(t, one.beyond), maxBody), &tooLarge, part)
 			require.Equal(t, part, tooLarge.Part)
 		}
 	}
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -97,6 +97,7 @@
 	PartHead         ResponsePart = "head"
 	PartHeadLines    ResponsePart = "head_lines"
 	PartInterimHeads ResponsePart = "interim_heads"
+	PartBody         ResponsePart = "body"
 )
 
 // ResponseTooLarge reports a response of which a part exceeds its bound. The rest is not read, and the
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -55,6 +55,8 @@
 	// ReceiveBuffer is how many bytes of the response the kernel buffers while this process does not
 	// read them. 0 leaves the connection as it is.
 	ReceiveBuffer int
+	// MaxBodyBytes bounds the body of the response. 0 is no bound.
+	MaxBodyBytes int64
 }
 
 // ConnectionProbe looks at the connection that a request was sent on. It is safe for concurrent use.
@@ -176,8 +178,8 @@
 		}
 	}
 	request.Probe.attach(connection)
-	connection.carriedHead = connection.carriedHead || request.Method == http.MethodHead
 	connection.sent.add(request.ID)
+	connection.carriedHead = connection.carriedHead || request.Method == http.MethodHead
 	connection.setReceiveBuffer(request.ReceiveBuffer)
 	stopCancel := context.AfterFunc(ctx, func() { connection.SetDeadline(time.Unix(1, 0)) })
 	if request.SilenceTimeout > 0 && connection.reused {
@@ -297,7 +299,11 @@
 		metadata := readMetadata(response.StatusCode, response.Header)
 		if metadata.RequestID == request.ID {
 			c.headComplete.Store(true)
-			body := &completionReader{source: response.Body}
+			bounded, err := boundBody(response, request.MaxBodyBytes)
+			if err != nil {
+				return nil, err
+			}
+			body := &completionReader{source: bounded}
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, Body: body, Length: bodyLength(response), NotRun: metadata.NotRun, Metadata: metadata,
 				connection: c, httpResponse: response, body: body,
--- a/internal/worker/responsehead.go
+++ b/internal/worker/responsehead.go
@@ -128,3 +128,33 @@
 	c.largeHead = nil
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 }
+
+// boundedBody fails once more than a number of bytes was read.
+type boundedBody struct {
+	source           io.Reader
+	remaining, limit int64
+}
+
+func (b *boundedBody) Read(data []byte) (int, error) {
+	if int64(len(data)) > b.remaining+1 {
+		data = data[:b.remaining+1]
+	}
+	count, err := b.source.Read(data)
+	if int64(count) > b.remaining {
+		return int(b.remaining), &ResponseTooLarge{Part: PartBody, Limit: b.limit}
+	}
+	b.remaining -= int64(count)
+	return count, err
+}
+
+// boundBody returns the body of a response with the bound of its request; 0 is none. It fails at once if the
+// declared length exceeds the bound.
+func boundBody(response *http.Response, limit int64) (io.Reader, error) {
+	if limit <= 0 {
+		return response.Body, nil
+	}
+	if bodyLength(response) > limit {
+		return nil, &ResponseTooLarge{Part: PartBody, Limit: limit}
+	}
+	return &boundedBody{source: response.Body, remaining: limit, limit: limit}, nil
+}
