gateway: an event is bounded however many lines it has, and large ones share memory

Only an event of one line had a bound; one of many lines grew without end, and splitting it into lines took twelve times its bytes; many streams at once had no bound together. An event has 1 MB, with all its lines, and is parsed without a list of them. Beyond 16 KB events share the memory for answers (threefold counted: the event, what its buffer grows ahead, and its data); one that finds none breaks its stream off and is counted.

Red before, with the bound taken out: TestEventsWithoutEndEndAtTheBound (67,117,056 bytes read, 1,056,768 allowed) and TestEventOfTheLargestSizePasses; without the shared memory: TestLargeEventsShareTheMemoryOfResponses. On whole turns (TestATurnOfEventsWithoutEndIsBrokenOffAtItsBound) the bound of a body already ends such an event, at 16 MB: green before too.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -270,6 +270,14 @@
 	return &flowcontrol.BudgetExhausted{Wanted: bytes, Limit: r.gateway.bodyBudget.Limit()}
 }
 
+// responseReservation counts what the request holds of its response; nil if it has no client.
+func (r *request) responseReservation() *flowcontrol.Reservation {
+	if r.clientWriter == nil {
+		return nil
+	}
+	return r.clientWriter.reservation
+}
+
 // refuse sends the final response for an error of the gateway itself.
 func (r *request) refuse(err error) {
 	r.awaitQuarantineSpread()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -162,7 +162,8 @@
 		return r.forwardResponse(attempt)
 	}
 	defer attempt.close()
-	reader := newEventReader(attempt.response.Body)
+	reader := newEventReader(attempt.response.Body, r.responseReservation())
+	defer reader.release()
 	start, eventsBefore := time.Now(), s.eventCount
 	for {
 		event, err := reader.next()
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -98,6 +98,7 @@
 	PartHeadLines    ResponsePart = "head_lines"
 	PartInterimHeads ResponsePart = "interim_heads"
 	PartBody         ResponsePart = "body"
+	PartEvent        ResponsePart = "event"
 )
 
 // ResponseTooLarge reports a response of which a part exceeds its bound. The rest is not read, and the
