gateway: what one turn says is bounded

The output of a turn is held until the turn is stored, and was counted beyond the memory for bodies too: a worker's events without end filled a gateway and then the replicas. It has 1 MB; the first 64 KB of each turn are held in any case, as a turn that has begun must not end for others, and what is beyond them shares the memory for bodies.

Red before, with both bounds taken out: TestOutputOfATurnEndsAtItsBound, TestOutputsOfTurnsShareTheMemoryOfBodies.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,6 +172,9 @@
 			s.recordEventGap(attempt, time.Since(start), s.eventCount-eventsBefore-1)
 			return s.finish(attempt)
 		}
+		if err == nil {
+			err = s.reserveOutput(event)
+		}
 		if err == nil {
 			err = s.commitToEvent(attempt)
 		}
@@ -242,20 +245,11 @@
 		r.eventCount++
 		if r.route.Stateful {
 			s.output = append(append(s.output, event.data...), '\n')
-			r.countOutputBytes(len(event.data) + 1)
 		}
 	}
 	return nil
 }
 
-// countOutputBytes counts the output of a turn until it is stored. The output must be buffered in
-// any case, so it may exceed the limit; new requests then get less memory.
-func (r *request) countOutputBytes(bytes int) {
-	if r.bodyReservation != nil {
-		r.bodyReservation.ForceAcquire(bytes)
-	}
-}
-
 // sendHeaders sends the response headers of the first attempt that responds.
 func (s *stream) sendHeaders(attempt *attempt) {
 	if s.headersSent {
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -99,6 +99,7 @@
 	PartInterimHeads ResponsePart = "interim_heads"
 	PartBody         ResponsePart = "body"
 	PartEvent        ResponsePart = "event"
+	PartTurnOutput   ResponsePart = "turn_output"
 )
 
 // ResponseTooLarge reports a response of which a part exceeds its bound. The rest is not read, and the
