gateway: a stream ends with the events that its client declared

A turn with a budget has as many events as its declared tokens give; a stream without one that declares its most tokens has twice as many and 64. What goes on is broken off, as events. Tests that sent turns of ten events had declared fewer: they declare 100 tokens now (longTurnHead); what they check is unchanged.

Red before: TestEventsBeyondTheDeclaredTokensEndTheStream, in the part with a budget and in that without.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,6 +172,9 @@
 			s.recordEventGap(attempt, time.Since(start), s.eventCount-eventsBefore-1)
 			return s.finish(attempt)
 		}
+		if err == nil {
+			err = s.checkEventCount(event)
+		}
 		if err == nil {
 			err = s.reserveOutput(event)
 		}
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -92,13 +92,14 @@
 // ResponsePart is a part of a response that has a bound.
 type ResponsePart string
 
-// The parts. PartHeadLines and PartInterimHeads are bounded in number, the others in bytes.
+// The parts. PartHeadLines, PartInterimHeads and PartEvents are bounded in number, the others in bytes.
 const (
 	PartHead         ResponsePart = "head"
 	PartHeadLines    ResponsePart = "head_lines"
 	PartInterimHeads ResponsePart = "interim_heads"
 	PartBody         ResponsePart = "body"
 	PartEvent        ResponsePart = "event"
+	PartEvents       ResponsePart = "events"
 	PartTurnOutput   ResponsePart = "turn_output"
 )
 
