gateway: a rejection whose body never comes holds no request

The rest of a rejection was read to its end, or to 16 KB, before the request went to another worker: a body that is declared and never comes held it until its time was over, idle workers or not. It has 10 ms now; then the connection goes, which is all that reading it saves.

Red before: TestARejectionWithoutItsBodyHoldsNoRequest (504), rejected and redirected.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -297,9 +296,7 @@
 // attemptRejected ends an attempt whose worker states that it did not run the request.
 func (r *request) attemptRejected(chosen directory.Worker, s *sending, response *worker.Response) error {
 	details := s.connectionLogValues()
-	// The connection can be reused once the response has been read. If that fails, it is closed.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, smallResponseBytes))
-	response.Close()
+	response.DiscardWithin(rejectionBodyTimeout, smallResponseBytes)
 	r.attemptNotRun(chosen, resultOfRejection(response.Status), nil, details...)
 	return &NoWorker{Service: r.service.Name, Rejections: r.rejections}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// is forwarded. smallResponseBytes bounds how much of a rejection is read.
 	maxBufferedResponseBytes = 128 << 10
 	smallResponseBytes       = 16 << 10
+	// rejectionBodyTimeout is how long a request that was rejected waits for the rest of the rejection: it saves a
+	// connection, and the next worker waits for nothing else.
+	rejectionBodyTimeout = 10 * time.Millisecond
 	// maxResponseBytes bounds the body of a worker's response, a stream's too. It is four times the largest request
 	// body that is allowed by default.
 	maxResponseBytes = 4 * defaultMaxBodyBytes
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -359,6 +359,19 @@
 	r.pool.recycle(r.connection, r.Header)
 }
 
+// DiscardWithin reads what is left of the response and closes it. A response of more than limit bytes, or whose end
+// does not come in time, costs its connection.
+func (r *Response) DiscardWithin(timeout time.Duration, limit int64) {
+	defer r.Close()
+	if err := r.connection.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, limit))
+	if r.body.complete {
+		_ = r.connection.SetReadDeadline(time.Time{})
+	}
+}
+
 // writeSucceeded reports whether the request was completely written.
 func writeSucceeded(written <-chan error) bool {
 	select {
