gateway: a safe request that is not sent again is told why its last attempt was lost

Where all workers spoiled a safe request's answers, the client learned why there was no further attempt, and not how the last one was lost. The answer has both reasons now (retry_not_sent).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -401,6 +401,7 @@
 
 // logAttemptLost logs an attempt that ended without a complete response, with what was read of it.
 func (r *request) logAttemptLost(chosen directory.Worker, connection *worker.ConnectionProbe, err error) {
+	r.lastLoss = asResponseLost(err)
 	r.gateway.metrics.recordSpoiledResponse(err)
 	received, headComplete := connection.ReceivedBytes()
 	r.addLogEntry(eventAttemptLost, "worker", chosen.ID, "cause", err.Error(), "events", r.eventCount, "received_bytes", received, "head_complete", headComplete)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -303,6 +303,28 @@
 // Retry allows no retry: only the client knows whether the request may run twice.
 func (e *SilentWorker) Retry() failure.Retry { return failure.Retry{} }
 
+// RetryNotSent reports a request whose last attempt was lost and that could not be sent again.
+type RetryNotSent struct {
+	// Lost is why the last attempt was lost, and Cause why there was no further one.
+	Lost, Cause error
+}
+
+func (e *RetryNotSent) Error() string {
+	return fmt.Sprintf("%v; it was not sent again: %v", e.Lost, e.Cause)
+}
+
+// Type returns "retry_not_sent".
+func (e *RetryNotSent) Type() failure.Type { return "retry_not_sent" }
+
+// Outcome returns OutcomeUnknown: the lost attempt may have run.
+func (e *RetryNotSent) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// Retry allows no retry.
+func (e *RetryNotSent) Retry() failure.Retry { return failure.Retry{} }
+
+// Unwrap returns why there was no further attempt.
+func (e *RetryNotSent) Unwrap() error { return e.Cause }
+
 // statusOf returns the HTTP status of a failure. 408, 429 and 503 guarantee that the request
 // has not run and never will; 502 and 504 guarantee nothing.
 func statusOf(err error) int {
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -27,6 +27,7 @@
 
 // refusalStatuses maps the failures that reach clients of a gateway to their HTTP status.
 var refusalStatuses = map[failure.Failure]int{
+	&RetryNotSent{Lost: errCause, Cause: errCause}: http.StatusBadGateway,
 	&NoConfiguration{}:                              http.StatusServiceUnavailable,
 	&flowcontrol.BudgetExhausted{}:                  http.StatusServiceUnavailable,
 	&UnknownRoute{}:                                 http.StatusNotFound,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -72,6 +72,8 @@
 	attemptTimer *attemptTimer
 	// stream is the stream that further attempts continue; nil while no event was received.
 	stream *eligibility.Stream
+	// lastLoss is why the last attempt without a complete response was lost; nil if there is none.
+	lastLoss error
 	// lastWorkerID is the worker of the last attempt.
 	lastWorkerID string
 	// receiveBuffer is what the kernel buffers of the response of the last attempt; nil before one.
@@ -284,12 +286,21 @@
 	if len(r.mayHaveRun) > 0 && failure.Classify(err).Outcome() == failure.NotRun {
 		// An earlier attempt may have run, so the response must not promise that the request
 		// has not run.
-		err = &worker.ResponseLost{Cause: err}
+		err = &worker.ResponseLost{Cause: r.withLastLoss(err)}
 	}
 	writeRefusal(r.writer, err)
 	r.finishRefused(err)
 }
 
+// withLastLoss adds to the reason why a request was not sent again that of its last lost attempt, if there is one.
+func (r *request) withLastLoss(err error) error {
+	var lost *worker.ResponseLost
+	if !errors.As(r.lastLoss, &lost) {
+		return err
+	}
+	return &RetryNotSent{Lost: lost.Cause, Cause: err}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
