engine: what engines send is bounded, one answer and all together

Daemons read lines of engines' streams and load reports, and whole answers, without a bound. A line has 4 MB now, an answer 16 MB; beyond 64 KB of each they share 32 MB (transport.Inflow). What exceeds a bound is broken off, logged with the peer (event 2921) and counted (refused_messages_total); its connection is closed.

Red before, with the bounds taken out: TestBytesOfAnEngineWithoutEndAreNotTakenIn, 50,331,699 bytes read of a stream, of load reports and of an answer; TestResponsePassesUpToItsBoundAndNotBeyond, TestLinePassesUpToItsBoundAndNotBeyond, TestResponsesShareABound and TestRefusedResponsesAreCountedByBound.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/engineapi"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -62,12 +64,23 @@
 // safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// inflow bounds what is held of engines' answers, and whole sends the calls whose answers are read whole.
+	inflow *transport.Inflow
+	whole  *http.Client
 	// apis holds an *engineapi.Client for each address.
 	apis sync.Map
 }
 
 // NewClient returns a client that sends through httpClient.
-func NewClient(httpClient *http.Client) *Client { return &Client{http: httpClient} }
+func NewClient(httpClient *http.Client) *Client {
+	inflow := transport.NewInflow()
+	return &Client{http: httpClient, inflow: inflow, whole: inflow.NewClient(httpClient)}
+}
+
+// RegisterMetrics registers the counters of refused answers.
+func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
+	c.inflow.RegisterMetrics(registry, "engines")
+}
 
 // Cancel stops a stream. A stream that the engine does not know counts as
 // stopped. The error is a *failure.EngineUnavailable.
@@ -229,7 +242,7 @@
 	if known, ok := c.apis.Load(address); ok {
 		return known.(*engineapi.Client), nil
 	}
-	api, err := engineapi.NewClient(address, engineapi.WithClient(c.http))
+	api, err := engineapi.NewClient(address, engineapi.WithClient(c.whole))
 	if err != nil {
 		return nil, &failure.EngineUnavailable{Engine: address, Wait: unavailableDelay}
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -14,6 +13,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // maxProblemBytes bounds how much of a failure's body is read.
@@ -62,7 +62,7 @@
 type Stream struct {
 	address string
 	body    io.ReadCloser
-	reader  *bufio.Reader
+	lines   *transport.Lines
 	done    bool
 }
 
@@ -117,7 +117,7 @@
 		defer response.Body.Close()
 		return nil, readProblem(address, response.Body)
 	}
-	return &Stream{address: address, body: response.Body, reader: bufio.NewReader(response.Body)}, nil
+	return &Stream{address: address, body: response.Body, lines: c.inflow.NewLines(address, response.Body)}, nil
 }
 
 // traceSent returns a context whose request sets the flag as soon as any byte
@@ -148,7 +148,7 @@
 	if s.done {
 		return Chunk{}, io.EOF
 	}
-	data, err := s.reader.ReadBytes('\n')
+	data, err := s.lines.Next()
 	if err != nil {
 		return Chunk{}, &failure.StreamBroken{Engine: s.address}
 	}
@@ -172,4 +172,7 @@
 }
 
 // Close leaves the stream, which goes on at the engine for some time.
-func (s *Stream) Close() error { return s.body.Close() }
+func (s *Stream) Close() error {
+	s.lines.Close()
+	return s.body.Close()
+}
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +11,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/engineapi"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // StatusWatch is a stream of an engine's load reports. It is used by one
@@ -19,7 +19,7 @@
 type StatusWatch struct {
 	address string
 	body    io.ReadCloser
-	reader  *bufio.Reader
+	lines   *transport.Lines
 	last    structs.EngineStatus
 }
 
@@ -48,13 +48,13 @@
 		_ = response.Body.Close()
 		return nil, &failure.EngineUnavailable{Engine: address, Wait: unavailableDelay}
 	}
-	return &StatusWatch{address: address, body: response.Body, reader: bufio.NewReader(response.Body)}, nil
+	return &StatusWatch{address: address, body: response.Body, lines: c.inflow.NewLines(address, response.Body)}, nil
 }
 
 // Next returns the next report. After an error, which is a
 // *failure.EngineUnavailable, the watch is over.
 func (w *StatusWatch) Next() (structs.EngineStatus, error) {
-	data, err := w.reader.ReadBytes('\n')
+	data, err := w.lines.Next()
 	if err != nil {
 		return structs.EngineStatus{}, &failure.EngineUnavailable{Engine: w.address, Wait: unavailableDelay}
 	}
@@ -77,4 +77,7 @@
 }
 
 // Close ends the watch.
-func (w *StatusWatch) Close() error { return w.body.Close() }
+func (w *StatusWatch) Close() error {
+	w.lines.Close()
+	return w.body.Close()
+}
--- a/internal/telemetry/metric.go
+++ b/internal/telemetry/metric.go
@@ -108,6 +108,13 @@
 	r.inner.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: d.Name, Help: d.Help}, value))
 }
 
+// CounterFunc makes one series of a defined counter, whose value is read from the function at each scrape. labels
+// holds a value for each of the definition's labels. The function must never return less than before.
+func (r *Registry) CounterFunc(d Definition, labels prometheus.Labels, value func() float64) {
+	d.mustBe(KindCounter)
+	r.inner.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: d.Name, Help: d.Help, ConstLabels: labels}, value))
+}
+
 // Histogram makes a defined histogram. Making it twice in one registry panics.
 func (r *Registry) Histogram(d Definition) *prometheus.HistogramVec {
 	d.mustBe(KindHistogram)
--- /dev/null
+++ b/internal/transport/transporttest/endless.go
@@ -0,0 +1,55 @@
+package transporttest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// MostEndlessBytes is where bytes without end end after all, for callers that take them in.
+const MostEndlessBytes = 48 << 20
+
+// MostTaken returns how many bytes may be read of a response with a bound: who reads one whole grows its buffer by a
+// quarter at most, and reads as much at once; heads and read buffers take less than 64 KB.
+func MostTaken(bound int64) int64 { return bound + bound/4 + 64<<10 }
+
+// endlessBlock is how much of them is written at a time.
+const endlessBlock = 64 << 10
+
+// ServeEndlessly starts a listener that answers each request with a beginning and then repeats a part until the
+// caller closes. It returns the base URL.
+func ServeEndlessly(t testing.TB, beginning, part string) (baseURL string) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					writeEndlessly(connection, beginning, part)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+func writeEndlessly(to io.Writer, beginning, part string) {
+	block := strings.Repeat(part, endlessBlock/len(part))
+	written, err := io.WriteString(to, beginning)
+	for err == nil && written < MostEndlessBytes {
+		var count int
+		count, err = io.WriteString(to, block)
+		written += count
+	}
+}
