tool: answers of tools are bounded, one and all together

Daemons read a tool's answer to its end. It has 16 MB; beyond 64 KB of each, all tools' answers share 32 MB.

Red before: TestAnswersOfToolsWithoutEndAreNotTakenIn.

--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -20,6 +20,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/toolapi"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // refusedDelay is when to come back to a tool that named no time itself.
@@ -44,13 +46,23 @@
 
 // Client calls tool services. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	// inflow bounds what is held of tools' answers, and whole sends the calls; their answers are read whole.
+	inflow *transport.Inflow
+	whole  *http.Client
 	// apis holds a *toolapi.Client for each address.
 	apis sync.Map
 }
 
 // NewClient returns a client that sends through httpClient.
-func NewClient(httpClient *http.Client) *Client { return &Client{http: httpClient} }
+func NewClient(httpClient *http.Client) *Client {
+	inflow := transport.NewInflow()
+	return &Client{inflow: inflow, whole: inflow.NewClient(httpClient)}
+}
+
+// RegisterMetrics registers the counters of refused answers.
+func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
+	c.inflow.RegisterMetrics(registry, "tools")
+}
 
 // Call sends a call under an idempotency key and waits for its whole answer.
 // The deadline is ctx's. Errors: *failure.ToolFailed (ran),
@@ -132,7 +144,7 @@
 	if known, ok := c.apis.Load(address); ok {
 		return known.(*toolapi.Client), nil
 	}
-	api, err := toolapi.NewClient(address, toolapi.WithClient(c.http))
+	api, err := toolapi.NewClient(address, toolapi.WithClient(c.whole))
 	if err != nil {
 		return nil, err
 	}
