--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -29,6 +29,7 @@
 
 // defineMetrics makes the gauges that are read at each scrape.
 func (d *Daemon) defineMetrics() {
+	d.platform.RegisterMetrics(d.registry)
 	d.engines.RegisterMetrics(d.registry)
 	d.tools.RegisterMetrics(d.registry)
 	d.registry.GaugeFunc(metricMembers, func() float64 { return float64(len(d.cluster.View().Members())) })
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/gen/platformapi"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // Object is an object of the platform at one version.
@@ -53,7 +55,9 @@
 type Client struct {
 	address string
 	http    *http.Client
-	api     *platformapi.Client
+	// inflow bounds what is held of the platform's answers.
+	inflow *transport.Inflow
+	api    *platformapi.Client
 	// unusable is why there is no api.
 	unusable error
 }
@@ -61,8 +65,14 @@
 // NewClient returns a client of the service at address, a base URL. With an
 // address that is none, every call fails with a *BadAddress.
 func NewClient(address string, httpClient *http.Client) *Client {
-	api, err := platformapi.NewClient(address, platformapi.WithClient(httpClient))
-	return &Client{address: strings.TrimSuffix(address, "/"), http: httpClient, api: api, unusable: err}
+	inflow := transport.NewInflow()
+	api, err := platformapi.NewClient(address, platformapi.WithClient(inflow.NewClient(httpClient)))
+	return &Client{address: strings.TrimSuffix(address, "/"), http: httpClient, inflow: inflow, api: api, unusable: err}
+}
+
+// RegisterMetrics registers the counters of refused answers.
+func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
+	c.inflow.RegisterMetrics(registry, "platform")
 }
 
 // usable returns the error of an address that is no base URL.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,12 +9,13 @@
 	"strconv"
 
 	"github.com/barleyshelf/barleyshelf/internal/failure"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // Watch is a stream of changed objects. It is used by one goroutine.
 type Watch struct {
-	body   io.ReadCloser
-	reader *bufio.Reader
+	body  io.ReadCloser
+	lines *transport.Lines
 }
 
 // Watch starts a stream of the objects under prefix that changed after a
@@ -37,14 +37,14 @@
 		_ = response.Body.Close()
 		return nil, &failure.PlatformUnavailable{Operation: "watch"}
 	}
-	return &Watch{body: response.Body, reader: bufio.NewReader(response.Body)}, nil
+	return &Watch{body: response.Body, lines: c.inflow.NewLines(c.address, response.Body)}, nil
 }
 
 // Next returns the next change. After an error, which is a
 // *failure.PlatformUnavailable, the watch is over; another can go on after the
 // version of the last object.
 func (w *Watch) Next() (Object, error) {
-	line, err := w.reader.ReadBytes('\n')
+	line, err := w.lines.Next()
 	if err != nil {
 		return Object{}, &failure.PlatformUnavailable{Operation: "watch"}
 	}
@@ -56,4 +56,7 @@
 }
 
 // Close ends the watch.
-func (w *Watch) Close() error { return w.body.Close() }
+func (w *Watch) Close() error {
+	w.lines.Close()
+	return w.body.Close()
+}
