--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -15,7 +15,10 @@
 
 const (
 	storeDialTimeout = 600 * time.Millisecond
-	storeUserTimeout = 1200 * time.Millisecond
+	// storeMemoryDivisor is the reciprocal of the fraction of process memory that answers of the platform's store may
+	// take beyond small ones.
+	storeMemoryDivisor = 8
+	storeUserTimeout   = 1200 * time.Millisecond
 	// logCloseTimeout bounds the writing of the last log lines.
 	logCloseTimeout = 200 * time.Millisecond
 )
@@ -102,5 +105,9 @@
 
 func newStore(loaded settings.Role) *platform.Store {
 	client := transport.NewHTTPClient(transport.Options{DialTimeout: storeDialTimeout, UserTimeout: storeUserTimeout})
-	return platform.NewStore(loaded.Store, client)
+	store := platform.NewStore(loaded.Store, client)
+	if memory := loaded.MemoryBytes(); memory > 0 {
+		store.LimitHeld(memory / storeMemoryDivisor)
+	}
+	return store
 }
--- a/internal/directory/store.go
+++ b/internal/directory/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/route"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 )
 
 // Kind is a kind of object in the platform's store.
@@ -117,3 +118,10 @@
 	// SetRetirement writes the state of a retirement.
 	SetRetirement(ctx context.Context, node string, completed bool) error
 }
+
+// MeteredStore is a Store with metrics of its own.
+type MeteredStore interface {
+	Store
+	// RegisterMetrics registers the metrics.
+	RegisterMetrics(registry *telemetry.Registry)
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -122,8 +122,13 @@
 // has passed. It must be called before Run.
 func (w *Watcher) EnableZoneDrains(watchTimeout time.Duration) { w.drainWatchTimeout = watchTimeout }
 
-// RegisterMetrics registers the gauge of unusable entries in the store.
-func (w *Watcher) RegisterMetrics(registry *telemetry.Registry) { w.unusable.registerMetrics(registry) }
+// RegisterMetrics registers the gauge of unusable entries in the store, and the store's own metrics.
+func (w *Watcher) RegisterMetrics(registry *telemetry.Registry) {
+	w.unusable.registerMetrics(registry)
+	if metered, ok := w.store.(MeteredStore); ok {
+		metered.RegisterMetrics(registry)
+	}
+}
 
 // WorkerWatchHealthy reports whether the workers are being watched and no kind is failing.
 func (w *Watcher) WorkerWatchHealthy() bool {
