quorum: answers of replicas and of forwarders are bounded, one and all together

Gateways and replicas took answers of replicas and of gateways that forward to them, of any size and any sum. An answer has 16 MB; beyond 64 KB of each they share an eighth of the process's memory, 32 MB if that is unknown, and what exceeds a bound counts as not answered. Tests that made a client of nil give it http.DefaultClient.

--- a/cmd/barleyshelf/role.go
+++ b/cmd/barleyshelf/role.go
@@ -66,7 +66,7 @@
 	defer log.Close(logCloseTimeout)
 	running, err := replica.New(replica.Options{
 		Node: loaded.Node, Zone: loaded.Zone, Address: loaded.Replica, DataFolder: loaded.DataFolder,
-		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, MetricsAddress: loaded.Metrics, TenantTolerance: loaded.Quota(), ShutdownGracePeriod: loaded.Grace(),
+		Bootstrap: loaded.Bootstrap, Seeds: loaded.Seeds, MetricsAddress: loaded.Metrics, TenantTolerance: loaded.Quota(), ShutdownGracePeriod: loaded.Grace(), MemoryBytes: loaded.MemoryBytes(),
 		DisabledMechanisms: loaded.Disabled(), RegionOf: loaded.Zones, ToleratedZoneFailures: int(loaded.ZonesBorne), WatchZoneDrains: loaded.DrainsFollowed(), ColdWorkerTolerance: loaded.ColdTolerance(),
 	}, newStore(loaded))
 	if err != nil {
--- a/internal/gateway/eligibility_test.go
+++ b/internal/gateway/eligibility_test.go
@@ -252,7 +252,7 @@
 // gateways.
 func TestUrgentWatchDelayIsWithinHalfDrainDelay(t *testing.T) {
 	g := &Gateway{options: Options{WatchZoneDrains: true, MaxDrainDelay: 5 * time.Second}}
-	g.poller = quorum.NewDirectoryPoller(quorum.NewClient(nil, "z", nil), directory.NewState(time.Now, nil), quorum.DirectoryPollerOptions{})
+	g.poller = quorum.NewDirectoryPoller(quorum.NewClient(nil, "z", http.DefaultClient), directory.NewState(time.Now, nil), quorum.DirectoryPollerOptions{})
 	require.Equal(t, directory.GatewayTimings.MaxBackoff, g.maxStoreBackoff(true))
 	require.LessOrEqual(t, g.maxStoreBackoff(false), g.options.MaxDrainDelay/2)
 	for _, startOffset := range []float64{0, 0.5, 1} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,6 +213,8 @@
 	}
 	client := transport.NewPeerClient(transport.Options{DialTimeout: replicaDialTimeout, UserTimeout: replicaUserTimeout}, maxReplicaConnections)
 	g.quorum = quorum.NewClient(g.directory, options.Zone, client)
+	g.quorum.LimitHeld(bufferedBytesLimit(options))
+	g.quorum.RegisterMetrics(g.registry)
 	g.quorum.DisableMechanisms(options.DisabledMechanisms)
 	g.quorum.SetTopology(distances)
 	g.quorum.MeterTraffic(g.metrics.traffic)
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -19,6 +19,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 	"github.com/barleyshelf/barleyshelf/internal/mechanism"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
@@ -58,7 +59,9 @@
 	// regionOf is the region of each zone, for records that may only be stored in some regions.
 	regionOf   map[string]string
 	httpClient *http.Client
-	now        func() time.Time
+	// inflow bounds what is held of the answers of replicas and forwarders.
+	inflow *transport.Inflow
+	now    func() time.Time
 	// hedgeDelay is defaultHedgeDelay; tests override it.
 	hedgeDelay time.Duration
 	// callLatency is the latency of calls to replicas, without the extra network latency to
@@ -100,6 +103,15 @@
 // ReplicaCalls returns the number of calls started to replicas, without Directory calls.
 func (c *Client) ReplicaCalls() int64 { return c.counts.calls.Load() }
 
+// LimitHeld sets what all answers under way hold together beyond small ones, in bytes. It must be
+// called before the first call.
+func (c *Client) LimitHeld(bytes int64) { c.inflow.LimitHeld(bytes) }
+
+// RegisterMetrics registers the counters of refused answers.
+func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
+	c.inflow.RegisterMetrics(registry, "replicas")
+}
+
 // countCalls is an interceptor that counts calls to replicas.
 func (c *Client) countCalls(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
@@ -112,10 +124,12 @@
 
 // NewClient returns a client for a process in the given zone.
 func NewClient(groups Groups, zone string, client *http.Client) *Client {
+	inflow := transport.NewInflow()
+	bounded := inflow.NewClient(client)
 	created := &Client{
-		groups: groups, zone: zone, httpClient: client, now: time.Now, hedgeDelay: defaultHedgeDelay, deferred: newDeferredRecords(),
+		groups: groups, zone: zone, httpClient: bounded, inflow: inflow, now: time.Now, hedgeDelay: defaultHedgeDelay, deferred: newDeferredRecords(),
 		replicaClients: make(map[string]replicav1connect.ReplicaServiceClient),
-		forwarders:     &forwarders{httpClient: client},
+		forwarders:     &forwarders{httpClient: bounded},
 	}
 	created.SetTopology(distance.NewTopology(zone, nil))
 	created.drawSettlements.byHolder = make(map[holderKey]*holderSettlements)
--- a/internal/quorum/directorypoller_test.go
+++ b/internal/quorum/directorypoller_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 
 // newTestPoller returns a poller for a process in zone "z" with the given sources.
 func newTestPoller(sources ...directory.Replica) *DirectoryPoller {
-	return NewDirectoryPoller(NewClient(nil, "z", nil), directory.NewState(time.Now, nil), DirectoryPollerOptions{
+	return NewDirectoryPoller(NewClient(nil, "z", http.DefaultClient), directory.NewState(time.Now, nil), DirectoryPollerOptions{
 		Seeds: []string{"seed"}, Sources: func() []directory.Replica { return sources },
 	})
 }
--- a/internal/quorum/loans_test.go
+++ b/internal/quorum/loans_test.go
@@ -71,16 +71,16 @@
 		{Seat: 2, Node: "c", Zone: "y", Address: "127.0.0.1:3"},
 		{Seat: 3, Node: "d", Zone: "x", Address: "127.0.0.1:4", Predecessor: &replicav1.Predecessor{}},
 	}}
-	first, second := NewClient(staticGroups{group}, "z", nil), NewClient(staticGroups{group}, "z", nil)
+	first, second := NewClient(staticGroups{group}, "z", http.DefaultClient), NewClient(staticGroups{group}, "z", http.DefaultClient)
 	programsByNode := map[string]int{}
 	for _, program := range []string{"p", "q", "r", "s", "t", "u", "v", "w"} {
 		require.Equal(t, first.LoanHolder(program).member, second.LoanHolder(program).member)
 		programsByNode[first.LoanHolder(program).member.Node]++
 	}
 	require.Len(t, programsByNode, 2, "programs must be distributed over the replicas of the zone")
-	require.Equal(t, "c", NewClient(staticGroups{group}, "y", nil).LoanHolder("p").member.Node)
-	require.Nil(t, NewClient(staticGroups{group}, "x", nil).LoanHolder("p"), "a joining member must not hold loans")
-	require.Nil(t, NewClient(staticGroups{group}, "w", nil).LoanHolder("p"))
+	require.Equal(t, "c", NewClient(staticGroups{group}, "y", http.DefaultClient).LoanHolder("p").member.Node)
+	require.Nil(t, NewClient(staticGroups{group}, "x", http.DefaultClient).LoanHolder("p"), "a joining member must not hold loans")
+	require.Nil(t, NewClient(staticGroups{group}, "w", http.DefaultClient).LoanHolder("p"))
 	require.Nil(t, first.HolderIdentity(first.LoanHolder("p")), "the holder's incarnation is not known yet")
 }
 
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -52,6 +52,7 @@
 
 func (r *Replica) registerGauges(registry *telemetry.Registry, limiter *inFlightLimiter) {
 	r.watcher.RegisterMetrics(registry)
+	r.quorum.RegisterMetrics(registry)
 	registry.GaugeFunc(metricCallsRefused, func() float64 { return float64(limiter.refused.Load()) })
 	registry.GaugeFunc(metricDrainsRevision, func() float64 { return float64(r.directory.View().Drains.Revision) })
 	registry.GaugeFunc(metricOpenLoans, func() float64 { return float64(r.state.openLoanCount()) })
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,6 +31,8 @@
 	tcpUserTimeout = 900 * time.Millisecond
 	// maxPeerConnections bounds the connections to each other replica.
 	maxPeerConnections = 16
+	// messagesMemoryDivisor is the reciprocal of the fraction of process memory that answers of other replicas may take.
+	messagesMemoryDivisor = 8
 	// maxMessageBytes bounds one message between replicas and their clients.
 	maxMessageBytes = 64 << 20
 )
@@ -67,6 +69,8 @@
 	ShutdownGracePeriod time.Duration
 	// DisabledMechanisms are mechanisms that an experiment turns off.
 	DisabledMechanisms mechanism.Disabled
+	// MemoryBytes is the memory available to the process; 0 if unknown.
+	MemoryBytes int64
 }
 
 // Replica is one replica process.
@@ -153,6 +157,9 @@
 	}
 	peerClient := transport.NewPeerClient(transport.Options{DialTimeout: dialTimeout, UserTimeout: tcpUserTimeout}, maxPeerConnections)
 	replica.quorum = quorum.NewClient(replica.directory, options.Zone, peerClient)
+	if options.MemoryBytes > 0 {
+		replica.quorum.LimitHeld(options.MemoryBytes / messagesMemoryDivisor)
+	}
 	replica.quorum.SetTopology(replica.topology())
 	replica.quorum.SetZoneRegions(options.RegionOf)
 	replica.seeds.Store(&options.Seeds)
--- a/internal/transport/calls.go
+++ b/internal/transport/calls.go
@@ -9,7 +9,7 @@
 // are small, and each compressor takes about a megabyte and more time than all the
 // rest of a call.
 func ClientOptions() []connect.ClientOption {
-	return []connect.ClientOption{connect.WithAcceptCompression(compression, nil, nil)}
+	return []connect.ClientOption{connect.WithAcceptCompression(compression, nil, nil), connect.WithReadMaxBytes(MaxResponseBytes)}
 }
 
 // HandlerOptions are for those who answer such calls: no compression,
