replica, gateway: calls of other processes are bounded, one and all together

A replica took calls of 64 MB each and a forwarding gateway of 16 MB, in any sum. A call has 16 MB; beyond 64 KB of each they share the eighth of the memory that answers of replicas have. A call beyond it is refused at once with the reason (resource_exhausted), without awaiting the rest of its body. TestCallsBetweenDaemonsAreNotCompressed loses an argument of HandlerOptions; what it checks is the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,9 +74,7 @@
 	replicaUserTimeout = 700 * time.Millisecond
 	// maxReplicaConnections is the limit of connections to each replica.
 	maxReplicaConnections = 16
-	// maxForwardBytes bounds a call that is forwarded for another gateway.
-	maxForwardBytes = 16 << 20
-	sweepInterval   = time.Second
+	sweepInterval         = time.Second
 )
 
 // Options configure a gateway.
@@ -351,8 +349,8 @@
 		return &failure.Internal{Cause: err}
 	}
 	mux := http.NewServeMux()
-	mux.Handle(replicav1connect.NewForwardServiceHandler(quorum.NewForwarder(g.quorum), transport.HandlerOptions(maxForwardBytes)...))
-	server := &http.Server{Handler: mux, ErrorLog: log.New(io.Discard, "", 0), WriteTimeout: transport.PeerWriteTimeout}
+	mux.Handle(replicav1connect.NewForwardServiceHandler(quorum.NewForwarder(g.quorum), transport.HandlerOptions()...))
+	server := &http.Server{Handler: g.quorum.BoundCalls(mux), ErrorLog: log.New(io.Discard, "", 0), WriteTimeout: transport.PeerWriteTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go server.Serve(listener)
 	return nil
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -59,7 +59,7 @@
 	// regionOf is the region of each zone, for records that may only be stored in some regions.
 	regionOf   map[string]string
 	httpClient *http.Client
-	// inflow bounds what is held of the answers of replicas and forwarders.
+	// inflow bounds what is held of the answers of replicas and forwarders, and of calls that this process takes.
 	inflow *transport.Inflow
 	now    func() time.Time
 	// hedgeDelay is defaultHedgeDelay; tests override it.
@@ -103,11 +103,14 @@
 // ReplicaCalls returns the number of calls started to replicas, without Directory calls.
 func (c *Client) ReplicaCalls() int64 { return c.counts.calls.Load() }
 
-// LimitHeld sets what all answers under way hold together beyond small ones, in bytes. It must be
+// LimitHeld sets what all answers and bounded calls under way hold together beyond small ones, in bytes. It must be
 // called before the first call.
 func (c *Client) LimitHeld(bytes int64) { c.inflow.LimitHeld(bytes) }
 
-// RegisterMetrics registers the counters of refused answers.
+// BoundCalls returns a handler that reads calls of other processes within the bounds of answers, and shares their memory.
+func (c *Client) BoundCalls(handler http.Handler) http.Handler { return c.inflow.NewHandler(handler) }
+
+// RegisterMetrics registers the counters of refused answers and calls.
 func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
 	c.inflow.RegisterMetrics(registry, "replicas")
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,10 +31,9 @@
 	tcpUserTimeout = 900 * time.Millisecond
 	// maxPeerConnections bounds the connections to each other replica.
 	maxPeerConnections = 16
-	// messagesMemoryDivisor is the reciprocal of the fraction of process memory that answers of other replicas may take.
+	// messagesMemoryDivisor is the reciprocal of the fraction of process memory that calls, and answers of other
+	// replicas, may take.
 	messagesMemoryDivisor = 8
-	// maxMessageBytes bounds one message between replicas and their clients.
-	maxMessageBytes = 64 << 20
 )
 
 // Options configures a replica.
@@ -246,7 +245,7 @@
 		return &failure.Internal{Cause: err}
 	}
 	mux := http.NewServeMux()
-	limiter := newInFlightLimiter(mux)
+	limiter := newInFlightLimiter(r.quorum.BoundCalls(mux))
 	registry := telemetry.NewRegistry()
 	r.registerGauges(registry, limiter)
 	r.quorum.MeterTraffic(traffic.New(registry))
@@ -257,7 +256,7 @@
 		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, gateways: newGatewayRegistry(time.Now).withRegions(r.distanceRegions()), storeViewAge: r.storeViewAge, nodes: r.nodes,
 		workerObservations: newWorkerObservations(time.Now), grants: r.grants, report: r.report, quarantine: newQuarantineHub(r.state.quarantine, time.Now),
 	}
-	handlerOptions := append(transport.HandlerOptions(maxMessageBytes), connect.WithInterceptors(quorum.VerifyCallerSystem(r.directory), processIDInterceptor(r.processID)))
+	handlerOptions := append(transport.HandlerOptions(), connect.WithInterceptors(quorum.VerifyCallerSystem(r.directory), processIDInterceptor(r.processID)))
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handlerOptions...))
 	server := &http.Server{Handler: limiter, WriteTimeout: transport.PeerWriteTimeout}
 	go func() {
--- a/internal/transport/calls.go
+++ b/internal/transport/calls.go
@@ -1,6 +1,11 @@
 package transport
 
-import "connectrpc.com/connect"
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+)
 
 // compression is the only one that connect knows by itself.
 const compression = "gzip"
@@ -12,10 +17,35 @@
 	return []connect.ClientOption{connect.WithAcceptCompression(compression, nil, nil), connect.WithReadMaxBytes(MaxResponseBytes)}
 }
 
-// HandlerOptions are for those who answer such calls: no compression,
-// and messages of up to maxMessageBytes.
-func HandlerOptions(maxMessageBytes int) []connect.HandlerOption {
-	return []connect.HandlerOption{
-		connect.WithCompression(compression, nil, nil), connect.WithReadMaxBytes(maxMessageBytes),
+// HandlerOptions are for those who answer such calls: no compression. Inflow.NewHandler bounds the messages.
+func HandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithCompression(compression, nil, nil)}
+}
+
+// NewHandler returns a handler of connect calls that reads their messages within bounds: one that exceeds a bound
+// fails with the reason, and takes no more memory.
+func (i *Inflow) NewHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := &heldBody{ReadCloser: r.Body, holding: i.newHolding(r.RemoteAddr, i.maxMessage)}
+		defer body.holding.release()
+		r.Body = &heldCall{heldBody: body, connection: http.NewResponseController(w)}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// heldCall is the body of a call; its errors have the code that callers are told.
+type heldCall struct {
+	*heldBody
+	connection *http.ResponseController
+}
+
+func (c *heldCall) Read(data []byte) (int, error) {
+	count, err := c.heldBody.Read(data)
+	if c.exceeded == nil {
+		return count, err
 	}
+	// The server would await the rest of a body that is nearly read before it answers and closes the connection. A
+	// deadline cannot be set only if the connection is closed already.
+	_ = c.connection.SetReadDeadline(time.Now())
+	return count, connect.NewError(connect.CodeResourceExhausted, c.exceeded)
 }
--- a/internal/transport/calls_test.go
+++ b/internal/transport/calls_test.go
@@ -55,7 +55,7 @@
 
 func TestCallsBetweenDaemonsAreNotCompressed(t *testing.T) {
 	require.Equal(t, []string{compression}, appendOnce(t, nil, nil).encoded, "connect compresses by itself")
-	require.Equal(t, []string{""}, appendOnce(t, nil, HandlerOptions(1<<20)).encoded)
+	require.Equal(t, []string{""}, appendOnce(t, nil, HandlerOptions()).encoded)
 	require.NotContains(t, appendOnce(t, ClientOptions(), nil).accepted, compression)
 	require.Equal(t, []string{""}, appendOnce(t, ClientOptions(), nil).encoded)
 }
