peer: messages of daemons are bounded, one and all together

Daemons took answers and calls of each other of 64 MB each in any sum, and HTTP/2 took 1 GB a connection before anything was read. All answers under way share 64 MB now, and all calls; of a stream each message counts by itself. HTTP/2 takes 1 MB a stream and 4 MB a connection unread.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -32,6 +32,7 @@
 	d.platform.RegisterMetrics(d.registry)
 	d.engines.RegisterMetrics(d.registry)
 	d.tools.RegisterMetrics(d.registry)
+	d.peers.RegisterMetrics(d.registry)
 	d.registry.GaugeFunc(metricMembers, func() float64 { return float64(len(d.cluster.View().Members())) })
 	d.registry.GaugeFunc(metricReplicas, func() float64 { held, _ := d.countReplicas(); return held })
 	d.registry.GaugeFunc(metricLed, func() float64 { _, led := d.countReplicas(); return led })
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	return map[string]http.Handler{
-		"peer":     peer.NewServer(string(d.self.ID), d.settings.ClusterName(), d),
+		"peer":     peer.NewServer(string(d.self.ID), d.settings.ClusterName(), d, d.registry),
 		"caller":   d.counted(callers),
 		"operator": operators,
 	}, nil
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,8 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -46,8 +48,10 @@
 // Client sends to other daemons. It is safe for concurrent use.
 type Client struct {
 	options Options
-	http    *http.Client
-	scheme  string
+	// inflow bounds what is held of peers' answers.
+	inflow *transport.Inflow
+	http   *http.Client
+	scheme string
 
 	mutex sync.Mutex
 	links map[structs.NodeID]*journalLink
@@ -63,25 +67,35 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(options.DialTLS == nil)
-	transport := &http.Transport{
+	connections := &http.Transport{
 		DialContext:    options.Dial,
 		DialTLSContext: options.DialTLS,
 		Protocols:      protocols,
-		HTTP2:          &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingInterval, PingTimeout: pingTimeout,
+			MaxReceiveBufferPerStream: maxStreamBufferBytes, MaxReceiveBufferPerConnection: maxConnectionBufferBytes,
+		},
 	}
 	scheme := "https"
 	if options.DialTLS == nil {
 		scheme = "http"
 	}
+	inflow := newInflow()
 	return &Client{
 		options: options,
-		http:    &http.Client{Transport: &namesCluster{cluster: options.Cluster, next: transport}},
+		inflow:  inflow,
+		http:    inflow.NewClient(&http.Client{Transport: &namesCluster{cluster: options.Cluster, next: connections}}),
 		scheme:  scheme,
 		links:   map[structs.NodeID]*journalLink{},
 		done:    make(chan struct{}),
 	}
 }
 
+// RegisterMetrics registers the counters of refused answers.
+func (c *Client) RegisterMetrics(registry *telemetry.Registry) {
+	c.inflow.RegisterMetrics(registry, "peers")
+}
+
 // Close ends all streams and connections.
 func (c *Client) Close() {
 	c.once.Do(func() { close(c.done) })
@@ -166,7 +180,7 @@
 }
 
 func (c *Client) service(address string) peerv1connect.PeerServiceClient {
-	return peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	return peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address, clientOptions()...)
 }
 
 func (c *Client) link(to structs.NodeID) *journalLink {
--- a/internal/peer/cluster_test.go
+++ b/internal/peer/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 )
 
 const (
@@ -42,7 +43,7 @@
 
 // listen serves a daemon of a cluster and returns its address.
 func listen(t *testing.T, cluster string, handler Handler) string {
-	server := httptest.NewUnstartedServer(NewServer("daemon-1", cluster, handler))
+	server := httptest.NewUnstartedServer(NewServer("daemon-1", cluster, handler, telemetry.NewRegistry()))
 	server.Config.Protocols = &http.Protocols{}
 	server.Config.Protocols.SetHTTP1(true)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
@@ -114,7 +115,7 @@
 // connections.
 func TestAClientThatIsClosedLeavesNoConnection(t *testing.T) {
 	var open atomic.Int64
-	server := httptest.NewUnstartedServer(NewServer("daemon-1", "one", &heard{}))
+	server := httptest.NewUnstartedServer(NewServer("daemon-1", "one", &heard{}, telemetry.NewRegistry()))
 	server.Config.Protocols = &http.Protocols{}
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,11 +16,9 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/limitv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
+	"github.com/barleyshelf/barleyshelf/internal/telemetry"
 )
 
-// maxMessageBytes bounds one message: a snapshot chunk or a call's input.
-const maxMessageBytes = 64 << 20
-
 // Handler is what a daemon does with its peers' messages.
 type Handler interface {
 	// ReceiveJournal takes replication messages. It must not block for long.
@@ -45,13 +43,15 @@
 	handler Handler
 }
 
-// NewServer returns the HTTP handler of the peer listener of the named node of a cluster.
-func NewServer(node, cluster string, handler Handler) http.Handler {
+// NewServer returns the HTTP handler of the peer listener of the named node of a cluster. registry gets its metrics.
+func NewServer(node, cluster string, handler Handler, registry *telemetry.Registry) http.Handler {
+	inflow := newInflow()
+	inflow.RegisterMetrics(registry, "calling_peers")
 	mux := http.NewServeMux()
 	server := &Server{node: node, handler: handler}
-	path, service := peerv1connect.NewPeerServiceHandler(server, connect.WithReadMaxBytes(maxMessageBytes))
+	path, service := peerv1connect.NewPeerServiceHandler(server, handlerOptions()...)
 	mux.Handle(path, service)
-	return &clusterGuard{cluster: cluster, next: mux}
+	return &clusterGuard{cluster: cluster, next: inflow.NewHandler(mux)}
 }
 
 // Journal takes batches until the stream ends.
--- a/internal/transport/bounded.go
+++ b/internal/transport/bounded.go
@@ -148,6 +148,9 @@
 		return nil, err
 	}
 	held := t.inflow.newHolding(request.URL.Host, t.inflow.maxMessage)
+	if stream := streamBodyOf(request.Context()); stream != nil {
+		stream.holding.Store(held)
+	}
 	response.Body = &heldBody{ReadCloser: response.Body, holding: held}
 	return response, nil
 }
--- a/internal/transport/calls.go
+++ b/internal/transport/calls.go
@@ -29,7 +29,9 @@
 		body := &heldBody{ReadCloser: r.Body, holding: i.newHolding(r.RemoteAddr, i.maxMessage)}
 		defer body.holding.release()
 		r.Body = &heldCall{heldBody: body, connection: http.NewResponseController(w)}
-		next.ServeHTTP(w, r)
+		stream := &streamBody{}
+		stream.holding.Store(body.holding)
+		next.ServeHTTP(w, r.WithContext(withStreamBody(r.Context(), stream)))
 	})
 }
 
