peer: compressed messages of daemons are refused

Daemons sent nothing compressed, and took it: such a message holds many times what was counted of it.

Red before: TestCompressedCallOfADaemonIsRefused.

--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -28,10 +28,10 @@
 
 // clientOptions are for calls to other daemons.
 func clientOptions() []connect.ClientOption {
-	return []connect.ClientOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(transport.MessageInterceptor{})}
+	return append(transport.ClientOptions(), connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(transport.MessageInterceptor{}))
 }
 
 // handlerOptions are for calls of other daemons.
 func handlerOptions() []connect.HandlerOption {
-	return []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(transport.MessageInterceptor{})}
+	return append(transport.HandlerOptions(), connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(transport.MessageInterceptor{}))
 }
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/barleyshelf/barleyshelf/internal/gen/gossipv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/journalv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1"
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
@@ -75,6 +76,16 @@
 	})
 }
 
+// Guards against compressed calls of daemons, which hold more than was counted of them.
+func TestCompressedCallOfADaemonIsRefused(t *testing.T) {
+	handler := &heard{}
+	address := serveHTTP2(t, NewServer("daemon-1", "one", handler, telemetry.NewRegistry()))
+	calls := peerv1connect.NewPeerServiceClient(clientOf(t, "one", address).http, "http://"+address, connect.WithSendGzip())
+	_, err := calls.Gossip(t.Context(), connect.NewRequest(&gossipv1.Message{From: "daemon-2"}))
+	require.Equal(t, connect.CodeUnimplemented, connect.CodeOf(err))
+	require.Zero(t, handler.calls.Load())
+}
+
 // endOf returns a reader without bytes that ends with a context.
 func endOf(ctx context.Context) io.Reader {
 	reader, writer := io.Pipe()
