transport: heads that net/http reads are bounded

Heads of answers of engines, tools, the platform, its store, replicas and daemons had net/http's 10 MB, heads of calls to replicas, forwarders and daemons 1 MB and 10 MB. They have 64 KB.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/peer"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 // gate holds messages back while it is closed.
@@ -107,6 +108,8 @@
 		DialContext:         gatedDialer(g, dial),
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 	}}
 }
 
@@ -114,5 +117,7 @@
 // not name their call, so that a second copy of one that comes late would be taken for the answer to the next call
 // on a kept connection.
 func newCallClient(g *gate, dial peer.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: gatedDialer(g, dial), DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: gatedDialer(g, dial), DisableKeepAlives: true, MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
+	}}
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -12,6 +12,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/failure"
 	"github.com/barleyshelf/barleyshelf/internal/identity"
 	"github.com/barleyshelf/barleyshelf/internal/peer"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 )
 
 const (
@@ -54,12 +55,14 @@
 	name    string
 	address string
 	config  *tls.Config
+	// maxHeadBytes bounds the head of a request; 0 means http.DefaultMaxHeaderBytes.
+	maxHeadBytes int
 }
 
 func (d *Daemon) endpoints() []endpoint {
 	addresses := d.settings.Listen
 	return []endpoint{
-		{name: "peer", address: addresses.Peer, config: d.security.peerServerConfig()},
+		{name: "peer", address: addresses.Peer, config: d.security.peerServerConfig(), maxHeadBytes: transport.MaxResponseHeadBytes},
 		{name: "caller", address: addresses.Caller, config: d.security.serverConfig()},
 		{name: "operator", address: addresses.Operator, config: d.security.serverConfig()},
 	}
@@ -93,6 +96,7 @@
 			TLSConfig:         at.config,
 			Protocols:         protocols,
 			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    at.maxHeadBytes,
 			IdleTimeout:       idleTimeout,
 			BaseContext:       func(net.Listener) context.Context { return d.context },
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -350,7 +350,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(replicav1connect.NewForwardServiceHandler(quorum.NewForwarder(g.quorum), transport.HandlerOptions()...))
-	server := &http.Server{Handler: g.quorum.BoundCalls(mux), ErrorLog: log.New(io.Discard, "", 0), WriteTimeout: transport.PeerWriteTimeout}
+	server := transport.NewPeerServer(g.quorum.BoundCalls(mux))
+	server.ErrorLog = log.New(io.Discard, "", 0)
 	context.AfterFunc(ctx, func() { server.Close() })
 	go server.Serve(listener)
 	return nil
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -75,6 +75,7 @@
 			SendPingTimeout: pingInterval, PingTimeout: pingTimeout,
 			MaxReceiveBufferPerStream: maxStreamBufferBytes, MaxReceiveBufferPerConnection: maxConnectionBufferBytes,
 		},
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 	}
 	scheme := "https"
 	if options.DialTLS == nil {
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -17,6 +17,7 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/peerv1/peerv1connect"
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 	"github.com/barleyshelf/barleyshelf/internal/telemetry"
+	"github.com/barleyshelf/barleyshelf/internal/transport"
 	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
@@ -76,6 +77,18 @@
 	})
 }
 
+// Guards against heads of daemons' answers that fill the memory of those who asked.
+func TestHeadOfADaemonsAnswerBeyondItsBoundIsRefused(t *testing.T) {
+	for headBytes, isRefused := range map[int]bool{transport.MaxResponseHeadBytes / 2: false, 2 * transport.MaxResponseHeadBytes: true} {
+		address := serveHTTP2(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/proto")
+			w.Header().Set("Filler", strings.Repeat("x", headBytes))
+		}))
+		_, err := clientOf(t, "one", address).Inspect(t.Context(), address)
+		require.Equal(t, isRefused, err != nil, "head of %d bytes: %v", headBytes, err)
+	}
+}
+
 // Guards against compressed calls of daemons, which hold more than was counted of them.
 func TestCompressedCallOfADaemonIsRefused(t *testing.T) {
 	handler := &heard{}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -258,7 +258,7 @@
 	}
 	handlerOptions := append(transport.HandlerOptions(), connect.WithInterceptors(quorum.VerifyCallerSystem(r.directory), processIDInterceptor(r.processID)))
 	mux.Handle(replicav1connect.NewReplicaServiceHandler(handler, handlerOptions...))
-	server := &http.Server{Handler: limiter, WriteTimeout: transport.PeerWriteTimeout}
+	server := transport.NewPeerServer(limiter)
 	go func() {
 		select {
 		case <-stop.Done():
--- a/internal/transport/bounded.go
+++ b/internal/transport/bounded.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// MaxResponseHeadBytes bounds the head of a response that net/http reads.
+	MaxResponseHeadBytes = 64 << 10
 	// MaxResponseBytes bounds one response that is read whole.
 	MaxResponseBytes = 16 << 20
 	// MaxLineBytes bounds one line of a response that is read line by line.
--- a/internal/transport/calls.go
+++ b/internal/transport/calls.go
@@ -51,3 +51,8 @@
 	_ = c.connection.SetReadDeadline(time.Now())
 	return count, connect.NewError(connect.CodeResourceExhausted, c.exceeded)
 }
+
+// NewPeerServer returns a server for calls of other processes of this project, with a bound for their heads.
+func NewPeerServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, MaxHeaderBytes: MaxResponseHeadBytes, WriteTimeout: PeerWriteTimeout}
+}
