replica: no group is formed by one replica alone while seeds name another

Cause: 2 s after its first start a replica took whoever had registered for the whole system. With the platform's store turning the two others away it formed a group of itself, whose majority is one disk. With the second one registered they form a group of two, in which a majority is both.

Red before: TestNoGroupIsFormedAloneWhereSeedsNameAnother.

--- a/internal/replica/formgroups.go
+++ b/internal/replica/formgroups.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/directory"
@@ -86,6 +87,10 @@
 		// The list of nodes has not been received yet.
 		return
 	}
+	if isAloneAmongSeeds(r.options.Address, len(nodes), *r.seeds.Load()) {
+		r.aloneLogged.Do(func() { eventAlone.Log("seeds", *r.seeds.Load()) })
+		return
+	}
 	initial := initialGroups(nodes, r.options.RegionOf)
 	if table := r.directory.View().Table; table != nil && table.RestrictsRegions() {
 		initial = append(initial, initialConfinedGroups(initial, nodes, r.options.RegionOf)...)
@@ -112,6 +117,13 @@
 	}
 }
 
+// isAloneAmongSeeds reports whether a replica is the only registered one although seeds name another. A group of it
+// alone would acknowledge records that lie on one disk.
+func isAloneAmongSeeds(ownAddress string, registered int, seeds []string) bool {
+	isOther := func(seed string) bool { return seed != ownAddress }
+	return registered < 2 && slices.ContainsFunc(seeds, isOther)
+}
+
 // newSystemID returns a random ID for a new system. It has 53 bits, so that it stays exact in a
 // store that reads numbers as floating-point values.
 func newSystemID() uint64 { return rand.Uint64N(1<<53-1) + 1 }
--- a/internal/replica/formgroups_test.go
+++ b/internal/replica/formgroups_test.go
@@ -60,6 +60,25 @@
 	require.Empty(t, objects.groups, "its own entry is not listed yet")
 }
 
+// Guards against acknowledged turns that lie on one disk: a replica formed its groups alone, as the store turned the others away.
+func TestNoGroupIsFormedAloneWhereSeedsNameAnother(t *testing.T) {
+	nodes := fleetNodes(1, 3)
+	own, other := nodes[0], nodes[1]
+	form := func(registered []directory.Replica, seeds ...string) (formed int) {
+		objects := &groupStore{groups: make(map[string]*replicav1.Group)}
+		replica := newFormingReplica(t, objects, own.Node, registered)
+		replica.options.Address = own.Address
+		replica.SetSeeds(seeds)
+		replica.formGroups(t.Context())
+		return len(objects.groups)
+	}
+	require.Zero(t, form(nodes[:1], other.Address, own.Address))
+	require.Zero(t, form(nodes[:1], other.Address), "seeds that do not name itself")
+	require.Positive(t, form(nodes[:2], other.Address, own.Address))
+	require.Positive(t, form(nodes[:1], own.Address), "a system of one replica")
+	require.Positive(t, form(nodes[:1]), "no seeds")
+}
+
 // Two nodes form the groups from different lists of nodes.
 func TestConcurrentlyFormingNodesAgree(t *testing.T) {
 	objects := &groupStore{groups: make(map[string]*replicav1.Group)}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,8 @@
 	grants          *grantAllocator
 	underReplicated *underReplicatedGroups
 	seeds           atomic.Pointer[[]string]
+	// aloneLogged logs once that no group is formed as no other replica has registered.
+	aloneLogged sync.Once
 	// stopping is set once this process has been told to stop.
 	stopping atomic.Bool
 	// processID is a random ID of this process, and startedAt when it started.
