gateway: a stream whose start is written late is found

Cause: the gateway asked for 0.3 s, while the start waits up to 0.2 s for the next call and is then written; beside load 66 of 184 writes took 100 ms and more, 35 of them 300 ms and more. Change: it asks for 1 s from the begin of the search, less and less often.

Red before, with the former 0.3 s: TestStreamWhoseStartIsWrittenLateIsFound.

--- /dev/null
+++ b/internal/gateway/streamlookup.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/pause"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
+)
+
+const (
+	// streamLookupPatience is how long replicas are asked for a stream that they do not know: its record waits for
+	// quorum.StreamStartDelay and is then written, which takes long where they are loaded. Clients give up on a
+	// stream that brings nothing for 2 s, and a worker has to begin within them.
+	streamLookupPatience = time.Second
+	// minStreamLookupPause is the time between the first two questions. It doubles up to maxStreamLookupPause.
+	minStreamLookupPause = 50 * time.Millisecond
+	maxStreamLookupPause = 200 * time.Millisecond
+	// unnamedStreamDelay is how long a stream whose first request is not named is not asked for: another stream of
+	// its content may have begun at another version, and only that one be known yet.
+	unnamedStreamDelay = quorum.StreamStartDelay + 100*time.Millisecond
+	// maxStreamLookup bounds the whole search, with replicas that do not answer.
+	maxStreamLookup = 500*time.Millisecond + streamLookupPatience
+)
+
+// streamVersionSource knows the versions at which streams began. It is implemented by quorum.Client.
+type streamVersionSource interface {
+	StreamVersion(ctx context.Context, stream quorum.StreamID) (string, error)
+}
+
+// awaitStreamVersion returns the version at which a stream began. As long as the source does not know the stream, it
+// is asked again, less and less often, for streamLookupPatience.
+func awaitStreamVersion(ctx context.Context, source streamVersionSource, stream quorum.StreamID) (version string, err error) {
+	startedAt := time.Now()
+	if stream.Request == "" {
+		pause.For(ctx, unnamedStreamDelay)
+	}
+	for wait := minStreamLookupPause; ; wait = min(2*wait, maxStreamLookupPause) {
+		version, err = source.StreamVersion(ctx, stream)
+		if !mayBecomeKnown(err) || time.Since(startedAt) >= streamLookupPatience || !pause.For(ctx, wait) {
+			return version, err
+		}
+	}
+}
+
+// mayBecomeKnown reports whether a stream was not found, but may be later. An ambiguous one stays ambiguous.
+func mayBecomeKnown(err error) bool {
+	var unknown *quorum.UnknownStream
+	return errors.As(err, &unknown) && !unknown.Ambiguous
+}
--- /dev/null
+++ b/internal/gateway/streamlookup_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
+)
+
+// lateStart is a stream whose start is known from a time on.
+type lateStart struct {
+	knownFrom time.Time
+	questions int
+}
+
+func (l *lateStart) StreamVersion(_ context.Context, stream quorum.StreamID) (string, error) {
+	l.questions++
+	if time.Now().Before(l.knownFrom) {
+		return "", &quorum.UnknownStream{Stream: stream}
+	}
+	return "v1", nil
+}
+
+// Guards against streams that are refused because replicas write their starts slowly.
+func TestStreamWhoseStartIsWrittenLateIsFound(t *testing.T) {
+	for name, request := range map[string]string{"named": "first-attempt", "unnamed": ""} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const written = quorum.StreamStartDelay + 700*time.Millisecond
+				source := &lateStart{knownFrom: time.Now().Add(written)}
+				version, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: request})
+				require.NoError(t, err)
+				require.Equal(t, "v1", version)
+			})
+		})
+	}
+}
+
+func TestStreamThatIsNotKnownIsGivenUpAfterThePatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		source := &lateStart{knownFrom: startedAt.Add(time.Hour)}
+		_, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"})
+		var unknown *quorum.UnknownStream
+		require.ErrorAs(t, err, &unknown)
+		require.InDelta(t, streamLookupPatience.Seconds(), time.Since(startedAt).Seconds(), maxStreamLookupPause.Seconds())
+		require.Less(t, source.questions, 10, "replicas are asked less and less often")
+	})
+}
+
+func TestStreamThatIsNotNamedIsNotAskedForAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		_, err := awaitStreamVersion(t.Context(), &lateStart{}, quorum.StreamID{Content: "content"})
+		require.NoError(t, err)
+		require.Equal(t, unnamedStreamDelay, time.Since(startedAt))
+	})
+}
+
+// ambiguousStream counts how often it is asked for.
+type ambiguousStream struct{ questions int }
+
+func (a *ambiguousStream) StreamVersion(_ context.Context, stream quorum.StreamID) (string, error) {
+	a.questions++
+	return "", &quorum.UnknownStream{Stream: stream, Ambiguous: true}
+}
+
+func TestStreamThatIsAmbiguousIsAskedForOnce(t *testing.T) {
+	source := &ambiguousStream{}
+	_, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"})
+	require.Error(t, err)
+	require.Equal(t, 1, source.questions)
+}
--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -10,19 +10,12 @@
 	"github.com/barleyshelf/barleyshelf/internal/directory"
 	"github.com/barleyshelf/barleyshelf/internal/eligibility"
 	"github.com/barleyshelf/barleyshelf/internal/failure"
-	"github.com/barleyshelf/barleyshelf/internal/pause"
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 const (
 	// streamRetentionMargin is how long after the deadline of its request the start of a stream is kept.
 	streamRetentionMargin = 5 * time.Second
-	// maxStreamLookup bounds the search for the version of a stream.
-	maxStreamLookup = 500*time.Millisecond + streamLookupPatience
-	// streamLookupPause is the time after which the replicas are asked again for a stream that they do
-	// not know, and streamLookupPatience how long they are: its record may be on the way to them.
-	streamLookupPause    = 50 * time.Millisecond
-	streamLookupPatience = quorum.StreamStartDelay + 100*time.Millisecond
 	// maxStreamVersions bounds the streams that a gateway remembers itself.
 	maxStreamVersions = 8192
 )
@@ -127,16 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, max(0, r.slack())))
 	defer cancel()
-	if first == "" {
-		// Another stream of this content may have begun at another version.
-		pause.For(ctx, streamLookupPatience)
-	}
-	startedAt := time.Now()
-	version, err = r.gateway.quorum.StreamVersion(ctx, stream)
-	var unknown *quorum.UnknownStream
-	for errors.As(err, &unknown) && time.Since(startedAt) < streamLookupPatience && pause.For(ctx, streamLookupPause) {
-		version, err = r.gateway.quorum.StreamVersion(ctx, stream)
-	}
+	version, err = awaitStreamVersion(ctx, r.gateway.quorum, stream)
 	if err != nil {
 		return "", "", &StreamVersionUnknown{Cause: err}
 	}
