gateway: a receive buffer that is granted late is logged as refused

A torn answer was logged as one with room where its larger receive buffer was granted only with its head: what came before had none.

Red before: TestReceiveBufferThatIsGrantedLateWasRefused.

--- a/internal/gateway/receivebuffer.go
+++ b/internal/gateway/receivebuffer.go
@@ -107,7 +107,8 @@
 	counted *flowcontrol.Reservation
 	// bytes is the size of the receive buffer. It is workerReceiveBufferBytes if it does not count.
 	bytes int
-	// isRefused is set once the budget had no capacity for a larger buffer.
+	// isRefused is set once the budget had no capacity for a larger buffer: a buffer that is granted later does not help
+	// what was sent before.
 	isRefused bool
 	// length is the declared length of the body, -1 while it is unknown. read is what was read of it.
 	length int64
@@ -128,7 +129,7 @@
 		r.buffers.refused.Add(1)
 		return false
 	}
-	r.counted, r.bytes, r.isRefused = counted, bytes, false
+	r.counted, r.bytes = counted, bytes
 	return true
 }
 
--- a/internal/gateway/receivebuffer_test.go
+++ b/internal/gateway/receivebuffer_test.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// Guards against a torn answer that is logged as one with room: what came before its head had none.
+func TestReceiveBufferThatIsGrantedLateWasRefused(t *testing.T) {
+	buffers := newReceiveBuffers(maxReceiveBufferBytes, fullBuffer, time.Now)
+	first, second := buffers.reserve(fileKind), buffers.reserve(fileKind)
+	require.NotContains(t, first.logValues(), true)
+	require.Contains(t, second.logValues(), true)
+	first.release()
+	require.True(t, second.grow(buffers.bytesFor(maxReadAheadBytes)))
+	require.Contains(t, second.logValues(), true)
+}
+
 // A rejection or failure is short and tells nothing about the responses of its route.
 func TestReceiveBufferIsNotSizedByFailures(t *testing.T) {
 	buffers := newReceiveBuffers(maxReceiveBufferBytes, ampleBudget, time.Now)
