--- a/internal/daemon/latecopy_test.go
+++ b/internal/daemon/latecopy_test.go
@@ -12,12 +12,12 @@
 
 	"github.com/barleyshelf/barleyshelf/internal/structs"
 	"github.com/barleyshelf/barleyshelf/internal/tool"
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 // answerTwice answers each call with its own body, and sends a second copy in the place of the next answer.
-func answerTwice(connection net.Conn) {
-	defer connection.Close()
-	reader, late := bufio.NewReader(connection), ""
+func answerTwice(connection net.Conn, reader *bufio.Reader) {
+	late := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -37,20 +37,9 @@
 
 // Guards against a second copy of a tool's answer, late, that is taken for the answer to the next call.
 func TestLateSecondCopyOfAToolsAnswerIsNotTakenForTheNextCalls(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerTwice(connection)
-		}
-	}()
+	address := transporttest.ServeConnections(t, answerTwice)
 	client := tool.NewClient(newCallClient(newGate(), nil))
-	declared := structs.Tool{Name: "release", Address: "http://" + listener.Addr().String()}
+	declared := structs.Tool{Name: "release", Address: "http://" + address}
 	for number := range 3 {
 		arguments := fmt.Appendf(nil, "call %d", number)
 		result, err := client.Call(t.Context(), declared, fmt.Sprint("key-", number), arguments)
--- a/internal/transport/transporttest/endless.go
+++ b/internal/transport/transporttest/endless.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-
-	"github.com/stretchr/testify/require"
 )
 
 // MostEndlessBytes is where bytes without end end after all, for callers that take them in.
@@ -24,24 +22,11 @@
 // ServeEndlessly starts a listener that answers each request with a beginning and then repeats a part until the
 // caller closes. It returns the base URL.
 func ServeEndlessly(t testing.TB, beginning, part string) (baseURL string) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
-					writeEndlessly(connection, beginning, part)
-				}
-			}()
+	return "http://" + ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			writeEndlessly(connection, beginning, part)
 		}
-	}()
-	return "http://" + listener.Addr().String()
+	})
 }
 
 func writeEndlessly(to io.Writer, beginning, part string) {
--- a/internal/worker/connected_test.go
+++ b/internal/worker/connected_test.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 // Requests on reused connections must not call OnConnected.
 func TestOnConnectedIsCalledForNewConnections(t *testing.T) {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			body, err := readRequest(reader)
 			if err != nil {
@@ -43,7 +45,7 @@
 }
 
 func TestConnectionOfLaterRequestsKeepsTheTimeAtWhichItWasDialed(t *testing.T) {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			body, err := readRequest(reader)
 			if err != nil {
@@ -78,7 +80,7 @@
 	head := strings.TrimSuffix(encodeResponse("r", rest, ""), rest)
 	goOn, done := make(chan struct{}), make(chan struct{})
 	defer close(done)
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		if _, err := readRequest(reader); err != nil {
 			return
 		}
@@ -106,7 +108,7 @@
 func TestConnectionProbeSeesWhatWasNotHandled(t *testing.T) {
 	head := strings.TrimSuffix(encodeResponse("r", "rest", ""), "rest")
 	goOn := make(chan struct{})
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		if _, err := readRequest(reader); err != nil {
 			return
 		}
--- a/internal/worker/endless_test.go
+++ b/internal/worker/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/flowcontrol"
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 const (
@@ -31,7 +32,7 @@
 func serveEndlessly(t testing.TB, beginning, part string) (address string, sent <-chan int) {
 	result := make(chan int, 1)
 	block := strings.Repeat(part, max(1, 64<<10/len(part)))
-	address = serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address = transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		if _, err := readRequest(reader); err != nil {
 			return
 		}
@@ -117,7 +118,7 @@
 
 // respondWith answers each request with a text and returns the address.
 func respondWith(t testing.TB, text string) string {
-	return serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	return transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			if _, err := readRequest(reader); err != nil {
 				return
--- a/internal/worker/latecopy_test.go
+++ b/internal/worker/latecopy_test.go
@@ -12,13 +12,15 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 // lateCopies answers each request with what answers holds for its number, and sends a second copy of each answer
 // late: once the next request has arrived on the connection, in the place of its answer.
 func lateCopies(t testing.TB, opened *atomic.Int32, answers func(number int32, id string) string) string {
 	var requests atomic.Int32
-	return serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	return transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		opened.Add(1)
 		late := ""
 		for {
@@ -122,7 +124,7 @@
 
 // Guards against a rejection that names no request and is taken for the answer to whichever request waits.
 func TestRejectionWithoutAnIDIsNotBelieved(t *testing.T) {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		late := ""
 		for {
 			id, err := readRequest(reader)
@@ -155,7 +157,7 @@
 // before that to the second, and its body looks like an answer to the second.
 func testLateAnswerBeside(t *testing.T, firstMethod, secondMethod string) {
 	forged := encodeResponse("second", "", "Forged: 1\r\n")
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		late := ""
 		for {
 			request, err := http.ReadRequest(reader)
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -13,27 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// serve starts a listener that handles each connection with a function.
-func serve(t testing.TB, handle func(net.Conn, *bufio.Reader)) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer connection.Close()
-				handle(connection, bufio.NewReader(connection))
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
+)
 
 const echoedHeader = "Echo-Id"
 
@@ -70,7 +52,7 @@
 
 func TestConnectionIsReusedAfterCompleteResponse(t *testing.T) {
 	var opened atomic.Int32
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		opened.Add(1)
 		for {
 			body, err := readRequest(reader)
@@ -94,7 +76,7 @@
 }
 
 func TestConnectionWithStaleBytesIsNotReused(t *testing.T) {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			body, err := readRequest(reader)
 			if err != nil {
@@ -116,7 +98,7 @@
 }
 
 func TestTruncatedResponseIsAnError(t *testing.T) {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		body, _ := readRequest(reader)
 		complete := encodeResponse(body, "a complete response", "")
 		io.WriteString(connection, complete[:len(complete)-3])
@@ -130,7 +112,7 @@
 
 func TestEarlyResponseToLongBodyClosesConnection(t *testing.T) {
 	var opened atomic.Int32
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		number := opened.Add(1)
 		if _, err := http.ReadRequest(reader); err != nil {
 			return
@@ -162,7 +144,7 @@
 
 func TestClosedConnectionIsLostAndNotRetried(t *testing.T) {
 	var requests atomic.Int32
-	address := serve(t, func(_ net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(_ net.Conn, reader *bufio.Reader) {
 		if _, err := readRequest(reader); err == nil {
 			requests.Add(1)
 		}
@@ -174,7 +156,7 @@
 }
 
 func TestConnectionLimit(t *testing.T) {
-	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte(); time.Sleep(time.Second) })
+	address := transporttest.ServeConnections(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte(); time.Sleep(time.Second) })
 	pool := newPool()
 	first, err := pool.acquire(context.Background(), address, "", "r", 1)
 	require.NoError(t, err)
@@ -193,7 +175,7 @@
 }
 
 func BenchmarkSend(b *testing.B) {
-	address := serve(b, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(b, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			body, err := readRequest(reader)
 			if err != nil {
@@ -222,7 +204,7 @@
 	var closing atomic.Bool
 	arrived := make(chan struct{}, connections)
 	release := make(chan struct{})
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		opened.Add(1)
 		for {
 			body, err := readRequest(reader)
@@ -270,7 +252,7 @@
 // connections.
 func TestNothingIsSentIfBeforeSendFails(t *testing.T) {
 	var opened, received atomic.Int32
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		opened.Add(1)
 		for {
 			id, err := readRequest(reader)
@@ -311,7 +293,7 @@
 }
 
 func TestConnectionToPreviousIncarnationIsNotUsed(t *testing.T) {
-	address := serve(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
+	address := transporttest.ServeConnections(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() })
 	pool := newPool()
 	previous, err := pool.acquire(t.Context(), address, "a@1", "r", 1)
 	require.NoError(t, err)
--- a/internal/worker/receivebuffer_test.go
+++ b/internal/worker/receivebuffer_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/barleyshelf/barleyshelf/internal/transport"
+	"github.com/barleyshelf/barleyshelf/internal/transport/transporttest"
 )
 
 const (
@@ -59,7 +60,7 @@
 
 // A connection that one request had made large must not stay so, uncounted, for the next.
 func TestEachRequestSetsTheReceiveBufferOfItsConnection(t *testing.T) {
-	address := serve(t, serveRequests)
+	address := transporttest.ServeConnections(t, serveRequests)
 	pool := NewPoolWithOptions(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second, ReceiveBuffer: openedBuffer})
 	var used *connection
 	for _, each := range []struct{ asked, want int }{
@@ -76,7 +77,7 @@
 }
 
 func TestResponseSetsTheReceiveBufferOfItsRest(t *testing.T) {
-	address := serve(t, serveRequests)
+	address := transporttest.ServeConnections(t, serveRequests)
 	pool := NewPoolWithOptions(transport.Options{DialTimeout: time.Second, UserTimeout: time.Second, ReceiveBuffer: openedBuffer})
 	response := exchangeWithBuffer(t, pool, address, smallBuffer)
 	response.SetReceiveBuffer(openedBuffer)
@@ -85,7 +86,7 @@
 }
 
 func TestPoolWithoutReceiveBufferLeavesItToTheKernel(t *testing.T) {
-	address := serve(t, serveRequests)
+	address := transporttest.ServeConnections(t, serveRequests)
 	pool := newPool()
 	kernelsOwn := kernelReceiveBuffer(t, exchangeWithBuffer(t, pool, address, 0).connection.Conn)
 	require.Equal(t, kernelsOwn, kernelReceiveBuffer(t, exchangeWithBuffer(t, pool, address, smallBuffer).connection.Conn))
--- a/internal/worker/silence_test.go
+++ b/internal/worker/silence_test.go
@@ -31,7 +31,7 @@
 
 // openIdleConnections opens connections through a proxy and makes them idle.
 func openIdleConnections(t *testing.T, pool *Pool, count int) *transporttest.Proxy {
-	address := serve(t, func(connection net.Conn, reader *bufio.Reader) {
+	address := transporttest.ServeConnections(t, func(connection net.Conn, reader *bufio.Reader) {
 		for {
 			body, err := readRequest(reader)
 			if err != nil {
