--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -52,7 +52,7 @@
 			began := time.Now()
 			require.Error(t, each.call(engine.NewClient(reads.NewClient()), address))
 			require.Less(t, time.Since(began), endlessFor)
-			require.Less(t, reads.Most(), transporttest.MostTaken(each.bound))
+			require.Less(t, reads.Max(), transporttest.MaxRead(each.bound))
 		})
 	}
 }
--- a/internal/flowcontrol/errors.go
+++ b/internal/flowcontrol/errors.go
@@ -79,21 +79,21 @@
 // Retry forbids a retry.
 func (e *PeerStalled) Retry() failure.Retry { return failure.Retry{} }
 
-// ResponseTooLarge reports a response, a line of one, or a call that exceeds its bound. The rest is not read.
-type ResponseTooLarge struct {
+// MessageTooLarge reports a response, a line of one, or a call that exceeds its bound. The rest is not read.
+type MessageTooLarge struct {
 	// Limit is in bytes.
 	Limit int64
 }
 
-func (e *ResponseTooLarge) Error() string {
+func (e *MessageTooLarge) Error() string {
 	return fmt.Sprintf("the message is longer than %d bytes", e.Limit)
 }
 
-// Type returns "response_too_large".
-func (e *ResponseTooLarge) Type() failure.Type { return "response_too_large" }
+// Type returns "message_too_large".
+func (e *MessageTooLarge) Type() failure.Type { return "message_too_large" }
 
 // Outcome returns OutcomeUnknown.
-func (e *ResponseTooLarge) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+func (e *MessageTooLarge) Outcome() failure.Outcome { return failure.OutcomeUnknown }
 
 // Retry forbids an automatic retry.
-func (e *ResponseTooLarge) Retry() failure.Retry { return failure.Retry{} }
+func (e *MessageTooLarge) Retry() failure.Retry { return failure.Retry{} }
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// streamLookupPatience is how long replicas are asked for a stream that they do not know: its record waits for
+	// streamLookupRetryWindow is how long replicas are asked for a stream that they do not know: its record waits for
 	// quorum.StreamStartDelay and is then written, which takes long where they are loaded. Clients give up on a
 	// stream that brings nothing for 2 s, and a worker has to begin within them.
-	streamLookupPatience = time.Second
+	streamLookupRetryWindow = time.Second
 	// minStreamLookupPause is the time between the first two questions. It doubles up to maxStreamLookupPause.
 	minStreamLookupPause = 50 * time.Millisecond
 	maxStreamLookupPause = 200 * time.Millisecond
@@ -21,7 +21,7 @@
 	// its content may have begun at another version, and only that one be known yet.
 	unnamedStreamDelay = quorum.StreamStartDelay + 100*time.Millisecond
 	// maxStreamLookup bounds the whole search, with replicas that do not answer.
-	maxStreamLookup = 500*time.Millisecond + streamLookupPatience
+	maxStreamLookup = 500*time.Millisecond + streamLookupRetryWindow
 )
 
 // streamVersionSource knows the versions at which streams began. It is implemented by quorum.Client.
@@ -30,7 +30,7 @@
 }
 
 // awaitStreamVersion returns the version at which a stream began. As long as the source does not know the stream, it
-// is asked again, less and less often, for streamLookupPatience.
+// is asked again, less and less often, for streamLookupRetryWindow.
 func awaitStreamVersion(ctx context.Context, source streamVersionSource, stream quorum.StreamID) (version string, err error) {
 	startedAt := time.Now()
 	if stream.Request == "" {
@@ -38,7 +38,7 @@
 	}
 	for wait := minStreamLookupPause; ; wait = min(2*wait, maxStreamLookupPause) {
 		version, err = source.StreamVersion(ctx, stream)
-		if !mayBecomeKnown(err) || time.Since(startedAt) >= streamLookupPatience || !pause.For(ctx, wait) {
+		if !mayBecomeKnown(err) || time.Since(startedAt) >= streamLookupRetryWindow || !pause.For(ctx, wait) {
 			return version, err
 		}
 	}
--- a/internal/gateway/streamlookup_test.go
+++ b/internal/gateway/streamlookup_test.go
@@ -40,14 +40,14 @@
 	}
 }
 
-func TestStreamThatIsNotKnownIsGivenUpAfterThePatience(t *testing.T) {
+func TestStreamThatIsNotKnownIsGivenUpAfterTheRetryWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
 		source := &lateStart{knownFrom: startedAt.Add(time.Hour)}
 		_, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"})
 		var unknown *quorum.UnknownStream
 		require.ErrorAs(t, err, &unknown)
-		require.InDelta(t, streamLookupPatience.Seconds(), time.Since(startedAt).Seconds(), maxStreamLookupPause.Seconds())
+		require.InDelta(t, streamLookupRetryWindow.Seconds(), time.Since(startedAt).Seconds(), maxStreamLookupPause.Seconds())
 		require.Less(t, source.questions, 10, "replicas are asked less and less often")
 	})
 }
--- a/internal/gateway/turnoutput.go
+++ b/internal/gateway/turnoutput.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxTurnOutputBytes bounds what one turn says. It is held until the turn is stored, here and at replicas.
+	// maxTurnOutputBytes bounds the output of one turn. It is held until the turn is stored, here and at replicas.
 	maxTurnOutputBytes = 1 << 20
 	// smallTurnOutputBytes of each turn's output are held in any case: they must not end a turn that has begun. New
 	// requests then get less memory.
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -48,7 +48,7 @@
 		<-r.Context().Done()
 	}))
 	client := clientOf(t, "one", address)
-	transporttest.RequireMostHeld(t, 4, 1, func(ctx context.Context) error {
+	transporttest.RequireMaxHeld(t, 4, 1, func(ctx context.Context) error {
 		_, err := client.Inspect(ctx, address)
 		return err
 	})
@@ -58,7 +58,7 @@
 func TestCallsOfDaemonsWithoutEndShareABound(t *testing.T) {
 	address := serveHTTP2(t, NewServer("daemon-1", "one", &heard{}, telemetry.NewRegistry()))
 	client := clientOf(t, "one", address)
-	transporttest.RequireMostHeld(t, 4, 1, func(ctx context.Context) error {
+	transporttest.RequireMaxHeld(t, 4, 1, func(ctx context.Context) error {
 		body := io.MultiReader(strings.NewReader(strings.Repeat("\x00", longMessageBytes)), endOf(ctx))
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+peerv1connect.PeerServiceGossipProcedure, body)
 		require.NoError(t, err)
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -37,7 +37,7 @@
 			address := transporttest.ServeEndlessly(t, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", " ")
 			var reads transporttest.CountedReads
 			require.Error(t, each.call(platform.NewClient(address, reads.NewClient())))
-			require.Less(t, reads.Most(), transporttest.MostTaken(each.bound))
+			require.Less(t, reads.Max(), transporttest.MaxRead(each.bound))
 		})
 	}
 }
--- a/internal/quorum/endless_test.go
+++ b/internal/quorum/endless_test.go
@@ -33,7 +33,7 @@
 			_, group := startMembers(t, 1)
 			var reads transporttest.CountedReads
 			call(NewClient(group, "", reads.NewClient()), strings.TrimPrefix(baseURL, "http://"))
-			require.Less(t, reads.Most(), transporttest.MostTaken(transport.MaxResponseBytes))
+			require.Less(t, reads.Max(), transporttest.MaxRead(transport.MaxResponseBytes))
 		})
 	}
 }
@@ -45,7 +45,7 @@
 	_, group := startMembers(t, 1)
 	client := NewClient(group, "", new(transporttest.CountedReads).NewClient())
 	client.LimitHeld(allowed)
-	transporttest.RequireMostHeld(t, calls, allowed/answerBytes, func(ctx context.Context) error {
+	transporttest.RequireMaxHeld(t, calls, allowed/answerBytes, func(ctx context.Context) error {
 		_, err := client.ReplicaClient(address).Directory(ctx, connect.NewRequest(&replicav1.DirectoryRequest{}))
 		return err
 	})
--- a/internal/tool/endless_test.go
+++ b/internal/tool/endless_test.go
@@ -38,7 +38,7 @@
 		calling.Go(func() { _ = callTool(t.Context(), t, client, address) })
 	}
 	calling.Wait()
-	require.Less(t, reads.Most(), transporttest.MostTaken(transport.MaxResponseBytes))
+	require.Less(t, reads.Max(), transporttest.MaxRead(transport.MaxResponseBytes))
 }
 
 // Guards against answers within their bound that fill a daemon's memory, as many calls hold theirs at once.
@@ -46,7 +46,7 @@
 	const calls, answerBytes, sharedBytes = 8, 12 << 20, 32 << 20
 	address := transporttest.ServePausing(t, octetStream, answerBytes)
 	client := tool.NewClient(new(transporttest.CountedReads).NewClient())
-	transporttest.RequireMostHeld(t, calls, sharedBytes/answerBytes, func(ctx context.Context) error {
+	transporttest.RequireMaxHeld(t, calls, sharedBytes/answerBytes, func(ctx context.Context) error {
 		return callTool(ctx, t, client, address)
 	})
 }
--- a/internal/transport/bounded.go
+++ b/internal/transport/bounded.go
@@ -21,16 +21,16 @@
 	MaxResponseBytes = 16 << 20
 	// MaxLineBytes bounds one line of a response that is read line by line.
 	MaxLineBytes = 4 << 20
-	// smallResponseBytes of each response take no memory that is counted.
-	smallResponseBytes = 64 << 10
+	// smallMessageBytes of each response take no memory that is counted.
+	smallMessageBytes = 64 << 10
 	// maxReadBytes bounds what is read at once before it is counted: who reads a message whole offers buffers that grow
 	// with it.
 	maxReadBytes = 64 << 10
-	// maxHeldBytes bounds what all responses to one kind of peer hold together beyond smallResponseBytes each.
+	// maxHeldBytes bounds what all responses to one kind of peer hold together beyond smallMessageBytes each.
 	maxHeldBytes = 32 << 20
 )
 
-var eventResponseTooLarge = event.Define(2921, event.Warning, "a response or a call exceeds its bound and was broken off", "Check the named peer: it sends bytes without end, or more than is read.")
+var eventMessageTooLarge = event.Define(2921, event.Warning, "a response or a call exceeds its bound and was broken off", "Check the named peer: it sends bytes without end, or more than is read.")
 
 var metricRefusedMessages = telemetry.Define(telemetry.Definition{
 	Name: "refused_messages_total", Kind: telemetry.KindCounter, Unit: "messages", Labels: []string{"peers", "bound"},
@@ -62,7 +62,7 @@
 // call.
 func (i *Inflow) LimitMessage(bytes int64) { i.maxMessage = bytes }
 
-// LimitHeld sets what all messages hold together beyond smallResponseBytes each, in bytes. It must be called before
+// LimitHeld sets what all messages hold together beyond smallMessageBytes each, in bytes. It must be called before
 // the first call.
 func (i *Inflow) LimitHeld(bytes int64) { i.memory = flowcontrol.NewBudget(bytes, time.Now) }
 
@@ -97,9 +97,9 @@
 	before := h.held
 	h.held += int64(bytes)
 	if h.held > h.limit {
-		return h.refuse(&h.inflow.beyondOne, &flowcontrol.ResponseTooLarge{Limit: h.limit})
+		return h.refuse(&h.inflow.beyondOne, &flowcontrol.MessageTooLarge{Limit: h.limit})
 	}
-	counted := int(max(0, h.held-smallResponseBytes) - max(0, before-smallResponseBytes))
+	counted := int(max(0, h.held-smallMessageBytes) - max(0, before-smallMessageBytes))
 	if counted > 0 && !h.reservation.TryAcquire(counted) {
 		return h.refuse(&h.inflow.beyondAll, &flowcontrol.BudgetExhausted{Wanted: counted, Limit: h.reservation.Limit()})
 	}
@@ -110,7 +110,7 @@
 func (h *holding) refuse(refused *atomic.Int64, cause error) error {
 	h.release()
 	refused.Add(1)
-	eventResponseTooLarge.Log("peer", h.peer, "cause", cause.Error())
+	eventMessageTooLarge.Log("peer", h.peer, "cause", cause.Error())
 	return cause
 }
 
--- a/internal/transport/bounded_test.go
+++ b/internal/transport/bounded_test.go
@@ -32,11 +32,11 @@
 	inflow := NewInflow()
 	response, err := readFrom(t, inflow, MaxResponseBytes)
 	require.NoError(t, err)
-	require.EqualValues(t, MaxResponseBytes-smallResponseBytes, inflow.Held())
+	require.EqualValues(t, MaxResponseBytes-smallMessageBytes, inflow.Held())
 	require.NoError(t, response.Body.Close())
 	require.Zero(t, inflow.Held())
 	response, err = readFrom(t, inflow, MaxResponseBytes+1)
-	var tooLarge *flowcontrol.ResponseTooLarge
+	var tooLarge *flowcontrol.MessageTooLarge
 	require.ErrorAs(t, err, &tooLarge)
 	_, err = response.Body.Read(make([]byte, 1))
 	require.ErrorAs(t, err, &tooLarge, "who drains a body reads no more")
@@ -67,7 +67,7 @@
 	}
 	var exhausted *flowcontrol.BudgetExhausted
 	require.ErrorAs(t, err, &exhausted)
-	require.LessOrEqual(t, source.read, allowed+smallResponseBytes+maxReadBytes)
+	require.LessOrEqual(t, source.read, allowed+smallMessageBytes+maxReadBytes)
 }
 
 // Guards against responses within their bound that many calls at once hold together.
@@ -83,7 +83,7 @@
 	refused, err := readFrom(t, inflow, MaxResponseBytes)
 	var exhausted *flowcontrol.BudgetExhausted
 	require.ErrorAs(t, err, &exhausted)
-	small, err := readFrom(t, inflow, smallResponseBytes)
+	small, err := readFrom(t, inflow, smallMessageBytes)
 	require.NoError(t, err, "a small response needs none of it")
 	for _, each := range append(open, refused, small) {
 		require.NoError(t, each.Body.Close())
@@ -101,7 +101,7 @@
 		require.Len(t, line, want)
 	}
 	_, err := lines.Next()
-	var tooLarge *flowcontrol.ResponseTooLarge
+	var tooLarge *flowcontrol.MessageTooLarge
 	require.ErrorAs(t, err, &tooLarge)
 	lines.Close()
 	require.Zero(t, inflow.Held())
@@ -112,11 +112,11 @@
 	registry, engines, tools := telemetry.NewRegistry(), NewInflow(), NewInflow()
 	engines.RegisterMetrics(registry, "engines")
 	tools.RegisterMetrics(registry, "tools")
-	tools.LimitHeld(smallResponseBytes)
+	tools.LimitHeld(smallMessageBytes)
 	_, err := readFrom(t, engines, MaxResponseBytes+1)
 	require.Error(t, err)
 	for range 2 {
-		_, err = readFrom(t, tools, 3*smallResponseBytes)
+		_, err = readFrom(t, tools, 3*smallMessageBytes)
 		require.Error(t, err)
 	}
 	mux, recorder := http.NewServeMux(), httptest.NewRecorder()
--- a/internal/transport/transporttest/countedreads.go
+++ b/internal/transport/transporttest/countedreads.go
@@ -32,14 +32,14 @@
 	return counted, nil
 }
 
-// Most returns the most bytes that were read on a connection.
-func (c *CountedReads) Most() (most int64) {
+// Max returns the most bytes that were read on a connection.
+func (c *CountedReads) Max() (highest int64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, read := range c.reads {
-		most = max(most, read.Load())
+		highest = max(highest, read.Load())
 	}
-	return most
+	return highest
 }
 
 type countedConnection struct {
--- a/internal/transport/transporttest/endless.go
+++ b/internal/transport/transporttest/endless.go
@@ -9,12 +9,12 @@
 	"testing"
 )
 
-// MostEndlessBytes is where bytes without end end after all, for callers that take them in.
-const MostEndlessBytes = 48 << 20
+// MaxEndlessBytes is where bytes without end end after all, for callers that take them in.
+const MaxEndlessBytes = 48 << 20
 
-// MostTaken returns how many bytes may be read of a response with a bound: beyond it, what each response may hold
+// MaxRead returns how many bytes may be read of a response with a bound: beyond it, what each response may hold
 // uncounted, what is read at once, and what heads and read buffers take, each less than 64 KB.
-func MostTaken(bound int64) int64 { return bound + 3*64<<10 }
+func MaxRead(bound int64) int64 { return bound + 3*64<<10 }
 
 // endlessBlock is how much of them is written at a time.
 const endlessBlock = 64 << 10
@@ -32,7 +32,7 @@
 func writeEndlessly(to io.Writer, beginning, part string) {
 	block := strings.Repeat(part, endlessBlock/len(part))
 	written, err := io.WriteString(to, beginning)
-	for err == nil && written < MostEndlessBytes {
+	for err == nil && written < MaxEndlessBytes {
 		var count int
 		count, err = io.WriteString(to, block)
 		written += count
--- a/internal/transport/transporttest/pausing.go
+++ b/internal/transport/transporttest/pausing.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// patience is how long calls may take to be refused, and to end.
-const patience = 20 * time.Second
+// refusalTimeout is how long calls may take to be refused, and to end.
+const refusalTimeout = 20 * time.Second
 
 // ServePausing starts a listener that answers each request with a number of spaces and then pauses until the caller
 // closes. It returns the base URL.
@@ -31,9 +31,9 @@
 	return server.URL
 }
 
-// RequireMostHeld makes calls at once, each for an answer of ServePausing, and requires that all but most of them
+// RequireMaxHeld makes calls at once, each for an answer of ServePausing, and requires that all but most of them
 // fail. It then ends the others by their context.
-func RequireMostHeld(t testing.TB, calls, most int, call func(ctx context.Context) error) {
+func RequireMaxHeld(t testing.TB, calls, most int, call func(ctx context.Context) error) {
 	ctx, endCalls := context.WithCancel(t.Context())
 	defer endCalls()
 	var ended, refused atomic.Int32
@@ -45,7 +45,7 @@
 			}
 		}()
 	}
-	require.Eventually(t, func() bool { return int(refused.Load()) >= calls-most }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return int(refused.Load()) >= calls-most }, refusalTimeout, time.Millisecond)
 	endCalls()
-	require.Eventually(t, func() bool { return int(ended.Load()) == calls }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return int(ended.Load()) == calls }, refusalTimeout, time.Millisecond)
 }
