replica: recovery and heartbeats are not rejected with calls of gateways

Callers saw: after two disks were lost no seat was filled again, as the copies (2711, 503) and 8 to 13 of 15 heartbeats a second were rejected with the calls that waited for the copies. Cause: one bound of 256 calls in flight for both kinds, first come, first served (priority inversion). Change: calls by which members recover, announce themselves and choose groups have a bound of their own, 64.

Test: TestRecoveryIsNotRejectedBecauseGatewaysCallTooMuch, red with one bound.

--- a/internal/replica/inflightlimiter.go
+++ b/internal/replica/inflightlimiter.go
@@ -8,34 +8,65 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 )
 
-// maxInFlight is the number of calls that a replica handles at a time. Further calls are rejected
-// before they are read: after a power loss all gateways call at once, and queued calls would use
-// memory without finishing sooner.
-const maxInFlight = 256
+const (
+	// maxInFlight is the number of calls for requests of clients that a replica handles at a time. Further
+	// calls are rejected before they are read: after a power loss all gateways call at once, and queued
+	// calls would use memory without finishing sooner.
+	maxInFlight = 256
+	// maxMemberCallsInFlight is the same for calls by which members recover and learn of each other. They
+	// have a bound of their own, because they end the overload.
+	maxMemberCallsInFlight = 64
+)
+
+// memberProcedures are the calls by which members recover, learn of each other and choose groups.
+var memberProcedures = map[string]bool{
+	replicav1connect.ReplicaServicePullProcedure:     true,
+	replicav1connect.ReplicaServiceAnnounceProcedure: true,
+	replicav1connect.ReplicaServiceAgreeProcedure:    true,
+}
 
-// inFlightLimiter rejects calls beyond maxInFlight. Directory calls are exempt because they wait
-// for changes by design.
+// inFlightLimiter rejects calls beyond the limit of their kind. Directory calls are exempt because they
+// wait for changes by design.
 type inFlightLimiter struct {
-	next     http.Handler
+	next             http.Handler
+	requests, member callKind
+	counts           *callCounts
+}
+
+// callKind bounds the calls of one kind.
+type callKind struct {
+	limit    int64
 	inFlight atomic.Int64
 	refused  atomic.Int64
-	counts   *callCounts
 }
 
 func newInFlightLimiter(next http.Handler) *inFlightLimiter {
-	return &inFlightLimiter{next: next, counts: newCallCounts()}
+	limiter := &inFlightLimiter{next: next, counts: newCallCounts()}
+	limiter.requests.limit, limiter.member.limit = maxInFlight, maxMemberCallsInFlight
+	return limiter
 }
 
+// kindOf returns the kind of the call with a path.
+func (l *inFlightLimiter) kindOf(path string) *callKind {
+	if memberProcedures[path] {
+		return &l.member
+	}
+	return &l.requests
+}
+
+// refused returns the number of rejected calls.
+func (l *inFlightLimiter) refused() int64 { return l.requests.refused.Load() + l.member.refused.Load() }
+
 // ServeHTTP forwards a call or rejects it with status 503.
 func (l *inFlightLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == replicav1connect.ReplicaServiceDirectoryProcedure {
 		l.next.ServeHTTP(w, r)
 		return
 	}
-	counts := l.counts.of(r.URL.Path)
-	defer l.inFlight.Add(-1)
-	if l.inFlight.Add(1) > maxInFlight {
-		l.refused.Add(1)
+	counts, kind := l.counts.of(r.URL.Path), l.kindOf(r.URL.Path)
+	defer kind.inFlight.Add(-1)
+	if kind.inFlight.Add(1) > kind.limit {
+		kind.refused.Add(1)
 		counts.rejected.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -62,7 +62,7 @@
 	r.watcher.RegisterMetrics(registry)
 	r.quorum.RegisterMetrics(registry)
 	limiter.counts.register(registry)
-	registry.GaugeFunc(metricCallsRefused, func() float64 { return float64(limiter.refused.Load()) })
+	registry.GaugeFunc(metricCallsRefused, func() float64 { return float64(limiter.refused()) })
 	registry.GaugeFunc(metricDrainsRevision, func() float64 { return float64(r.directory.View().Drains.Revision) })
 	registry.GaugeFunc(metricOpenLoans, func() float64 { return float64(r.state.openLoanCount()) })
 	registry.GaugeFunc(metricGroupsUnderReplicated, func() float64 { return float64(r.underReplicated.count()) })
