quorum: a replica that rejects calls is not taken for silent

Cause: a rejection was a bare 503, which counts as no answer: the replica was marked down, probed up to 40 times a second, and each call made once more through another gateway, at the replica that had rejected it. Change: a rejection says that the replica is overloaded (429, resource_exhausted, marked by a header); it is an answer. Older callers take it for an answer too, and retry.

Test: TestOverloadedReplicaIsNotTakenForSilent, red with the former answer: "n0 is silent".

--- /dev/null
+++ b/internal/quorum/overload_test.go
@@ -0,0 +1,35 @@
+package quorum
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+)
+
+func TestOverloadedReplicaIsNotTakenForSilent(t *testing.T) {
+	var calls atomic.Int64
+	rejecter := NewRejecter()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		_ = rejecter.Reject(w, r, &Overloaded{Limit: 7})
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	group := &replicav1.Group{Epoch: 1, Members: []*replicav1.Member{{Seat: 0, Node: "n0", Address: address}}}
+	client := NewClient(&staticGroup{group}, "", http.DefaultClient)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	err := client.Append(ctx, "p", reservation("r"))
+	var unavailable *Unavailable
+	require.ErrorAs(t, err, &unavailable)
+	require.Contains(t, err.Error(), "n0 is overloaded")
+	require.False(t, client.reachability.isDown(address), "it must not be probed and called through other gateways besides")
+}
--- a/internal/quorum/shortfall.go
+++ b/internal/quorum/shortfall.go
@@ -135,6 +135,8 @@
 	switch {
 	case errors.As(err, &foreign):
 		return "is a process of another system"
+	case isRejection(err):
+		return "is overloaded"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "refuses connections"
 	case connect.IsWireError(err):
--- a/internal/replica/inflightlimiter.go
+++ b/internal/replica/inflightlimiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+	"github.com/barleyshelf/barleyshelf/internal/quorum"
 )
 
 const (
@@ -29,6 +30,7 @@
 // wait for changes by design.
 type inFlightLimiter struct {
 	next             http.Handler
+	rejecter         *quorum.Rejecter
 	requests, member callKind
 	counts           *callCounts
 }
@@ -40,8 +42,8 @@
 	refused  atomic.Int64
 }
 
-func newInFlightLimiter(next http.Handler) *inFlightLimiter {
-	limiter := &inFlightLimiter{next: next, counts: newCallCounts()}
+func newInFlightLimiter(next http.Handler, rejecter *quorum.Rejecter) *inFlightLimiter {
+	limiter := &inFlightLimiter{next: next, rejecter: rejecter, counts: newCallCounts()}
 	limiter.requests.limit, limiter.member.limit = maxInFlight, maxMemberCallsInFlight
 	return limiter
 }
@@ -57,7 +59,7 @@
 // refused returns the number of rejected calls.
 func (l *inFlightLimiter) refused() int64 { return l.requests.refused.Load() + l.member.refused.Load() }
 
-// ServeHTTP forwards a call or rejects it with status 503.
+// ServeHTTP forwards a call or rejects it.
 func (l *inFlightLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == replicav1connect.ReplicaServiceDirectoryProcedure {
 		l.next.ServeHTTP(w, r)
@@ -68,7 +70,8 @@
 	if kind.inFlight.Add(1) > kind.limit {
 		kind.refused.Add(1)
 		counts.rejected.Add(1)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		// If the caller cannot be told, it has gone.
+		_ = l.rejecter.Reject(w, r, &quorum.Overloaded{Limit: int(kind.limit)})
 		return
 	}
 	counts.inFlight.Add(1)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -248,7 +248,7 @@
 		return &failure.Internal{Cause: err}
 	}
 	mux := http.NewServeMux()
-	limiter := newInFlightLimiter(r.quorum.BoundCalls(mux))
+	limiter := newInFlightLimiter(r.quorum.BoundCalls(mux), quorum.NewRejecter(transport.HandlerOptions()...))
 	registry := telemetry.NewRegistry()
 	r.registerGauges(registry, limiter)
 	r.quorum.MeterTraffic(traffic.New(registry))
