quorum: callers call a replica no more than it answers

Cause: overload that keeps itself. A rejected call took a replica as long as an answered one, and callers knew no bound but 16 connections each (816 calls of 51 gateways for 256 places): they called again after 40 ms, and in the meantime other requests did.

Change: each process bounds its calls of requests in flight to each replica: slow start, additive increase, halved by a rejection or a call without an answer, pauses at the bound of one. Calls wait at the gateway, where one that nobody waits for any more costs nothing. A replica takes 128 calls at a time, as many as it answers within quorum.OneRoundLimit.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,8 +72,9 @@
 	clientUserTimeout  = 5 * time.Second
 	replicaDialTimeout = 300 * time.Millisecond
 	replicaUserTimeout = 700 * time.Millisecond
-	// maxReplicaConnections is the limit of connections to each replica.
-	maxReplicaConnections = 16
+	// maxReplicaConnections is the limit of connections to each replica. Some are left for calls that
+	// no request waits for.
+	maxReplicaConnections = quorum.MaxMemberCalls + 4
 	sweepInterval         = time.Second
 )
 
--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -215,10 +215,21 @@
 	}
 }
 
-// callDirectly makes one call to a member. If that takes long, the call is also made through
-// another gateway. It returns the direct answer or the error of the call.
+// callDirectly makes one call to a member, once the limit of calls to it permits. If the call takes
+// long, it is also made through another gateway. It returns the direct answer or the error of the call.
 func (r *appendRound) callDirectly(roundCtx context.Context, member *replicav1.Member) (*replicav1.AppendResponse, error) {
+	limiter := r.client.limiters.of(member.Address)
+	if !limiter.acquire(roundCtx) {
+		return nil, roundCtx.Err()
+	}
 	startedAt := r.client.now()
+	response, err := r.callWithoutLimit(roundCtx, member, startedAt)
+	limiter.release(startedAt, outcomeOf(err))
+	return response, err
+}
+
+// callWithoutLimit makes the call of callDirectly, which began at startedAt.
+func (r *appendRound) callWithoutLimit(roundCtx context.Context, member *replicav1.Member, startedAt time.Time) (*replicav1.AppendResponse, error) {
 	hedgeAfter := r.client.callLatency.UpperBound(forwardHedgeDelay) + r.client.extraLatency(member)
 	hedge := time.AfterFunc(hedgeAfter, func() { r.forwardUnlessAnswered(roundCtx, member, startedAt) })
 	defer hedge.Stop()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -77,6 +77,8 @@
 	// does not answer.
 	reachability *reachability
 	outages      *outages
+	// limiters bounds the calls to each replica.
+	limiters     *callLimiters
 	forwarders   *forwarders
 	incarnations incarnationCache
 	// drawSettlements are the pending settlements of turns that drew on loans.
@@ -138,6 +140,7 @@
 	created.drawSettlements.byHolder = make(map[holderKey]*holderSettlements)
 	created.reachability = newReachability(created.now, created.probe)
 	created.outages = newOutages(created.now, created.probeMajority)
+	created.limiters = newCallLimiters(created.now)
 	return created
 }
 
--- a/internal/replica/inflightlimiter.go
+++ b/internal/replica/inflightlimiter.go
@@ -12,8 +12,9 @@
 const (
 	// maxInFlight is the number of calls for requests of clients that a replica handles at a time. Further
 	// calls are rejected before they are read: after a power loss all gateways call at once, and queued
-	// calls would use memory without finishing sooner.
-	maxInFlight = 256
+	// calls would use memory without finishing sooner. A replica answers the calls before one that it
+	// accepts within quorum.OneRoundLimit.
+	maxInFlight = 128
 	// maxMemberCallsInFlight is the same for calls by which members recover and learn of each other. They
 	// have a bound of their own, because they end the overload.
 	maxMemberCallsInFlight = 64
