quorum: requests that wait do not call a recovering member again and again

Callers saw the recovery of lost disks take seconds or for ever under load.

Change: such a member is tracked for all requests of a process and probed by one goroutine, as members that are silent are; rounds wait for that, use its known answer, and call members that count first.

--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -186,9 +186,13 @@
 
 // callUntilDone calls one member repeatedly until the round is over. A call in flight at that
 // time is completed, so that slower members receive the records too. A member that does not
-// answer is also called through another gateway.
+// answer is also called through another gateway. One that is known not to count is not called
+// before it does.
 func (r *appendRound) callUntilDone(roundCtx context.Context, member *replicav1.Member) {
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if !r.awaitReady(roundCtx, member) {
+			return
+		}
 		var result memberResult
 		if r.client.reachability.isDown(member.Address) {
 			result.answer = r.forward(roundCtx, member)
@@ -205,6 +209,16 @@
 	}
 }
 
+// awaitReady waits until a member may be called. It delivers the known answer of one that does not
+// count. It returns false if the round is over.
+func (r *appendRound) awaitReady(roundCtx context.Context, member *replicav1.Member) bool {
+	answer := r.client.unready.answerOf(r.group.Partition, member.Address)
+	if answer == nil || !r.isKnownUnready(member) {
+		return true
+	}
+	return r.deliver(roundCtx, member, memberResult{answer: answer}) && r.client.unready.await(roundCtx, r.group.Partition, member.Address)
+}
+
 // deliver passes the result of a call to the round. It returns false if the round is over.
 func (r *appendRound) deliver(roundCtx context.Context, member *replicav1.Member, result memberResult) bool {
 	select {
@@ -219,7 +233,7 @@
 // long, it is also made through another gateway. It returns the direct answer or the error of the call.
 func (r *appendRound) callDirectly(roundCtx context.Context, member *replicav1.Member) (*replicav1.AppendResponse, error) {
 	limiter := r.client.limiters.of(member.Address)
-	if !limiter.acquire(roundCtx) {
+	if !r.acquireReady(roundCtx, member, limiter) {
 		return nil, roundCtx.Err()
 	}
 	startedAt := r.client.now()
@@ -228,6 +242,27 @@
 	return response, err
 }
 
+// acquireReady waits for a slot to call a member that counts, as far as is known. It returns false if the
+// round is over.
+func (r *appendRound) acquireReady(roundCtx context.Context, member *replicav1.Member, limiter *callLimiter) bool {
+	for limiter.acquire(roundCtx) {
+		if !r.isKnownUnready(member) {
+			return true
+		}
+		limiter.release(r.client.now(), callUnknown)
+		if !r.awaitReady(roundCtx, member) {
+			return false
+		}
+	}
+	return false
+}
+
+// isKnownUnready reports whether a member need not be called, because it is known not to count. A round
+// that asks for reports calls it nevertheless.
+func (r *appendRound) isKnownUnready(member *replicav1.Member) bool {
+	return !r.request.Report && r.client.unready.answerOf(r.group.Partition, member.Address) != nil
+}
+
 // callWithoutLimit makes the call of callDirectly, which began at startedAt.
 func (r *appendRound) callWithoutLimit(roundCtx context.Context, member *replicav1.Member, startedAt time.Time) (*replicav1.AppendResponse, error) {
 	hedgeAfter := r.client.callLatency.UpperBound(forwardHedgeDelay) + r.client.extraLatency(member)
@@ -247,6 +282,7 @@
 		r.client.outages.writeLatency.Observe(elapsed)
 	}
 	r.client.reachability.recordAnswer(member.Address)
+	r.client.unready.record(r.group, member, response.Msg)
 	r.client.processStanding(r.group, member, response.Msg.Standing)
 	return response.Msg, nil
 }
--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 
 	"connectrpc.com/connect"
@@ -187,10 +188,16 @@
 	}).GetReadChain()
 }
 
-// nearestFirst returns the members of a group ordered by distance.
+// nearestFirst returns the members of a group ordered by distance, those that do not count last.
 func (c *Client) nearestFirst(group *replicav1.Group) []*replicav1.Member {
 	view := c.zoneLatencies.View()
 	members := slices.Clone(group.Members)
-	slices.SortStableFunc(members, func(a, b *replicav1.Member) int { return cmp.Compare(view.Rank(a.Zone), view.Rank(b.Zone)) })
+	rank := func(member *replicav1.Member) int {
+		if c.unready.answerOf(group.Partition, member.Address) != nil {
+			return math.MaxInt
+		}
+		return view.Rank(member.Zone)
+	}
+	slices.SortStableFunc(members, func(a, b *replicav1.Member) int { return cmp.Compare(rank(a), rank(b)) })
 	return members
 }
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -77,7 +77,8 @@
 	// does not answer.
 	reachability *reachability
 	outages      *outages
-	// limiters bounds the calls to each replica.
+	// unready tracks members that answer but do not count, limiters bounds the calls to each replica.
+	unready      *unreadyMembers
 	limiters     *callLimiters
 	forwarders   *forwarders
 	incarnations incarnationCache
@@ -140,6 +141,7 @@
 	created.drawSettlements.byHolder = make(map[holderKey]*holderSettlements)
 	created.reachability = newReachability(created.now, created.probe)
 	created.outages = newOutages(created.now, created.probeMajority)
+	created.unready = newUnreadyMembers(created.now, created.probeUnready)
 	created.limiters = newCallLimiters(created.now)
 	return created
 }
@@ -230,6 +232,20 @@
 	return err
 }
 
+// probeUnready asks a member for its standing in a group. It returns an answer that does not count, or
+// nil if the member counts, does not answer, or the group has been replaced.
+func (c *Client) probeUnready(ctx context.Context, group *replicav1.Group, member *replicav1.Member) *replicav1.AppendResponse {
+	if current := c.groups.Group(group.Partition); current.GetEpoch() != group.Epoch {
+		return nil
+	}
+	request := &replicav1.AppendRequest{Epoch: group.Epoch, Partition: group.Partition}
+	answer := callMember(ctx, c, group, member, callTimeout, connect.NewRequest(request), c.ReplicaClient(member.Address).Append)
+	if answer == nil || !isUnready(group, answer.Standing) {
+		return nil
+	}
+	return answer
+}
+
 // processStanding records a replica's incarnation. It adopts a newer group from the replica, or
 // announces a newer one to it.
 func (c *Client) processStanding(group *replicav1.Group, member *replicav1.Member, standing *replicav1.Standing) {
@@ -246,7 +262,7 @@
 }
 
 // preferredOrder returns the members of a group in the order in which they are called. Members
-// that are not down come first. Among them, the client's zone comes first, then its region, then
+// that are down come last, after those that do not count. Among them, the client's zone comes first, then its region, then
 // other regions by measured latency. Equally distant members are in random order to spread the
 // load.
 func (c *Client) preferredOrder(group *replicav1.Group) []*replicav1.Member {
@@ -257,6 +273,9 @@
 		if c.reachability.isDown(member.Address) {
 			return math.MaxInt
 		}
+		if c.unready.answerOf(group.Partition, member.Address) != nil {
+			return math.MaxInt - 1
+		}
 		return view.Rank(member.Zone)
 	}
 	slices.SortStableFunc(members, func(a, b *replicav1.Member) int { return cmp.Compare(rank(a), rank(b)) })
