--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -141,7 +141,7 @@
 // findInPartition searches one partition for a turn and the turns before it.
 func (c *Client) findInPartition(ctx context.Context, partition uint32, id string) ([]*replicav1.Turn, error) {
 	answered, needed := 0, 1
-	for {
+	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		if group := c.groups.Group(partition); group != nil {
 			needed = ReadQuorum(VoterCount(group))
 			found, absent, answeredNow := c.findInPartitionOnce(ctx, group, id)
@@ -153,7 +153,7 @@
 			}
 			answered = answeredNow
 		}
-		if !pause.For(ctx, initialBackoff) {
+		if !pause.For(ctx, backoff) {
 			return nil, &Unavailable{Needed: needed, Answered: answered}
 		}
 	}
--- a/internal/quorum/streams.go
+++ b/internal/quorum/streams.go
@@ -38,7 +38,7 @@
 // if too few members answer.
 func (c *Client) StreamVersion(ctx context.Context, stream StreamID) (string, error) {
 	answered, needed := 0, 1
-	for {
+	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		if group := c.programGroup(stream.Content); group != nil {
 			needed = ReadQuorum(VoterCount(group))
 			answer, absent, answeredNow := readNearestFirst(ctx, c, group,
@@ -54,7 +54,7 @@
 			}
 			answered = answeredNow
 		}
-		if !pause.For(ctx, initialBackoff) {
+		if !pause.For(ctx, backoff) {
 			return "", &Unavailable{Needed: needed, Answered: answered}
 		}
 	}
