quorum: reads that are no longer needed cost no connection

A read asks all members where the nearest one is slow; when its request ended, the calls in flight were canceled, which closes a connection of HTTP/1.1 each and has the replica accept another one. They are completed now, and share the limit of calls to each replica; one that waits for a slot is not made at all. A replica that answers is not read again through another gateway.

Test: TestReadThatIsNoLongerNeededCostsNoConnection, red before: 10 connections for 10 reads.

--- a/internal/quorum/chain.go
+++ b/internal/quorum/chain.go
@@ -174,8 +174,8 @@
 func (c *Client) readChain(ctx context.Context, group *replicav1.Group, member *replicav1.Member, id string) *replicav1.ReadChainResponse {
 	request := &replicav1.ReadChainRequest{Epoch: group.Epoch, Partition: group.Partition, Id: id}
 	if !c.reachability.isDown(member.Address) {
-		answer := callMember(ctx, c, group, member, callTimeout, connect.NewRequest(request), c.ReplicaClient(member.Address).ReadChain)
-		if answer != nil || ctx.Err() != nil {
+		answer := readMember(ctx, c, group, member, connect.NewRequest(request), c.ReplicaClient(member.Address).ReadChain)
+		if answer != nil || ctx.Err() != nil || !c.reachability.isDown(member.Address) {
 			return answer
 		}
 	}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -211,6 +211,17 @@
 }](ctx context.Context, c *Client, group *replicav1.Group, member *replicav1.Member, timeout time.Duration, request *connect.Request[Q],
 	call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
 ) P {
+	answer, _ := tryMember[Q, A, P](ctx, c, group, member, timeout, request, call)
+	return answer
+}
+
+// tryMember is callMember, and also returns the error of the call.
+func tryMember[Q, A any, P interface {
+	*A
+	standingAnswer
+}](ctx context.Context, c *Client, group *replicav1.Group, member *replicav1.Member, timeout time.Duration, request *connect.Request[Q],
+	call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) (P, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := call(callCtx, request)
@@ -218,12 +229,12 @@
 		answer := P(response.Msg)
 		c.reachability.recordAnswer(member.Address)
 		c.processStanding(group, member, answer.GetStanding())
-		return answer
+		return answer, nil
 	}
 	if ctx.Err() == nil {
 		c.reachability.recordFailure(member.Address, err)
 	}
-	return nil
+	return nil, err
 }
 
 // probe sends an empty append to one replica.
--- a/internal/quorum/nearestread.go
+++ b/internal/quorum/nearestread.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
 )
 
@@ -47,3 +49,22 @@
 	}
 	return nil, false, len(standings)
 }
+
+// readMember makes one call of a read to a member, once the limit of calls to it permits. It returns nil
+// if there was no answer. A call in flight is completed after ctx has ended: canceling it would cost its
+// connection.
+func readMember[Q, A any, P interface {
+	*A
+	standingAnswer
+}](ctx context.Context, c *Client, group *replicav1.Group, member *replicav1.Member, request *connect.Request[Q],
+	call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error),
+) P {
+	limiter := c.limiters.of(member.Address)
+	if !limiter.acquire(ctx) {
+		return nil
+	}
+	startedAt := c.now()
+	answer, err := tryMember[Q, A, P](context.WithoutCancel(ctx), c, group, member, callTimeout, request, call)
+	limiter.release(startedAt, outcomeOf(err))
+	return answer
+}
--- a/internal/quorum/nearestread_test.go
+++ b/internal/quorum/nearestread_test.go
@@ -48,6 +48,20 @@
 	return NewClient(&staticGroup{group}, "", &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: MaxMemberCalls}}), &connections
 }
 
+func TestReadThatIsNoLongerNeededCostsNoConnection(t *testing.T) {
+	const reads = 10
+	reader := &lateReader{delay: 20 * time.Millisecond}
+	client, connections := reader.start(t)
+	for range reads {
+		ctx, cancel := context.WithTimeout(t.Context(), reader.delay/2)
+		_, err := client.Chain(ctx, Scope{Program: "p"}, "turn")
+		cancel()
+		require.Error(t, err)
+		time.Sleep(reader.delay)
+	}
+	require.Less(t, connections.Load(), int64(reads/2))
+}
+
 func TestReadsThatProveNothingAreRepeatedLessAndLessOften(t *testing.T) {
 	reader := &lateReader{}
 	client, _ := reader.start(t)
--- a/internal/quorum/streams.go
+++ b/internal/quorum/streams.go
@@ -75,8 +75,8 @@
 func (c *Client) readStream(ctx context.Context, group *replicav1.Group, member *replicav1.Member, stream StreamID) *replicav1.ReadStreamResponse {
 	request := &replicav1.ReadStreamRequest{Epoch: group.Epoch, Partition: group.Partition, Content: stream.Content, Request: stream.Request}
 	if !c.reachability.isDown(member.Address) {
-		answer := callMember(ctx, c, group, member, callTimeout, connect.NewRequest(request), c.ReplicaClient(member.Address).ReadStream)
-		if answer != nil || ctx.Err() != nil {
+		answer := readMember(ctx, c, group, member, connect.NewRequest(request), c.ReplicaClient(member.Address).ReadStream)
+		if answer != nil || ctx.Err() != nil || !c.reachability.isDown(member.Address) {
 			return answer
 		}
 	}
