turn: records that are on the disk take less memory

Callers saw: no recovery from two lost disks under load (RECOVER). Root cause, by a trial that logged the collector each second: a replica with two seats holds 33 to 45 MB of records on a machine of 82 MB, of which the runtime may take 53. Retries and failed tries leave records too, so that it keeps itself.

Change: a reservation, a settlement or the start of a stream leaves the memory once it is on the disk, as what turns say does already; copies and compactions read it from there, adjacent records together. What decisions need (turns, entries of programs, starts) stays.

--- a/internal/replica/stateload.go
+++ b/internal/replica/stateload.go
@@ -58,14 +58,23 @@
 
 // decodeTurn decodes a turn record from the log.
 func decodeTurn(data []byte, at recordlog.Position) (*replicav1.Record, error) {
+	record, err := decodeRecord(data, at)
+	if err == nil && record.GetTurn() == nil {
+		return nil, &recordlog.Damaged{Offset: at.Offset}
+	}
+	return record, err
+}
+
+// decodeRecord decodes a record from the log.
+func decodeRecord(data []byte, at recordlog.Position) (*replicav1.Record, error) {
 	record := &replicav1.Record{}
-	if err := proto.Unmarshal(data, record); err != nil || record.GetTurn() == nil {
+	if err := proto.Unmarshal(data, record); err != nil {
 		return nil, &recordlog.Damaged{Offset: at.Offset}
 	}
 	return record, nil
 }
 
-// recordsAfter returns complete records of a partition, from a position on, of about limit bytes.
+// recordsAfter returns records of a partition, from a position on, of about limit bytes.
 func (s *state) recordsAfter(partition uint32, position uint64, limit int) (records []*replicav1.Record, next uint64, more bool, err error) {
 	for attempt := 1; ; attempt++ {
 		s.mutex.Lock()
@@ -82,11 +91,11 @@
 	}
 }
 
-// loadRecords returns the records with the contents of their turns.
+// loadRecords returns records that may lie in the log.
 func (s *state) loadRecords(found []turn.Stored) ([]*replicav1.Record, error) {
 	var places []recordlog.Position
 	for _, stored := range found {
-		if stored.GetTurn() != nil && !stored.Place.IsZero() {
+		if stored.Record == nil {
 			places = append(places, stored.Place)
 		}
 	}
@@ -97,8 +106,8 @@
 	records := make([]*replicav1.Record, 0, len(found))
 	for _, stored := range found {
 		record := stored.Record
-		if record.GetTurn() != nil && !stored.Place.IsZero() {
-			if record, err = decodeTurn(encoded[0], stored.Place); err != nil {
+		if record == nil {
+			if record, err = decodeRecord(encoded[0], stored.Place); err != nil {
 				return nil, err
 			}
 			encoded = encoded[1:]
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -1,8 +1,9 @@
 // Package turn holds the kept turns and the token budgets of programs as one
 // replica knows them. It is pure: records go in, answers come out. Records are
 // written once and never changed, so that the order in which they arrive does
-// not matter. What a turn says leaves the memory once its place in the log is
-// known.
+// not matter. A record leaves the memory once its place in the log is known:
+// what turns say and what is only passed on to other replicas is read from
+// there.
 package turn
 
 import (
@@ -30,16 +31,36 @@
 
 // Stored is a record of the store.
 type Stored struct {
-	// Record lacks what a turn says where Place is known.
+	// Record is nil where Place is known.
 	*replicav1.Record
-	// Place is where the whole record lies in the log; zero until that is known.
+	// Place is where the record lies in the log; zero until that is known.
 	Place recordlog.Position
 
 	position uint64
 	// retention is how long the record is kept after its last use.
 	retention time.Duration
 	// size is the record's encoded size in bytes.
-	size int
+	size    int
+	subject subject
+}
+
+// subjectKind is the kind of what a record concerns.
+type subjectKind uint8
+
+const (
+	subjectNone subjectKind = iota
+	subjectTurn
+	subjectProgram
+	subjectStream
+)
+
+// subject is what a record concerns: the turn, the program whose budget it changes, or the stream.
+type subject struct {
+	kind subjectKind
+	// name is the id of a turn, the name of a program, or the content of a stream.
+	name string
+	// request is the one that began a stream.
+	request string
 }
 
 // Kept is a turn of a chain.
@@ -56,6 +77,7 @@
 }
 
 type program struct {
+	name    string
 	entries map[string]*replicav1.Entry
 	// retention is the longest of its records.
 	retention time.Duration
@@ -89,10 +111,11 @@
 	if added {
 		retention := time.Duration(record.RetentionMs) * time.Millisecond
 		size := proto.Size(record)
-		s.records = append(s.records, Stored{position: s.next, Record: record, retention: retention, size: size})
+		stored := Stored{position: s.next, Record: record, retention: retention, size: size, subject: s.subjectOf(record)}
+		s.records = append(s.records, stored)
 		s.bytes += int64(size)
 		s.next++
-		if known := s.programs[programOf(record)]; known != nil {
+		if known := s.programOf(stored); known != nil {
 			known.retention = max(known.retention, retention)
 		}
 	}
@@ -102,23 +125,23 @@
 // Next returns the position of the next record that is new.
 func (s *Store) Next() uint64 { return s.next }
 
-// Placed notes where the record at a position lies in the log. What a turn says
-// is read from there from now on.
+// Placed notes where the record at a position lies in the log. It is read from
+// there from now on.
 func (s *Store) Placed(position uint64, at recordlog.Position) {
 	i := s.search(position)
 	if i == len(s.records) || s.records[i].position != position {
 		return
 	}
-	s.records[i].Place = at
-	whole := s.records[i].GetTurn()
-	if whole == nil {
-		return
-	}
-	stub := &replicav1.Turn{Id: whole.Id, Previous: whole.Previous, Program: whole.Program}
-	s.records[i].Record = &replicav1.Record{
-		Kind: &replicav1.Record_Turn{Turn: stub}, RetentionMs: s.records[i].RetentionMs, Partition: s.records[i].Partition,
+	placed := &s.records[i]
+	placed.Place, placed.Record = at, nil
+	if placed.subject.kind == subjectTurn {
+		s.turns[placed.subject.name].place(at)
 	}
-	s.turns[whole.Id].Kept = Kept{Turn: stub, Place: at}
+}
+
+// place notes where the turn lies in the log. What it says leaves the memory.
+func (k *keptTurn) place(at recordlog.Position) {
+	k.Kept = Kept{Turn: &replicav1.Turn{Id: k.Id, Previous: k.Previous, Program: k.Program}, Place: at}
 }
 
 func (s *Store) search(position uint64) int {
@@ -149,13 +172,13 @@
 func (s *Store) entry(now time.Time, name, id string) *replicav1.Entry {
 	known := s.programs[name]
 	if known == nil {
-		known = &program{entries: make(map[string]*replicav1.Entry)}
+		known = &program{name: name, entries: make(map[string]*replicav1.Entry)}
 		s.programs[name] = known
 	}
 	known.used = now
 	entry := known.entries[id]
 	if entry == nil {
-		entry = &replicav1.Entry{Id: id, Program: name, Most: -1}
+		entry = &replicav1.Entry{Id: id, Program: known.name, Most: -1}
 		known.entries[id] = entry
 	}
 	return entry
@@ -169,8 +192,8 @@
 func (s *Store) Expire(now time.Time) {
 	kept := s.records[:0]
 	for _, each := range s.records {
-		if s.usedAt(each.Record).Add(s.retentionOf(each) + expiryMargin).Before(now) {
-			s.drop(each.Record)
+		if s.usedAt(each.subject).Add(s.retentionOf(each) + expiryMargin).Before(now) {
+			s.drop(each.subject)
 			s.bytes -= int64(each.size)
 			continue
 		}
@@ -184,35 +207,45 @@
 // after the longest time for which one of them is to be kept: a loan is, for longer than
 // the turns.
 func (s *Store) retentionOf(stored Stored) time.Duration {
-	if known := s.programs[programOf(stored.Record)]; known != nil {
+	if known := s.programOf(stored); known != nil {
 		return max(known.retention, stored.retention)
 	}
 	return stored.retention
 }
 
-// programOf returns the program whose budget a record concerns; empty is none.
-func programOf(record *replicav1.Record) string {
+// subjectOf returns what a record concerns. It shares the name of a program, which has many records.
+func (s *Store) subjectOf(record *replicav1.Record) subject {
 	switch kind := record.Kind.(type) {
+	case *replicav1.Record_Turn:
+		return subject{kind: subjectTurn, name: kind.Turn.Id}
 	case *replicav1.Record_Reservation:
-		return kind.Reservation.Program
+		return subject{kind: subjectProgram, name: s.programs[kind.Reservation.Program].name}
 	case *replicav1.Record_Settlement:
-		return kind.Settlement.Program
+		return subject{kind: subjectProgram, name: s.programs[kind.Settlement.Program].name}
+	case *replicav1.Record_Stream:
+		return subject{kind: subjectStream, name: kind.Stream.Content, request: kind.Stream.Request}
 	}
-	return ""
+	return subject{}
 }
 
-// usedAt returns when what a record belongs to was used last. Records of a
+// programOf returns the program whose budget a record concerns, or nil.
+func (s *Store) programOf(stored Stored) *program {
+	if stored.subject.kind != subjectProgram {
+		return nil
+	}
+	return s.programs[stored.subject.name]
+}
+
+// usedAt returns when what a record concerns was used last. Records of a
 // program that is dropped already were used as long ago as that.
-func (s *Store) usedAt(record *replicav1.Record) time.Time {
-	switch kind := record.Kind.(type) {
-	case *replicav1.Record_Turn:
-		return s.turns[kind.Turn.Id].used
-	case *replicav1.Record_Reservation:
-		return s.programUsed(kind.Reservation.Program)
-	case *replicav1.Record_Settlement:
-		return s.programUsed(kind.Settlement.Program)
-	case *replicav1.Record_Stream:
-		return s.streams.addedAt(kind.Stream)
+func (s *Store) usedAt(concerned subject) time.Time {
+	switch concerned.kind {
+	case subjectTurn:
+		return s.turns[concerned.name].used
+	case subjectProgram:
+		return s.programUsed(concerned.name)
+	case subjectStream:
+		return s.streams.addedAt(concerned.name, concerned.request)
 	}
 	return time.Time{}
 }
@@ -224,16 +257,14 @@
 	return time.Time{}
 }
 
-func (s *Store) drop(record *replicav1.Record) {
-	switch kind := record.Kind.(type) {
-	case *replicav1.Record_Turn:
-		delete(s.turns, kind.Turn.Id)
-	case *replicav1.Record_Reservation:
-		delete(s.programs, kind.Reservation.Program)
-	case *replicav1.Record_Settlement:
-		delete(s.programs, kind.Settlement.Program)
-	case *replicav1.Record_Stream:
-		s.streams.remove(kind.Stream)
+func (s *Store) drop(concerned subject) {
+	switch concerned.kind {
+	case subjectTurn:
+		delete(s.turns, concerned.name)
+	case subjectProgram:
+		delete(s.programs, concerned.name)
+	case subjectStream:
+		s.streams.remove(concerned.name, concerned.request)
 	}
 }
 
--- a/internal/turn/streamstarts.go
+++ b/internal/turn/streamstarts.go
@@ -35,15 +35,15 @@
 	return true
 }
 
-func (s *streamStarts) addedAt(start *replicav1.StreamStart) time.Time {
-	return s.byContent[start.Content][start.Request].addedAt
+func (s *streamStarts) addedAt(content, request string) time.Time {
+	return s.byContent[content][request].addedAt
 }
 
-func (s *streamStarts) remove(start *replicav1.StreamStart) {
-	requests := s.byContent[start.Content]
-	delete(requests, start.Request)
+func (s *streamStarts) remove(content, request string) {
+	requests := s.byContent[content]
+	delete(requests, request)
 	if len(requests) == 0 {
-		delete(s.byContent, start.Content)
+		delete(s.byContent, content)
 	}
 }
 
