quorum: starts of streams of one content are read from a majority

Here, one way: a client that names no attempt had its stream looked for at the nearest member first, and the first one that knew any start of the content decided. If members know different starts (a write that one member missed), that start may be another stream's. Change: without a name all starts that a majority knows must have one version; a named start is found as before.

Test: TestStreamsKnownToDifferentReplicasAreAmbiguousWithoutAName, red before: no error, the version of the other stream.

--- a/internal/quorum/nearestread.go
+++ b/internal/quorum/nearestread.go
@@ -50,6 +50,34 @@
 	return nil, false, len(standings)
 }
 
+// readMajority asks all members of a group. It returns the answers received until a majority has answered
+// consistently, which complete reports.
+func readMajority[A any, P interface {
+	*A
+	standingAnswer
+}](ctx context.Context, group *replicav1.Group, read func(*replicav1.Member) P) (received []P, complete bool) {
+	answers := make(chan P, len(group.Members))
+	for _, member := range group.Members {
+		go func() { answers <- read(member) }()
+	}
+	var standings []*replicav1.Standing
+	for range group.Members {
+		select {
+		case <-ctx.Done():
+			return received, false
+		case answer := <-answers:
+			if answer == nil {
+				continue
+			}
+			received, standings = append(received, answer), append(standings, answer.GetStanding())
+		}
+		if ChooseConsistent(group.Epoch, standings, ReadQuorum(VoterCount(group))) != nil {
+			return received, true
+		}
+	}
+	return received, false
+}
+
 // readMember makes one call of a read to a member, once the limit of calls to it permits. It returns nil
 // if there was no answer. A call in flight is completed after ctx has ended: canceling it would cost its
 // connection.
--- a/internal/quorum/streams.go
+++ b/internal/quorum/streams.go
@@ -32,27 +32,20 @@
 	})
 }
 
-// StreamVersion returns the software version at which a stream began. If the stream's request is
-// unknown, all streams of its content must have begun at the same version. It fails with *UnknownStream
-// if no member of the stream's partition knows the version, or if it is ambiguous, and with *Unavailable
-// if too few members answer.
+// StreamVersion returns the software version at which a stream began. If the stream's request is unknown, all
+// streams of its content that a majority knows must have begun at the same version. It fails with *UnknownStream
+// if no member of the stream's partition knows the version, or if it is ambiguous, and with *Unavailable if too
+// few members answer.
 func (c *Client) StreamVersion(ctx context.Context, stream StreamID) (string, error) {
 	answered, needed := 0, 1
 	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		if group := c.programGroup(stream.Content); group != nil {
 			needed = ReadQuorum(VoterCount(group))
-			answer, absent, answeredNow := readNearestFirst(ctx, c, group,
-				func(member *replicav1.Member) *replicav1.ReadStreamResponse {
-					return c.readStream(ctx, group, member, stream)
-				},
-				func(answer *replicav1.ReadStreamResponse) bool { return len(answer.Starts) > 0 })
-			if answer != nil {
-				return commonVersion(stream, answer.Starts)
+			answers, complete := c.readStreamStarts(ctx, group, stream)
+			if complete {
+				return commonVersion(stream, startsIn(answers))
 			}
-			if absent {
-				return "", &UnknownStream{Stream: stream}
-			}
-			answered = answeredNow
+			answered = len(answers)
 		}
 		if !pause.For(ctx, backoff) {
 			return "", &Unavailable{Needed: needed, Answered: answered}
@@ -60,8 +53,37 @@
 	}
 }
 
+// readStreamStarts asks the members of a group for the starts of a stream. complete is set if the answers
+// are enough: any that knows the start of a named request, or else a majority. Of streams with the same
+// content, each member may know another one.
+func (c *Client) readStreamStarts(ctx context.Context, group *replicav1.Group, stream StreamID) (answers []*replicav1.ReadStreamResponse, complete bool) {
+	read := func(member *replicav1.Member) *replicav1.ReadStreamResponse {
+		return c.readStream(ctx, group, member, stream)
+	}
+	if stream.Request == "" {
+		return readMajority(ctx, group, read)
+	}
+	isFound := func(answer *replicav1.ReadStreamResponse) bool { return len(answer.Starts) > 0 }
+	found, absent, _ := readNearestFirst(ctx, c, group, read, isFound)
+	if found != nil {
+		answers = append(answers, found)
+	}
+	return answers, found != nil || absent
+}
+
+// startsIn returns the starts in all answers.
+func startsIn(answers []*replicav1.ReadStreamResponse) (starts []*replicav1.StreamStart) {
+	for _, answer := range answers {
+		starts = append(starts, answer.Starts...)
+	}
+	return starts
+}
+
 // commonVersion returns the version of all starts.
 func commonVersion(stream StreamID, starts []*replicav1.StreamStart) (string, error) {
+	if len(starts) == 0 {
+		return "", &UnknownStream{Stream: stream}
+	}
 	for _, start := range starts[1:] {
 		if start.Version != starts[0].Version {
 			return "", &UnknownStream{Stream: stream, Ambiguous: true}
--- /dev/null
+++ b/internal/quorum/streams_test.go
@@ -0,0 +1,65 @@
+package quorum
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
+	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
+)
+
+// streamReplica knows starts of streams of one content.
+type streamReplica struct {
+	replicav1connect.UnimplementedReplicaServiceHandler
+	seat   uint32
+	starts map[string]string
+	silent bool
+}
+
+func (r *streamReplica) ReadStream(ctx context.Context, request *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
+	if r.silent {
+		<-ctx.Done()
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	response := &replicav1.ReadStreamResponse{Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: true, Seat: r.seat, Incarnation: 1}}
+	for begunBy, version := range r.starts {
+		if request.Msg.Request == "" || request.Msg.Request == begunBy {
+			response.Starts = append(response.Starts, &replicav1.StreamStart{Content: request.Msg.Content, Request: begunBy, Version: version})
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// startStreamReplicas returns a client of a group of the replicas.
+func startStreamReplicas(t *testing.T, replicas ...*streamReplica) *Client {
+	group := &replicav1.Group{Epoch: 1}
+	for seat, replica := range replicas {
+		replica.seat = uint32(seat)
+		mux := http.NewServeMux()
+		mux.Handle(replicav1connect.NewReplicaServiceHandler(replica))
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		group.Members = append(group.Members, &replicav1.Member{Seat: uint32(seat), Node: string(rune('a' + seat)), Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	return NewClient(&staticGroup{group}, "", http.DefaultClient)
+}
+
+func TestStreamsKnownToDifferentReplicasAreAmbiguousWithoutAName(t *testing.T) {
+	client := startStreamReplicas(t,
+		&streamReplica{starts: map[string]string{"first": "v1"}}, &streamReplica{starts: map[string]string{"other": "v2"}}, &streamReplica{silent: true})
+	for range 20 {
+		_, err := client.StreamVersion(t.Context(), StreamID{Content: "c"})
+		var unknown *UnknownStream
+		require.ErrorAs(t, err, &unknown)
+		require.True(t, unknown.Ambiguous)
+	}
+	version, err := client.StreamVersion(t.Context(), StreamID{Content: "c", Request: "other"})
+	require.NoError(t, err)
+	require.Equal(t, "v2", version)
+}
