gateway: streams are not joined from two versions after gateways were killed

Operators of a like system saw streams whose first part is from one version and whose rest is from another, after all gateways were killed. Cause: the start of a stream, which decides at which version it may go on, was written up to 0.2 s after its first event went out; lost with its gateway, the start of another stream of the same content was taken for it where the client names no attempt.

Change: while a service has, or lately had, several versions, a start is on a majority before the first event is forwarded (0.25 s at most, else event 2836); with one version it is written later, as before. A stream is not resumed without a name at a version that replicas have not known for as long as a stream may last, since an unwritten start of the one before may exist; replicas keep the ages of versions on their disks.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,8 +168,10 @@
 	lateExaminations atomic.Int64
 	// replicasKnownAt is when a request first found that this gateway knows where replicas are.
 	replicasKnownAt atomic.Pointer[time.Time]
-	// streamVersions holds the versions of streams that recently began here.
+	// streamVersions holds the versions of streams that recently began here, and versionHistory the versions
+	// that services have had.
 	streamVersions *streamVersions
+	versionHistory *directory.VersionHistory
 	stopping       atomic.Bool
 }
 
@@ -198,9 +200,14 @@
 	g.graceNanoseconds.Store(int64(options.ShutdownGracePeriod))
 	g.coldWorkers = newColdWorkers(g.updatesAreStale)
 	logChanges := directory.LogChanges()
+	g.versionHistory = directory.NewVersionHistory(time.Now)
 	g.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
 		logChanges(view, update)
 		g.coldWorkers.tracker.Update(view)
+		if g.versionHistory.Update(view, update, false) {
+			// Starts that still wait were not written at once, as their service had one version.
+			go g.quorum.WriteDeferred(context.Background())
+		}
 	})
 	g.registry = telemetry.NewRegistry()
 	g.metrics = newMetrics(g.registry)
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -24,22 +24,22 @@
 	maxStreamLookup = 500*time.Millisecond + streamLookupRetryWindow
 )
 
-// streamVersionSource knows the versions at which streams began. It is implemented by quorum.Client.
-type streamVersionSource interface {
-	StreamVersion(ctx context.Context, stream quorum.StreamID) (string, error)
+// streamOriginSource knows the versions at which streams began. It is implemented by quorum.Client.
+type streamOriginSource interface {
+	StreamOrigin(ctx context.Context, stream quorum.StreamID, service string) (quorum.StreamOrigin, error)
 }
 
-// awaitStreamVersion returns the version at which a stream began. As long as the source does not know the stream, it
-// is asked again, less and less often, for streamLookupRetryWindow.
-func awaitStreamVersion(ctx context.Context, source streamVersionSource, stream quorum.StreamID) (version string, err error) {
+// awaitStreamOrigin returns at which version a stream of a service began. As long as the source does not know the
+// stream, it is asked again, less and less often, for streamLookupRetryWindow.
+func awaitStreamOrigin(ctx context.Context, source streamOriginSource, stream quorum.StreamID, service string) (origin quorum.StreamOrigin, err error) {
 	startedAt := time.Now()
 	if stream.Request == "" {
 		pause.For(ctx, unnamedStreamDelay)
 	}
 	for wait := minStreamLookupPause; ; wait = min(2*wait, maxStreamLookupPause) {
-		version, err = source.StreamVersion(ctx, stream)
+		origin, err = source.StreamOrigin(ctx, stream, service)
 		if !mayBecomeKnown(err) || time.Since(startedAt) >= streamLookupRetryWindow || !pause.For(ctx, wait) {
-			return version, err
+			return origin, err
 		}
 	}
 }
--- a/internal/gateway/streamlookup_test.go
+++ b/internal/gateway/streamlookup_test.go
@@ -17,12 +17,12 @@
 	questions int
 }
 
-func (l *lateStart) StreamVersion(_ context.Context, stream quorum.StreamID) (string, error) {
+func (l *lateStart) StreamOrigin(_ context.Context, stream quorum.StreamID, _ string) (quorum.StreamOrigin, error) {
 	l.questions++
 	if time.Now().Before(l.knownFrom) {
-		return "", &quorum.UnknownStream{Stream: stream}
+		return quorum.StreamOrigin{}, &quorum.UnknownStream{Stream: stream}
 	}
-	return "v1", nil
+	return quorum.StreamOrigin{Version: "v1"}, nil
 }
 
 // Guards against streams that are refused because replicas write their starts slowly.
@@ -32,9 +32,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				const written = quorum.StreamStartDelay + 700*time.Millisecond
 				source := &lateStart{knownFrom: time.Now().Add(written)}
-				version, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: request})
+				origin, err := awaitStreamOrigin(t.Context(), source, quorum.StreamID{Content: "content", Request: request}, "model")
 				require.NoError(t, err)
-				require.Equal(t, "v1", version)
+				require.Equal(t, "v1", origin.Version)
 			})
 		})
 	}
@@ -44,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
 		source := &lateStart{knownFrom: startedAt.Add(time.Hour)}
-		_, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"})
+		_, err := awaitStreamOrigin(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"}, "model")
 		var unknown *quorum.UnknownStream
 		require.ErrorAs(t, err, &unknown)
 		require.InDelta(t, streamLookupRetryWindow.Seconds(), time.Since(startedAt).Seconds(), maxStreamLookupPause.Seconds())
@@ -55,7 +55,7 @@
 func TestStreamThatIsNotNamedIsNotAskedForAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		startedAt := time.Now()
-		_, err := awaitStreamVersion(t.Context(), &lateStart{}, quorum.StreamID{Content: "content"})
+		_, err := awaitStreamOrigin(t.Context(), &lateStart{}, quorum.StreamID{Content: "content"}, "model")
 		require.NoError(t, err)
 		require.Equal(t, unnamedStreamDelay, time.Since(startedAt))
 	})
@@ -64,14 +64,14 @@
 // ambiguousStream counts how often it is asked for.
 type ambiguousStream struct{ questions int }
 
-func (a *ambiguousStream) StreamVersion(_ context.Context, stream quorum.StreamID) (string, error) {
+func (a *ambiguousStream) StreamOrigin(_ context.Context, stream quorum.StreamID, _ string) (quorum.StreamOrigin, error) {
 	a.questions++
-	return "", &quorum.UnknownStream{Stream: stream, Ambiguous: true}
+	return quorum.StreamOrigin{}, &quorum.UnknownStream{Stream: stream, Ambiguous: true}
 }
 
 func TestStreamThatIsAmbiguousIsAskedForOnce(t *testing.T) {
 	source := &ambiguousStream{}
-	_, err := awaitStreamVersion(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"})
+	_, err := awaitStreamOrigin(t.Context(), source, quorum.StreamID{Content: "content", Request: "first-attempt"}, "model")
 	require.Error(t, err)
 	require.Equal(t, 1, source.questions)
 }
--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -16,6 +16,10 @@
 const (
 	// streamRetentionMargin is how long after the deadline of its request the start of a stream is kept.
 	streamRetentionMargin = 5 * time.Second
+	// maxStreamStartWait is how long a first event may wait for the start of its stream to be written.
+	maxStreamStartWait = 250 * time.Millisecond
+	// streamStartTimeout limits the write of a stream's start.
+	streamStartTimeout = 3 * time.Second
 	// maxStreamVersions bounds the streams that a gateway remembers itself.
 	maxStreamVersions = 8192
 )
@@ -92,7 +96,42 @@
 	}
 	stream, retention := r.streamID(r.metadata.RequestID), max(0, time.Until(r.deadline))+streamRetentionMargin
 	r.gateway.streamVersions.add(stream, chosen.Version, retention)
-	r.gateway.quorum.RecordStreamStart(stream, chosen.Version, retention)
+	if r.hasOneVersion() {
+		r.gateway.quorum.RecordStreamStart(stream, chosen.Version, retention)
+		return
+	}
+	r.writeStreamStart(stream, chosen.Version, retention)
+}
+
+// hasOneVersion reports whether the service has had one software version for as long as any of its streams
+// may last, and this gateway would know of another one.
+func (r *request) hasOneVersion() bool {
+	return !r.gateway.updatesAreStale() && r.gateway.versionHistory.HasOneVersion(r.service.Name, r.streamLifetime())
+}
+
+// streamLifetime is for how long after its first event a client may resume a stream of the route.
+func (r *request) streamLifetime() time.Duration { return r.route.Timeout + streamRetentionMargin }
+
+// writeStreamStart writes the version of a stream before its first event is forwarded: once a client has
+// that event, it may resume the stream without naming its request, where only another stream of the same
+// content is known. The event waits for maxStreamStartWait at most; the write goes on.
+func (r *request) writeStreamStart(stream quorum.StreamID, version string, retention time.Duration) {
+	written := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), streamStartTimeout)
+		defer cancel()
+		written <- r.gateway.quorum.WriteStreamStart(ctx, stream, version, retention)
+	}()
+	timeout := time.NewTimer(maxStreamStartWait)
+	defer timeout.Stop()
+	select {
+	case err := <-written:
+		if err != nil {
+			r.addLogEntry(eventStreamStartNotWritten, "version", version, "cause", err.Error())
+		}
+	case <-timeout.C:
+		r.addLogEntry(eventStreamStartNotWritten, "version", version, "cause", "not written in time")
+	}
 }
 
 // findResumedStream finds the version of the stream that the client resumes, if it does. It fails if the
@@ -120,13 +159,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, max(0, r.slack())))
 	defer cancel()
-	version, err = awaitStreamVersion(ctx, r.gateway.quorum, stream)
+	origin, err := awaitStreamOrigin(ctx, r.gateway.quorum, stream, r.service.Name)
+	if err == nil && stream.Request == "" && origin.KnownFor < r.streamLifetime() {
+		err = &VersionTooNew{Version: origin.Version, KnownFor: origin.KnownFor}
+	}
 	if err != nil {
 		return "", "", &StreamVersionUnknown{Cause: err}
 	}
-	return version, "replicas", nil
+	return origin.Version, "replicas", nil
+}
+
+// VersionTooNew reports a stream that a client resumes without naming its request. The known streams of its
+// content began at a version that is so new that the stream itself may have begun at the one before, and its
+// start may not have been written.
+type VersionTooNew struct {
+	Version string
+	// KnownFor is for how long replicas have known workers of the version.
+	KnownFor time.Duration
+}
+
+func (e *VersionTooNew) Error() string {
+	return fmt.Sprintf("streams of the same content began at version %q, which has been known for %v only", e.Version, e.KnownFor.Round(time.Millisecond))
 }
 
+// Type returns "version_too_new".
+func (e *VersionTooNew) Type() failure.Type { return "version_too_new" }
+
+// Outcome returns NotRun.
+func (e *VersionTooNew) Outcome() failure.Outcome { return failure.NotRun }
+
+// Retry forbids a retry: the stream cannot go on.
+func (e *VersionTooNew) Retry() failure.Retry { return failure.Retry{} }
+
 // checkStreamVersion fails if the last selection found no worker at which the stream may continue.
 // Waiting would not help: full workers are listed too.
 func (r *request) checkStreamVersion() error {
--- a/internal/quorum/streams_test.go
+++ b/internal/quorum/streams_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
@@ -14,12 +15,13 @@
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1/replicav1connect"
 )
 
-// streamReplica knows starts of streams of one content.
+// streamReplica knows starts of streams of one content, and for how long each version has had workers.
 type streamReplica struct {
 	replicav1connect.UnimplementedReplicaServiceHandler
-	seat   uint32
-	starts map[string]string
-	silent bool
+	seat     uint32
+	starts   map[string]string
+	knownFor map[string]time.Duration
+	silent   bool
 }
 
 func (r *streamReplica) ReadStream(ctx context.Context, request *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
@@ -33,6 +35,9 @@
 			response.Starts = append(response.Starts, &replicav1.StreamStart{Content: request.Msg.Content, Request: begunBy, Version: version})
 		}
 	}
+	for version, known := range r.knownFor {
+		response.Versions = append(response.Versions, &replicav1.KnownVersion{Version: version, KnownMs: uint64(known.Milliseconds())})
+	}
 	return connect.NewResponse(response), nil
 }
 
@@ -54,12 +59,32 @@
 	client := startStreamReplicas(t,
 		&streamReplica{starts: map[string]string{"first": "v1"}}, &streamReplica{starts: map[string]string{"other": "v2"}}, &streamReplica{silent: true})
 	for range 20 {
-		_, err := client.StreamVersion(t.Context(), StreamID{Content: "c"})
+		_, err := client.StreamOrigin(t.Context(), StreamID{Content: "c"}, "model")
 		var unknown *UnknownStream
 		require.ErrorAs(t, err, &unknown)
 		require.True(t, unknown.Ambiguous)
 	}
-	version, err := client.StreamVersion(t.Context(), StreamID{Content: "c", Request: "other"})
+	origin, err := client.StreamOrigin(t.Context(), StreamID{Content: "c", Request: "other"}, "model")
+	require.NoError(t, err)
+	require.Equal(t, "v2", origin.Version)
+}
+
+func TestAgeOfVersionIsThatOfTheReplicaThatHasKnownItLongest(t *testing.T) {
+	starts := map[string]string{"first": "v2"}
+	client := startStreamReplicas(t,
+		&streamReplica{starts: starts, knownFor: map[string]time.Duration{"v1": time.Hour, "v2": 2 * time.Second}},
+		&streamReplica{starts: starts, knownFor: map[string]time.Duration{"v1": time.Minute, "v2": 5 * time.Second}},
+		&streamReplica{silent: true})
+	origin, err := client.StreamOrigin(t.Context(), StreamID{Content: "c"}, "model")
+	require.NoError(t, err)
+	require.Equal(t, StreamOrigin{Version: "v2", KnownFor: 5 * time.Second}, origin)
+}
+
+func TestAgeThatFitsNoDurationIsBounded(t *testing.T) {
+	known := &replicav1.ReadStreamResponse{
+		Starts: []*replicav1.StreamStart{{Version: "v"}}, Versions: []*replicav1.KnownVersion{{Version: "v", KnownMs: 1<<64 - 1}},
+	}
+	origin, err := originOf(StreamID{}, []*replicav1.ReadStreamResponse{known})
 	require.NoError(t, err)
-	require.Equal(t, "v2", version)
+	require.Greater(t, origin.KnownFor, time.Hour)
 }
--- a/internal/replica/persistence.go
+++ b/internal/replica/persistence.go
@@ -24,6 +24,7 @@
 		r.directory.ApplyGroup(group, directory.SourceDisk)
 	}
 	r.directory.ApplyDrainedZoneList(r.state.drainedZones)
+	r.restoreVersions()
 	r.directory.ApplyWorkerList(r.state.workers.list())
 	stored := r.state.configuration
 	if stored == nil {
@@ -84,6 +85,7 @@
 	for pause.For(ctx, workerWriteInterval) {
 		// Retries a write that the disk rejected when the drain arrived.
 		r.persistZoneDrains(r.directory.View())
+		r.persistVersions()
 		r.state.mutex.Lock()
 		storedRevision := r.state.workers.revision
 		r.state.mutex.Unlock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -78,6 +78,7 @@
 	options         Options
 	store           directory.Store
 	directory       *directory.State
+	versions        *directory.VersionHistory
 	watcher         *directory.Watcher
 	nodes           *nodeRegistry
 	peers           *failureDetector
@@ -145,8 +146,10 @@
 		unverifiedGroups: make(chan *replicav1.Group, maxUnverifiedGroups),
 	}
 	logChanges := directory.LogChanges()
+	replica.versions = directory.NewVersionHistory(time.Now)
 	replica.directory = directory.NewState(time.Now, func(view *directory.View, update directory.WorkerUpdate) {
 		logChanges(view, update)
+		replica.versions.Update(view, update, options.Bootstrap)
 		replica.grants.updateSeats(view.Groups)
 		replica.persistConfiguration(view)
 		replica.persistZoneDrains(view)
@@ -257,6 +260,7 @@
 	}
 	handler := &service{
 		node: r.options.Node, stopping: r.stopping.Load, state: r.state, directory: r.directory, peers: r.peers, gateways: newGatewayRegistry(time.Now).withRegions(r.distanceRegions()), storeViewAge: r.storeViewAge, nodes: r.nodes,
+		versions:           r.versions,
 		workerObservations: newWorkerObservations(time.Now), grants: r.grants, report: r.report, quarantine: newQuarantineHub(r.state.quarantine, time.Now),
 	}
 	handlerOptions := append(transport.HandlerOptions(), connect.WithInterceptors(quorum.VerifyCallerSystem(r.directory), processIDInterceptor(r.processID)))
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -30,6 +30,7 @@
 	// has no view.
 	storeViewAge       func() (age time.Duration, known bool)
 	nodes              *nodeRegistry
+	versions           *directory.VersionHistory
 	workerObservations *workerObservations
 	grants             *grantAllocator
 	quarantine         *quarantineHub
@@ -78,15 +79,26 @@
 	return connect.NewResponse(response), nil
 }
 
-// ReadStream returns at which software version a stream began.
+// ReadStream returns at which software version a stream began, and the versions of its service.
 func (s *service) ReadStream(_ context.Context, request *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
 	response := &replicav1.ReadStreamResponse{Standing: s.state.standing(request.Msg.Partition, request.Msg.Epoch)}
+	if request.Msg.Service != "" {
+		response.Versions = s.knownVersions(request.Msg.Service)
+	}
 	s.state.mutex.Lock()
 	defer s.state.mutex.Unlock()
 	response.Starts = s.state.partition(request.Msg.Partition).store.StreamStarts(request.Msg.Content, request.Msg.Request)
 	return connect.NewResponse(response), nil
 }
 
+// knownVersions returns for how long this replica has known the software versions of a service's workers.
+func (s *service) knownVersions(service string) (versions []*replicav1.KnownVersion) {
+	for version, knownFor := range s.versions.KnownFor(service) {
+		versions = append(versions, &replicav1.KnownVersion{Version: version, KnownMs: uint64(knownFor.Milliseconds())})
+	}
+	return versions
+}
+
 // Pull sends records to a recovering replica, after the incarnation of that replica is on this
 // disk. A caller with an older group is rejected: it may have lost its seat meanwhile.
 func (s *service) Pull(_ context.Context, request *connect.Request[replicav1.PullRequest]) (*connect.Response[replicav1.PullResponse], error) {
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -70,6 +70,7 @@
 	partitions    map[uint32]*partitionState
 	configuration *replicav1.Configuration
 	workers       persistedWorkers
+	versions      persistedVersions
 	drainedZones  *replicav1.DrainedZoneList
 	// quarantine holds the counts of requests under which workers have ended. It is not guarded by the
 	// mutex.
@@ -126,6 +127,8 @@
 		s.configuration = kind.Configuration
 	case *replicav1.Record_Workers:
 		return s.workers.apply(kind.Workers)
+	case *replicav1.Record_KnownVersion:
+		return s.versions.apply(kind.KnownVersion)
 	case *replicav1.Record_DrainedZones:
 		if s.drainedZones.GetRevision() >= kind.DrainedZones.Revision {
 			return false
@@ -266,8 +269,8 @@
 }
 
 // metadataRecords returns the records outside the turn stores: identities, groups, seen
-// incarnations, loan accounts, the configuration, the workers, the drained zones and the counts of
-// requests under which workers have ended.
+// incarnations, loan accounts, the configuration, the workers, the ages of their versions, the drained
+// zones and the counts of requests under which workers have ended.
 func (s *state) metadataRecords() (records []*replicav1.Record) {
 	for _, partition := range s.partitions {
 		records = append(records, partition.metadataRecords()...)
@@ -278,6 +281,7 @@
 	if list := s.workers.list(); list != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_Workers{Workers: list}})
 	}
+	records = append(records, s.versions.records()...)
 	if s.drainedZones != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_DrainedZones{DrainedZones: s.drainedZones}})
 	}
