--- a/internal/quorum/nearestread.go
+++ b/internal/quorum/nearestread.go
@@ -51,7 +51,7 @@
 }
 
 // readMajority asks all members of a group. It returns the answers received until a majority has answered
-// consistently, which complete reports.
+// consistently, which complete reports, and those that arrive within readHedgeDelay of that.
 func readMajority[A any, P interface {
 	*A
 	standingAnswer
@@ -61,21 +61,24 @@
 		go func() { answers <- read(member) }()
 	}
 	var standings []*replicav1.Standing
+	var late <-chan time.Time
 	for range group.Members {
 		select {
 		case <-ctx.Done():
-			return received, false
+			return received, complete
+		case <-late:
+			return received, complete
 		case answer := <-answers:
 			if answer == nil {
 				continue
 			}
 			received, standings = append(received, answer), append(standings, answer.GetStanding())
 		}
-		if ChooseConsistent(group.Epoch, standings, ReadQuorum(VoterCount(group))) != nil {
-			return received, true
+		if !complete && ChooseConsistent(group.Epoch, standings, ReadQuorum(VoterCount(group))) != nil {
+			complete, late = true, time.After(readHedgeDelay)
 		}
 	}
-	return received, false
+	return received, complete
 }
 
 // readMember makes one call of a read to a member, once the limit of calls to it permits. It returns nil
--- a/internal/quorum/streams_test.go
+++ b/internal/quorum/streams_test.go
@@ -22,6 +22,7 @@
 	starts   map[string]string
 	knownFor map[string]time.Duration
 	silent   bool
+	delay    time.Duration
 }
 
 func (r *streamReplica) ReadStream(ctx context.Context, request *connect.Request[replicav1.ReadStreamRequest]) (*connect.Response[replicav1.ReadStreamResponse], error) {
@@ -29,6 +30,7 @@
 		<-ctx.Done()
 		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 	}
+	time.Sleep(r.delay)
 	response := &replicav1.ReadStreamResponse{Standing: &replicav1.Standing{Epoch: 1, Member: true, Recovered: true, Seat: r.seat, Incarnation: 1}}
 	for begunBy, version := range r.starts {
 		if request.Msg.Request == "" || request.Msg.Request == begunBy {
@@ -80,6 +82,16 @@
 	require.Equal(t, StreamOrigin{Version: "v2", KnownFor: 5 * time.Second}, origin)
 }
 
+// Guards against streams that are refused because the replicas that answer first have just started.
+func TestReplicaThatAnswersALittleLaterIsHeardForTheAgeOfAVersion(t *testing.T) {
+	starts := map[string]string{"first": "v1"}
+	client := startStreamReplicas(t, &streamReplica{starts: starts}, &streamReplica{starts: starts},
+		&streamReplica{starts: starts, delay: readHedgeDelay / 3, knownFor: map[string]time.Duration{"v1": time.Hour}})
+	origin, err := client.StreamOrigin(t.Context(), StreamID{Content: "c"}, "model")
+	require.NoError(t, err)
+	require.Equal(t, time.Hour, origin.KnownFor)
+}
+
 func TestAgeThatFitsNoDurationIsBounded(t *testing.T) {
 	known := &replicav1.ReadStreamResponse{
 		Starts: []*replicav1.StreamStart{{Version: "v"}}, Versions: []*replicav1.KnownVersion{{Version: "v", KnownMs: 1<<64 - 1}},
