--- a/internal/quorum/append.go
+++ b/internal/quorum/append.go
@@ -212,8 +212,8 @@
 // awaitReady waits until a member may be called. It delivers the known answer of one that does not
 // count. It returns false if the round is over.
 func (r *appendRound) awaitReady(roundCtx context.Context, member *replicav1.Member) bool {
-	answer := r.client.unready.answerOf(r.group.Partition, member.Address)
-	if answer == nil || !r.isKnownUnready(member) {
+	answer := r.unreadyAnswer(member)
+	if answer == nil {
 		return true
 	}
 	return r.deliver(roundCtx, member, memberResult{answer: answer}) && r.client.unready.await(roundCtx, r.group.Partition, member.Address)
@@ -246,7 +246,7 @@
 // round is over.
 func (r *appendRound) acquireReady(roundCtx context.Context, member *replicav1.Member, limiter *callLimiter) bool {
 	for limiter.acquire(roundCtx) {
-		if !r.isKnownUnready(member) {
+		if r.unreadyAnswer(member) == nil {
 			return true
 		}
 		limiter.release(r.client.now(), callUnknown)
@@ -257,10 +257,13 @@
 	return false
 }
 
-// isKnownUnready reports whether a member need not be called, because it is known not to count. A round
-// that asks for reports calls it nevertheless.
-func (r *appendRound) isKnownUnready(member *replicav1.Member) bool {
-	return !r.request.Report && r.client.unready.answerOf(r.group.Partition, member.Address) != nil
+// unreadyAnswer returns the latest answer of a member that need not be called, because it is known not to
+// count, or nil. A round that asks for reports calls such members nevertheless.
+func (r *appendRound) unreadyAnswer(member *replicav1.Member) *replicav1.AppendResponse {
+	if r.request.Report {
+		return nil
+	}
+	return r.client.unready.answerOf(r.group.Partition, member.Address)
 }
 
 // callWithoutLimit makes the call of callDirectly, which began at startedAt.
