gateway: a gateway's own knowledge of a version's age counts too

All replicas that had known the versions for longer had been retired, replaced or had lost their disks within 20 s, while both gateways ran all the time. A gateway that has known a version for as long as a stream may last says so itself now, and replicas write ages at 2, 5 and 20 s as well.

--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -160,8 +160,8 @@
 	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, max(0, r.slack())))
 	defer cancel()
 	origin, err := awaitStreamOrigin(ctx, r.gateway.quorum, stream, r.service.Name)
-	if err == nil && stream.Request == "" && origin.KnownFor < r.streamLifetime() {
-		err = &VersionTooNew{Version: origin.Version, KnownFor: origin.KnownFor}
+	if err == nil && stream.Request == "" {
+		err = r.checkVersionAge(origin)
 	}
 	if err != nil {
 		return "", "", &StreamVersionUnknown{Cause: err}
@@ -169,12 +169,22 @@
 	return origin.Version, "replicas", nil
 }
 
+// checkVersionAge fails if neither replicas nor this gateway have known the version of an unnamed stream for as
+// long as a stream may last.
+func (r *request) checkVersionAge(origin quorum.StreamOrigin) error {
+	knownFor := max(origin.KnownFor, r.gateway.versionHistory.KnownFor(r.service.Name)[origin.Version])
+	if knownFor < r.streamLifetime() {
+		return &VersionTooNew{Version: origin.Version, KnownFor: knownFor}
+	}
+	return nil
+}
+
 // VersionTooNew reports a stream that a client resumes without naming its request. The known streams of its
 // content began at a version that is so new that the stream itself may have begun at the one before, and its
 // start may not have been written.
 type VersionTooNew struct {
 	Version string
-	// KnownFor is for how long replicas have known workers of the version.
+	// KnownFor is for how long replicas or this gateway have known workers of the version.
 	KnownFor time.Duration
 }
 
--- a/internal/replica/persistedversions.go
+++ b/internal/replica/persistedversions.go
@@ -9,7 +9,9 @@
 
 // versionAgeSteps are the ages at which the age of a software version is written to the disk again. They
 // are apart as far as the lifetimes of streams are.
-var versionAgeSteps = []time.Duration{0, 10 * time.Second, time.Minute, 10 * time.Minute, directory.KnownFromTheBeginning}
+var versionAgeSteps = []time.Duration{
+	0, 2 * time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second, time.Minute, 10 * time.Minute, directory.KnownFromTheBeginning,
+}
 
 // versionKey identifies a software version of a service's workers.
 type versionKey struct{ service, version string }
--- a/internal/replica/persistedversions_test.go
+++ b/internal/replica/persistedversions_test.go
@@ -20,6 +20,7 @@
 		return written
 	}
 	require.Equal(t, 1, write(0))
+	require.Equal(t, 1, write(6*time.Second))
 	require.Zero(t, write(9*time.Second), "few records are written")
 	require.Equal(t, 1, write(15*time.Second))
 	require.Equal(t, 1, write(time.Hour))
