--- a/internal/directory/versionhistory.go
+++ b/internal/directory/versionhistory.go
@@ -55,7 +55,8 @@
 	KnownFor         time.Duration
 }
 
-// Restore records for how long a version was known before this process started, at least.
+// Restore records for how long a version was known before this process started, at least. One that was known
+// for versionMemory counts as known from the beginning.
 func (h *VersionHistory) Restore(service, version string, knownFor time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -272,10 +272,10 @@
 	}
 }
 
-// preferredOrder returns the members of a group in the order in which they are called. Members
-// that are down come last, after those that do not count. Among them, the client's zone comes first, then its region, then
-// other regions by measured latency. Equally distant members are in random order to spread the
-// load.
+// preferredOrder returns the members of a group in the order in which they are called. Members that
+// are down come last, after those that do not count. Among the others, the client's zone comes first,
+// then its region, then other regions by measured latency. Equally distant members are in random order
+// to spread the load.
 func (c *Client) preferredOrder(group *replicav1.Group) []*replicav1.Member {
 	members := slices.Clone(group.Members)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
--- a/internal/quorum/unreadymembers.go
+++ b/internal/quorum/unreadymembers.go
@@ -111,29 +111,38 @@
 func (u *unreadyMembers) probeUntilReady(key memberKey, known *unreadyMember, group *replicav1.Group, member *replicav1.Member) {
 	for {
 		time.Sleep(probeInterval(u.now().Sub(known.since)))
-		u.mutex.Lock()
-		idle := u.now().Sub(known.lastNeeded) > probeIdleLimit
-		u.mutex.Unlock()
-		var answer *replicav1.AppendResponse
-		if !idle {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			answer = u.probe(ctx, group, member)
-			cancel()
-		}
-		u.mutex.Lock()
-		if answer == nil {
-			u.remove(key, known)
-		} else {
-			known.answer = answer
-		}
-		u.mutex.Unlock()
-		if answer == nil {
-			return
-		}
 		select {
 		case <-known.ended:
 			return
 		default:
 		}
+		if !u.probeOnce(key, known, group, member) {
+			return
+		}
+	}
+}
+
+// probeOnce probes a member and reports whether it still does not count.
+func (u *unreadyMembers) probeOnce(key memberKey, known *unreadyMember, group *replicav1.Group, member *replicav1.Member) bool {
+	var answer *replicav1.AppendResponse
+	if !u.isIdle(known) {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		answer = u.probe(ctx, group, member)
+		cancel()
 	}
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if answer == nil {
+		u.remove(key, known)
+		return false
+	}
+	known.answer = answer
+	return true
+}
+
+// isIdle reports whether no round has needed a member for probeIdleLimit.
+func (u *unreadyMembers) isIdle(known *unreadyMember) bool {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.now().Sub(known.lastNeeded) > probeIdleLimit
 }
