quorum: whether a call was rejected is read once, before its error is shared

Change: the client's interceptor recognizes a rejection before anyone else has the error.

Test: TestErrorOfACallIsDescribedByManyAtOnce, under the race detector red before.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -172,7 +172,7 @@
 	defer c.mutex.Unlock()
 	found := c.replicaClients[address]
 	if found == nil {
-		options := append(transport.ClientOptions(), connect.WithInterceptors(connect.UnaryInterceptorFunc(c.countCalls), connect.UnaryInterceptorFunc(c.verifyAnswerSystem)))
+		options := append(transport.ClientOptions(), connect.WithInterceptors(connect.UnaryInterceptorFunc(c.countCalls), connect.UnaryInterceptorFunc(recognizeRejections), connect.UnaryInterceptorFunc(c.verifyAnswerSystem)))
 		found = replicav1connect.NewReplicaServiceClient(c.httpClient, "http://"+address, options...)
 		c.replicaClients[address] = found
 	}
--- a/internal/quorum/overload.go
+++ b/internal/quorum/overload.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -49,8 +50,31 @@
 	return r.writer.Write(w, request, rejection)
 }
 
+// rejectedCall is the error of a call that a replica has rejected unread.
+type rejectedCall struct {
+	cause *connect.Error
+}
+
+func (e *rejectedCall) Error() string { return e.cause.Error() }
+
+// Unwrap returns the answer of the replica.
+func (e *rejectedCall) Unwrap() error { return e.cause }
+
+// recognizeRejections is an interceptor that returns a *rejectedCall for a call that the replica has rejected
+// unread. It reads the error's header before others share the error: reading it changes it.
+func recognizeRejections(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		response, err := next(ctx, request)
+		var cause *connect.Error
+		if errors.As(err, &cause) && cause.Meta().Get(overloadedHeader) != "" {
+			return nil, &rejectedCall{cause: cause}
+		}
+		return response, err
+	}
+}
+
 // isRejection reports whether a replica has rejected a call unread, because it has too many in flight.
 func isRejection(err error) bool {
-	var rejection *connect.Error
-	return errors.As(err, &rejection) && rejection.Meta().Get(overloadedHeader) != ""
+	var rejected *rejectedCall
+	return errors.As(err, &rejected)
 }
--- a/internal/quorum/overload_test.go
+++ b/internal/quorum/overload_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/gen/replicav1"
@@ -30,3 +32,18 @@
 	require.Contains(t, err.Error(), "n0 is overloaded")
 	require.False(t, client.reachability.isDown(address), "it must not be probed and called through other gateways besides")
 }
+
+// Guards against a data race of all who look at the error of one call; the race run shows it.
+func TestErrorOfACallIsDescribedByManyAtOnce(t *testing.T) {
+	member := &fakeMember{address: "127.0.0.1:0"}
+	member.start(t)
+	require.NoError(t, member.server.Close())
+	client := NewClient(&staticGroup{&replicav1.Group{Epoch: 1}}, "", http.DefaultClient)
+	_, err := client.ReplicaClient(member.address).Append(t.Context(), connect.NewRequest(&replicav1.AppendRequest{}))
+	require.Error(t, err)
+	var readers sync.WaitGroup
+	for range 8 {
+		readers.Go(func() { require.NotEmpty(t, DescribeCallFailure(err)) })
+	}
+	readers.Wait()
+}
