review: a path that begins with two slashes reaches the worker changed

Cause: the target of a request is kept as the opaque part of a URL, which is written with a colon before two slashes.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(s *play) (broken bool, err error){
 	"budget": playBudget,
 	"chain":  playChain,
+	"path":   playPath,
 }
 
 // play is what a case is given.
