review: a service refuses everything for ever after a burst and a shorter time-out

Cause: the fastest of the last responses is forgotten by number alone, and a route that is refused because of it gets no new samples.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -16,9 +16,9 @@
 )
 
 var cases = map[string]func(s *play) (broken bool, err error){
-	"budget": playBudget,
-	"chain":  playChain,
-	"path":   playPath,
+	"budget":  playBudget,
+	"chain":   playChain,
+	"refused": playRefused,
 }
 
 // play is what a case is given.
