review: replicas that are all killed a second after their first start never serve

Cause: only a process that was started with bootstrap set forms the first groups, 2 s after its start, and no process has it set from the second start on.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -16,9 +16,10 @@
 )
 
 var cases = map[string]func(s *play) (broken bool, err error){
-	"budget":  playBudget,
-	"chain":   playChain,
-	"refused": playRefused,
+	"budget":      playBudget,
+	"chain":       playChain,
+	"refused":     playRefused,
+	"first-start": playFirstStart,
 }
 
 // play is what a case is given.
--- a/review/cases-2/refused.go
+++ b/review/cases-2/refused.go
@@ -21,9 +21,9 @@
 	deskWork                          = 100 * time.Millisecond
 	// baseRate is the usual traffic in requests a second, and burstFactor the traffic of the burst, as in the site file.
 	baseRate, burstFactor = 140, 1.7
-	// longTimeout and shortTimeout are TimeoutMs of the route before and after the operator's change, three times
+	// longTimeout and shortTimeout are TimeoutMs of the route before and after the operator's change, two and a half times
 	// the work of an idle worker.
-	longTimeout, shortTimeout = 3000, 300
+	longTimeout, shortTimeout = 3000, 250
 	deskPath                  = "/pule252/2f"
 	// The times from the start of traffic on.
 	burstAt   = 6 * time.Second
--- a/review/cases-2/system.go
+++ b/review/cases-2/system.go
@@ -141,8 +141,13 @@
 		s.record.line("%s %s starts at %s", each.role, each.node, each.address)
 	}
 	time.Sleep(settleTime)
+	return s.endBootstrap()
+}
+
+// endBootstrap changes the settings to those of a later start: only the first start of the whole system has
+// bootstrap set.
+func (s *system) endBootstrap() error {
 	for _, each := range s.processes {
-		// Only the first start of the whole system has bootstrap set.
 		text, err := os.ReadFile(each.settings)
 		if err != nil {
 			return err
