review: stand-ins of the cases without libraries, ports that nobody else takes

Cause: the project's stand-ins need a test library that the build of the deploy file does not bring, and a port of the system's choice can be taken before its process starts.

--- a/review/cases-2/budget.go
+++ b/review/cases-2/budget.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/barleyshelf/barleyshelf/platform/platformtest"
 )
 
 const (
@@ -32,12 +30,11 @@
 )
 
 // configure writes the workers and the configuration: one model service with two routes.
-func (s *system) configure() []*platformtest.Worker {
-	var workers []*platformtest.Worker
+func (s *system) configure() []*modelWorker {
+	var workers []*modelWorker
 	for i, zone := range s.zones {
-		worker := platformtest.NewWorker(fmt.Sprintf("i-%d", i))
-		worker.Stream, worker.Events, worker.Pause = true, turnEvents, time.Millisecond
-		s.store.PutWorker(worker.ID, platformtest.WorkerEntry{Service: "llm", Address: worker.Address(), Zone: zone, Slots: 12})
+		worker := newModelWorker(fmt.Sprintf("i-%d", i))
+		s.store.putWorker(worker.id, "llm", worker.address(), zone, 12)
 		workers = append(workers, worker)
 	}
 	route := func(name, prefix string, stateful bool) map[string]any {
@@ -46,7 +43,7 @@
 			"Priority": 0, "Service": "llm", "MaxAttempts": 1, "Stateful": stateful, "RetentionS": float64(retentionSeconds), "Sticky": true, "Resumable": false,
 		}
 	}
-	s.store.Put("config", "main", map[string]any{
+	s.store.put("config", "main", map[string]any{
 		"Version": 7, "Routes": []any{route("r-plain", "/pufi791/", false), route("r-kept", "/lohu930/", true)},
 		"Services": []any{map[string]any{
 			"Name": "llm", "HealthPath": "/health", "MaxConns": 170,
@@ -86,7 +83,7 @@
 	s := newSystem(play.folder, play.binary, []string{"wien-a", "wien-b", "baumgarten"}, 2, play.record)
 	defer s.close()
 	for _, worker := range s.configure() {
-		defer worker.Close()
+		defer worker.close()
 	}
 	if err := s.startAll(); err != nil {
 		return false, err
--- a/review/cases-2/chain.go
+++ b/review/cases-2/chain.go
@@ -22,7 +22,7 @@
 	s := newSystem(play.folder, play.binary, []string{"taichung-a", "taichung-b", "changhua", "nantou"}, 2, play.record)
 	defer s.close()
 	for _, worker := range s.configure() {
-		defer worker.Close()
+		defer worker.close()
 	}
 	if err := s.startAll(); err != nil {
 		return false, err
--- a/review/cases-2/firststart.go
+++ b/review/cases-2/firststart.go
@@ -22,7 +22,7 @@
 	s := newSystem(play.folder, play.binary, []string{"wien-a", "wien-b", "baumgarten"}, 2, play.record)
 	defer s.close()
 	for _, worker := range s.configure() {
-		defer worker.Close()
+		defer worker.close()
 	}
 	if play.trouble {
 		time.AfterFunc(killedAt, func() {
--- a/review/cases-2/refused.go
+++ b/review/cases-2/refused.go
@@ -10,8 +10,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/barleyshelf/barleyshelf/platform/platformtest"
 )
 
 const (
@@ -69,7 +67,7 @@
 
 // deskRoute writes a configuration with a time-out of the route.
 func (s *system) deskRoute(version, timeoutMs int) {
-	s.store.Put("config", "main", map[string]any{
+	s.store.put("config", "main", map[string]any{
 		"Version": version, "Routes": []any{map[string]any{
 			"Name": "r-desk", "Host": host, "PathPrefix": "/pule252/", "Kind": "unsafe", "TimeoutMs": timeoutMs, "TargetLatencyMs": 250, "Priority": 2, "Service": "desk", "MaxAttempts": 1,
 		}},
@@ -111,7 +109,7 @@
 		server := &http.Server{Handler: newDeskWorker()}
 		go server.Serve(listener)
 		defer server.Close()
-		s.store.PutWorker(fmt.Sprintf("i-%d", i), platformtest.WorkerEntry{Service: "desk", Address: listener.Addr().String(), Zone: s.zones[i%len(s.zones)], Slots: deskSlots})
+		s.store.putWorker(fmt.Sprintf("i-%d", i), "desk", listener.Addr().String(), s.zones[i%len(s.zones)], deskSlots)
 	}
 	s.deskRoute(7, longTimeout)
 	if err := s.startAll(); err != nil {
--- a/review/cases-2/system.go
+++ b/review/cases-2/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -10,8 +11,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/barleyshelf/barleyshelf/platform/platformtest"
 )
 
 const (
@@ -29,7 +28,7 @@
 type system struct {
 	folder, binary string
 	zones          []string
-	store          *platformtest.Store
+	store          *store
 	processes      []*process
 	record         *record
 }
@@ -65,19 +64,33 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// freeAddress returns a loopback address whose port is free.
+// The ports of the project's processes lie below those that the system gives to outgoing connections, which could
+// take one between the search and the start of its process.
+const firstPort, lastPort = 15000, 32000
+
+// usedPorts are the ports that were handed out.
+var usedPorts = make(map[int]bool)
+
+// freeAddress returns a loopback address whose port is free and was not handed out before.
 func freeAddress() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if usedPorts[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		usedPorts[port] = true
+		return fmt.Sprintf("127.0.0.1:%d", port)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // newSystem prepares one replica in each zone and the given number of gateways in the first zone.
 func newSystem(folder, binary string, zones []string, gateways int, record *record) *system {
-	s := &system{folder: folder, binary: binary, zones: zones, store: platformtest.NewStore(), record: record}
+	s := &system{folder: folder, binary: binary, zones: zones, store: newStore(), record: record}
 	var seeds []string
 	for i, zone := range zones {
 		replica := s.add("replica", fmt.Sprintf("store-%s-%d", zone, 1), zone)
@@ -127,7 +140,7 @@
 	}
 	text := fmt.Sprintf("node: %q\nzone: %q\ningress: %q\nreadiness: %q\nreplica: %q\nmetrics: %q\nforwarder: %q\nstore: %q\nseeds: [%s]\n"+
 		"dataFolder: %q\nbootstrap: %t\ngraceMilliseconds: %d000\nmemoryMegabytes: %d\nzones: {%s}\nzonesBorne: 0\n",
-		p.node, p.zone, ingress, readiness, replica, freeAddress(), freeAddress(), s.store.Address(), strings.Join(quoted, ","),
+		p.node, p.zone, ingress, readiness, replica, freeAddress(), freeAddress(), s.store.address(), strings.Join(quoted, ","),
 		p.dataFolder, bootstrap, graceSeconds, memory, strings.Join(regions, ", "))
 	return os.WriteFile(p.settings, []byte(text), fileMode)
 }
@@ -214,5 +227,5 @@
 	for _, each := range s.processes {
 		each.signal(syscall.SIGKILL)
 	}
-	s.store.Close()
+	s.store.close()
 }
