--- a/review/cases-2/refused.go
+++ b/review/cases-2/refused.go
@@ -14,11 +14,11 @@
 
 const (
 	// deskWorkers, deskSlots and deskQueue are the workers of the case, and deskWork how long one works on a request:
-	// together they bear deskWorkers * deskSlots / deskWork = 180 requests a second.
+	// together they bear deskWorkers * deskSlots / deskWork = 173 requests a second.
 	deskWorkers, deskSlots, deskQueue = 3, 6, 24
-	deskWork                          = 100 * time.Millisecond
+	deskWork                          = 104 * time.Millisecond
 	// baseRate is the usual traffic in requests a second, and burstFactor the traffic of the burst, as in the site file.
-	baseRate, burstFactor = 140, 1.7
+	baseRate, burstFactor = 150, 1.7
 	// longTimeout and shortTimeout are TimeoutMs of the route before and after the operator's change, two and a half times
 	// the work of an idle worker.
 	longTimeout, shortTimeout = 3000, 250
