replica: a chain of turns ends only when a quorum knows of no later use

Cause: a turn goes to three of four members, to other three each time. A replica renewed what precedes a turn only as far as it had that without a gap, and dropped the rest by its own clock. In the end the nearest replica alone had the line. Evidence: with a retention of 3 s and nobody away the four replicas could read 12, 2, 6 and 5 of the 12 turns of a line. Change: each turn names the first turn of its chain, and all turns of a chain are kept and dropped together, so that gaps do not matter to a use. A replica that has seen no use for the retention asks the members of the group, and drops the chain once a consistent quorum knows of no later one. Without a quorum it stays (event 2731). Why it works: each use was written to a quorum, so that one of those asked knows it, whoever was away. TestRecordsInUseStayOnAQuorumAndUnusedRecordsEnd plays groups of two to five with members cut off, restarted or with lost disks; red if a member drops without a quorum, or ignores what others know. An unused chain ends on all replicas.

--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -273,6 +274,9 @@
 	if len(chain) > 0 && !r.gateway.quorum.SamePartition(quorum.ScopeOf(chain[0]), scope) {
 		r.copiedTurns = chain
 	}
+	if len(chain) > 0 {
+		r.chainID = chain[len(chain)-1].Id
+	}
 	size := len(r.body)
 	for _, previous := range chain {
 		size += len(previous.Input) + len(previous.Output)
@@ -298,6 +302,7 @@
 	turn := &replicav1.Turn{
 		Id: r.metadata.RequestID, Previous: r.metadata.PreviousTurnID, Program: r.programKey,
 		Input: t.input, Output: response.output, Tenant: r.tenantName(), Regions: r.scope().Regions,
+		Chain: cmp.Or(r.chainID, r.metadata.RequestID),
 	}
 	retention := r.recordRetention().Milliseconds()
 	records := []*replicav1.Record{{Kind: &replicav1.Record_Turn{Turn: turn}, RetentionMs: retention}}
--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -62,6 +62,8 @@
 	ReplicaServiceQuarantineProcedure = "/barleyshelf.replica.v1.ReplicaService/Quarantine"
 	// ReplicaServiceAgreeProcedure is the fully-qualified name of the ReplicaService's Agree RPC.
 	ReplicaServiceAgreeProcedure = "/barleyshelf.replica.v1.ReplicaService/Agree"
+	// ReplicaServiceLastUseProcedure is the fully-qualified name of the ReplicaService's LastUse RPC.
+	ReplicaServiceLastUseProcedure = "/barleyshelf.replica.v1.ReplicaService/LastUse"
 	// ForwardServiceForwardProcedure is the fully-qualified name of the ForwardService's Forward RPC.
 	ForwardServiceForwardProcedure = "/barleyshelf.replica.v1.ForwardService/Forward"
 )
@@ -90,6 +92,8 @@
 	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
+	// LastUse returns when chains of turns were last used, as far as that is known here.
+	LastUse(context.Context, *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error)
 }
 
 // NewReplicaServiceClient constructs a client for the barleyshelf.replica.v1.ReplicaService
@@ -163,6 +167,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Agree")),
 			connect.WithClientOptions(opts...),
 		),
+		lastUse: connect.NewClient[replicav1.LastUseRequest, replicav1.LastUseResponse](
+			httpClient,
+			baseURL+ReplicaServiceLastUseProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("LastUse")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -178,6 +188,7 @@
 	loan       *connect.Client[replicav1.LoanRequest, replicav1.LoanResponse]
 	quarantine *connect.Client[replicav1.QuarantineRequest, replicav1.QuarantineResponse]
 	agree      *connect.Client[replicav1.AgreeRequest, replicav1.AgreeResponse]
+	lastUse    *connect.Client[replicav1.LastUseRequest, replicav1.LastUseResponse]
 }
 
 // Append calls barleyshelf.replica.v1.ReplicaService.Append.
@@ -230,6 +241,11 @@
 	return c.agree.CallUnary(ctx, req)
 }
 
+// LastUse calls barleyshelf.replica.v1.ReplicaService.LastUse.
+func (c *replicaServiceClient) LastUse(ctx context.Context, req *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error) {
+	return c.lastUse.CallUnary(ctx, req)
+}
+
 // ReplicaServiceHandler is an implementation of the barleyshelf.replica.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
 	// Append stores records; the answer means that they are on the disk.
@@ -254,6 +270,8 @@
 	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
+	// LastUse returns when chains of turns were last used, as far as that is known here.
+	LastUse(context.Context, *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error)
 }
 
 // NewReplicaServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -323,6 +341,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Agree")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceLastUseHandler := connect.NewUnaryHandler(
+		ReplicaServiceLastUseProcedure,
+		svc.LastUse,
+		connect.WithSchema(replicaServiceMethods.ByName("LastUse")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/barleyshelf.replica.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaServiceAppendProcedure:
@@ -345,6 +369,8 @@
 			replicaServiceQuarantineHandler.ServeHTTP(w, r)
 		case ReplicaServiceAgreeProcedure:
 			replicaServiceAgreeHandler.ServeHTTP(w, r)
+		case ReplicaServiceLastUseProcedure:
+			replicaServiceLastUseHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -394,6 +420,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.Agree is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) LastUse(context.Context, *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("barleyshelf.replica.v1.ReplicaService.LastUse is not implemented"))
+}
+
 // ForwardServiceClient is a client for the barleyshelf.replica.v1.ForwardService service.
 type ForwardServiceClient interface {
 	// Forward makes one call to a member of the group for the caller and returns its
--- a/internal/replica/compaction.go
+++ b/internal/replica/compaction.go
@@ -9,14 +9,10 @@
 	"github.com/barleyshelf/barleyshelf/internal/recordlog"
 )
 
-// compact drops expired records. While the log is much larger than the live records, it rewrites
-// the live records of the oldest segment.
+// compact drops the expired records of groups with a single member. While the log is much larger than the
+// live records, it rewrites the live records of the oldest segment.
 func (s *state) compact(now time.Time) error {
-	s.mutex.Lock()
-	for _, partition := range s.partitions {
-		partition.store.Expire(now)
-	}
-	s.mutex.Unlock()
+	s.expireWithoutPeers(now)
 	for range maxSegmentsPerCompaction {
 		size, live := s.log.Size(), s.liveBytes()
 		if size < s.minCompactBytes || size < maxLogToLiveRatio*live {
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -27,6 +27,7 @@
 	eventFullyReplicated        = event.Define(2720, event.Info, "all members of a group are in sync again", "")
 	eventAlone                  = event.Define(2729, event.Warning, "no group is formed yet: seeds name other replicas, and none has registered", "Start the other replicas, or check their connections to the platform's store; a group of one replica would lose its records with one disk.")
 	eventCallsRejected          = event.Define(2730, event.Warning, "calls were rejected: too many are in flight", "Compare the calls answered with those of an ordinary second. Few answers that take long show a processor or a disk at its limit; add replicas, or restore lost ones.")
+	eventExpiryDelayed          = event.Define(2731, event.Warning, "unused records are kept: no quorum of their group has said when they were last used", "If this repeats for minutes, restore the members that do not answer; memory and disk grow meanwhile.")
 	eventLoanReturnFailed       = event.Define(2760, event.Warning, "expired loans cannot be returned yet", "If this repeats, check the connections to the other replicas.")
 	eventFolderDamaged          = event.Define(2708, event.Warning, "data folder damaged; the replica starts empty", "Check the disk if this repeats; the replica recovers from the others.")
 )
--- a/internal/replica/persistence.go
+++ b/internal/replica/persistence.go
@@ -99,9 +99,10 @@
 	}
 }
 
-// runCompaction compacts the log periodically.
+// runCompaction drops expired records and compacts the log periodically.
 func (r *Replica) runCompaction(ctx context.Context) {
 	for pause.For(ctx, compactInterval) {
+		r.expireRecords(ctx)
 		if err := r.state.compact(time.Now()); err != nil {
 			r.writeFailures.log(err)
 		}
--- a/internal/turn/store.go
+++ b/internal/turn/store.go
@@ -4,6 +4,11 @@
 // not matter. A record leaves the memory once its place in the log is known:
 // what turns say and what is only passed on to other replicas is read from
 // there.
+//
+// The turns of a chain are kept and dropped together, and so are the records of a
+// program. A replica may lack some of them, and the uses of those that it has: a
+// record is on a majority of the replicas only. Unused and DropUnused therefore
+// leave it to the caller to ask the others before anything is dropped.
 package turn
 
 import (
@@ -18,7 +23,9 @@
 
 // Store is what a replica's records say.
 type Store struct {
-	turns    map[string]*keptTurn
+	turns map[string]*keptTurn
+	// chains are the chains of turns, by the id of the first turn.
+	chains   map[string]*chain
 	programs map[string]*program
 	streams  *streamStarts
 	// records are all records that Pull passes on, oldest first.
@@ -72,22 +79,20 @@
 
 type keptTurn struct {
 	Kept
-	// used is when the turn, or one that goes on from it, came in last.
-	used time.Time
+	chain *chain
 }
 
 type program struct {
 	name    string
 	entries map[string]*replicav1.Entry
-	// retention is the longest of its records.
-	retention time.Duration
-	// used is when a record of the program came in last.
-	used time.Time
+	usage   usage
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{turns: make(map[string]*keptTurn), programs: make(map[string]*program), streams: newStreamStarts()}
+	return &Store{
+		turns: make(map[string]*keptTurn), chains: make(map[string]*chain), programs: make(map[string]*program), streams: newStreamStarts(),
+	}
 }
 
 // Apply takes a record that came in at a time of the steady clock, and reports
@@ -96,11 +101,7 @@
 	added := false
 	switch kind := record.Kind.(type) {
 	case *replicav1.Record_Turn:
-		if _, found := s.turns[kind.Turn.Id]; !found {
-			s.turns[kind.Turn.Id] = &keptTurn{Kept: Kept{Turn: kind.Turn}}
-			s.touch(now, kind.Turn.Id)
-			added = true
-		}
+		added = s.addTurn(now, kind.Turn)
 	case *replicav1.Record_Reservation:
 		added = s.reserve(now, kind.Reservation)
 	case *replicav1.Record_Settlement:
@@ -115,8 +116,8 @@
 		s.records = append(s.records, stored)
 		s.bytes += int64(size)
 		s.next++
-		if known := s.programOf(stored); known != nil {
-			known.retention = max(known.retention, retention)
+		if used := s.usageOf(stored.subject); used != nil {
+			used.retention = max(used.retention, retention)
 		}
 	}
 	return added
@@ -162,20 +163,13 @@
 // Position returns the record's position, which is never used for another.
 func (s Stored) Position() uint64 { return s.position }
 
-// touch marks a turn and those before it as used: a turn is kept with its chain.
-func (s *Store) touch(now time.Time, id string) {
-	for found := s.turns[id]; found != nil && found.used.Before(now); found = s.turns[found.Previous] {
-		found.used = now
-	}
-}
-
 func (s *Store) entry(now time.Time, name, id string) *replicav1.Entry {
 	known := s.programs[name]
 	if known == nil {
 		known = &program{name: name, entries: make(map[string]*replicav1.Entry)}
 		s.programs[name] = known
 	}
-	known.used = now
+	known.usage.lastUse = now
 	entry := known.entries[id]
 	if entry == nil {
 		entry = &replicav1.Entry{Id: id, Program: known.name, Most: -1}
@@ -184,35 +178,6 @@
 	return entry
 }
 
-// expiryMargin is how much longer than its retention a record is kept.
-const expiryMargin = 5 * time.Second
-
-// Expire drops turns that no line has gone on from, and the reservations of
-// programs that nothing was heard of, for longer than their retention.
-func (s *Store) Expire(now time.Time) {
-	kept := s.records[:0]
-	for _, each := range s.records {
-		if s.usedAt(each.subject).Add(s.retentionOf(each) + expiryMargin).Before(now) {
-			s.drop(each.subject)
-			s.bytes -= int64(each.size)
-			continue
-		}
-		kept = append(kept, each)
-	}
-	clear(s.records[len(kept):])
-	s.records = kept
-}
-
-// retentionOf returns how long a record is kept. The records of a program go together,
-// after the longest time for which one of them is to be kept: a loan is, for longer than
-// the turns.
-func (s *Store) retentionOf(stored Stored) time.Duration {
-	if known := s.programOf(stored); known != nil {
-		return max(known.retention, stored.retention)
-	}
-	return stored.retention
-}
-
 // subjectOf returns what a record concerns. It shares the name of a program, which has many records.
 func (s *Store) subjectOf(record *replicav1.Record) subject {
 	switch kind := record.Kind.(type) {
@@ -228,46 +193,6 @@
 	return subject{}
 }
 
-// programOf returns the program whose budget a record concerns, or nil.
-func (s *Store) programOf(stored Stored) *program {
-	if stored.subject.kind != subjectProgram {
-		return nil
-	}
-	return s.programs[stored.subject.name]
-}
-
-// usedAt returns when what a record concerns was used last. Records of a
-// program that is dropped already were used as long ago as that.
-func (s *Store) usedAt(concerned subject) time.Time {
-	switch concerned.kind {
-	case subjectTurn:
-		return s.turns[concerned.name].used
-	case subjectProgram:
-		return s.programUsed(concerned.name)
-	case subjectStream:
-		return s.streams.addedAt(concerned.name, concerned.request)
-	}
-	return time.Time{}
-}
-
-func (s *Store) programUsed(name string) time.Time {
-	if known := s.programs[name]; known != nil {
-		return known.used
-	}
-	return time.Time{}
-}
-
-func (s *Store) drop(concerned subject) {
-	switch concerned.kind {
-	case subjectTurn:
-		delete(s.turns, concerned.name)
-	case subjectProgram:
-		delete(s.programs, concerned.name)
-	case subjectStream:
-		s.streams.remove(concerned.name, concerned.request)
-	}
-}
-
 // StreamStarts returns the known starts of streams with a content, or, if request is not empty, of the one
 // that began with that request.
 func (s *Store) StreamStarts(content, request string) []*replicav1.StreamStart {
--- a/internal/turn/streamstarts.go
+++ b/internal/turn/streamstarts.go
@@ -35,8 +35,10 @@
 	return true
 }
 
-func (s *streamStarts) addedAt(content, request string) time.Time {
-	return s.byContent[content][request].addedAt
+// usage returns the use of a start's record: nothing uses a start after it was added.
+func (s *streamStarts) usage(stored Stored) usage {
+	added := s.byContent[stored.subject.name][stored.subject.request].addedAt
+	return usage{lastUse: added, retention: stored.retention}
 }
 
 func (s *streamStarts) remove(content, request string) {
