replica: a program's records end only when a quorum knows of no later use

A record goes to two of three replicas; one that the second visit did not reach dropped its part of the first. What it and the replica that was away had known was in no answer of the majority left. Why it works: each reservation and settlement was written to a quorum, so that one of those asked knows of it.

--- a/internal/gen/replicav1/replicav1connect/replica.connect.go
+++ b/internal/gen/replicav1/replicav1connect/replica.connect.go
@@ -92,7 +92,7 @@
 	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
-	// LastUse returns when chains of turns were last used, as far as that is known here.
+	// LastUse returns when chains of turns and programs were last used, as far as that is known here.
 	LastUse(context.Context, *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error)
 }
 
@@ -270,7 +270,7 @@
 	Quarantine(context.Context, *connect.Request[replicav1.QuarantineRequest]) (*connect.Response[replicav1.QuarantineResponse], error)
 	// Agree asks a member, as an acceptor, for its part in the choice of the next group.
 	Agree(context.Context, *connect.Request[replicav1.AgreeRequest]) (*connect.Response[replicav1.AgreeResponse], error)
-	// LastUse returns when chains of turns were last used, as far as that is known here.
+	// LastUse returns when chains of turns and programs were last used, as far as that is known here.
 	LastUse(context.Context, *connect.Request[replicav1.LastUseRequest]) (*connect.Response[replicav1.LastUseResponse], error)
 }
 
--- a/internal/replica/expiry.go
+++ b/internal/replica/expiry.go
@@ -28,8 +28,8 @@
 func (r *Replica) expireRecords(ctx context.Context) {
 	var questions sync.WaitGroup
 	for partition, unused := range r.state.unusedRecords(r.state.now()) {
-		if len(unused.Chains) == 0 {
-			// There may be other records to drop.
+		if unused.IsEmpty() {
+			// There may be starts of streams to drop, which nothing uses.
 			r.state.dropUnused(partition, unused, nil, true)
 			continue
 		}
@@ -48,7 +48,7 @@
 	if group == nil {
 		return nil, false
 	}
-	request := &replicav1.LastUseRequest{Epoch: group.Epoch, Partition: partition, Chains: unused.Chains}
+	request := &replicav1.LastUseRequest{Epoch: group.Epoch, Partition: partition, Chains: unused.Chains, Programs: unused.Programs}
 	answers := make(chan lastUseAnswer, len(group.Members))
 	for _, member := range group.Members {
 		go func() { answers <- r.askLastUse(ctx, member, request) }()
@@ -64,7 +64,7 @@
 	}
 	complete = isLastUseQuorum(group, usages)
 	if !complete && ctx.Err() == nil {
-		eventExpiryDelayed.Log("partition", partition, "epoch", group.Epoch, "chains", len(unused.Chains),
+		eventExpiryDelayed.Log("partition", partition, "epoch", group.Epoch, "chains", len(unused.Chains), "programs", len(unused.Programs),
 			"answered", len(usages), "unanswered", unanswered)
 	}
 	return usages, complete
@@ -96,7 +96,7 @@
 	switch {
 	case err != nil:
 		return lastUseAnswer{problem: member.Node + ": " + quorum.DescribeCallFailure(err)}
-	case len(response.Msg.Chains) != len(request.Chains):
+	case len(response.Msg.Chains) != len(request.Chains) || len(response.Msg.Programs) != len(request.Programs):
 		return lastUseAnswer{problem: member.Node + ": answered something else"}
 	}
 	return lastUseAnswer{response: response.Msg}
@@ -116,6 +116,9 @@
 	for _, id := range request.Chains {
 		response.Chains = append(response.Chains, encodeUsage(partition.store.ChainUsage(now, id)))
 	}
+	for _, name := range request.Programs {
+		response.Programs = append(response.Programs, encodeUsage(partition.store.ProgramUsage(now, name)))
+	}
 	return response
 }
 
@@ -154,9 +157,12 @@
 		for i, id := range unused.Chains {
 			partition.store.ObserveChainUsage(now, id, decodeUsage(answer.Chains[i]))
 		}
+		for i, name := range unused.Programs {
+			partition.store.ObserveProgramUsage(now, name, decodeUsage(answer.Programs[i]))
+		}
 	}
 	if !complete {
-		unused.Chains = nil
+		unused = turn.Subjects{}
 	}
 	partition.store.DropUnused(now, unused)
 }
--- a/internal/turn/usage.go
+++ b/internal/turn/usage.go
@@ -35,6 +35,9 @@
 	Chains, Programs []string
 }
 
+// IsEmpty reports whether nothing is named.
+func (n Subjects) IsEmpty() bool { return len(n.Chains) == 0 && len(n.Programs) == 0 }
+
 // Unused returns up to limit chains and as many programs whose records have not been used for their retention, as far
 // as that is known here.
 func (s *Store) Unused(now time.Time, limit int) (unused Subjects) {
@@ -61,6 +64,14 @@
 	return Usage{}
 }
 
+// ProgramUsage is ChainUsage for a program.
+func (s *Store) ProgramUsage(now time.Time, name string) Usage {
+	if known := s.programs[name]; known != nil {
+		return known.usage.at(now)
+	}
+	return Usage{}
+}
+
 func (u usage) at(now time.Time) Usage {
 	return Usage{IsKnown: true, Idle: max(0, now.Sub(u.lastUse)), Retention: u.retention}
 }
@@ -72,6 +83,13 @@
 	}
 }
 
+// ObserveProgramUsage is ObserveChainUsage for a program.
+func (s *Store) ObserveProgramUsage(now time.Time, name string, other Usage) {
+	if known := s.programs[name]; known != nil {
+		known.usage.observe(now, other)
+	}
+}
+
 func (u *usage) observe(now time.Time, other Usage) {
 	if !other.IsKnown {
 		return
