gateway: a request with too little time is tried now and then while no responses come

Shorter deadlines of clients, or slow workers that fast ones replace, do the same. Cause: a request with less time than the fastest of the last 64 to 128 responses is refused; samples were forgotten by number alone, and what is refused brings none. Evidence: one gateway that had a single fast response late in the burst went on serving. Change: while there are no samples the minimum decays by half each second for the question whether to try a request, more slowly after each trial that fails (4 s at last). A trial is logged (event 2843) and leaves the estimate out of its waits. Why it works: a response within the shorter time is a sample, and one sample is the minimum from then on; how long it takes hangs on the time that requests have, not on their number. No trial is made while samples come, which show the same.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -128,13 +128,32 @@
 }
 
 // checkRemainingTime fails if the request has less time left than the fastest recent response
-// took.
+// took. While there are no recent responses, it lets single requests through, which show whether
+// workers have become faster.
 func (r *request) checkRemainingTime() error {
-	remaining, fastest := time.Until(r.deadline), r.fastestResponse().Value()
-	if remaining >= fastest {
+	if r.probesResponseTime {
 		return nil
 	}
-	return &TimeTooShort{Remaining: remaining, FastestResponse: fastest}
+	now := time.Now()
+	remaining := r.deadline.Sub(now)
+	admission := r.fastestResponse().Admit(now, remaining)
+	if !admission.Admitted {
+		return &TimeTooShort{Remaining: remaining, FastestResponse: admission.Minimum}
+	}
+	if admission.IsProbe {
+		r.probesResponseTime = true
+		r.addLogEntry(eventResponseTimeProbed, "remaining", remaining, "fastest", admission.Minimum)
+	}
+	return nil
+}
+
+// expectedResponseTime returns the shortest time that a worker is expected to need. It is 0 for a
+// request that shows whether workers have become faster.
+func (r *request) expectedResponseTime() time.Duration {
+	if r.probesResponseTime {
+		return 0
+	}
+	return r.fastestResponse().Value()
 }
 
 // fastestResponse returns the estimate of the shortest time in which workers of the request's
@@ -305,7 +324,8 @@
 func (r *request) recordResponseStart(chosen directory.Worker, response *worker.Response, s *sending) {
 	r.recordMayHaveRun(chosen.ID)
 	r.respondedAfter = time.Since(r.receivedAt)
-	r.fastestResponse().Observe(time.Since(s.sentAt))
+	now := time.Now()
+	r.fastestResponse().Observe(now, now.Sub(s.sentAt))
 	values := []any{"worker", chosen.ID, "status", response.Status, "distance", r.gateway.zoneDistances.Class(chosen.Zone).String()}
 	r.addLogEntry(eventResponseStarted, append(values, s.connectionLogValues()...)...)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,9 @@
 	// continues from. They are stored again with it, so that the whole chain can be read from
 	// one partition and lasts as long as its newest turn.
 	copiedTurns []*replicav1.Turn
+	// probesResponseTime is set for a request with less time left than the fastest recent response
+	// took, which shows whether workers have become faster.
+	probesResponseTime bool
 	// chainID is the id of the first turn of the chain that the turn goes on from; empty if it starts one.
 	chainID string
 	// tried are the workers that the request must not be sent to again; mayHaveRun are those on
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -46,6 +46,7 @@
 	eventQuarantineCleared     = event.Define(2829, event.Info, "a worker ran a request under whose content workers had ended; the count starts again", "")
 	eventStreamTakenUp         = event.Define(2835, event.Info, "client resumes a stream of an earlier request", "")
 	eventStreamStartNotWritten = event.Define(2836, event.Warning, "first event of a stream was forwarded before its start was written", "Check the replicas if this repeats. If this gateway ends now, a client that does not name its request may not be able to resume the stream.")
+	eventResponseTimeProbed    = event.Define(2843, event.Info, "request with less time than recent responses took is tried, to see whether workers have become faster", "")
 	eventResponseStarted       = event.Define(2818, event.Info, "worker began to respond", "")
 )
 
--- a/internal/gateway/slotqueue.go
+++ b/internal/gateway/slotqueue.go
@@ -222,7 +222,7 @@
 	defer r.startWait(waitForSlot)()
 	queue := r.gateway.slotQueues.getOrCreate(r.service.Name)
 	if r.slotTicket == nil {
-		r.slotTicket = queue.enqueue(r.priorityRank, r.deadline.Add(-r.fastestResponse().Value()))
+		r.slotTicket = queue.enqueue(r.priorityRank, r.deadline.Add(-r.expectedResponseTime()))
 	}
 	if r.slotTicket == nil || !r.slotTicket.awaitFront(ctx) {
 		if ctx.Err() != nil {
--- a/internal/gateway/slotqueue_test.go
+++ b/internal/gateway/slotqueue_test.go
@@ -98,7 +98,7 @@
 	r := requestWithPriority(g, 0, 20*time.Millisecond)
 	require.NoError(t, r.checkRemainingTime(), "no response time is known yet")
 	for range 64 {
-		r.fastestResponse().Observe(time.Second)
+		r.fastestResponse().Observe(time.Now(), time.Second)
 	}
 	var refused *TimeTooShort
 	require.ErrorAs(t, r.checkRemainingTime(), &refused)
--- a/internal/gateway/turns.go
+++ b/internal/gateway/turns.go
@@ -107,15 +107,15 @@
 	if availability.WaitLimit <= 0 {
 		return availability, &MajorityUnavailable{UnavailableFor: availability.UnavailableFor, MemberAnswers: availability.MemberAnswers, RetryAfter: availability.RetryAfter}
 	}
-	availability.WaitLimit = min(availability.WaitLimit, r.slack())
-	if availability.WaitLimit <= 0 {
-		return availability, r.checkRemainingTime()
+	if err := r.checkRemainingTime(); err != nil {
+		return availability, err
 	}
+	availability.WaitLimit = min(availability.WaitLimit, r.slack())
 	return availability, nil
 }
 
 // slack returns how long the request may wait and still leave a worker enough time to respond.
-func (r *request) slack() time.Duration { return time.Until(r.deadline) - r.fastestResponse().Value() }
+func (r *request) slack() time.Duration { return time.Until(r.deadline) - r.expectedResponseTime() }
 
 // majorityAvailability returns the availability of the majority that stores the program's budget
 // or of the majority that stores the turn, whichever is worse.
--- a/internal/gateway/turns_test.go
+++ b/internal/gateway/turns_test.go
@@ -74,7 +74,7 @@
 
 func TestUndeclaredRoutesAndServicesAreRemoved(t *testing.T) {
 	g := gatewayWithSlotQueues()
-	g.fastestResponses.getOrCreate(routeAndService{route: "gone"}).Observe(time.Second)
+	g.fastestResponses.getOrCreate(routeAndService{route: "gone"}).Observe(time.Now(), time.Second)
 	kept := g.fastestResponses.getOrCreate(routeAndService{route: "kept"})
 	ticket := g.slotQueues.getOrCreate("waits").enqueue(0, time.Now().Add(time.Minute))
 	nothingDeclared := func(string) bool { return false }
