gateway: a resumed stream with too little time is refused for that reason, or tried

What callers saw: a client that takes a stream up, with less time left than recent responses took, got 503 stream_version_unknown, which tells it to begin anew. Evidence: TestResumedStreamWithTooLittleTimeIsRefusedForItsTime is red without the change ("0 replicas answered, and the answers of 1 must count") and green with it. Why it works: the remaining time is asked about first, as before each attempt.

--- a/internal/gateway/streamlookup_test.go
+++ b/internal/gateway/streamlookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/barleyshelf/barleyshelf/internal/quorum"
+	"github.com/barleyshelf/barleyshelf/internal/route"
 )
 
 // lateStart is a stream whose start is known from a time on.
@@ -75,3 +77,17 @@
 	require.Error(t, err)
 	require.Equal(t, 1, source.questions)
 }
+
+// Guards against the wrong reason for a refusal, and against streams that are refused for ever by it.
+func TestResumedStreamWithTooLittleTimeIsRefusedForItsTime(t *testing.T) {
+	g := gatewayWithOptions(Options{})
+	g.streamVersions, g.quorum = newStreamVersions(time.Now), quorum.NewClient(g.directory, "", http.DefaultClient)
+	r := requestOnRoute(t, g, &route.Route{Name: "resumable", Kind: route.Streaming, Resumable: true})
+	r.metadata.LastEventID, r.metadata.ResumedRequestID = "2", "first-attempt"
+	r.deadline = time.Now().Add(300 * time.Millisecond)
+	for range 64 {
+		r.fastestResponse().Observe(time.Now(), time.Second)
+	}
+	var tooShort *TimeTooShort
+	require.ErrorAs(t, r.findResumedStream(t.Context()), &tooShort)
+}
--- a/internal/gateway/streamversion.go
+++ b/internal/gateway/streamversion.go
@@ -157,7 +157,10 @@
 	if version, found := r.gateway.streamVersions.find(stream); found {
 		return version, "gateway", nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, max(0, r.slack())))
+	if err := r.checkRemainingTime(); err != nil {
+		return "", "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(maxStreamLookup, r.slack()))
 	defer cancel()
 	origin, err := awaitStreamOrigin(ctx, r.gateway.quorum, stream, r.service.Name)
 	if err == nil && stream.Request == "" {
