quorum: forwarded calls beyond their limit are no longer counted for ever

Cause: a call was counted before the limit was compared, and never taken back over it. Evidence: TestForwardingGoesOnAfterTooManyCallsAtOnce is red without the change, green with it. The receiving side was right already. Why it works: each call that is counted is taken back, whatever becomes of it.

--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -77,10 +77,13 @@
 // call makes one call through another gateway. It returns nil if there was no answer.
 func (f *forwarders) call(ctx context.Context, request *replicav1.ForwardRequest) *replicav1.ForwardResponse {
 	address, found := f.preferredAddress()
-	if !found || f.inFlight.Add(1) > maxOutgoingForwards {
+	if !found {
 		return nil
 	}
 	defer f.inFlight.Add(-1)
+	if f.inFlight.Add(1) > maxOutgoingForwards {
+		return nil
+	}
 	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	client := replicav1connect.NewForwardServiceClient(f.httpClient, "http://"+address, transport.ClientOptions()...)
--- a/internal/quorum/forward_test.go
+++ b/internal/quorum/forward_test.go
@@ -105,3 +105,18 @@
 	cutOff.WriteDeferred(shutdownCtx)
 	require.Less(t, time.Since(startedAt), deferredWriteTimeout/2)
 }
+
+// Guards against forwarding that ends for good: calls beyond the limit were counted and never taken back.
+func TestForwardingGoesOnAfterTooManyCallsAtOnce(t *testing.T) {
+	members, group := startMembers(t, 3)
+	other := NewClient(group, "", http.DefaultClient)
+	cutOff := NewClient(group, "", clientCutOffFrom(members[0].address, members[1].address, members[2].address))
+	cutOff.forwarders.set([]string{startForwarder(t, other)})
+	request := &replicav1.ForwardRequest{Address: members[0].address, Call: &replicav1.ForwardRequest_Append{Append: &replicav1.AppendRequest{Epoch: 1}}}
+	cutOff.forwarders.inFlight.Add(maxOutgoingForwards)
+	for range maxOutgoingForwards {
+		require.Nil(t, cutOff.forward(t.Context(), request), "too many are in flight")
+	}
+	cutOff.forwarders.inFlight.Add(-maxOutgoingForwards)
+	require.NotNil(t, cutOff.forward(t.Context(), request))
+}
