replica: a data folder remembers the first start of its system

Cause: only a process that is told of the first start formed the first groups, or started in their seats without a copy, and each process is told once. Those that followed formed no groups, or waited for records that nobody had. Change: a process of the first start writes a mark to its log before it does anything that others see; processes that come back on the folder act as of the first start. Why it works: the mark goes with the disk, so that a folder that has it and no incarnation in a seat of the first epoch has acknowledged nothing that it could have lost. The store keeps the first groups that are created, as before. Left: all killed before the mark is on the disk.

--- a/internal/replica/reconcile.go
+++ b/internal/replica/reconcile.go
@@ -134,7 +134,7 @@
 	for pause.For(ctx, reconcileInterval) {
 		r.peers.checkSelfPause()
 		r.peers.watchMembers(r.ownGroups())
-		if r.options.Bootstrap && r.shouldFormGroups(time.Since(started)) {
+		if r.state.isFromFirstStart() && r.shouldFormGroups(time.Since(started)) {
 			r.formGroups(ctx)
 		}
 		storeReachable := r.isStoreReachable()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -172,6 +172,7 @@
 		Seeds: options.Seeds, Nodes: replica.nodes, Sources: replica.otherWatchers, Quarantine: storage.quarantine,
 	})
 	replica.restoreDirectory()
+	replica.markFirstStart()
 	return replica, nil
 }
 
--- a/internal/replica/seatrecovery.go
+++ b/internal/replica/seatrecovery.go
@@ -166,10 +166,10 @@
 	return nil
 }
 
-// hasNothingToRecover reports whether a seat starts without a copy: the system starts for the first
-// time, or there is no other member.
+// hasNothingToRecover reports whether a seat starts without a copy: this folder was begun before the
+// first group was formed and has the seat since then, or there is no other member.
 func (r *Replica) hasNothingToRecover(group *replicav1.Group, member *replicav1.Member, identity *replicav1.Identity) bool {
-	first := r.options.Bootstrap && identity == nil && member.Claim == firstEpoch
+	first := r.state.isFromFirstStart() && identity == nil && member.Claim == firstEpoch
 	return first || len(group.Members) == 1
 }
 
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -72,6 +72,8 @@
 	workers       persistedWorkers
 	versions      persistedVersions
 	drainedZones  *replicav1.DrainedZoneList
+	// fromFirstStart is set if this folder was begun with the system, before its first group was formed.
+	fromFirstStart bool
 	// quarantine holds the counts of requests under which workers have ended. It is not guarded by the
 	// mutex.
 	quarantine *quarantine.Table
@@ -134,6 +136,11 @@
 			return false
 		}
 		s.drainedZones = kind.DrainedZones
+	case *replicav1.Record_FirstStart:
+		if s.fromFirstStart {
+			return false
+		}
+		s.fromFirstStart = true
 	case *replicav1.Record_Quarantine:
 		s.quarantine.Merge(decodeStoredQuarantine(kind.Quarantine, s.now())...)
 		return false
@@ -285,6 +292,9 @@
 	if s.drainedZones != nil {
 		records = append(records, &replicav1.Record{Kind: &replicav1.Record_DrainedZones{DrainedZones: s.drainedZones}})
 	}
+	if s.fromFirstStart {
+		records = append(records, firstStartRecord())
+	}
 	records = append(records, s.quarantineRecords()...)
 	return records
 }
