gateway: a program that is refused again and again keeps its budget

What callers saw: nothing so far. A program that had spent its budget, was refused by one gateway for some seconds and came to another within the retention of the last refusal, would have been handed its budget once more (BUDGET). Cause: a gateway refuses by itself for 20 s what it knows to be spent. To replicas these refusals are no use, and they drop the program's records 5 s after the retention. Change: it is remembered for 4 s, less than the margin beyond the retention. Why it works: the last refusal by replicas, which writes a reservation, lies at most 4 s before the last one of the gateway. Cost: one call in 4 s for the refusals of a program in place of one in 20 s.

--- a/internal/gateway/spenttokens.go
+++ b/internal/gateway/spenttokens.go
@@ -3,11 +3,15 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/barleyshelf/barleyshelf/internal/turn"
 )
 
 const (
-	// spentTokensTTL is how long the spent tokens of a program are cached.
-	spentTokensTTL = 20 * time.Second
+	// spentTokensTTL is how long the spent tokens of a program are cached. A refusal by the cache is
+	// no use of the program's records. The last use is therefore not much earlier than the last
+	// refusal: replicas keep the records for that much longer than a program may come again.
+	spentTokensTTL = turn.ExpiryMargin - time.Second
 	// maxSpentPrograms bounds the number of cached programs.
 	maxSpentPrograms = 8192
 )
--- a/internal/turn/store_test.go
+++ b/internal/turn/store_test.go
@@ -125,7 +125,7 @@
 	store.Apply(start, kept(settlement("r", "p", 5), time.Minute))
 	store.Expire(start.Add(time.Minute))
 	require.Equal(t, 3, store.Len())
-	store.Expire(start.Add(time.Minute + expiryMargin + time.Second))
+	store.Expire(start.Add(time.Minute + ExpiryMargin + time.Second))
 	require.Zero(t, store.Len())
 	require.Zero(t, store.Bytes())
 	require.Empty(t, store.Chain("a"))
@@ -199,9 +199,9 @@
 	first.RetentionMs, lent.RetentionMs = 1000, 16000
 	store.Apply(start, first)
 	store.Apply(start, lent)
-	store.Expire(start.Add(16*time.Second + expiryMargin))
+	store.Expire(start.Add(16*time.Second + ExpiryMargin))
 	require.Len(t, store.Entries("p"), 2)
-	store.Expire(start.Add(16*time.Second + expiryMargin + 1))
+	store.Expire(start.Add(16*time.Second + ExpiryMargin + 1))
 	require.Empty(t, store.Entries("p"))
 	require.Zero(t, store.Len())
 }
--- a/internal/turn/usage.go
+++ b/internal/turn/usage.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// expiryMargin is how much longer than its retention a record is kept, so that what goes on from it at the last moment
+// ExpiryMargin is how much longer than its retention a record is kept, so that what goes on from it at the last moment
 // is complete before it is dropped.
-const expiryMargin = 5 * time.Second
+const ExpiryMargin = 5 * time.Second
 
 // usage is when records that are kept and dropped together were last used.
 type usage struct {
@@ -19,7 +19,7 @@
 
 // isOver reports whether the records need not be kept any longer, as far as their uses are known.
 func (u usage) isOver(now time.Time) bool {
-	return u.lastUse.Add(u.retention + expiryMargin).Before(now)
+	return u.lastUse.Add(u.retention + ExpiryMargin).Before(now)
 }
 
 // Usage is what one replica knows of the use of a chain or a program.
