replica: questions about expiry count as calls of members

Cause: they shared the limit of calls of requests, so that a crowd of turns could hold up the end of records. By reading; no fault was seen. Change: they count with copies and announcements.

--- a/internal/replica/inflightlimiter.go
+++ b/internal/replica/inflightlimiter.go
@@ -20,11 +20,13 @@
 	maxMemberCallsInFlight = 64
 )
 
-// memberProcedures are the calls by which members recover, learn of each other and choose groups.
+// memberProcedures are the calls by which members recover, learn of each other, choose groups and agree
+// on what has expired.
 var memberProcedures = map[string]bool{
 	replicav1connect.ReplicaServicePullProcedure:     true,
 	replicav1connect.ReplicaServiceAnnounceProcedure: true,
 	replicav1connect.ReplicaServiceAgreeProcedure:    true,
+	replicav1connect.ReplicaServiceLastUseProcedure:  true,
 }
 
 // inFlightLimiter rejects calls beyond the limit of their kind. Directory calls are exempt because they
